--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
