--- /dev/null
+++ b/crates/config/src/index.rs
@@ -0,0 +1,163 @@
+//! The index of a packed configuration: which part has which digest.
+//!
+//! The index is split into pages by a hash of the part key, so that a change of
+//! one part changes one page and the root, and not the whole index.
+
+use bytes::Bytes;
+use prost::Message;
+use radishgauge_schema::config::IndexEntry;
+use radishgauge_schema::config::IndexPage;
+use radishgauge_schema::config::IndexRoot;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+use crate::PartDigest;
+
+/// The number of pages of an index.
+pub const PAGES: usize = 32;
+
+/// The format number of the parts that this release writes and accepts.
+pub const SCHEMA: u32 = 1;
+
+/// The digest of every part of one version, by part key.
+///
+/// Each page is ordered by key, so equal contents give equal bytes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DigestIndex {
+    revision: u64,
+    pages: Vec<BTreeMap<SmolStr, PartDigest>>,
+}
+
+impl DigestIndex {
+    /// Returns an index without entries.
+    pub fn new(revision: u64) -> DigestIndex {
+        let pages = vec![BTreeMap::new(); PAGES];
+        DigestIndex { revision, pages }
+    }
+
+    /// Returns the page that holds a part key, in `0..PAGES`.
+    pub fn page_of(key: &str) -> usize {
+        usize::from(blake3::hash(key.as_bytes()).as_bytes()[0]) % PAGES
+    }
+
+    /// Returns the revision of the version that the index describes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Sets the revision, as a delta to a newer version does.
+    pub fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+    }
+
+    /// Returns the digest of a part.
+    pub fn get(&self, key: &str) -> Option<PartDigest> {
+        self.pages[DigestIndex::page_of(key)].get(key).copied()
+    }
+
+    /// Sets the digest of a part and returns the earlier one.
+    pub fn insert(&mut self, key: SmolStr, digest: PartDigest) -> Option<PartDigest> {
+        self.pages[DigestIndex::page_of(&key)].insert(key, digest)
+    }
+
+    /// Removes a part and returns its digest.
+    pub fn remove(&mut self, key: &str) -> Option<PartDigest> {
+        self.pages[DigestIndex::page_of(key)].remove(key)
+    }
+
+    /// Iterates over all entries, page by page.
+    pub fn iter(&self) -> impl Iterator<Item = (&SmolStr, PartDigest)> {
+        self.pages
+            .iter()
+            .flatten()
+            .map(|(key, digest)| (key, *digest))
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.pages.iter().map(BTreeMap::len).sum()
+    }
+
+    /// Returns whether the index has no entries.
+    pub fn is_empty(&self) -> bool {
+        self.pages.iter().all(BTreeMap::is_empty)
+    }
+
+    /// Returns one page as the platform holds it.
+    ///
+    /// # Panics
+    ///
+    /// When `page` is not below [`PAGES`].
+    pub fn page(&self, page: usize) -> IndexPage {
+        let entries = self.pages[page]
+            .iter()
+            .map(|(key, digest)| IndexEntry {
+                key: key.to_string(),
+                digest: Bytes::copy_from_slice(digest.as_bytes()),
+            })
+            .collect();
+        IndexPage { entries }
+    }
+
+    /// Returns the digest of one page's bytes.
+    ///
+    /// # Panics
+    ///
+    /// When `page` is not below [`PAGES`].
+    pub fn page_digest(&self, page: usize) -> PartDigest {
+        PartDigest::of(&self.page(page).encode_to_vec())
+    }
+
+    /// Returns the root that names this version.
+    pub fn root(&self) -> IndexRoot {
+        let pages = (0..PAGES)
+            .map(|page| Bytes::copy_from_slice(self.page_digest(page).as_bytes()))
+            .collect();
+        IndexRoot {
+            schema: SCHEMA,
+            revision: self.revision,
+            pages,
+        }
+    }
+
+    /// Returns the digest of the root's bytes, which names the whole version.
+    pub fn root_digest(&self) -> PartDigest {
+        PartDigest::of(&self.root().encode_to_vec())
+    }
+
+    /// Replaces one page by entries read from a peer or the platform.
+    ///
+    /// # Errors
+    ///
+    /// When an entry has a malformed digest, is out of order, or belongs to
+    /// another page; the index is then unchanged.
+    ///
+    /// # Panics
+    ///
+    /// When `page` is not below [`PAGES`].
+    pub fn replace_page(&mut self, page: usize, value: &IndexPage) -> Result<(), IndexError> {
+        let mut entries = BTreeMap::new();
+        let mut last = None;
+        for entry in &value.entries {
+            let key = SmolStr::new(&entry.key);
+            if DigestIndex::page_of(&key) != page || last.as_ref() >= Some(&key) {
+                return Err(IndexError { key });
+            }
+            let Ok(digest) = PartDigest::try_from(entry.digest.as_ref()) else {
+                return Err(IndexError { key });
+            };
+            entries.insert(key.clone(), digest);
+            last = Some(key);
+        }
+        self.pages[page] = entries;
+        Ok(())
+    }
+}
+
+/// An index page that cannot be one of a packed configuration.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("the index entry {key:?} is malformed, out of order or on the wrong page")]
+pub struct IndexError {
+    /// The key of the first bad entry.
+    pub key: SmolStr,
+}
--- /dev/null
+++ b/crates/generate/examples/generate.rs
@@ -0,0 +1,6 @@
+//! Rewrites the committed types of the schema.
+
+fn main() -> anyhow::Result<()> {
+    let output = radishgauge_generate::schema_dir().join("src/generated");
+    radishgauge_generate::generate(&output)
+}
--- /dev/null
+++ b/crates/generate/tests/current.rs
@@ -0,0 +1,23 @@
+//! Fails when the committed code differs from what the generator writes.
+
+use std::fs;
+
+#[test]
+fn committed_code_is_current() {
+    let output = tempfile::tempdir().unwrap();
+    radishgauge_generate::generate(output.path()).unwrap();
+    let home = radishgauge_generate::schema_dir().join("src/generated");
+    let mut names = 0;
+    for entry in fs::read_dir(output.path()).unwrap() {
+        let fresh = entry.unwrap().path();
+        let committed = home.join(fresh.file_name().unwrap());
+        assert_eq!(
+            fs::read(&fresh).unwrap(),
+            fs::read(&committed).unwrap_or_default(),
+            "{} differs; run the generator",
+            committed.display()
+        );
+        names += 1;
+    }
+    assert_eq!(names, fs::read_dir(home).unwrap().count());
+}
