--- /dev/null
+++ b/crates/config/src/accept.rs
@@ -0,0 +1,184 @@
+//! The verdict on a version, from its content alone.
+//!
+//! Daemons evaluate versions independently and must agree, so the verdict
+//! depends on no clock, no history and no order of arrival.
+
+use std::collections::BTreeMap;
+
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::config::IndexRoot;
+use radishgauge_schema::config::config_part::Part;
+use smol_str::SmolStr;
+
+use crate::DigestIndex;
+use crate::PartDigest;
+use crate::check::FieldPath;
+use crate::check::PathStep;
+use crate::check::check_set;
+use crate::index::PAGES;
+use crate::index::SCHEMA;
+use crate::model::decode_part;
+use crate::pack::FLEET_KEY;
+use crate::pack::VALUE_MAX;
+use crate::pack::route_key;
+use crate::pack::service_key;
+
+/// The most reasons that a verdict gives; a version head carries them to every
+/// daemon.
+pub const REASONS_MAX: usize = 16;
+
+/// Whether a version may be put in force.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum AcceptVerdict {
+    /// The version is complete and free of faults.
+    Accepted,
+    /// The version must not be put in force.
+    Refused(Vec<RefuseReason>),
+    /// The parts are not those that the root names, which says nothing about
+    /// the version: read it again. The pages that differ are given.
+    Mismatch(Vec<usize>),
+}
+
+impl AcceptVerdict {
+    /// Returns whether the version may be put in force.
+    pub fn is_accepted(&self) -> bool {
+        *self == AcceptVerdict::Accepted
+    }
+
+    /// Returns the reasons as texts, as a version head carries them: at most
+    /// [`REASONS_MAX`], the last one a count of the rest if there are more.
+    pub fn reasons(&self) -> Vec<String> {
+        match self {
+            AcceptVerdict::Accepted => Vec::new(),
+            AcceptVerdict::Refused(reasons) if reasons.len() > REASONS_MAX => {
+                let shown = &reasons[..REASONS_MAX - 1];
+                let rest = reasons.len() - shown.len();
+                let shown = shown.iter().map(RefuseReason::to_string);
+                shown.chain([format!("{rest} more faults")]).collect()
+            }
+            AcceptVerdict::Refused(reasons) => {
+                reasons.iter().map(RefuseReason::to_string).collect()
+            }
+            AcceptVerdict::Mismatch(pages) => {
+                vec![format!("the parts do not match the index pages {pages:?}")]
+            }
+        }
+    }
+}
+
+/// One fault of a version.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, thiserror::Error)]
+#[error("{key}: {reason}")]
+pub struct RefuseReason {
+    /// The key of the part with the fault, or `root`.
+    pub key: SmolStr,
+    /// What is wrong, with the accepted values.
+    pub reason: String,
+}
+
+/// Decides whether a version may be put in force.
+///
+/// `parts` are all parts of the version by key, in any order. The same root and
+/// parts give the same verdict on every daemon.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_config::AcceptVerdict;
+/// use radishgauge_config::accept;
+/// use radishgauge_config::pack;
+/// use radishgauge_schema::config::ConfigSet;
+///
+/// let packed = pack(&ConfigSet::default(), 1);
+/// let verdict = accept(&packed.index().root(), packed.parts());
+/// assert_eq!(verdict, AcceptVerdict::Accepted);
+/// ```
+pub fn accept<K, V, P>(root: &IndexRoot, parts: P) -> AcceptVerdict
+where
+    K: AsRef<str>,
+    V: AsRef<[u8]>,
+    P: IntoIterator<Item = (K, V)>,
+{
+    // Another format cannot be judged by this release's rules, so nothing else
+    // is looked at.
+    if root.schema != SCHEMA {
+        let found = root.schema;
+        let reason = format!("unknown schema number; found: {found}; accepted: {SCHEMA}");
+        return AcceptVerdict::Refused(vec![refuse("root", &reason)]);
+    }
+    if root.pages.len() != PAGES {
+        let found = root.pages.len();
+        let reason = format!("wrong number of pages; found: {found}; accepted: {PAGES}");
+        return AcceptVerdict::Refused(vec![refuse("root", &reason)]);
+    }
+    let mut values = BTreeMap::new();
+    let mut index = DigestIndex::new(root.revision);
+    for (key, value) in parts {
+        let key = SmolStr::new(key.as_ref());
+        index.insert(key.clone(), PartDigest::of(value.as_ref()));
+        values.insert(key, value);
+    }
+    let differ = |page: &usize| index.page_digest(*page).as_bytes() != root.pages[*page].as_ref();
+    let pages: Vec<usize> = (0..PAGES).filter(differ).collect();
+    if !pages.is_empty() {
+        return AcceptVerdict::Mismatch(pages);
+    }
+    let mut reasons = Vec::new();
+    if !values.contains_key(FLEET_KEY) {
+        reasons.push(refuse(FLEET_KEY, "the part is missing"));
+    }
+    let mut set = ConfigSet::default();
+    for (key, value) in &values {
+        let length = value.as_ref().len();
+        if length > VALUE_MAX {
+            let reason =
+                format!("part too long; found: {length}; accepted: 0 to {VALUE_MAX} bytes");
+            reasons.push(refuse(key, &reason));
+            continue;
+        }
+        match decode_part(key, value.as_ref()) {
+            Ok(Part::Fleet(fleet)) => {
+                set.regions = fleet.regions;
+                set.failure_domains = fleet.failure_domains;
+                set.tenants = fleet.tenants;
+                set.policy = fleet.policy;
+            }
+            Ok(Part::Service(service)) => set.services.push(service),
+            Ok(Part::Route(route)) => set.routes.push(route),
+            Err(error) => reasons.push(refuse(key, &error.reason)),
+        }
+    }
+    if let Err(faults) = check_set(&set) {
+        reasons.extend(faults.into_iter().map(|fault| {
+            let (key, path) = part_path(&set, &fault.path);
+            let fault = crate::SetFault { path, ..fault };
+            refuse(&key, &fault.to_string())
+        }));
+    }
+    if reasons.is_empty() {
+        return AcceptVerdict::Accepted;
+    }
+    reasons.sort();
+    AcceptVerdict::Refused(reasons)
+}
+
+fn refuse(key: &str, reason: &str) -> RefuseReason {
+    RefuseReason {
+        key: SmolStr::new(key),
+        reason: reason.to_owned(),
+    }
+}
+
+// Positions in the set's lists mean nothing to a reader of parts; the key does.
+fn part_path(set: &ConfigSet, path: &FieldPath) -> (SmolStr, FieldPath) {
+    let key = match path.0.as_slice() {
+        [PathStep::Field(list), PathStep::Item(at), ..] if list == "services" => {
+            service_key(&set.services[*at].name)
+        }
+        [PathStep::Field(list), PathStep::Item(at), ..] if list == "routes" => {
+            route_key(&set.routes[*at].name)
+        }
+        _ => return (FLEET_KEY.into(), path.clone()),
+    };
+    (key, FieldPath(path.0[2..].to_vec()))
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,10 +5,34 @@
 //! content alone whether a version is accepted, so that every daemon comes to
 //! the same verdict on the same bytes.
 
+pub mod accept;
+pub mod check;
 pub mod digest;
+pub mod fault;
 pub mod index;
+pub mod load;
 pub mod model;
+pub mod pack;
+mod read;
+mod rules;
+mod tree;
 
+pub use accept::AcceptVerdict;
+pub use accept::RefuseReason;
+pub use accept::accept;
+pub use check::FieldPath;
+pub use check::SetFault;
+pub use check::check_closure;
+pub use check::check_services;
+pub use check::check_set;
 pub use digest::PartDigest;
+pub use fault::Fault;
+pub use fault::FaultList;
 pub use index::DigestIndex;
+pub use load::load_set;
+pub use load::load_settings;
 pub use model::FleetModel;
+pub use model::ModelError;
+pub use pack::PackedSet;
+pub use pack::open_value;
+pub use pack::pack;
--- /dev/null
+++ b/crates/config/src/load.rs
@@ -0,0 +1,346 @@
+//! Loading of settings files and of sets of configuration files.
+
+use std::collections::HashMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::settings::DaemonSettings;
+
+use crate::Fault;
+use crate::FaultList;
+use crate::FieldPath;
+use crate::SetFault;
+use crate::check::PathStep;
+use crate::check::check_links;
+use crate::read::ReadFile;
+use crate::read::read_file;
+use crate::read::whole_file;
+use crate::rules;
+use crate::tree::Node;
+use crate::tree::Place;
+
+/// The lists of a set, whose elements may be spread over files.
+const LISTS: [&str; 5] = [
+    "regions",
+    "failure_domains",
+    "services",
+    "routes",
+    "tenants",
+];
+
+/// Loads and checks the settings of one daemon.
+///
+/// Absent fields have their defaults; `telemetry`, `policy` and `limits` are
+/// always present.
+///
+/// # Examples
+///
+/// ```
+/// let faults = radishgauge_config::load_settings("no-such-file".as_ref()).unwrap_err();
+/// assert_eq!(faults.faults()[0].file, "no-such-file");
+/// ```
+///
+/// # Errors
+///
+/// All faults of the file.
+pub fn load_settings(path: &Path) -> Result<DaemonSettings, FaultList> {
+    let mut faults = Vec::new();
+    let Some(file) = read_file(path, rules::DAEMON_SETTINGS, &mut faults) else {
+        return Err(FaultList::new(faults));
+    };
+    let settings = file.message.transcode_to::<DaemonSettings>();
+    let settings = settings.expect("the reader builds messages of the schema");
+    for fault in settings_links(&settings) {
+        let place = place_of(&file.tree, &fault.path.0);
+        let mut shown = located(&file, place, &fault.path, &fault);
+        let other = fault.other.as_ref();
+        shown.other = other.map(|path| file.source.position(place_of(&file.tree, &path.0)));
+        faults.push(shown);
+    }
+    if faults.is_empty() {
+        Ok(settings)
+    } else {
+        Err(FaultList::new(faults))
+    }
+}
+
+/// Finds contradictions between fields of a settings file.
+fn settings_links(settings: &DaemonSettings) -> Vec<SetFault> {
+    let mut faults = Vec::new();
+    let mut add = |path: FieldPath, problem: &str, found: String, accepted: &str, other| {
+        faults.push(SetFault {
+            path,
+            problem: problem.to_owned(),
+            found,
+            accepted: accepted.to_owned(),
+            other,
+        });
+    };
+    let root = FieldPath::default();
+    if let Some(platform) = &settings.platform {
+        let path = root.field("platform");
+        let one = "either directory or url";
+        match (platform.directory.as_str(), platform.url.as_str()) {
+            ("", "") => add(
+                path,
+                "no source of the configuration",
+                String::new(),
+                one,
+                None,
+            ),
+            ("", _) | (_, "") => {}
+            (directory, _) => add(
+                path.field("url"),
+                "two sources of the configuration",
+                format!("both, directory {directory:?}"),
+                one,
+                Some(path.field("directory")),
+            ),
+        }
+    }
+    let mut dialled = vec![(root.field("advertise"), settings.advertise.as_str())];
+    if let Some(telemetry) = &settings.telemetry {
+        let path = root.field("telemetry").field("statsd");
+        dialled.push((path, telemetry.statsd.as_str()));
+    }
+    let mut seen: HashMap<&str, FieldPath> = HashMap::new();
+    for (at, seed) in settings
+        .seeds
+        .iter()
+        .enumerate()
+        .filter(|(_, seed)| !seed.is_empty())
+    {
+        let path = root.field("seeds").item(at);
+        dialled.push((path.clone(), seed));
+        if let Some(first) = seen.get(seed.as_str()) {
+            let first = Some(first.clone());
+            let found = format!("{seed:?}");
+            add(path, "duplicate value", found, "a value used once", first);
+        } else {
+            seen.insert(seed, path);
+        }
+    }
+    for (path, text) in dialled {
+        if text
+            .parse()
+            .is_ok_and(|address: SocketAddr| address.port() == 0 || address.ip().is_unspecified())
+        {
+            let accepted = "an IP number and a port that others can dial";
+            add(
+                path,
+                "address cannot be dialled",
+                format!("{text:?}"),
+                accepted,
+                None,
+            );
+        }
+    }
+    if let Some(listen) = &settings.listen {
+        let path = root.field("listen");
+        let peers = listen.peers.parse::<SocketAddr>();
+        if peers.is_ok_and(|peers| peers.ip().is_unspecified()) && settings.advertise.is_empty() {
+            let accepted = "one IP number, or advertise with the address that others dial";
+            let found = format!("{:?}", listen.peers);
+            add(
+                path.field("peers"),
+                "no address for other daemons",
+                found,
+                accepted,
+                None,
+            );
+        }
+        // Peers use UDP, so only the two TCP listeners can collide.
+        let callers = listen.callers.parse::<SocketAddr>();
+        if callers.is_ok_and(|callers| callers.port() != 0) && listen.callers == listen.operators {
+            let found = format!("{:?}", listen.operators);
+            let first = Some(path.field("callers"));
+            let accepted = "a value used once";
+            add(
+                path.field("operators"),
+                "duplicate value",
+                found,
+                accepted,
+                first,
+            );
+        }
+    }
+    faults
+}
+
+/// Loads and checks the set in a directory.
+///
+/// All files of the directory whose names end in `.yaml` or `.yml` belong to
+/// the set; directories in it do not. Absent fields have their defaults.
+///
+/// # Errors
+///
+/// All faults of all files. References are checked only when every file is
+/// YAML, since the missing entries could be in a file that is not.
+pub fn load_set(dir: &Path) -> Result<ConfigSet, FaultList> {
+    let paths = match set_files(dir) {
+        Ok(paths) => paths,
+        Err(fault) => return Err(FaultList::new(vec![*fault])),
+    };
+    let mut faults = Vec::new();
+    let mut files = Vec::new();
+    for path in &paths {
+        files.extend(read_file(path, rules::CONFIG_SET, &mut faults));
+    }
+    if files.len() < paths.len() {
+        return Err(FaultList::new(faults));
+    }
+    let merged = MergedSet::new(&files, &mut faults);
+    for fault in check_links(&merged.set, &|_| false) {
+        faults.push(merged.locate(&fault));
+    }
+    if faults.is_empty() {
+        Ok(merged.set)
+    } else {
+        Err(FaultList::new(faults))
+    }
+}
+
+fn set_files(dir: &Path) -> Result<Vec<PathBuf>, Box<Fault>> {
+    let name = dir.display().to_string();
+    let unreadable = |error: std::io::Error| {
+        let problem = format!("cannot be read: {error}");
+        Box::new(whole_file(&name, &problem, "a directory of YAML files"))
+    };
+    let mut paths = Vec::new();
+    for entry in fs::read_dir(dir).map_err(unreadable)? {
+        let path = entry.map_err(unreadable)?.path();
+        let yaml = path
+            .extension()
+            .is_some_and(|end| end == "yaml" || end == "yml");
+        let hidden = path
+            .file_name()
+            .is_some_and(|name| name.as_encoded_bytes().starts_with(b"."));
+        if yaml && !hidden && path.is_file() {
+            paths.push(path);
+        }
+    }
+    if paths.is_empty() {
+        let problem = "the set has no file";
+        let fault = whole_file(&name, problem, "a directory of YAML files");
+        return Err(Box::new(fault));
+    }
+    paths.sort();
+    Ok(paths)
+}
+
+/// The entries of all files, and where each came from.
+struct MergedSet<'f> {
+    files: &'f [ReadFile],
+    set: ConfigSet,
+    /// The file and the position in the file's list of each element.
+    origins: HashMap<&'static str, Vec<(usize, usize)>>,
+    /// The file that holds the policy.
+    policy: usize,
+}
+
+impl<'f> MergedSet<'f> {
+    fn new(files: &'f [ReadFile], faults: &mut Vec<Fault>) -> MergedSet<'f> {
+        let mut merged = MergedSet {
+            files,
+            set: ConfigSet::default(),
+            origins: HashMap::new(),
+            policy: 0,
+        };
+        let mut first: Option<(usize, Place)> = None;
+        for (at, file) in files.iter().enumerate() {
+            let part = file.message.transcode_to::<ConfigSet>();
+            let part = part.expect("the reader builds messages of the schema");
+            let lengths = [
+                part.regions.len(),
+                part.failure_domains.len(),
+                part.services.len(),
+                part.routes.len(),
+                part.tenants.len(),
+            ];
+            for (list, length) in LISTS.into_iter().zip(lengths) {
+                let origins = merged.origins.entry(list).or_default();
+                origins.extend((0..length).map(|local| (at, local)));
+            }
+            merged.set.regions.extend(part.regions);
+            merged.set.failure_domains.extend(part.failure_domains);
+            merged.set.services.extend(part.services);
+            merged.set.routes.extend(part.routes);
+            merged.set.tenants.extend(part.tenants);
+            let policy = file.tree.entry("policy").map(|(key, _)| key.place);
+            match (policy, first) {
+                (Some(place), Some((earlier, other))) => {
+                    let mut fault = file.source.fault(
+                        place,
+                        "policy".to_owned(),
+                        "a second policy",
+                        String::new(),
+                        "one policy in the whole set".to_owned(),
+                    );
+                    fault.other = Some(files[earlier].source.position(other));
+                    faults.push(fault);
+                }
+                (Some(place), None) => {
+                    first = Some((at, place));
+                    merged.policy = at;
+                    merged.set.policy = part.policy;
+                }
+                // An absent policy was read as one of defaults.
+                (None, _) => merged.set.policy = merged.set.policy.or(part.policy),
+            }
+        }
+        merged
+    }
+
+    fn locate(&self, fault: &SetFault) -> Fault {
+        let (file, path) = self.local(&fault.path);
+        let place = place_of(&file.tree, &path.0);
+        let mut shown = located(file, place, &path, fault);
+        shown.other = fault.other.as_ref().map(|other| {
+            let (file, path) = self.local(other);
+            file.source.position(place_of(&file.tree, &path.0))
+        });
+        shown
+    }
+
+    /// Returns the file of a path of the set, and the path within the file.
+    fn local(&self, path: &FieldPath) -> (&'f ReadFile, FieldPath) {
+        let mut path = path.clone();
+        let file = match path.0.as_mut_slice() {
+            [PathStep::Field(list), PathStep::Item(at), ..] => {
+                let (file, local) = self.origins[list.as_str()][*at];
+                *at = local;
+                file
+            }
+            _ => self.policy,
+        };
+        (&self.files[file], path)
+    }
+}
+
+fn located(file: &ReadFile, place: Place, path: &FieldPath, fault: &SetFault) -> Fault {
+    let field = path.to_string();
+    let found = fault.found.clone();
+    let accepted = fault.accepted.clone();
+    file.source
+        .fault(place, field, &fault.problem, found, accepted)
+}
+
+// A field that has its default has no position of its own; the mapping that
+// lacks it stands for it.
+fn place_of(tree: &Node, steps: &[PathStep]) -> Place {
+    let mut node = tree;
+    for step in steps {
+        let next = match step {
+            PathStep::Field(name) => node.get(name),
+            PathStep::Item(at) => node.item(*at),
+        };
+        match next {
+            Some(next) => node = next,
+            None => break,
+        }
+    }
+    node.place
+}
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -8,11 +8,26 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use prost::Message;
+use radishgauge_schema::config::ConfigPart;
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::config::FailureDomain;
+use radishgauge_schema::config::FleetPolicy;
+use radishgauge_schema::config::Region;
+use radishgauge_schema::config::Route;
+use radishgauge_schema::config::Service;
+use radishgauge_schema::config::Target;
+use radishgauge_schema::config::Tenant;
+use radishgauge_schema::config::config_part::Part;
 use smol_str::SmolStr;
 
 pub use radishgauge_schema::config::Criticality;
 pub use radishgauge_schema::config::DomainState;
 
+use crate::pack::FLEET_KEY;
+use crate::pack::route_key;
+use crate::pack::service_key;
+
 /// A configuration, or a daemon's share of one.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct FleetModel {
@@ -125,3 +140,310 @@
         }
     }
 }
+
+/// A part that cannot be turned into a model.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{key}: {reason}")]
+pub struct ModelError {
+    /// The key of the part.
+    pub key: SmolStr,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
+impl FleetModel {
+    /// Returns the model of a whole set.
+    ///
+    /// References between entries are not checked; see [`crate::check_closure`].
+    ///
+    /// # Errors
+    ///
+    /// When an address is not an IP number and a port, a state or criticality
+    /// is unknown, or two entries share a name.
+    pub fn from_set(set: &ConfigSet) -> Result<FleetModel, ModelError> {
+        let mut model = FleetModel::default();
+        model.add_fleet(
+            &set.regions,
+            &set.failure_domains,
+            &set.tenants,
+            set.policy.as_ref(),
+        )?;
+        for service in &set.services {
+            model.add_service(service)?;
+        }
+        for route in &set.routes {
+            model.add_route(route)?;
+        }
+        model.normalize();
+        Ok(model)
+    }
+
+    /// Returns the model of some or all parts of a version, in any order.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use radishgauge_config::FleetModel;
+    /// use radishgauge_config::pack;
+    /// use radishgauge_schema::config::ConfigSet;
+    ///
+    /// let packed = pack(&ConfigSet::default(), 1);
+    /// let model = FleetModel::from_parts(packed.parts()).unwrap();
+    /// assert!(model.services.is_empty());
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// When a part does not decode, does not hold what its key names, or holds
+    /// a value that [`FleetModel::from_set`] refuses.
+    pub fn from_parts<K, V, P>(parts: P) -> Result<FleetModel, ModelError>
+    where
+        K: AsRef<str>,
+        V: AsRef<[u8]>,
+        P: IntoIterator<Item = (K, V)>,
+    {
+        let mut model = FleetModel::default();
+        let mut fleets = 0;
+        for (key, value) in parts {
+            let key = key.as_ref();
+            match decode_part(key, value.as_ref())? {
+                Part::Service(service) => model.add_service(&service)?,
+                Part::Route(route) => model.add_route(&route)?,
+                Part::Fleet(_) if fleets > 0 => {
+                    return Err(fault(key, "the part was given twice"));
+                }
+                Part::Fleet(fleet) => {
+                    let policy = fleet.policy.as_ref();
+                    fleets += 1;
+                    model.add_fleet(
+                        &fleet.regions,
+                        &fleet.failure_domains,
+                        &fleet.tenants,
+                        policy,
+                    )?;
+                }
+            }
+        }
+        model.normalize();
+        Ok(model)
+    }
+
+    /// Returns the messages of the model, with all lists in the order of names.
+    pub fn to_set(&self) -> ConfigSet {
+        let texts = |names: &[SmolStr]| names.iter().map(SmolStr::to_string).collect();
+        let regions = self.regions.iter().map(|name| Region {
+            name: name.to_string(),
+        });
+        let domains = self.domains.iter().map(|(name, domain)| FailureDomain {
+            name: name.to_string(),
+            region: domain.region.to_string(),
+            state: domain.state.into(),
+        });
+        let routes = self.routes.iter().map(|(name, route)| Route {
+            name: name.to_string(),
+            path_prefix: route.path_prefix.to_string(),
+            methods: texts(&route.methods),
+            service: route.service.to_string(),
+            criticality: route.criticality.into(),
+            repeatable: route.repeatable,
+            timeout_ms: route.timeout.as_millis() as u64,
+            home_regions: texts(&route.home_regions),
+            calls: texts(&route.calls),
+        });
+        let tenants = self.tenants.iter().map(|(name, tenant)| Tenant {
+            name: name.to_string(),
+            home_regions: texts(&tenant.home_regions),
+        });
+        ConfigSet {
+            regions: regions.collect(),
+            failure_domains: domains.collect(),
+            services: self.services.iter().map(service_message).collect(),
+            routes: routes.collect(),
+            tenants: tenants.collect(),
+            policy: Some(self.policy.message()),
+        }
+    }
+
+    fn add_fleet(
+        &mut self,
+        regions: &[Region],
+        domains: &[FailureDomain],
+        tenants: &[Tenant],
+        policy: Option<&FleetPolicy>,
+    ) -> Result<(), ModelError> {
+        self.regions = regions
+            .iter()
+            .map(|region| SmolStr::new(&region.name))
+            .collect();
+        for domain in domains {
+            let state = match DomainState::try_from(domain.state) {
+                Ok(DomainState::Unspecified) => DomainState::In,
+                Ok(state) => state,
+                Err(_) => return Err(fault(FLEET_KEY, "unknown state of a failure domain")),
+            };
+            let value = DomainModel {
+                region: SmolStr::new(&domain.region),
+                state,
+            };
+            if self
+                .domains
+                .insert(SmolStr::new(&domain.name), value)
+                .is_some()
+            {
+                return Err(fault(FLEET_KEY, "two failure domains share a name"));
+            }
+        }
+        for tenant in tenants {
+            let value = TenantModel {
+                home_regions: names(&tenant.home_regions),
+            };
+            if self
+                .tenants
+                .insert(SmolStr::new(&tenant.name), value)
+                .is_some()
+            {
+                return Err(fault(FLEET_KEY, "two tenants share a name"));
+            }
+        }
+        self.policy = policy.map_or_else(PolicyModel::default, PolicyModel::new);
+        Ok(())
+    }
+
+    fn add_service(&mut self, service: &Service) -> Result<(), ModelError> {
+        let key = service_key(&service.name);
+        let mut targets = IndexMap::with_capacity(service.targets.len());
+        for target in &service.targets {
+            let value = TargetModel {
+                address: address(&key, &target.address)?,
+                daemon: address(&key, &target.daemon)?,
+                failure_domain: SmolStr::new(&target.failure_domain),
+            };
+            if targets.insert(SmolStr::new(&target.host), value).is_some() {
+                return Err(fault(&key, "two targets share a host"));
+            }
+        }
+        targets.sort_unstable_keys();
+        let value = ServiceModel {
+            slots: service.slots,
+            connections: service.connections,
+            cold_start_slots: service.cold_start_slots,
+            owner_epoch: service.owner_epoch,
+            targets,
+        };
+        match self.services.insert(SmolStr::new(&service.name), value) {
+            None => Ok(()),
+            Some(_) => Err(fault(&key, "two services share a name")),
+        }
+    }
+
+    fn add_route(&mut self, route: &Route) -> Result<(), ModelError> {
+        let key = route_key(&route.name);
+        let criticality = match Criticality::try_from(route.criticality) {
+            Ok(Criticality::Unspecified) => Criticality::Normal,
+            Ok(criticality) => criticality,
+            Err(_) => return Err(fault(&key, "unknown criticality")),
+        };
+        let value = RouteModel {
+            path_prefix: SmolStr::new(&route.path_prefix),
+            methods: names(&route.methods),
+            service: SmolStr::new(&route.service),
+            criticality,
+            repeatable: route.repeatable,
+            timeout: Duration::from_millis(route.timeout_ms),
+            home_regions: names(&route.home_regions),
+            calls: names(&route.calls),
+        };
+        match self.routes.insert(SmolStr::new(&route.name), value) {
+            None => Ok(()),
+            Some(_) => Err(fault(&key, "two routes share a name")),
+        }
+    }
+
+    // Equal contents give equal iteration orders, whatever the order of parts.
+    fn normalize(&mut self) {
+        self.regions.sort_unstable();
+        self.domains.sort_unstable_keys();
+        self.services.sort_unstable_keys();
+        self.routes.sort_unstable_keys();
+        self.tenants.sort_unstable_keys();
+    }
+}
+
+impl PolicyModel {
+    fn new(policy: &FleetPolicy) -> PolicyModel {
+        PolicyModel {
+            retry_percent: policy.retry_percent,
+            link_budget_kbit: policy.link_budget_kbit,
+            repeat_window: Duration::from_secs(policy.repeat_window_s),
+            max_domains_out: policy.max_domains_out,
+            max_target_drop_percent: policy.max_target_drop_percent,
+            quarantine: Duration::from_secs(policy.quarantine_s),
+            ramp_step: Duration::from_millis(policy.ramp_step_ms),
+        }
+    }
+
+    fn message(&self) -> FleetPolicy {
+        FleetPolicy {
+            retry_percent: self.retry_percent,
+            link_budget_kbit: self.link_budget_kbit,
+            repeat_window_s: self.repeat_window.as_secs(),
+            max_domains_out: self.max_domains_out,
+            max_target_drop_percent: self.max_target_drop_percent,
+            quarantine_s: self.quarantine.as_secs(),
+            ramp_step_ms: self.ramp_step.as_millis() as u64,
+        }
+    }
+}
+
+fn service_message((name, service): (&SmolStr, &ServiceModel)) -> Service {
+    let targets = service.targets.iter().map(|(host, target)| Target {
+        host: host.to_string(),
+        address: target.address.to_string(),
+        daemon: target.daemon.to_string(),
+        failure_domain: target.failure_domain.to_string(),
+    });
+    Service {
+        name: name.to_string(),
+        slots: service.slots,
+        connections: service.connections,
+        cold_start_slots: service.cold_start_slots,
+        targets: targets.collect(),
+        owner_epoch: service.owner_epoch,
+    }
+}
+
+/// Decodes a part and compares its content with its key.
+pub(crate) fn decode_part(key: &str, value: &[u8]) -> Result<Part, ModelError> {
+    let part = ConfigPart::decode(value).map_err(|_| fault(key, "the part does not decode"))?;
+    let Some(part) = part.part else {
+        return Err(fault(key, "the part is empty"));
+    };
+    let held = match &part {
+        Part::Fleet(_) => SmolStr::new_static(FLEET_KEY),
+        Part::Service(service) => service_key(&service.name),
+        Part::Route(route) => route_key(&route.name),
+    };
+    if held == key {
+        Ok(part)
+    } else {
+        Err(fault(key, &format!("the part holds {held}")))
+    }
+}
+
+fn fault(key: &str, reason: &str) -> ModelError {
+    ModelError {
+        key: SmolStr::new(key),
+        reason: reason.to_owned(),
+    }
+}
+
+fn names(texts: &[String]) -> Vec<SmolStr> {
+    let mut names: Vec<SmolStr> = texts.iter().map(SmolStr::new).collect();
+    names.sort_unstable();
+    names
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddr, ModelError> {
+    text.parse()
+        .map_err(|_| fault(key, &format!("{text:?} is not an IP number and a port")))
+}
--- /dev/null
+++ b/crates/config/src/pack.rs
@@ -0,0 +1,282 @@
+//! Packing a set into content-addressed parts, pages and a root.
+//!
+//! A change of one service changes one part, one page and the root, so that
+//! the bytes that cross a paid link follow the size of the change and not the
+//! size of the fleet.
+
+use std::fs;
+use std::io;
+use std::io::ErrorKind;
+use std::io::Write;
+use std::path::Path;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use prost::Message;
+use radishgauge_schema::config::ConfigPart;
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::config::FleetPart;
+use radishgauge_schema::config::Route;
+use radishgauge_schema::config::Service;
+use radishgauge_schema::config::config_part::Part;
+use radishgauge_schema::peer::PartReply;
+use radishgauge_schema::peer::PartValue;
+use smol_str::SmolStr;
+
+use crate::DigestIndex;
+use crate::PartDigest;
+use crate::index::PAGES;
+
+/// The greatest length of a value in bytes; the platform holds values up to
+/// one megabyte.
+pub const VALUE_MAX: usize = 1_000_000;
+
+/// Parts above this length in bytes are compressed in bundles; below it zstd
+/// saves little.
+const COMPRESS_FROM: usize = 1024;
+
+/// The zstd level of bundles; higher levels save little on values of some
+/// kilobytes.
+const COMPRESS_LEVEL: i32 = 3;
+
+/// The key of the part that holds regions, failure domains, tenants and policy.
+pub const FLEET_KEY: &str = "fleet";
+
+/// Returns the part key of a service.
+pub fn service_key(name: &str) -> SmolStr {
+    smol_str::format_smolstr!("service/{name}")
+}
+
+/// Returns the part key of a route.
+pub fn route_key(name: &str) -> SmolStr {
+    smol_str::format_smolstr!("route/{name}")
+}
+
+/// A set in the form in which the platform holds it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PackedSet {
+    index: DigestIndex,
+    parts: IndexMap<SmolStr, Bytes>,
+}
+
+/// Packs a set.
+///
+/// The order of lists whose order has no meaning is normalized, so that moving
+/// an entry between files changes no digest.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_config::pack;
+/// use radishgauge_schema::config::ConfigSet;
+///
+/// let packed = pack(&ConfigSet::default(), 1);
+/// assert_eq!(packed.index().revision(), 1);
+/// assert_eq!(packed.parts().count(), 1);
+/// ```
+///
+/// # Panics
+///
+/// When two services or two routes share a name, which [`crate::check_set`]
+/// reports.
+pub fn pack(set: &ConfigSet, revision: u64) -> PackedSet {
+    let mut parts = IndexMap::new();
+    let mut add = |key: SmolStr, part: Part| {
+        let part = ConfigPart { part: Some(part) };
+        let earlier = parts.insert(key.clone(), Bytes::from(part.encode_to_vec()));
+        assert!(earlier.is_none(), "two parts have the key {key}");
+    };
+    add(FLEET_KEY.into(), Part::Fleet(fleet_part(set)));
+    for service in &set.services {
+        add(
+            service_key(&service.name),
+            Part::Service(ordered_service(service)),
+        );
+    }
+    for route in &set.routes {
+        add(route_key(&route.name), Part::Route(ordered_route(route)));
+    }
+    parts.sort_unstable_keys();
+    let mut index = DigestIndex::new(revision);
+    for (key, value) in &parts {
+        index.insert(key.clone(), PartDigest::of(value));
+    }
+    PackedSet { index, parts }
+}
+
+fn fleet_part(set: &ConfigSet) -> FleetPart {
+    let mut fleet = FleetPart {
+        regions: set.regions.clone(),
+        failure_domains: set.failure_domains.clone(),
+        tenants: set.tenants.clone(),
+        policy: set.policy,
+    };
+    fleet.regions.sort_by(|a, b| a.name.cmp(&b.name));
+    fleet.failure_domains.sort_by(|a, b| a.name.cmp(&b.name));
+    fleet.tenants.sort_by(|a, b| a.name.cmp(&b.name));
+    for tenant in &mut fleet.tenants {
+        tenant.home_regions.sort();
+    }
+    fleet
+}
+
+fn ordered_service(service: &Service) -> Service {
+    let mut service = service.clone();
+    service.targets.sort_by(|a, b| a.host.cmp(&b.host));
+    service
+}
+
+fn ordered_route(route: &Route) -> Route {
+    let mut route = route.clone();
+    route.methods.sort();
+    route.home_regions.sort();
+    route.calls.sort();
+    route
+}
+
+impl PackedSet {
+    /// Returns the index of the parts.
+    pub fn index(&self) -> &DigestIndex {
+        &self.index
+    }
+
+    /// Returns the digest of the root, which names the whole version.
+    pub fn root_digest(&self) -> PartDigest {
+        self.index.root_digest()
+    }
+
+    /// Returns the bytes of one part.
+    pub fn part(&self, key: &str) -> Option<&Bytes> {
+        self.parts.get(key)
+    }
+
+    /// Iterates over the parts in the order of their keys.
+    pub fn parts(&self) -> impl Iterator<Item = (&SmolStr, &Bytes)> {
+        self.parts.iter()
+    }
+
+    /// Returns all parts of one page in one value.
+    ///
+    /// Parts that do not fit into [`VALUE_MAX`] bytes are left out; a reader
+    /// fetches those by their digests, as it does for any part that a reply
+    /// does not hold.
+    ///
+    /// # Panics
+    ///
+    /// When `page` is not below [`PAGES`].
+    pub fn bundle(&self, page: usize) -> PartReply {
+        let mut reply = PartReply::default();
+        let mut length = 0;
+        for entry in self.index.page(page).entries {
+            let value = part_value(entry.digest, &self.parts[entry.key.as_str()]);
+            // A tag and a length of at most four bytes come before each value.
+            let added = value.encoded_len() + 5;
+            if length + added <= VALUE_MAX {
+                length += added;
+                reply.parts.push(value);
+            }
+        }
+        reply
+    }
+
+    /// Returns all values with their platform keys, `root` last.
+    pub fn values(&self) -> Vec<(String, Bytes)> {
+        let mut values = Vec::with_capacity(self.parts.len() + 2 * PAGES + 1);
+        for value in self.parts.values() {
+            values.push((format!("part/{}", PartDigest::of(value)), value.clone()));
+        }
+        for page in 0..PAGES {
+            let value = Bytes::from(self.index.page(page).encode_to_vec());
+            let digest = PartDigest::of(&value);
+            let bundle = Bytes::from(self.bundle(page).encode_to_vec());
+            values.push((format!("bundle/{digest}"), bundle));
+            values.push((format!("page/{digest}"), value));
+        }
+        let root = Bytes::from(self.index.root().encode_to_vec());
+        values.push(("root".to_owned(), root));
+        values
+    }
+
+    /// Writes the values into a directory in the layout of the platform.
+    ///
+    /// Every value is in place before `root` is replaced, and each file is
+    /// replaced by a rename, so a reader never finds a root whose values are
+    /// missing. Values of earlier versions stay for readers that are still
+    /// fetching them.
+    ///
+    /// # Errors
+    ///
+    /// When the directory cannot be written, or when a value is longer than
+    /// [`VALUE_MAX`]; `root` is then unchanged.
+    pub fn write_to(&self, dir: &Path) -> io::Result<()> {
+        let values = self.values();
+        if let Some((key, value)) = values.iter().find(|(_, value)| value.len() > VALUE_MAX) {
+            let length = value.len();
+            let text = format!("{key} has {length} bytes; accepted: up to {VALUE_MAX}");
+            return Err(io::Error::new(ErrorKind::InvalidData, text));
+        }
+        for kind in ["part", "page", "bundle"] {
+            fs::create_dir_all(dir.join(kind))?;
+        }
+        for (key, value) in &values {
+            replace(&dir.join(key), value)?;
+        }
+        Ok(())
+    }
+}
+
+fn replace(path: &Path, value: &[u8]) -> io::Result<()> {
+    if fs::read(path).is_ok_and(|known| known == value) {
+        return Ok(());
+    }
+    let fresh = path.with_extension("tmp");
+    let mut file = fs::File::create(&fresh)?;
+    file.write_all(value)?;
+    file.sync_all()?;
+    fs::rename(&fresh, path)
+}
+
+fn part_value(digest: Bytes, value: &Bytes) -> PartValue {
+    let plain = PartValue {
+        digest: digest.clone(),
+        value: value.clone(),
+        compressed: false,
+    };
+    if value.len() < COMPRESS_FROM {
+        return plain;
+    }
+    match zstd::bulk::compress(value, COMPRESS_LEVEL) {
+        Ok(short) if short.len() < value.len() => PartValue {
+            digest,
+            value: Bytes::from(short),
+            compressed: true,
+        },
+        _ => plain,
+    }
+}
+
+/// A value of a reply whose bytes do not match its digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the part value does not match its digest")]
+pub struct ValueError;
+
+/// Returns the digest and the plain bytes of one value of a [`PartReply`].
+///
+/// # Errors
+///
+/// When the digest is malformed, the value does not decompress to at most
+/// [`VALUE_MAX`] bytes, or its bytes do not match the digest.
+pub fn open_value(value: &PartValue) -> Result<(PartDigest, Bytes), ValueError> {
+    let digest = PartDigest::try_from(value.digest.as_ref()).map_err(|_| ValueError)?;
+    let plain = if value.compressed {
+        let plain = zstd::bulk::decompress(&value.value, VALUE_MAX).map_err(|_| ValueError)?;
+        Bytes::from(plain)
+    } else {
+        value.value.clone()
+    };
+    if PartDigest::of(&plain) == digest {
+        Ok((digest, plain))
+    } else {
+        Err(ValueError)
+    }
+}
--- /dev/null
+++ b/crates/config/src/read.rs
@@ -0,0 +1,375 @@
+//! Reads one YAML file as a message of the schema and collects its faults.
+
+use std::path::Path;
+
+use prost_reflect::DynamicMessage;
+use prost_reflect::Value;
+
+use crate::Fault;
+use crate::FieldPath;
+use crate::check::nearest;
+use crate::rules;
+use crate::rules::FieldKind;
+use crate::rules::FieldRules;
+use crate::rules::MessageRules;
+use crate::tree;
+use crate::tree::Node;
+use crate::tree::Place;
+use crate::tree::Shape;
+
+/// A file's text, for positions and source lines.
+pub(crate) struct SourceFile {
+    name: String,
+    lines: Vec<String>,
+}
+
+impl SourceFile {
+    /// Reads a file as text.
+    pub(crate) fn open(path: &Path) -> Result<(SourceFile, String), Box<Fault>> {
+        let name = path.display().to_string();
+        let bytes = std::fs::read(path).map_err(|error| {
+            whole_file(
+                &name,
+                &format!("cannot be read: {error}"),
+                "a readable file",
+            )
+        })?;
+        let text = String::from_utf8(bytes).map_err(|error| {
+            let at = error.utf8_error().valid_up_to();
+            let problem = format!("not UTF-8 from byte {at} on");
+            Box::new(whole_file(&name, &problem, "a text in UTF-8"))
+        })?;
+        let lines = text.lines().map(str::to_owned).collect();
+        Ok((SourceFile { name, lines }, text))
+    }
+
+    /// Returns a position as `FILE:LINE:COLUMN`.
+    pub(crate) fn position(&self, place: Place) -> String {
+        format!("{}:{}:{}", self.name, place.line, place.column)
+    }
+
+    /// Returns a fault at a position of this file.
+    pub(crate) fn fault(
+        &self,
+        place: Place,
+        field: String,
+        problem: &str,
+        found: String,
+        accepted: String,
+    ) -> Fault {
+        let source = place.line.checked_sub(1).and_then(|at| self.lines.get(at));
+        Fault {
+            file: self.name.clone(),
+            line: place.line,
+            column: place.column,
+            width: place.width,
+            field,
+            problem: problem.to_owned(),
+            found,
+            accepted,
+            other: None,
+            source: source.cloned().unwrap_or_default(),
+        }
+    }
+
+    // The operator's spelling of a number is clearer than the parsed value.
+    fn found(&self, node: &Node) -> String {
+        let plain = matches!(
+            node.value,
+            Shape::Whole(_) | Shape::Negative(_) | Shape::Fraction(_)
+        );
+        let line = node
+            .place
+            .line
+            .checked_sub(1)
+            .and_then(|at| self.lines.get(at));
+        match line {
+            Some(line) if plain && node.place.width > 0 => {
+                let start = node.place.column - 1;
+                line.chars().skip(start).take(node.place.width).collect()
+            }
+            _ => node.to_string(),
+        }
+    }
+}
+
+/// Returns a fault of a file that has no position.
+pub(crate) fn whole_file(name: &str, problem: &str, accepted: &str) -> Fault {
+    Fault {
+        file: name.to_owned(),
+        line: 0,
+        column: 0,
+        width: 0,
+        field: String::new(),
+        problem: problem.to_owned(),
+        found: String::new(),
+        accepted: accepted.to_owned(),
+        other: None,
+        source: String::new(),
+    }
+}
+
+/// A file that was parsed, with the message in it.
+pub(crate) struct ReadFile {
+    pub(crate) source: SourceFile,
+    pub(crate) tree: Node,
+    pub(crate) message: DynamicMessage,
+}
+
+/// Reads a file and appends its faults.
+///
+/// Returns nothing when the file is not YAML. Otherwise the message holds every
+/// usable value, and each list has as many elements as in the file, so that
+/// later checks find further faults and their positions.
+pub(crate) fn read_file(path: &Path, message: &str, faults: &mut Vec<Fault>) -> Option<ReadFile> {
+    let (source, text) = match SourceFile::open(path) {
+        Ok(opened) => opened,
+        Err(fault) => {
+            faults.push(*fault);
+            return None;
+        }
+    };
+    let tree = match tree::parse(&text) {
+        Ok(tree) => tree,
+        Err(error) => {
+            let problem = format!("not YAML: {}", error.reason);
+            let accepted = "one YAML document".to_owned();
+            let field = String::new();
+            faults.push(source.fault(error.place, field, &problem, String::new(), accepted));
+            return None;
+        }
+    };
+    let mut reader = MessageReader {
+        source: &source,
+        faults,
+    };
+    let message = reader.message(&tree, rules::of(message), &FieldPath::default());
+    Some(ReadFile {
+        source,
+        tree,
+        message,
+    })
+}
+
+struct MessageReader<'r> {
+    source: &'r SourceFile,
+    faults: &'r mut Vec<Fault>,
+}
+
+impl MessageReader<'_> {
+    fn add(
+        &mut self,
+        place: Place,
+        path: &FieldPath,
+        problem: &str,
+        found: String,
+        accepted: String,
+    ) {
+        let fault = self
+            .source
+            .fault(place, path.to_string(), problem, found, accepted);
+        self.faults.push(fault);
+    }
+
+    fn message(&mut self, node: &Node, rules: &MessageRules, path: &FieldPath) -> DynamicMessage {
+        let mut message = DynamicMessage::new(rules.descriptor.clone());
+        let entries = match &node.value {
+            Shape::Map(entries) => entries.as_slice(),
+            Shape::Null => &[],
+            _ => {
+                let accepted = format!("a mapping with {}", names(rules).join(", "));
+                self.add(
+                    node.place,
+                    path,
+                    "wrong type",
+                    self.source.found(node),
+                    accepted,
+                );
+                return message;
+            }
+        };
+        for (at, (key, value)) in entries.iter().enumerate() {
+            let path = path.field(&key.name);
+            let first = entries[..at]
+                .iter()
+                .find(|(other, _)| other.name == key.name);
+            if let Some((first, _)) = first {
+                let problem = "field given twice";
+                let found = key.name.clone();
+                let accepted = "each field once".to_owned();
+                self.add(key.place, &path, problem, found, accepted);
+                let other = self.source.position(first.place);
+                if let Some(fault) = self.faults.last_mut() {
+                    fault.other = Some(other);
+                }
+            } else if let Some(field) = rules.field(&key.name) {
+                if let Some(value) = self.field(value, field, &path) {
+                    message.set_field(&field.descriptor, value);
+                }
+            } else {
+                let names = names(rules);
+                let near = nearest(&key.name, names.iter().copied());
+                let accepted = match near {
+                    Some(near) if names.len() > 1 => {
+                        format!("{near} (the nearest), or {}", others(&names, near))
+                    }
+                    _ => rules::one_of(&names),
+                };
+                self.add(
+                    key.place,
+                    &path,
+                    "unknown field",
+                    key.name.clone(),
+                    accepted,
+                );
+            }
+        }
+        for field in &rules.fields {
+            if node
+                .get(&field.name)
+                .is_some_and(|node| !self.absent(node, field))
+            {
+                continue;
+            }
+            if field.rule.required {
+                let path = path.field(&field.name);
+                let problem = "required field missing";
+                self.add(node.place, &path, problem, String::new(), field.accepted());
+            } else if let Some(value) = default_value(field) {
+                message.set_field(&field.descriptor, value);
+            }
+        }
+        message
+    }
+
+    // A list or mapping whose entries are all commented out is empty.
+    fn absent(&self, node: &Node, field: &FieldRules) -> bool {
+        let container = field.list || matches!(field.kind, FieldKind::Message(_));
+        container && matches!(node.value, Shape::Null)
+    }
+
+    fn field(&mut self, node: &Node, field: &FieldRules, path: &FieldPath) -> Option<Value> {
+        if self.absent(node, field) {
+            return None;
+        }
+        if !field.list {
+            return self.value(node, field, path);
+        }
+        let Shape::List(nodes) = &node.value else {
+            let accepted = format!("a list, each element {}", field.accepted());
+            self.add(
+                node.place,
+                path,
+                "wrong type",
+                self.source.found(node),
+                accepted,
+            );
+            return None;
+        };
+        let values = nodes.iter().enumerate().map(|(at, node)| {
+            let value = self.value(node, field, &path.item(at));
+            value.unwrap_or_else(|| Value::default_value(&field.descriptor.kind()))
+        });
+        Some(Value::List(values.collect()))
+    }
+
+    fn value(&mut self, node: &Node, field: &FieldRules, path: &FieldPath) -> Option<Value> {
+        let (value, accepted) = match (&field.kind, &node.value) {
+            (FieldKind::Message(name), _) => {
+                let rules = rules::of(name);
+                return Some(Value::Message(self.message(node, rules, path)));
+            }
+            (FieldKind::Flag, Shape::Flag(flag)) => (Value::Bool(*flag), true),
+            (FieldKind::Text, Shape::Text(text)) => {
+                (Value::String(text.clone()), field.accepts_text(text))
+            }
+            (FieldKind::Number { bits }, Shape::Whole(number)) => {
+                let accepted = field.accepts_number(*number);
+                let value = match u32::try_from(*number) {
+                    Ok(number) if *bits == 32 => Value::U32(number),
+                    Err(_) if *bits == 32 => Value::U32(u32::MAX),
+                    _ => Value::U64(*number),
+                };
+                (value, accepted)
+            }
+            (FieldKind::Choice(names), Shape::Text(text)) => {
+                let number = names.iter().find(|(name, _)| name == text);
+                let accepted = number.is_some();
+                let number = number.map_or(0, |(_, number)| *number);
+                (Value::EnumNumber(number), accepted)
+            }
+            (FieldKind::Number { .. }, Shape::Negative(_) | Shape::Fraction(_)) => {
+                self.refuse(node, field, path, "value not accepted");
+                return None;
+            }
+            (FieldKind::Text, Shape::Whole(_) | Shape::Fraction(_) | Shape::Flag(_)) => {
+                let accepted = format!(
+                    "{}; a number or flag is written in quotes",
+                    field.accepted()
+                );
+                self.add(
+                    node.place,
+                    path,
+                    "wrong type",
+                    self.source.found(node),
+                    accepted,
+                );
+                return None;
+            }
+            _ => {
+                self.refuse(node, field, path, "wrong type");
+                return None;
+            }
+        };
+        if !accepted {
+            self.refuse(node, field, path, "value not accepted");
+        }
+        Some(value)
+    }
+
+    fn refuse(&mut self, node: &Node, field: &FieldRules, path: &FieldPath, problem: &str) {
+        let found = self.source.found(node);
+        self.add(node.place, path, problem, found, field.accepted());
+    }
+}
+
+fn names(rules: &MessageRules) -> Vec<&str> {
+    rules
+        .fields
+        .iter()
+        .map(|field| field.name.as_str())
+        .collect()
+}
+
+fn others(names: &[&str], near: &str) -> String {
+    let names: Vec<&str> = names.iter().copied().filter(|name| *name != near).collect();
+    rules::one_of(&names)
+}
+
+/// Returns the value of an absent field; nothing when absence is its meaning.
+fn default_value(field: &FieldRules) -> Option<Value> {
+    let text = field.rule.default.as_str();
+    match &field.kind {
+        FieldKind::Message(_) if field.list => None,
+        FieldKind::Message(name) => Some(Value::Message(default_message(rules::of(name)))),
+        _ if text.is_empty() => None,
+        FieldKind::Flag => text.parse().ok().map(Value::Bool),
+        FieldKind::Number { bits: 32 } => text.parse().ok().map(Value::U32),
+        FieldKind::Number { .. } => text.parse().ok().map(Value::U64),
+        FieldKind::Text => Some(Value::String(text.to_owned())),
+        FieldKind::Choice(names) => names
+            .iter()
+            .find(|(name, _)| name == text)
+            .map(|(_, number)| Value::EnumNumber(*number)),
+    }
+}
+
+fn default_message(rules: &MessageRules) -> DynamicMessage {
+    let mut message = DynamicMessage::new(rules.descriptor.clone());
+    for field in &rules.fields {
+        if let Some(value) = default_value(field) {
+            message.set_field(&field.descriptor, value);
+        }
+    }
+    message
+}
--- /dev/null
+++ b/crates/config/src/tree.rs
@@ -0,0 +1,237 @@
+//! YAML files as trees of values with their positions.
+//!
+//! `serde-saphyr` stops at the first value that does not fit a Rust type, and
+//! a derived type could therefore report one fault of a file at most. The
+//! checker reads a tree of any shape instead, in which [`Spanned`] keeps the
+//! position of every key and value, and compares it with the schema. A second
+//! YAML library for the positions is therefore not needed.
+
+use std::fmt;
+use std::fmt::Display;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::MapAccess;
+use serde::de::SeqAccess;
+use serde::de::Visitor;
+use serde_saphyr::DuplicateKeyPolicy;
+use serde_saphyr::Location;
+use serde_saphyr::Spanned;
+
+/// A position in a file; lines and columns are counted from 1.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    pub(crate) line: usize,
+    pub(crate) column: usize,
+    /// The length in characters, 0 when it is not known.
+    pub(crate) width: usize,
+}
+
+impl From<Location> for Place {
+    fn from(location: Location) -> Place {
+        Place {
+            line: location.line() as usize,
+            column: location.column() as usize,
+            width: location.span().len() as usize,
+        }
+    }
+}
+
+/// A value with its position.
+#[derive(Debug, Clone)]
+pub(crate) struct Node {
+    pub(crate) place: Place,
+    pub(crate) value: Shape,
+}
+
+/// A value without its position.
+#[derive(Debug, Clone)]
+pub(crate) enum Shape {
+    Null,
+    Flag(bool),
+    Whole(u64),
+    Negative(i64),
+    Fraction(f64),
+    Text(String),
+    List(Vec<Node>),
+    Map(Vec<(Key, Node)>),
+}
+
+/// The key of a mapping with its position.
+#[derive(Debug, Clone)]
+pub(crate) struct Key {
+    pub(crate) place: Place,
+    pub(crate) name: String,
+}
+
+impl Node {
+    /// Returns the value of a key of a mapping.
+    pub(crate) fn get(&self, name: &str) -> Option<&Node> {
+        self.entry(name).map(|(_, node)| node)
+    }
+
+    /// Returns a key of a mapping with its value.
+    pub(crate) fn entry(&self, name: &str) -> Option<(&Key, &Node)> {
+        match &self.value {
+            Shape::Map(entries) => entries
+                .iter()
+                .find(|(key, _)| key.name == name)
+                .map(|(key, node)| (key, node)),
+            _ => None,
+        }
+    }
+
+    /// Returns an element of a list.
+    pub(crate) fn item(&self, at: usize) -> Option<&Node> {
+        match &self.value {
+            Shape::List(nodes) => nodes.get(at),
+            _ => None,
+        }
+    }
+}
+
+impl Display for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.value {
+            Shape::Null => f.write_str("nothing"),
+            Shape::Flag(flag) => write!(f, "{flag}"),
+            Shape::Whole(number) => write!(f, "{number}"),
+            Shape::Negative(number) => write!(f, "{number}"),
+            Shape::Fraction(number) => write!(f, "{number}"),
+            Shape::Text(text) => write!(f, "{text:?}"),
+            Shape::List(nodes) => write!(f, "a list of {}", nodes.len()),
+            Shape::Map(entries) => {
+                let names: Vec<&str> = entries.iter().map(|(key, _)| key.name.as_str()).collect();
+                write!(f, "a mapping with {}", names.join(", "))
+            }
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Node {
+    fn deserialize<D>(deserializer: D) -> Result<Node, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let spanned = Spanned::<Shape>::deserialize(deserializer)?;
+        Ok(Node {
+            place: spanned.referenced.into(),
+            value: spanned.value,
+        })
+    }
+}
+
+impl<'de> Deserialize<'de> for Shape {
+    fn deserialize<D>(deserializer: D) -> Result<Shape, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserializer.deserialize_any(ShapeVisitor)
+    }
+}
+
+struct ShapeVisitor;
+
+impl<'de> Visitor<'de> for ShapeVisitor {
+    type Value = Shape;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a YAML value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Shape, E> {
+        Ok(Shape::Null)
+    }
+
+    fn visit_none<E>(self) -> Result<Shape, E> {
+        Ok(Shape::Null)
+    }
+
+    fn visit_some<D>(self, deserializer: D) -> Result<Shape, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        Shape::deserialize(deserializer)
+    }
+
+    fn visit_bool<E>(self, flag: bool) -> Result<Shape, E> {
+        Ok(Shape::Flag(flag))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Shape, E> {
+        Ok(Shape::Whole(number))
+    }
+
+    fn visit_i64<E>(self, number: i64) -> Result<Shape, E> {
+        Ok(u64::try_from(number).map_or(Shape::Negative(number), Shape::Whole))
+    }
+
+    fn visit_f64<E>(self, number: f64) -> Result<Shape, E> {
+        Ok(Shape::Fraction(number))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Shape, E> {
+        Ok(Shape::Text(text.to_owned()))
+    }
+
+    fn visit_string<E>(self, text: String) -> Result<Shape, E> {
+        Ok(Shape::Text(text))
+    }
+
+    fn visit_seq<A>(self, mut access: A) -> Result<Shape, A::Error>
+    where
+        A: SeqAccess<'de>,
+    {
+        let mut nodes = Vec::new();
+        while let Some(node) = access.next_element()? {
+            nodes.push(node);
+        }
+        Ok(Shape::List(nodes))
+    }
+
+    fn visit_map<A>(self, mut access: A) -> Result<Shape, A::Error>
+    where
+        A: MapAccess<'de>,
+    {
+        let mut entries = Vec::new();
+        while let Some(key) = access.next_key::<Spanned<String>>()? {
+            let place = key.referenced.into();
+            let name = key.value;
+            entries.push((Key { place, name }, access.next_value()?));
+        }
+        Ok(Shape::Map(entries))
+    }
+}
+
+/// A text that is not YAML.
+#[derive(Debug)]
+pub(crate) struct TreeError {
+    pub(crate) place: Place,
+    pub(crate) reason: String,
+}
+
+/// Reads the one document of a file.
+pub(crate) fn parse(text: &str) -> Result<Node, TreeError> {
+    let mut options = serde_saphyr::Options::default();
+    options.duplicate_keys = DuplicateKeyPolicy::PassThrough;
+    options.strict_booleans = true;
+    options.null_as_string = true;
+    options.emit_comments = false;
+    options.with_snippet = false;
+    // A configuration of the design size has several hundred thousand nodes;
+    // the file is the operator's own, so only nesting stays bounded.
+    if let Some(budget) = &mut options.budget {
+        budget.max_events = usize::MAX;
+        budget.max_nodes = usize::MAX;
+        budget.max_total_scalar_bytes = usize::MAX;
+    }
+    serde_saphyr::from_str_with_options(text, options).map_err(|error| {
+        let place = error.location().map(Place::from).unwrap_or_default();
+        let reason = error.without_snippet().to_string();
+        let end = reason.rfind(" at line ").unwrap_or(reason.len());
+        TreeError {
+            place,
+            reason: reason[..end].to_owned(),
+        }
+    })
+}
