--- /dev/null
+++ b/crates/traffic/src/route.rs
@@ -0,0 +1,129 @@
+//! Which route handles a request.
+//!
+//! The longest path prefix wins, and among routes with the same prefix one that
+//! names the method wins over one that accepts all. A prefix matches whole
+//! path segments: `/orders` matches `/orders` and `/orders/7`, not `/orders2`.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use radishgauge_config::FleetModel;
+use radishgauge_config::model::Criticality;
+use smol_str::SmolStr;
+
+use crate::home::RegionSet;
+use crate::refusal::Refusal;
+use crate::refusal::RefusalReason;
+use crate::snapshot::ServiceKey;
+use crate::snapshot::region_set;
+
+/// A route, as its place in one snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RouteKey(u32);
+
+/// A group of requests and how they are handled.
+#[derive(Debug, Clone)]
+pub struct RouteEntry {
+    /// The name of the route.
+    pub name: SmolStr,
+    /// The accepted methods; empty for all.
+    pub methods: Vec<SmolStr>,
+    /// The service that answers.
+    pub service: ServiceKey,
+    /// The order in which requests are shed.
+    pub criticality: Criticality,
+    /// Whether a request may run more than once.
+    pub repeatable: bool,
+    /// The deadline of a request that brings none.
+    pub timeout: Duration,
+    /// The regions in which the requests may be handled.
+    pub home: RegionSet,
+}
+
+/// The routes of one snapshot.
+#[derive(Debug, Default)]
+pub struct RouteTable {
+    entries: Vec<RouteEntry>,
+    by_prefix: HashMap<SmolStr, Vec<RouteKey>>,
+}
+
+impl RouteTable {
+    /// Builds the table; routes whose service the model lacks are left out, so
+    /// no route leads to a service that is not there.
+    pub(crate) fn build<F>(model: &FleetModel, regions: &[SmolStr], service: F) -> RouteTable
+    where
+        F: Fn(&str) -> Option<ServiceKey>,
+    {
+        let mut table = RouteTable::default();
+        for (name, route) in &model.routes {
+            let Some(service) = service(&route.service) else {
+                continue;
+            };
+            let key = RouteKey(table.entries.len() as u32);
+            let prefix = route.path_prefix.trim_end_matches('/');
+            table
+                .by_prefix
+                .entry(SmolStr::new(prefix))
+                .or_default()
+                .push(key);
+            table.entries.push(RouteEntry {
+                name: name.clone(),
+                methods: route.methods.clone(),
+                service,
+                criticality: route.criticality,
+                repeatable: route.repeatable,
+                timeout: route.timeout,
+                home: region_set(regions, &route.home_regions),
+            });
+        }
+        for keys in table.by_prefix.values_mut() {
+            keys.sort_by_key(|key| table.entries[key.0 as usize].methods.is_empty());
+        }
+        table
+    }
+
+    /// Returns the route of a request; a query in the path is not part of the
+    /// match.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::MethodNotAllowed`] when only routes for other methods
+    /// match the path, else [`RefusalReason::NoRoute`].
+    pub fn find(&self, method: &str, path: &str) -> Result<RouteKey, Refusal> {
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let mut prefix = path.trim_end_matches('/');
+        let mut reason = RefusalReason::NoRoute;
+        loop {
+            if let Some(keys) = self.by_prefix.get(prefix) {
+                let accepts = |key: &&RouteKey| {
+                    let methods = &self.entries[key.0 as usize].methods;
+                    methods.is_empty() || methods.iter().any(|accepted| accepted == method)
+                };
+                if let Some(key) = keys.iter().find(accepts) {
+                    return Ok(*key);
+                }
+                reason = RefusalReason::MethodNotAllowed;
+            }
+            match prefix.rfind('/') {
+                Some(end) => prefix = &prefix[..end],
+                None => return Err(Refusal::new(reason)),
+            }
+        }
+    }
+
+    /// Returns the route of the key; `None` for a key of another snapshot that
+    /// does not exist here.
+    pub fn get(&self, key: RouteKey) -> Option<&RouteEntry> {
+        self.entries.get(key.0 as usize)
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there are no routes.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/snapshot.rs
@@ -0,0 +1,451 @@
+//! One configuration version as the request path reads it.
+//!
+//! A snapshot is immutable and is swapped as a whole, so a route and the
+//! targets it leads to always belong together. What a daemon learned about a
+//! target lives behind an `Arc` that the next snapshot takes over, so a new
+//! version neither forgets a target's load nor restarts its ramp.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use radishgauge_config::FleetModel;
+use radishgauge_config::model::DomainState;
+use radishgauge_config::model::PolicyModel;
+use radishgauge_config::model::ServiceModel;
+use smol_str::SmolStr;
+
+use crate::admit::TargetAdmission;
+use crate::home::HomeRule;
+use crate::home::RegionKey;
+use crate::home::RegionSet;
+use crate::refusal::Refusal;
+use crate::refusal::RefusalReason;
+use crate::route::RouteEntry;
+use crate::route::RouteTable;
+use crate::stats::TargetStats;
+use crate::subset;
+
+/// A service, as its place in one snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ServiceKey(pub(crate) u32);
+
+/// A target. The key stays the same in later snapshots while the host stays
+/// with the same incarnation, and is never used again for another target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TargetKey(pub(crate) u32);
+
+/// This daemon's own place.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LocalHost {
+    /// The name of the host.
+    pub host: SmolStr,
+    /// The region of the host.
+    pub region: SmolStr,
+    /// The failure domain of the host.
+    pub failure_domain: SmolStr,
+}
+
+/// What membership says of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum HostState {
+    /// The host takes work.
+    #[default]
+    Live,
+    /// The host finishes its work and takes no more.
+    Leaving,
+    /// The host could not be reached.
+    Unreachable,
+    /// The host is no longer part of the fleet.
+    Gone,
+}
+
+/// The state of a host in one of its lives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct HostView {
+    /// What membership says of the host.
+    pub state: HostState,
+    /// The start time of the host in ms; a greater number is a later life.
+    pub incarnation: u64,
+}
+
+/// The hosts by name; a host that is not listed counts as live.
+pub type HostStates = IndexMap<SmolStr, HostView>;
+
+/// One target that calls may be sent to.
+#[derive(Debug, Clone)]
+pub struct TargetEntry {
+    /// Identifies the target across snapshots.
+    pub key: TargetKey,
+    /// The host of the target.
+    pub host: SmolStr,
+    /// Where the worker listens.
+    pub address: SocketAddr,
+    /// The peer address of the daemon on the host.
+    pub daemon: SocketAddr,
+    /// The region of the target.
+    pub region: RegionKey,
+    /// What this daemon has seen of the target.
+    pub stats: Arc<TargetStats>,
+    incarnation: u64,
+}
+
+/// How far a target is from this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Distance {
+    /// The same failure domain.
+    Near,
+    /// Another failure domain of the same region.
+    Region,
+    /// Another region.
+    Far,
+}
+
+impl Distance {
+    /// All distances, the nearest first.
+    pub const ALL: [Distance; 3] = [Distance::Near, Distance::Region, Distance::Far];
+}
+
+/// A service and the targets that this daemon sends to.
+#[derive(Debug)]
+pub struct ServiceEntry {
+    /// The name of the service.
+    pub name: SmolStr,
+    /// The declared concurrency of one worker.
+    pub slots: u32,
+    /// The targets chosen for this sender, by distance; none that is out,
+    /// leaving, unreachable or gone.
+    tiers: [Vec<TargetEntry>; 3],
+}
+
+impl ServiceEntry {
+    /// Returns the targets at the distance.
+    pub fn tier(&self, distance: Distance) -> &[TargetEntry] {
+        &self.tiers[distance as usize]
+    }
+}
+
+/// One configuration version as the request path reads it.
+#[derive(Debug)]
+pub struct TrafficSnapshot {
+    revision: u64,
+    local: LocalHost,
+    local_region: RegionKey,
+    regions: Vec<SmolStr>,
+    services: IndexMap<SmolStr, ServiceEntry>,
+    routes: RouteTable,
+    tenants: HashMap<SmolStr, RegionSet>,
+    hosted: HashMap<SmolStr, Arc<TargetAdmission>>,
+    known: HashMap<(SmolStr, SmolStr), TargetEntry>,
+    next_target: Arc<AtomicU32>,
+    policy: PolicyModel,
+}
+
+impl TrafficSnapshot {
+    /// Builds the first snapshot of a daemon.
+    ///
+    /// # Panics
+    ///
+    /// When the model holds more than [`RegionSet::MAX`] regions, which
+    /// acceptance refuses.
+    pub fn build(
+        model: &FleetModel,
+        local: LocalHost,
+        hosts: &HostStates,
+        revision: u64,
+        now: Duration,
+    ) -> TrafficSnapshot {
+        build(model, local, hosts, revision, now, None)
+    }
+
+    /// Builds the next snapshot, which takes over the state of all targets that
+    /// stay.
+    ///
+    /// # Panics
+    ///
+    /// As [`TrafficSnapshot::build`].
+    pub fn rebuild(
+        &self,
+        model: &FleetModel,
+        hosts: &HostStates,
+        revision: u64,
+        now: Duration,
+    ) -> TrafficSnapshot {
+        build(model, self.local.clone(), hosts, revision, now, Some(self))
+    }
+
+    /// Returns the revision of the configuration.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns this daemon's own place.
+    pub fn local(&self) -> &LocalHost {
+        &self.local
+    }
+
+    /// Returns the region of this daemon.
+    pub fn local_region(&self) -> RegionKey {
+        self.local_region
+    }
+
+    /// Returns the routes.
+    pub fn routes(&self) -> &RouteTable {
+        &self.routes
+    }
+
+    /// Returns the policy of the fleet.
+    pub fn policy(&self) -> &PolicyModel {
+        &self.policy
+    }
+
+    /// Returns the key of the service with the name.
+    pub fn service_key(&self, name: &str) -> Option<ServiceKey> {
+        let index = self.services.get_index_of(name)?;
+        Some(ServiceKey(index as u32))
+    }
+
+    /// Returns the service; `None` for a key of another snapshot that does not
+    /// exist here.
+    pub fn service(&self, key: ServiceKey) -> Option<&ServiceEntry> {
+        let (_, entry) = self.services.get_index(key.0 as usize)?;
+        Some(entry)
+    }
+
+    /// Returns the name of a region.
+    pub fn region_name(&self, region: RegionKey) -> Option<&SmolStr> {
+        self.regions.get(usize::from(region.0))
+    }
+
+    /// Returns the admission of the target that this host runs for the service.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::NotHosted`] when this host runs none.
+    pub fn hosted(&self, service: &str) -> Result<&Arc<TargetAdmission>, Refusal> {
+        self.hosted
+            .get(service)
+            .ok_or(Refusal::new(RefusalReason::NotHosted))
+    }
+
+    /// Returns all targets that this host runs, by service.
+    pub fn all_hosted(&self) -> impl Iterator<Item = (&SmolStr, &Arc<TargetAdmission>)> {
+        self.hosted.iter()
+    }
+
+    /// Returns the regions in which a request may be handled: those of the
+    /// route, of the tenant (empty for none), and those that the request's
+    /// context carries (empty for no restriction).
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::UnknownTenant`] when the tenant is not configured, since
+    /// it cannot be known where its requests may go, and
+    /// [`RefusalReason::HomeRegion`] when the regions have nothing in common.
+    pub fn home_rule(
+        &self,
+        route: &RouteEntry,
+        tenant: &str,
+        carried: &[SmolStr],
+    ) -> Result<HomeRule, Refusal> {
+        let tenant = match tenant {
+            "" => RegionSet::ALL,
+            name => *self
+                .tenants
+                .get(name)
+                .ok_or(Refusal::new(RefusalReason::UnknownTenant))?,
+        };
+        let carried = region_set(&self.regions, carried);
+        let rule = HomeRule::new([route.home, tenant, carried]);
+        if rule.regions().is_empty() {
+            return Err(Refusal::new(RefusalReason::HomeRegion));
+        }
+        Ok(rule)
+    }
+
+    /// Returns the names of the regions of the rule, as the context carries
+    /// them; empty for a request that may be handled anywhere.
+    pub fn home_names(&self, rule: &HomeRule) -> Vec<SmolStr> {
+        if !rule.is_bound() {
+            return Vec::new();
+        }
+        (0..)
+            .map(RegionKey)
+            .zip(&self.regions)
+            .filter(|(key, _)| rule.allows_target(*key))
+            .map(|(_, name)| name.clone())
+            .collect()
+    }
+}
+
+/// Names that are not in the list stand for no region, so a request bound only
+/// to unknown regions is refused instead of being let through.
+pub(crate) fn region_set(regions: &[SmolStr], names: &[SmolStr]) -> RegionSet {
+    if names.is_empty() {
+        return RegionSet::ALL;
+    }
+    let mut set = RegionSet::NONE;
+    for (index, region) in regions.iter().enumerate() {
+        if names.contains(region) {
+            set.insert(RegionKey(index as u8));
+        }
+    }
+    set
+}
+
+fn build(
+    model: &FleetModel,
+    local: LocalHost,
+    hosts: &HostStates,
+    revision: u64,
+    now: Duration,
+    previous: Option<&TrafficSnapshot>,
+) -> TrafficSnapshot {
+    let mut regions = model.regions.clone();
+    if !regions.contains(&local.region) {
+        regions.push(local.region.clone());
+    }
+    assert!(
+        regions.len() <= RegionSet::MAX,
+        "{} regions exceed the {} that a snapshot can hold",
+        regions.len(),
+        RegionSet::MAX
+    );
+    let local_region = region_key(&regions, &local.region);
+    let next_target = previous.map_or_else(Arc::default, |old| Arc::clone(&old.next_target));
+    let mut builder = SnapshotBuilder {
+        model,
+        local: &local,
+        hosts,
+        now,
+        previous,
+        regions: &regions,
+        next_target: &next_target,
+        known: HashMap::new(),
+        hosted: HashMap::new(),
+    };
+    let services: IndexMap<SmolStr, ServiceEntry> = model
+        .services
+        .iter()
+        .map(|(name, service)| (name.clone(), builder.service(name, service)))
+        .collect();
+    let known = builder.known;
+    let hosted = builder.hosted;
+    let routes = RouteTable::build(model, &regions, |service| {
+        let index = services.get_index_of(service)?;
+        Some(ServiceKey(index as u32))
+    });
+    let tenants = model
+        .tenants
+        .iter()
+        .map(|(name, tenant)| (name.clone(), region_set(&regions, &tenant.home_regions)))
+        .collect();
+    TrafficSnapshot {
+        revision,
+        local_region,
+        services,
+        routes,
+        tenants,
+        hosted,
+        known,
+        policy: model.policy.clone(),
+        local,
+        regions,
+        next_target,
+    }
+}
+
+fn region_key(regions: &[SmolStr], name: &str) -> RegionKey {
+    let index = regions.iter().position(|region| region == name);
+    RegionKey(index.expect("the region is in the list") as u8)
+}
+
+struct SnapshotBuilder<'a> {
+    model: &'a FleetModel,
+    local: &'a LocalHost,
+    hosts: &'a HostStates,
+    now: Duration,
+    previous: Option<&'a TrafficSnapshot>,
+    regions: &'a [SmolStr],
+    next_target: &'a AtomicU32,
+    known: HashMap<(SmolStr, SmolStr), TargetEntry>,
+    hosted: HashMap<SmolStr, Arc<TargetAdmission>>,
+}
+
+impl SnapshotBuilder<'_> {
+    fn service(&mut self, name: &SmolStr, service: &ServiceModel) -> ServiceEntry {
+        let mut tiers: [Vec<TargetEntry>; 3] = Default::default();
+        for (host, target) in &service.targets {
+            let view = self.hosts.get(host).copied().unwrap_or_default();
+            let domain = self.model.domains.get(&target.failure_domain);
+            let domain_out = domain.is_none_or(|domain| domain.state == DomainState::Out);
+            if *host == self.local.host {
+                self.host(name, service, domain_out, view);
+            }
+            // A target in a failure domain that the share lacks has no region.
+            let Some(domain) = domain else { continue };
+            if !self.regions.contains(&domain.region) {
+                continue;
+            }
+            let region = region_key(self.regions, &domain.region);
+            let key = (name.clone(), host.clone());
+            let old = self
+                .previous
+                .and_then(|old| old.known.get(&key))
+                .filter(|old| old.incarnation == view.incarnation);
+            let entry = TargetEntry {
+                key: old.map_or_else(|| self.draw_key(), |old| old.key),
+                host: host.clone(),
+                address: target.address,
+                daemon: target.daemon,
+                region,
+                stats: old.map_or_else(
+                    || Arc::new(TargetStats::new(service.slots)),
+                    |old| Arc::clone(&old.stats),
+                ),
+                incarnation: view.incarnation,
+            };
+            self.known.insert(key, entry.clone());
+            if domain_out || view.state != HostState::Live {
+                continue;
+            }
+            let distance = if target.failure_domain == self.local.failure_domain {
+                Distance::Near
+            } else if domain.region == self.local.region {
+                Distance::Region
+            } else {
+                Distance::Far
+            };
+            tiers[distance as usize].push(entry);
+        }
+        for tier in &mut tiers {
+            subset::keep_chosen(tier, &self.local.host, name);
+        }
+        ServiceEntry {
+            name: name.clone(),
+            slots: service.slots,
+            tiers,
+        }
+    }
+
+    fn host(&mut self, name: &SmolStr, service: &ServiceModel, out: bool, view: HostView) {
+        let admission = self
+            .previous
+            .and_then(|old| old.hosted.get(name))
+            .map_or_else(
+                || Arc::new(TargetAdmission::new(service, &self.model.policy, self.now)),
+                Arc::clone,
+            );
+        let leaving = matches!(view.state, HostState::Leaving | HostState::Gone);
+        admission.configure(service, &self.model.policy, out, leaving, self.now);
+        self.hosted.insert(name.clone(), admission);
+    }
+
+    fn draw_key(&self) -> TargetKey {
+        TargetKey(self.next_target.fetch_add(1, Ordering::Relaxed))
+    }
+}
