--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -5,22 +5,31 @@
 //! benchmarks run the same code.
 
 pub mod admit;
+pub mod context;
+pub mod gate;
 pub mod home;
 pub mod limit;
 pub mod link;
 pub mod pick;
+pub mod progress;
 mod queue;
 pub mod ramp;
 pub mod refusal;
+pub mod retry;
 pub mod route;
+pub mod session;
 pub mod snapshot;
 pub mod stats;
 pub mod subset;
+pub mod suspect;
+pub mod tree;
 pub mod verdict;
 
 pub use admit::Admit;
 pub use admit::AdmitRequest;
 pub use admit::TargetAdmission;
+pub use context::CallContext;
+pub use gate::FreshnessGate;
 pub use home::HomeRule;
 pub use link::LinkBudget;
 pub use pick::CallOutcome;
@@ -28,10 +37,16 @@
 pub use pick::Picked;
 pub use pick::TargetPicker;
 pub use pick::TriedTargets;
+pub use progress::CallProgress;
 pub use ramp::TargetRamp;
 pub use refusal::Refusal;
 pub use refusal::RefusalReason;
+pub use retry::RetryBudget;
+pub use retry::RetryDecision;
 pub use route::RouteTable;
+pub use session::SessionProbe;
 pub use snapshot::LocalHost;
 pub use snapshot::TrafficSnapshot;
+pub use suspect::SuspectTable;
+pub use tree::CallTree;
 pub use verdict::CallVerdict;
--- a/crates/traffic/src/refusal.rs
+++ b/crates/traffic/src/refusal.rs
@@ -46,6 +46,8 @@
     Quarantined,
     /// The call is made below a retry whose allowance of calls is used up.
     Allowance,
+    /// The chain of calls is too deep, most likely a loop.
+    Depth,
     /// The context header could not be read.
     BadContext,
 }
@@ -71,6 +73,7 @@
             RefusalReason::SuspectBusy => "suspect-busy",
             RefusalReason::Quarantined => "quarantined",
             RefusalReason::Allowance => "allowance",
+            RefusalReason::Depth => "depth",
             RefusalReason::BadContext => "bad-context",
         }
     }
@@ -83,7 +86,7 @@
     }
 
     /// All reasons.
-    pub const ALL: [RefusalReason; 18] = [
+    pub const ALL: [RefusalReason; 19] = [
         RefusalReason::NoRoute,
         RefusalReason::MethodNotAllowed,
         RefusalReason::UnknownTenant,
@@ -101,6 +104,7 @@
         RefusalReason::SuspectBusy,
         RefusalReason::Quarantined,
         RefusalReason::Allowance,
+        RefusalReason::Depth,
         RefusalReason::BadContext,
     ];
 
@@ -114,6 +118,7 @@
             RefusalReason::HomeRegion => 421,
             RefusalReason::Deadline => 504,
             RefusalReason::Quarantined => 422,
+            RefusalReason::Depth => 508,
             _ => 503,
         }
     }
--- a/crates/traffic/src/route.rs
+++ b/crates/traffic/src/route.rs
@@ -5,6 +5,7 @@
 //! path segments: `/orders` matches `/orders` and `/orders/7`, not `/orders2`.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use radishgauge_config::FleetModel;
@@ -14,6 +15,7 @@
 use crate::home::RegionSet;
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
+use crate::retry::CallCost;
 use crate::snapshot::ServiceKey;
 use crate::snapshot::region_set;
 
@@ -38,6 +40,10 @@
     pub timeout: Duration,
     /// The regions in which the requests may be handled.
     pub home: RegionSet,
+    /// How many calls a request causes; kept by later snapshots while the route
+    /// leads to the same service.
+    pub cost: Arc<CallCost>,
+    service_name: SmolStr,
 }
 
 /// The routes of one snapshot.
@@ -50,11 +56,21 @@
 impl RouteTable {
     /// Builds the table; routes whose service the model lacks are left out, so
     /// no route leads to a service that is not there.
-    pub(crate) fn build<F>(model: &FleetModel, regions: &[SmolStr], service: F) -> RouteTable
+    pub(crate) fn build<F>(
+        model: &FleetModel,
+        regions: &[SmolStr],
+        previous: Option<&RouteTable>,
+        service: F,
+    ) -> RouteTable
     where
         F: Fn(&str) -> Option<ServiceKey>,
     {
         let mut table = RouteTable::default();
+        let costs: HashMap<(&SmolStr, &SmolStr), &Arc<CallCost>> = previous
+            .iter()
+            .flat_map(|old| &old.entries)
+            .map(|old| ((&old.name, &old.service_name), &old.cost))
+            .collect();
         for (name, route) in &model.routes {
             let Some(service) = service(&route.service) else {
                 continue;
@@ -74,6 +90,10 @@
                 repeatable: route.repeatable,
                 timeout: route.timeout,
                 home: region_set(regions, &route.home_regions),
+                cost: costs
+                    .get(&(name, &route.service))
+                    .map_or_else(Arc::default, |cost| Arc::clone(cost)),
+                service_name: route.service.clone(),
             });
         }
         for keys in table.by_prefix.values_mut() {
--- a/crates/traffic/src/snapshot.rs
+++ b/crates/traffic/src/snapshot.rs
@@ -335,7 +335,8 @@
         .collect();
     let known = builder.known;
     let hosted = builder.hosted;
-    let routes = RouteTable::build(model, &regions, |service| {
+    let old_routes = previous.map(TrafficSnapshot::routes);
+    let routes = RouteTable::build(model, &regions, old_routes, |service| {
         let index = services.get_index_of(service)?;
         Some(ServiceKey(index as u32))
     });
