Add idempotency keys and the ledger that runs each key once

An issued key names its owner's host and incarnation; an opaque key is owned by rendezvous hashing over the targets of the service in all allowed regions, so that a re-send through another region reaches the same owner. A new owner runs a moved key only after each former owner has handed over, and a former set that the configuration names counts as well as one that was seen, since a daemon that restarted has seen none.

--- /dev/null
+++ b/crates/traffic/src/once_cover.rs
@@ -0,0 +1,237 @@
+//! Whether a daemon covers an opaque key: knows all that former owners ran.
+//!
+//! A former owner that cannot be reached keeps its keys, and new owners refuse
+//! them. A partition therefore costs availability and never a second run.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+use crate::once::OnceLedger;
+use crate::once_owner::KeyOwner;
+use crate::once_owner::OwnerSet;
+
+/// The greatest number of former sets kept apart for a service. Beyond it the
+/// oldest are merged into one whose hosts must all hand over.
+const FORMER_SETS: usize = 32;
+
+/// The owners of a service's opaque keys under a configuration in force.
+#[derive(Debug, Clone)]
+pub struct OwnerChange {
+    /// The service.
+    pub service: SmolStr,
+    /// The revision of the configuration.
+    pub revision: u64,
+    /// The owners from now on.
+    pub current: OwnerSet,
+    /// Sets that were current before, as the configuration or peers name them.
+    ///
+    /// A ledger adds the sets that it saw itself. A daemon that restarted or
+    /// skipped revisions saw none, and is safe only if they are given here.
+    pub former: Vec<FormerOwners>,
+}
+
+/// Owners under an earlier configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FormerOwners {
+    /// The set.
+    pub set: OwnerSet,
+    /// The first revision at which the set was not current any more. A host that
+    /// applied it does not act under the set.
+    pub left_at: u64,
+}
+
+/// A completed transfer from a former owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Handover {
+    /// The former owner's revision when it began to hand over.
+    pub(crate) revision: u64,
+    /// From when on the records stand for all that it ran within the window.
+    pub(crate) whole_at: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceCover {
+    pub(crate) revision: u64,
+    current: OwnerSet,
+    former: Vec<FormerSet>,
+    pub(crate) handovers: IndexMap<SmolStr, Handover>,
+    pub(crate) pending: IndexMap<SmolStr, PendingTransfer>,
+}
+
+/// A transfer of which a part has arrived.
+#[derive(Debug, Clone)]
+pub(crate) struct PendingTransfer {
+    pub(crate) incarnation: u64,
+    pub(crate) handover: Handover,
+    /// Where the next piece begins.
+    pub(crate) next: u64,
+}
+
+#[derive(Debug, Clone)]
+struct FormerSet {
+    set: OwnerSet,
+    left_at: u64,
+    /// Whether every host of the set counts as former owner of every key.
+    all: bool,
+}
+
+impl ServiceCover {
+    pub(crate) fn current(&self) -> &OwnerSet {
+        &self.current
+    }
+
+    fn add_former(&mut self, set: OwnerSet, left_at: u64) {
+        if let Some(known) = self
+            .former
+            .iter_mut()
+            .find(|known| known.set == set && !known.all)
+        {
+            known.left_at = known.left_at.max(left_at);
+            return;
+        }
+        let all = false;
+        self.former.push(FormerSet { set, left_at, all });
+        if self.former.len() > FORMER_SETS {
+            let older = self.former.remove(0);
+            let newer = &mut self.former[0];
+            let targets = older
+                .set
+                .targets()
+                .iter()
+                .chain(newer.set.targets())
+                .cloned();
+            newer.set = OwnerSet::new(0, targets.collect::<Vec<_>>());
+            newer.left_at = newer.left_at.max(older.left_at);
+            newer.all = true;
+        }
+    }
+}
+
+impl OnceLedger {
+    /// Takes the owners of a service from a configuration that came into force.
+    ///
+    /// A change of an older revision than the one known does nothing.
+    pub fn ownership_changed(&mut self, change: OwnerChange, now: Duration) {
+        let revision = change.revision;
+        let cover = self.covers.entry(change.service.clone());
+        let cover = cover.or_insert_with(|| ServiceCover {
+            revision,
+            current: change.current.clone(),
+            former: Vec::new(),
+            handovers: IndexMap::new(),
+            pending: IndexMap::new(),
+        });
+        if revision < cover.revision {
+            return;
+        }
+        cover.revision = revision;
+        if cover.current != change.current {
+            let former = std::mem::replace(&mut cover.current, change.current);
+            cover.add_former(former, revision);
+        }
+        for former in change.former {
+            cover.add_former(former.set, former.left_at);
+        }
+        self.prune(&change.service, now);
+    }
+
+    /// Notes that the platform's host list no longer has `host`.
+    ///
+    /// To be called also for each former owner that the first list lacks.
+    pub fn host_gone(&mut self, host: &str, now: Duration) {
+        self.gone.entry(SmolStr::new(host)).or_insert(now);
+    }
+
+    /// Notes that the host list has `host` again.
+    pub fn host_listed(&mut self, host: &str) {
+        self.gone.swap_remove(host);
+    }
+
+    /// Returns the former owners whose records of `service` are still needed,
+    /// each of which is to be sent an `OwnerTransferRequest`.
+    pub fn wanted(&self, service: &str, now: Duration) -> Vec<SmolStr> {
+        let mut wanted = Vec::new();
+        for former in self
+            .covers
+            .get(service)
+            .into_iter()
+            .flat_map(|cover| &cover.former)
+        {
+            for target in former.set.targets() {
+                if !wanted.contains(&target.host)
+                    && !self.resolved(service, &target.host, former.left_at, now)
+                {
+                    wanted.push(target.host.clone());
+                }
+            }
+        }
+        wanted
+    }
+
+    /// Returns a former owner of an opaque key that still may run it.
+    pub(crate) fn unresolved(
+        &self,
+        service: &str,
+        key: &str,
+        regions: &[SmolStr],
+        now: Duration,
+    ) -> Option<SmolStr> {
+        let cover = self.covers.get(service)?;
+        for former in &cover.former {
+            let pending = |host: &&SmolStr| !self.resolved(service, host, former.left_at, now);
+            let found = if former.all {
+                let mut hosts = former.set.targets().iter().map(|target| &target.host);
+                hosts.find(pending).cloned()
+            } else if former.set.epoch() == cover.current.epoch() {
+                let owner = KeyOwner::of(service, key, &former.set, regions);
+                owner.map(|owner| owner.host).filter(|host| pending(&host))
+            } else {
+                // The home regions may have been others under another epoch.
+                let owners = KeyOwner::of_any_regions(service, key, &former.set);
+                owners.into_iter().find(pending).cloned()
+            };
+            if found.is_some() {
+                return found;
+            }
+        }
+        None
+    }
+
+    /// Says whether `host` can run no more key under a set that it left with
+    /// revision `left_at`, and whether all it ran under it is known here.
+    fn resolved(&self, service: &str, host: &SmolStr, left_at: u64, now: Duration) -> bool {
+        if host == self.host() {
+            return true;
+        }
+        let handover = self
+            .covers
+            .get(service)
+            .and_then(|cover| cover.handovers.get(host));
+        if handover.is_some_and(|handover| handover.revision >= left_at && handover.whole_at <= now)
+        {
+            return true;
+        }
+        let gone = self.gone.get(host);
+        gone.is_some_and(|&since| now.saturating_sub(since) >= self.limits.keep())
+    }
+
+    /// Forgets former sets whose hosts are all resolved.
+    fn prune(&mut self, service: &str, now: Duration) {
+        let Some(cover) = self.covers.get(service) else {
+            return;
+        };
+        let needed = |former: &FormerSet| {
+            let mut targets = former.set.targets().iter();
+            targets.any(|target| !self.resolved(service, &target.host, former.left_at, now))
+        };
+        let kept: Vec<FormerSet> = cover
+            .former
+            .iter()
+            .filter(|former| needed(former))
+            .cloned()
+            .collect();
+        self.covers[service].former = kept;
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/once_owner.rs
@@ -0,0 +1,116 @@
+//! Which daemon owns an opaque idempotency key.
+//!
+//! The choice must be the same at every entry daemon, so it depends only on the
+//! key and the configuration, and never on where a request enters: a re-send
+//! through another region goes to the same owner.
+
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// A daemon that may own keys of a service: that of one of its targets.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OwnerTarget {
+    /// The host of the target and its daemon.
+    pub host: SmolStr,
+    /// The region of the host.
+    pub region: SmolStr,
+}
+
+/// The daemons that may own the keys of a service under one configuration.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OwnerSet {
+    epoch: u64,
+    targets: Vec<OwnerTarget>,
+}
+
+impl OwnerSet {
+    /// Creates a set; the order of the targets and repeated hosts do not matter.
+    ///
+    /// The owner epoch must be raised whenever the home regions of a route or
+    /// tenant of the service change, since they decide owners too.
+    pub fn new<T>(epoch: u64, targets: T) -> OwnerSet
+    where
+        T: IntoIterator<Item = OwnerTarget>,
+    {
+        let mut targets: Vec<OwnerTarget> = targets.into_iter().collect();
+        targets.sort();
+        targets.dedup_by(|a, b| a.host == b.host);
+        OwnerSet { epoch, targets }
+    }
+
+    /// Returns the owner epoch.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns the targets, by host.
+    pub fn targets(&self) -> &[OwnerTarget] {
+        &self.targets
+    }
+
+    /// Returns the region of `host`, if it is in the set.
+    pub fn region(&self, host: &str) -> Option<&SmolStr> {
+        let found = self.targets.iter().find(|target| target.host == host)?;
+        Some(&found.region)
+    }
+}
+
+/// The owner of an opaque key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeyOwner {
+    /// The host whose daemon owns the key.
+    pub host: SmolStr,
+    /// The owner epoch under which it does.
+    pub epoch: u64,
+}
+
+impl KeyOwner {
+    /// Returns the owner of `key` among the targets of `service` in the allowed
+    /// regions (empty: all), or `None` when there is no target.
+    ///
+    /// Rendezvous hashing: a target that comes or goes moves only its own keys.
+    pub fn of(service: &str, key: &str, set: &OwnerSet, regions: &[SmolStr]) -> Option<KeyOwner> {
+        let seed = key_seed(service, key);
+        let allowed =
+            |target: &&OwnerTarget| regions.is_empty() || regions.contains(&target.region);
+        let host = best(seed, set.targets.iter().filter(allowed))?;
+        Some(KeyOwner {
+            host: host.clone(),
+            epoch: set.epoch,
+        })
+    }
+
+    /// Returns each host that owns `key` under some rule of allowed regions.
+    ///
+    /// The owner under any set of regions is the best host of one of them.
+    pub fn of_any_regions<'a>(service: &str, key: &str, set: &'a OwnerSet) -> Vec<&'a SmolStr> {
+        let seed = key_seed(service, key);
+        let mut regions: Vec<&SmolStr> = set.targets.iter().map(|target| &target.region).collect();
+        regions.sort();
+        regions.dedup();
+        let in_region = |region: &SmolStr| {
+            let targets = set.targets.iter();
+            best(seed, targets.filter(move |target| target.region == *region))
+        };
+        regions.into_iter().filter_map(in_region).collect()
+    }
+}
+
+fn key_seed(service: &str, key: &str) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(service.as_bytes());
+    // Neither names nor keys hold a zero byte.
+    hash.update(&[0]);
+    hash.update(key.as_bytes());
+    hash.digest()
+}
+
+fn best<'a, T>(seed: u64, targets: T) -> Option<&'a SmolStr>
+where
+    T: Iterator<Item = &'a OwnerTarget>,
+{
+    let score = |target: &&OwnerTarget| xxh3_64_with_seed(target.host.as_bytes(), seed);
+    let found = targets.max_by_key(|target| (score(target), &target.host))?;
+    Some(&found.host)
+}
--- /dev/null
+++ b/crates/traffic/src/once_record.rs
@@ -0,0 +1,87 @@
+//! The record of one key in the ledger.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::key::IdempotencyKey;
+use crate::once_decision::OnceAnswer;
+use crate::once_decision::OnceRequest;
+use crate::once_decision::OnceTicket;
+
+/// The memory of a record besides its key and response: the record, its name in
+/// the index, and its place in the expiry queue.
+const RECORD_BYTES: usize = size_of::<OnceEntry>()
+    + size_of::<RecordName>()
+    + size_of::<OnceTicket>()
+    + size_of::<(Duration, OnceTicket)>();
+
+/// The identity of a record. Issued keys are unique by themselves; opaque keys
+/// only within a service and tenant.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct RecordName {
+    pub(crate) service: SmolStr,
+    pub(crate) tenant: SmolStr,
+    pub(crate) key: IdempotencyKey,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct OnceEntry {
+    pub(crate) name: RecordName,
+    pub(crate) fingerprint: u64,
+    /// The home regions of the request; a record leaves them never.
+    pub(crate) regions: Box<[SmolStr]>,
+    pub(crate) state: EntryState,
+    /// When the key was first begun.
+    pub(crate) since: Duration,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum EntryState {
+    Running { handed_over: bool },
+    Unknown,
+    Answered(Option<Arc<OnceAnswer>>),
+}
+
+impl OnceEntry {
+    /// Returns the memory of the record and its response.
+    pub(crate) fn bytes(&self) -> usize {
+        let answer = match &self.state {
+            EntryState::Answered(Some(answer)) => answer.bytes(),
+            _ => 0,
+        };
+        let regions = self.regions.len() * size_of::<SmolStr>();
+        RECORD_BYTES + self.name.key.heap_bytes() + regions + answer
+    }
+}
+
+impl RecordName {
+    pub(crate) fn of(request: &OnceRequest<'_>) -> RecordName {
+        let scoped = matches!(request.key, IdempotencyKey::Opaque(_));
+        let scope = |name: &SmolStr| {
+            if scoped {
+                name.clone()
+            } else {
+                SmolStr::default()
+            }
+        };
+        RecordName {
+            service: scope(request.service),
+            tenant: scope(request.tenant),
+            key: request.key.clone(),
+        }
+    }
+}
+
+/// Hashes all that a re-send must have in common with the first request.
+pub(crate) fn mix(request: &OnceRequest<'_>) -> u64 {
+    let mut hash = Xxh3::new();
+    hash.update(request.service.as_bytes());
+    hash.update(&[0]);
+    hash.update(request.tenant.as_bytes());
+    hash.update(&[0]);
+    hash.update(&request.fingerprint.to_le_bytes());
+    hash.digest()
+}
--- /dev/null
+++ b/crates/traffic/tests/key.rs
@@ -0,0 +1,126 @@
+//! Idempotency keys: text form, faults, and the choice of an owner.
+
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::prop_assert_eq;
+use proptest::prelude::prop_assert_ne;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+use radishgauge_traffic::key::IdempotencyKey;
+use radishgauge_traffic::key::IssuedKey;
+use radishgauge_traffic::key::KeyIssuer;
+use radishgauge_traffic::key::KeyStanding;
+use radishgauge_traffic::once_owner::KeyOwner;
+use radishgauge_traffic::once_owner::OwnerSet;
+use radishgauge_traffic::once_owner::OwnerTarget;
+use smol_str::SmolStr;
+
+fn set(hosts: &[(&str, &str)]) -> OwnerSet {
+    let target = |&(host, region): &(&str, &str)| OwnerTarget {
+        host: SmolStr::new(host),
+        region: SmolStr::new(region),
+    };
+    OwnerSet::new(0, hosts.iter().map(target))
+}
+
+/// Guards against a fault message that does not say which part is wrong.
+#[test]
+fn each_fault_names_the_part_and_the_accepted_form() {
+    let long = "x".repeat(256);
+    let cases = [
+        ("", "empty"),
+        (long.as_str(), "256 bytes; accepted: 1 to 255"),
+        ("order 7", "byte 0x20 at position 5"),
+        ("caf\u{e9}", "byte 0xc3 at position 3"),
+        ("rgk1.0000000000000000", "serial is missing"),
+        ("rgk1.0.0000000000000000", "incarnation is missing"),
+        ("rgk1.0.0.0000000000000000", "host is missing"),
+        (
+            "rgk1.a.0.0.00",
+            "nonce `00`; accepted: 16 hexadecimal digits",
+        ),
+        ("rgk1.a.+1.0.0000000000000000", "incarnation `+1`"),
+        ("rgk1.a.0.F.0000000000000000", "serial `F`"),
+        ("rgk1.a.0..0000000000000000", "serial ``"),
+        ("rgk1.a.10000000000000000.0.0000000000000000", "incarnation"),
+    ];
+    for (text, part) in cases {
+        let fault = text.parse::<IdempotencyKey>().unwrap_err().to_string();
+        assert!(fault.contains(part), "{text:?} gives {fault:?}");
+    }
+}
+
+/// Guards against owners that differ with the region where a request enters: an
+/// owner in a narrower set of regions must be among the possible former owners.
+#[test]
+fn the_owner_under_any_regions_is_the_best_host_of_one_region() {
+    let set = set(&[("a", "x"), ("b", "x"), ("c", "y"), ("d", "y"), ("e", "z")]);
+    let rules: [&[SmolStr]; 4] = [&[], &["x".into()], &["x".into(), "z".into()], &["y".into()]];
+    for number in 0..500 {
+        let key = format!("key-{number}");
+        let best = KeyOwner::of_any_regions("s", &key, &set);
+        for regions in rules {
+            let owner = KeyOwner::of("s", &key, &set, regions).unwrap();
+            assert!(best.contains(&&owner.host), "{key} {regions:?}");
+            let region = set.region(&owner.host).unwrap();
+            assert!(regions.is_empty() || regions.contains(region));
+        }
+    }
+}
+
+/// Guards against a change of one target that moves the keys of others.
+#[test]
+fn a_new_target_takes_only_its_own_keys() {
+    let before = set(&[("a", "x"), ("b", "x"), ("c", "x"), ("d", "x")]);
+    let after = set(&[("a", "x"), ("b", "x"), ("c", "x"), ("d", "x"), ("e", "x")]);
+    let mut moved = 0;
+    for number in 0..2000 {
+        let key = format!("key-{number}");
+        let old = KeyOwner::of("s", &key, &before, &[]).unwrap();
+        let new = KeyOwner::of("s", &key, &after, &[]).unwrap();
+        if old != new {
+            assert_eq!(new.host, "e");
+            moved += 1;
+        }
+    }
+    // A fifth of the keys is 400; five standard deviations are 89.
+    assert!((311..=489).contains(&moved), "{moved}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1000, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    /// Guards against a key that another daemon reads as another key.
+    #[test]
+    fn issued_keys_survive_their_text_form(host in "[a-z][a-z0-9.-]{0,60}", incarnation: u64, serial: u64, nonce: u64) {
+        let key = IdempotencyKey::Issued(IssuedKey { host: host.into(), incarnation, serial, nonce });
+        prop_assert_eq!(key.to_string().parse(), Ok(key));
+    }
+
+    /// Guards against a panic on, or a change of, what a caller sends.
+    #[test]
+    fn any_text_is_a_key_of_the_same_text_or_a_fault(text in "(rgk1\\.)?[ -~\u{e9}]{0,80}") {
+        if let Ok(IdempotencyKey::Opaque(key)) = text.parse() {
+            prop_assert_eq!(key.as_str(), text.as_str());
+            prop_assert_eq!(text.starts_with("rgk1."), false);
+        }
+    }
+
+    /// Guards against a caller who guesses the key of another, or reuses one of
+    /// an earlier incarnation.
+    #[test]
+    fn an_issuer_knows_its_own_keys_only(seed: [u8; 32], skip in 0..20u64, flip in 1..u64::MAX) {
+        let mut issuer = KeyIssuer::new("h", 5, seed);
+        let key = (0..=skip).map(|_| issuer.issue()).last().unwrap();
+        prop_assert_eq!(issuer.standing(&key), KeyStanding::Issued);
+        let forged = [
+            IssuedKey { nonce: key.nonce ^ flip, ..key.clone() },
+            IssuedKey { serial: key.serial + 1, ..key.clone() },
+        ];
+        for key in forged {
+            prop_assert_eq!(issuer.standing(&key), KeyStanding::Forged);
+        }
+        let restarted = KeyIssuer::new("h", 6, seed);
+        prop_assert_eq!(restarted.standing(&key), KeyStanding::OtherIncarnation);
+        prop_assert_ne!(KeyIssuer::new("i", 5, seed).standing(&key), KeyStanding::Issued);
+    }
+}
