--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -46,6 +46,8 @@
     STOPPING = 1002, Info, "graceful stop began", "running", "None; new calls are refused with \"not run\".";
     STOPPED = 1003, Info, "daemon stopped", "cut_off, took_ms", "If cut_off is not 0, calls outlived the stop deadline: raise policy.stop_deadline_s.";
     PAUSED = 1004, Warn, "daemon was paused", "late_ms", "Look for CPU starvation or suspension of the host; the daemon checks its version before it goes on.";
+    ISOLATED = 1005, Warn, "no neighbour answered after a pause", "", "The daemon serves what it has; look at the network of the host.";
+    FRESH_AGAIN = 1006, Info, "a neighbour answered after a pause", "", "None.";
     VERSION_IN_FORCE = 2001, Info, "configuration version in force", "revision, source, took_ms, unconfirmed", "None. An unconfirmed version was taken from the platform without a peer.";
     VERSION_REFUSED = 2002, Error, "configuration version refused", "revision, reasons", "Correct the files and publish a greater revision; the last accepted version stays in force.";
     VERSION_CONFLICT = 2003, Error, "two contents with one revision", "revision, root, other", "Two operators published the same revision; publish a greater one.";
@@ -59,6 +61,7 @@
     PEER_REFUSED = 3003, Error, "peer refused", "address, reason", "A peer has no valid key, or claims another host or failure domain than its certificate; look at its keys.";
     PEER_SILENT = 3004, Warn, "peer session is silent", "host", "Calls on the session got their verdict; look at the path between the two hosts.";
     MESSAGE_REJECTED = 3005, Warn, "message rejected", "host, reason", "A peer sent an oversize or malformed message; look at its release.";
+    DIAL_FAILED = 3006, Debug, "peer cannot be dialled", "address", "None for a host that is being replaced; else look at the path.";
     TARGET_COLD = 4001, Warn, "target is in cold start", "service, limit", "None; its limit doubles with each step while answers are good.";
     TARGET_CRASHED = 4002, Error, "target crashed with calls under way", "service, calls", "Look at the target's own logs.";
     REQUEST_QUARANTINED = 4003, Error, "request quarantined", "service, fingerprint", "A request crashed two targets; find it by its fingerprint at the caller.";
--- /dev/null
+++ b/crates/daemon/src/publish.rs
@@ -0,0 +1,200 @@
+//! What the control thread publishes and the traffic threads read.
+//!
+//! A share and the snapshot built from it are swapped in one step, so a route
+//! and its targets always come from the same version. Calls that began under an
+//! earlier snapshot keep it until they end.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use radishgauge_config::FleetModel;
+use radishgauge_control::FleetShare;
+use radishgauge_control::fresh;
+use radishgauge_control::member::HostPhase;
+use radishgauge_control::member::HostStanding;
+use radishgauge_traffic::FreshnessGate;
+use radishgauge_traffic::LocalHost;
+use radishgauge_traffic::TrafficSnapshot;
+use radishgauge_traffic::once::OnceLedger;
+use radishgauge_traffic::once_cover::OwnerChange;
+use radishgauge_traffic::once_owner::OwnerSet;
+use radishgauge_traffic::once_owner::OwnerTarget;
+use radishgauge_traffic::snapshot::HostState;
+use radishgauge_traffic::snapshot::HostStates;
+use radishgauge_traffic::snapshot::HostView;
+use smol_str::SmolStr;
+use tokio::sync::watch;
+
+/// A share and the snapshot built from it.
+#[derive(Debug)]
+pub struct PublishedVersion {
+    /// The share of the control thread.
+    pub share: Arc<FleetShare>,
+    /// What the path of a call reads.
+    pub snapshot: Arc<TrafficSnapshot>,
+    /// When the version came into force, on the process clock.
+    pub since: Duration,
+}
+
+/// The published state that all threads of a daemon share.
+pub struct SharedState {
+    current: ArcSwapOption<PublishedVersion>,
+    changes: watch::Sender<u64>,
+    /// Tells whether the control thread is on time.
+    pub gate: FreshnessGate,
+    /// The records of the idempotency keys that this daemon owns.
+    pub ledger: Mutex<OnceLedger>,
+}
+
+impl SharedState {
+    /// Returns the state of a daemon that has no version yet.
+    pub fn new(gate: FreshnessGate, ledger: OnceLedger) -> SharedState {
+        SharedState {
+            current: ArcSwapOption::empty(),
+            changes: watch::channel(0).0,
+            gate,
+            ledger: Mutex::new(ledger),
+        }
+    }
+
+    /// Returns the published version; `None` until the first one is in force.
+    pub fn current(&self) -> Option<Arc<PublishedVersion>> {
+        self.current.load_full()
+    }
+
+    /// Returns a receiver that is told of each publication.
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Runs an action on the ledger; each takes a short, bounded time.
+    pub fn with_ledger<F, R>(&self, action: F) -> R
+    where
+        F: FnOnce(&mut OnceLedger) -> R,
+    {
+        action(&mut self.ledger.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// Publishes shares; owned by the control thread.
+pub struct Publisher {
+    state: Arc<SharedState>,
+    local: LocalHost,
+    published: u64,
+}
+
+impl Publisher {
+    /// Returns the publisher of a daemon.
+    pub fn new(state: Arc<SharedState>, local: LocalHost) -> Publisher {
+        Publisher { state, local, published: 0 }
+    }
+
+    /// Returns the revision in force; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.state.current().map_or(0, |current| current.share.revision)
+    }
+
+    /// Tells the traffic threads that the control thread is on time.
+    pub fn confirm(&self, now: Duration) {
+        let current = self.state.current();
+        let checking = current.is_some_and(|current| {
+            current.share.freshness == fresh::Freshness::Checking
+        });
+        if !checking {
+            self.state.gate.confirm(now);
+        }
+    }
+
+    /// Makes a share the current one; returns whether its revision is new.
+    pub fn publish(&mut self, share: Arc<FleetShare>, now: Duration) -> bool {
+        let previous = self.state.current();
+        let hosts = host_states(&share);
+        let snapshot = match &previous {
+            None => TrafficSnapshot::build(
+                &share.model,
+                self.local.clone(),
+                &hosts,
+                share.revision,
+                now,
+            ),
+            Some(previous) => previous.snapshot.rebuild(&share.model, &hosts, share.revision, now),
+        };
+        let first_of_revision = previous
+            .as_ref()
+            .is_none_or(|previous| previous.share.revision != share.revision);
+        let since = match &previous {
+            Some(previous) if !first_of_revision => previous.since,
+            _ => now,
+        };
+        if share.leaving {
+            snapshot.all_hosted().for_each(|(_, admission)| admission.leave());
+        }
+        self.change_owners(&share, now);
+        let snapshot = Arc::new(snapshot);
+        let version = PublishedVersion { share, snapshot, since };
+        self.state.current.store(Some(Arc::new(version)));
+        self.published += 1;
+        self.state.changes.send_replace(self.published);
+        first_of_revision
+    }
+
+    /// The ledger must know the owners before a call of the new version asks it.
+    fn change_owners(&self, share: &FleetShare, now: Duration) {
+        self.state.with_ledger(|ledger| {
+            ledger.set_repeat_window(share.model.policy.repeat_window, now);
+            for (name, standing) in share.hosts.iter() {
+                if standing.phase == HostPhase::Gone {
+                    ledger.host_gone(name, now);
+                } else {
+                    ledger.host_listed(name);
+                }
+            }
+            for (name, service) in &share.model.services {
+                if !service.targets.contains_key(&self.local.host) {
+                    continue;
+                }
+                let change = OwnerChange {
+                    service: name.clone(),
+                    revision: share.revision,
+                    current: owner_set(&share.model, name),
+                    former: Vec::new(),
+                };
+                ledger.ownership_changed(change, now);
+            }
+        });
+    }
+}
+
+/// Returns the daemons that may own keys of a service: those of its targets.
+///
+/// # Panics
+///
+/// When the model does not hold the service.
+pub fn owner_set(model: &FleetModel, service: &SmolStr) -> OwnerSet {
+    let service = &model.services[service];
+    let targets = service.targets.iter().map(|(host, target)| OwnerTarget {
+        host: host.clone(),
+        region: model
+            .domains
+            .get(&target.failure_domain)
+            .map(|domain| domain.region.clone())
+            .unwrap_or_default(),
+    });
+    OwnerSet::new(service.owner_epoch, targets)
+}
+
+fn host_states(share: &FleetShare) -> HostStates {
+    let view = |standing: &HostStanding| HostView {
+        state: match standing.phase {
+            HostPhase::Gone => HostState::Gone,
+            HostPhase::Leaving => HostState::Leaving,
+            _ if standing.unreachable => HostState::Unreachable,
+            _ => HostState::Live,
+        },
+        incarnation: standing.incarnation,
+    };
+    share.hosts.iter().map(|(name, standing)| (name.clone(), view(standing))).collect()
+}
--- /dev/null
+++ b/crates/daemon/src/transfer.rs
@@ -0,0 +1,181 @@
+//! Hands over and takes the records of idempotency keys.
+//!
+//! When the targets of a service change, a new owner asks former owners for
+//! what they ran. Until all have answered it refuses their keys.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use radishgauge_schema::peer::Header;
+use radishgauge_schema::peer::OnceAnswer as AnswerMessage;
+use radishgauge_schema::peer::OnceRecord as RecordMessage;
+use radishgauge_schema::peer::OwnerTransferReply;
+use radishgauge_schema::peer::OwnerTransferRequest;
+use radishgauge_schema::peer::PeerReply;
+use radishgauge_schema::peer::PeerRequest;
+use radishgauge_schema::peer::peer_reply::Reply;
+use radishgauge_schema::peer::peer_request::Request;
+use radishgauge_traffic::once::OnceAnswer;
+use radishgauge_traffic::once_transfer::OnceRecord;
+use radishgauge_traffic::once_transfer::OnceTransfer;
+use radishgauge_traffic::once_transfer::TransferRequest;
+use radishgauge_traffic::once_transfer::TransferStep;
+use smol_str::SmolStr;
+
+use crate::node::DaemonNode;
+
+/// The records of one piece take about this many bytes, well below the limit of
+/// a control message.
+const PIECE_BYTES: usize = 256 * 1024;
+
+/// How long a former owner may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How often missing records are asked for.
+pub const INTERVAL: Duration = Duration::from_secs(2);
+
+/// Answers a new owner's request.
+pub fn export(node: &DaemonNode, request: OwnerTransferRequest) -> OwnerTransferReply {
+    let applied = node.state.current().map_or(0, |current| current.share.revision);
+    let request = TransferRequest {
+        service: request.service.into(),
+        to: request.to.into(),
+        revision: request.revision,
+        after: request.after,
+    };
+    let now = node.clock.now();
+    let piece =
+        node.state.with_ledger(|ledger| ledger.export(&request, applied, PIECE_BYTES, now));
+    match piece {
+        Some(piece) => reply_of(piece),
+        None => OwnerTransferReply::default(),
+    }
+}
+
+/// Asks former owners for the records that are still missing, until the daemon
+/// stops.
+pub async fn run(node: Arc<DaemonNode>) {
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        if node.is_stopped() {
+            return;
+        }
+        let Some(current) = node.state.current() else { continue };
+        let services: Vec<SmolStr> =
+            current.snapshot.all_hosted().map(|(name, _)| name.clone()).collect();
+        for service in services {
+            let now = node.clock.now();
+            let wanted = node.state.with_ledger(|ledger| ledger.wanted(&service, now));
+            for host in wanted {
+                ask(&node, &service, &host, current.share.revision).await;
+            }
+        }
+    }
+}
+
+async fn ask(node: &DaemonNode, service: &SmolStr, host: &SmolStr, revision: u64) {
+    let Some(address) = node.peer_address(host) else { return };
+    let mut after = None;
+    // A transfer ends, or goes on at the next interval.
+    let Ok(held) = node.pool.get(address).await else { return };
+    loop {
+        let request = OwnerTransferRequest {
+            service: service.to_string(),
+            to: node.local.host.to_string(),
+            revision,
+            after,
+        };
+        let request = PeerRequest { request: Some(Request::Transfer(request)) };
+        let Ok(PeerReply { reply: Some(Reply::Transfer(reply)) }) =
+            held.session().request(request, TIMEOUT).await
+        else {
+            return;
+        };
+        if !reply.ready {
+            return;
+        }
+        let now = node.clock.now();
+        let piece = piece_of(service, reply);
+        match node.state.with_ledger(|ledger| ledger.import(piece, now)) {
+            TransferStep::Ask(place) => after = place,
+            _ => return,
+        }
+    }
+}
+
+fn reply_of(piece: OnceTransfer) -> OwnerTransferReply {
+    OwnerTransferReply {
+        ready: true,
+        incarnation: piece.incarnation,
+        revision: piece.revision,
+        after: piece.after,
+        next: piece.next,
+        withheld: piece.withheld,
+        unknown_for_ms: piece.unknown_for.as_millis() as u64,
+        records: piece.records.into_iter().map(record_message).collect(),
+        from: piece.from.to_string(),
+    }
+}
+
+fn piece_of(service: &SmolStr, reply: OwnerTransferReply) -> OnceTransfer {
+    OnceTransfer {
+        service: service.clone(),
+        from: reply.from.into(),
+        incarnation: reply.incarnation,
+        revision: reply.revision,
+        after: reply.after,
+        next: reply.next,
+        withheld: reply.withheld,
+        unknown_for: Duration::from_millis(reply.unknown_for_ms),
+        records: reply.records.into_iter().map(record_of).collect(),
+    }
+}
+
+fn record_message(record: OnceRecord) -> RecordMessage {
+    RecordMessage {
+        tenant: record.tenant.to_string(),
+        key: record.key.to_string(),
+        fingerprint: record.fingerprint,
+        home_regions: record.regions.iter().map(SmolStr::to_string).collect(),
+        verdict: radishgauge_schema::peer::Verdict::from(record.verdict).into(),
+        age_ms: record.age.as_millis() as u64,
+        answer: record.answer.as_deref().map(answer_message),
+    }
+}
+
+fn record_of(message: RecordMessage) -> OnceRecord {
+    OnceRecord {
+        verdict: message.verdict().into(),
+        tenant: message.tenant.into(),
+        key: message.key.into(),
+        fingerprint: message.fingerprint,
+        regions: message.home_regions.into_iter().map(SmolStr::from).collect(),
+        answer: message.answer.map(|answer| Arc::new(answer_of(answer))),
+        age: Duration::from_millis(message.age_ms),
+    }
+}
+
+fn answer_message(answer: &OnceAnswer) -> AnswerMessage {
+    let headers = answer.headers.iter().map(|(name, value)| Header {
+        name: name.to_string(),
+        value: Bytes::copy_from_slice(value),
+    });
+    AnswerMessage {
+        status: answer.status.into(),
+        headers: headers.collect(),
+        body: Bytes::copy_from_slice(&answer.body),
+    }
+}
+
+fn answer_of(message: AnswerMessage) -> OnceAnswer {
+    let headers = message
+        .headers
+        .into_iter()
+        .map(|header| (SmolStr::from(header.name), Box::from(&header.value[..])));
+    OnceAnswer {
+        status: u16::try_from(message.status).unwrap_or(502),
+        headers: headers.collect(),
+        body: Box::from(&message.body[..]),
+    }
+}
