Compare sets and read packed directories

A version can be valid and harmful, such as one whose file of targets was lost, and acceptance must not depend on history. compare reports the differences in the terms of the files and names the services that lose more targets than max_target_drop_percent of the newer set allows; a removed service counts as losing all. read_packed returns the version of a packed directory, so that the guard can compare with what is published.

--- /dev/null
+++ b/crates/config/src/compare.rs
@@ -0,0 +1,350 @@
+//! Differences between two sets, in the terms of the files.
+//!
+//! A version can be valid and harmful, such as one whose file of targets was
+//! lost. Acceptance must not depend on history, so the guard against large cuts
+//! is here and is applied when a set is checked or packed.
+
+use std::fmt;
+use std::fmt::Display;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use prost_reflect::DynamicMessage;
+use prost_reflect::Value;
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::config::Service;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+use crate::model::PolicyModel;
+use crate::rules;
+use crate::rules::FieldKind;
+use crate::rules::FieldRules;
+use crate::rules::MessageRules;
+
+/// What happened to an entry or a field.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ChangeKind {
+    /// The entry is only in the newer set.
+    Added,
+    /// The entry is only in the older set.
+    Removed,
+    /// The field differs.
+    Changed,
+}
+
+impl ChangeKind {
+    /// Returns `+`, `-` or `~`.
+    pub fn sign(self) -> char {
+        match self {
+            ChangeKind::Added => '+',
+            ChangeKind::Removed => '-',
+            ChangeKind::Changed => '~',
+        }
+    }
+}
+
+/// One difference between two sets.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct SetChange {
+    /// What happened.
+    pub kind: ChangeKind,
+    /// The kind of the entry, such as `service` or `target`.
+    pub entry: String,
+    /// The name of the entry; a target's is `SERVICE/HOST`.
+    pub name: SmolStr,
+    /// The field, when the entry is in both sets.
+    pub field: SmolStr,
+    /// The value in the older set.
+    pub before: String,
+    /// The value in the newer set.
+    pub after: String,
+}
+
+/// A service that loses more targets than the policy allows in one change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct TargetDrop {
+    /// The service.
+    pub service: SmolStr,
+    /// The targets in the older set.
+    pub before: usize,
+    /// The targets of the older set that the newer one lacks.
+    pub removed: usize,
+    /// The greatest accepted share, in percent.
+    pub limit_percent: u32,
+}
+
+impl Display for TargetDrop {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TargetDrop {
+            service,
+            before,
+            removed,
+            limit_percent,
+        } = self;
+        write!(
+            f,
+            "service {service}: too many targets removed at once; found: {removed} of {before}; \
+             accepted: up to {limit_percent} percent, by policy.max_target_drop_percent of the \
+             newer set"
+        )
+    }
+}
+
+/// The differences between two sets.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct SetDiff {
+    /// All differences, by kind of entry and name.
+    pub changes: Vec<SetChange>,
+    /// The services that lose too many targets.
+    pub drops: Vec<TargetDrop>,
+}
+
+impl SetDiff {
+    /// Returns whether the sets mean the same.
+    pub fn is_empty(&self) -> bool {
+        self.changes.is_empty()
+    }
+}
+
+/// Compares two sets.
+///
+/// The order of entries and of names in lists has no meaning and is ignored.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_config::compare;
+/// use radishgauge_schema::config::ConfigSet;
+/// use radishgauge_schema::config::Region;
+///
+/// let region = Region { name: "addis".to_owned() };
+/// let newer = ConfigSet { regions: vec![region], ..ConfigSet::default() };
+/// let diff = compare(&ConfigSet::default(), &newer);
+/// assert_eq!(diff.changes[0].entry, "region");
+/// assert_eq!(diff.changes[0].name, "addis");
+/// ```
+pub fn compare(old: &ConfigSet, new: &ConfigSet) -> SetDiff {
+    let mut changes = Vec::new();
+    let rules = rules::of(rules::CONFIG_SET);
+    let (before, after) = (dynamic(rules, old), dynamic(rules, new));
+    for field in &rules.fields {
+        let (before, after) = (
+            before.get_field(&field.descriptor),
+            after.get_field(&field.descriptor),
+        );
+        match (&field.kind, before.as_ref(), after.as_ref()) {
+            (FieldKind::Message(name), Value::List(before), Value::List(after)) => {
+                compare_lists(
+                    rules::of(name),
+                    entry_label(field),
+                    "",
+                    before,
+                    after,
+                    &mut changes,
+                );
+            }
+            (FieldKind::Message(name), Value::Message(before), Value::Message(after)) => {
+                let label = entry_label(field);
+                compare_fields(rules::of(name), label, "", before, after, &mut changes);
+            }
+            _ => {}
+        }
+    }
+    SetDiff {
+        changes,
+        drops: target_drops(old, new),
+    }
+}
+
+// The limit is that of the newer set, so that an operator can state in the
+// change itself that a larger cut is intended.
+fn target_drops(old: &ConfigSet, new: &ConfigSet) -> Vec<TargetDrop> {
+    let policy = new.policy.as_ref();
+    let limit_percent = policy.map_or(PolicyModel::default().max_target_drop_percent, |policy| {
+        policy.max_target_drop_percent
+    });
+    let services: IndexMap<&str, &Service> = new
+        .services
+        .iter()
+        .map(|service| (service.name.as_str(), service))
+        .collect();
+    let mut drops = Vec::new();
+    for service in &old.services {
+        let kept: IndexSet<&str> = services
+            .get(service.name.as_str())
+            .into_iter()
+            .flat_map(|service| &service.targets)
+            .map(|target| target.host.as_str())
+            .collect();
+        let hosts = service.targets.iter().map(|target| target.host.as_str());
+        let removed = hosts.filter(|host| !kept.contains(host)).count();
+        let before = service.targets.len();
+        if removed * 100 > before * limit_percent as usize {
+            drops.push(TargetDrop {
+                service: SmolStr::new(&service.name),
+                before,
+                removed,
+                limit_percent,
+            });
+        }
+    }
+    drops.sort_by(|a, b| a.service.cmp(&b.service));
+    drops
+}
+
+fn dynamic(rules: &MessageRules, set: &ConfigSet) -> DynamicMessage {
+    // A set without a policy has that of defaults.
+    let policy = set
+        .policy
+        .unwrap_or_else(|| PolicyModel::default().message());
+    let set = ConfigSet {
+        policy: Some(policy),
+        ..set.clone()
+    };
+    let mut message = DynamicMessage::new(rules.descriptor.clone());
+    message
+        .transcode_from(&set)
+        .expect("a set matches its own descriptor");
+    message
+}
+
+fn entry_label(field: &FieldRules) -> &'static str {
+    match field.name.as_str() {
+        "regions" => "region",
+        "failure_domains" => "failure domain",
+        "services" => "service",
+        "targets" => "target",
+        "routes" => "route",
+        "tenants" => "tenant",
+        _ => "policy",
+    }
+}
+
+// The unique field of an entry names it.
+fn entry_name(rules: &MessageRules, entry: &DynamicMessage) -> SmolStr {
+    let unique = rules.fields.iter().find(|field| field.rule.unique);
+    unique.map_or_else(SmolStr::default, |field| {
+        let value = entry.get_field(&field.descriptor);
+        SmolStr::new(value.as_str().unwrap_or_default())
+    })
+}
+
+fn compare_lists(
+    rules: &MessageRules,
+    label: &str,
+    prefix: &str,
+    before: &[Value],
+    after: &[Value],
+    changes: &mut Vec<SetChange>,
+) {
+    let by_name = |values: &[Value]| -> IndexMap<SmolStr, DynamicMessage> {
+        let entries = values.iter().filter_map(Value::as_message);
+        entries
+            .map(|entry| (entry_name(rules, entry), entry.clone()))
+            .collect()
+    };
+    let (before, after) = (by_name(before), by_name(after));
+    let mut names: Vec<&SmolStr> = before.keys().chain(after.keys()).collect();
+    names.sort_unstable();
+    names.dedup();
+    for name in names {
+        let full = smol_str::format_smolstr!("{prefix}{name}");
+        let whole = |kind, before: String, after: String| SetChange {
+            kind,
+            entry: label.to_owned(),
+            name: full.clone(),
+            field: SmolStr::default(),
+            before,
+            after,
+        };
+        match (before.get(name), after.get(name)) {
+            (Some(before), Some(after)) => {
+                compare_fields(rules, label, &full, before, after, changes);
+            }
+            (Some(before), None) => {
+                let before = summary(rules, before);
+                changes.push(whole(ChangeKind::Removed, before, String::new()));
+            }
+            (None, Some(after)) => {
+                let after = summary(rules, after);
+                changes.push(whole(ChangeKind::Added, String::new(), after));
+            }
+            (None, None) => {}
+        }
+    }
+}
+
+fn compare_fields(
+    rules: &MessageRules,
+    label: &str,
+    name: &str,
+    before: &DynamicMessage,
+    after: &DynamicMessage,
+    changes: &mut Vec<SetChange>,
+) {
+    for field in &rules.fields {
+        let (before, after) = (
+            before.get_field(&field.descriptor),
+            after.get_field(&field.descriptor),
+        );
+        if let (FieldKind::Message(inner), Value::List(before), Value::List(after)) =
+            (&field.kind, before.as_ref(), after.as_ref())
+        {
+            let prefix = format!("{name}/");
+            let label = entry_label(field);
+            compare_lists(rules::of(inner), label, &prefix, before, after, changes);
+            continue;
+        }
+        let (before, after) = (shown(field, &before), shown(field, &after));
+        if before != after {
+            changes.push(SetChange {
+                kind: ChangeKind::Changed,
+                entry: label.to_owned(),
+                name: SmolStr::new(name),
+                field: field.name.clone(),
+                before,
+                after,
+            });
+        }
+    }
+}
+
+/// Returns a value as it is written in YAML, lists in order of their names.
+fn shown(field: &FieldRules, value: &Value) -> String {
+    match value {
+        Value::List(values) => {
+            let mut texts: Vec<String> = values.iter().map(|value| shown(field, value)).collect();
+            texts.sort_unstable();
+            format!("[{}]", texts.join(", "))
+        }
+        Value::String(text) => text.clone(),
+        Value::Bool(flag) => flag.to_string(),
+        Value::U32(number) => number.to_string(),
+        Value::U64(number) => number.to_string(),
+        Value::EnumNumber(number) => match &field.kind {
+            FieldKind::Choice(names) => names
+                .iter()
+                .find(|(_, known)| known == number)
+                .map_or_else(|| field.rule.default.clone(), |(name, _)| name.to_string()),
+            _ => number.to_string(),
+        },
+        _ => String::new(),
+    }
+}
+
+/// Returns the fields of an added or removed entry.
+fn summary(rules: &MessageRules, entry: &DynamicMessage) -> String {
+    let fields = rules.fields.iter().filter(|field| !field.rule.unique);
+    let fields = fields.filter_map(|field| {
+        let value = entry.get_field(&field.descriptor);
+        let text = match (&field.kind, value.as_ref()) {
+            (_, Value::List(values)) if values.is_empty() => return None,
+            (FieldKind::Message(_), Value::List(values)) => values.len().to_string(),
+            (_, value) => shown(field, value),
+        };
+        Some(format!("{}: {text}", field.name))
+    });
+    fields.collect::<Vec<String>>().join(", ")
+}
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -64,7 +64,7 @@
 }
 
 /// All faults of a file or a set, ordered by file and line.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct FaultList(Vec<Fault>);
 
 impl FaultList {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -382,7 +382,7 @@
         }
     }
 
-    fn message(&self) -> FleetPolicy {
+    pub(crate) fn message(&self) -> FleetPolicy {
         FleetPolicy {
             retry_percent: self.retry_percent,
             link_budget_kbit: self.link_budget_kbit,
--- a/crates/config/src/pack.rs
+++ b/crates/config/src/pack.rs
@@ -16,6 +16,8 @@
 use radishgauge_schema::config::ConfigPart;
 use radishgauge_schema::config::ConfigSet;
 use radishgauge_schema::config::FleetPart;
+use radishgauge_schema::config::IndexPage;
+use radishgauge_schema::config::IndexRoot;
 use radishgauge_schema::config::Route;
 use radishgauge_schema::config::Service;
 use radishgauge_schema::config::config_part::Part;
@@ -24,8 +26,10 @@
 use smol_str::SmolStr;
 
 use crate::DigestIndex;
+use crate::FleetModel;
 use crate::PartDigest;
 use crate::index::PAGES;
+use crate::index::SCHEMA;
 
 /// The greatest length of a value in bytes; the platform holds values up to
 /// one megabyte.
@@ -208,7 +212,7 @@
     ///
     /// When the directory cannot be written, or when a value is longer than
     /// [`VALUE_MAX`]; `root` is then unchanged.
-    pub fn write_to(&self, dir: &Path) -> io::Result<()> {
+    pub fn write_to(&self, dir: &Path) -> io::Result<WriteReport> {
         let values = self.values();
         if let Some((key, value)) = values.iter().find(|(_, value)| value.len() > VALUE_MAX) {
             let length = value.len();
@@ -218,22 +222,131 @@
         for kind in ["part", "page", "bundle"] {
             fs::create_dir_all(dir.join(kind))?;
         }
+        let mut report = WriteReport::default();
         for (key, value) in &values {
-            replace(&dir.join(key), value)?;
+            if replace(&dir.join(key), value)? {
+                report.values += 1;
+                report.bytes += value.len();
+            }
         }
-        Ok(())
+        Ok(report)
     }
 }
 
-fn replace(path: &Path, value: &[u8]) -> io::Result<()> {
+/// What was written to a directory; values that were there are not counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WriteReport {
+    /// The number of values.
+    pub values: usize,
+    /// The length of the values in bytes.
+    pub bytes: usize,
+}
+
+/// A packed directory that does not hold a complete version.
+#[derive(Debug, thiserror::Error)]
+pub enum PackedError {
+    /// A value is absent or cannot be read.
+    #[error("{key}: {error}")]
+    Read {
+        /// The platform key of the value.
+        key: String,
+        /// Why it cannot be read.
+        error: io::Error,
+    },
+    /// A value does not match the digest in its key, or does not decode.
+    #[error("{key}: {reason}")]
+    Value {
+        /// The platform key of the value.
+        key: String,
+        /// What is wrong.
+        reason: String,
+    },
+}
+
+/// Reads the version that a packed directory holds, with its revision.
+///
+/// # Errors
+///
+/// When a value is missing or does not match its digest. A root that is not
+/// there gives [`PackedError::Read`] with [`ErrorKind::NotFound`].
+pub fn read_packed(dir: &Path) -> Result<(u64, ConfigSet), PackedError> {
+    let read = |key: &str| {
+        let bytes = fs::read(dir.join(key));
+        bytes.map_err(|error| PackedError::Read {
+            key: key.to_owned(),
+            error,
+        })
+    };
+    let bad = |key: &str, reason: &str| PackedError::Value {
+        key: key.to_owned(),
+        reason: reason.to_owned(),
+    };
+    let named = |kind: &str, digest: &[u8]| {
+        let digest = PartDigest::try_from(digest).map_err(|error| bad(kind, &error.to_string()))?;
+        let key = format!("{kind}/{digest}");
+        let value = read(&key)?;
+        if PartDigest::of(&value) == digest {
+            Ok((key, value))
+        } else {
+            Err(bad(&key, "the value does not match its digest"))
+        }
+    };
+    let root = read("root")?;
+    let root =
+        IndexRoot::decode(root.as_slice()).map_err(|error| bad("root", &error.to_string()))?;
+    if root.schema != SCHEMA {
+        return Err(bad(
+            "root",
+            &format!("unknown schema number {}", root.schema),
+        ));
+    }
+    let mut parts = Vec::new();
+    for digest in &root.pages {
+        let (key, page) = named("page", digest)?;
+        let page = IndexPage::decode(page.as_slice());
+        for entry in page.map_err(|error| bad(&key, &error.to_string()))?.entries {
+            let (_, value) = named("part", &entry.digest)?;
+            parts.push((entry.key, value));
+        }
+    }
+    let model = FleetModel::from_parts(parts);
+    let model = model.map_err(|error| bad(&format!("part {}", error.key), &error.reason))?;
+    Ok((root.revision, model.to_set()))
+}
+
+/// Reads the root of the version that a packed directory holds.
+///
+/// # Errors
+///
+/// When the root is missing, does not decode or has an unknown schema number.
+pub fn read_root(dir: &Path) -> Result<IndexRoot, PackedError> {
+    let key = "root";
+    let bytes = fs::read(dir.join(key)).map_err(|error| PackedError::Read {
+        key: key.to_owned(),
+        error,
+    })?;
+    let reason = match IndexRoot::decode(bytes.as_slice()) {
+        Ok(root) if root.schema == SCHEMA => return Ok(root),
+        Ok(root) => format!(
+            "unknown schema number; found: {}; accepted: {SCHEMA}",
+            root.schema
+        ),
+        Err(error) => error.to_string(),
+    };
+    let key = key.to_owned();
+    Err(PackedError::Value { key, reason })
+}
+
+fn replace(path: &Path, value: &[u8]) -> io::Result<bool> {
     if fs::read(path).is_ok_and(|known| known == value) {
-        return Ok(());
+        return Ok(false);
     }
     let fresh = path.with_extension("tmp");
     let mut file = fs::File::create(&fresh)?;
     file.write_all(value)?;
     file.sync_all()?;
-    fs::rename(&fresh, path)
+    fs::rename(&fresh, path)?;
+    Ok(true)
 }
 
 fn part_value(digest: Bytes, value: &Bytes) -> PartValue {
--- a/crates/config/src/rules.rs
+++ b/crates/config/src/rules.rs
@@ -210,6 +210,19 @@
     text
 }
 
+/// Returns whether a text can be the name of an entry or a host: 1 to 63
+/// lower-case letters, digits and inner hyphens.
+///
+/// # Examples
+///
+/// ```
+/// assert!(radishgauge_config::is_name("motif-shop"));
+/// assert!(!radishgauge_config::is_name("Motif.Shop"));
+/// ```
+pub fn is_name(text: &str) -> bool {
+    Form::Name.accepts(text)
+}
+
 /// The accepted form of a text.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Form {
