--- /dev/null
+++ b/crates/cli/src/keys.rs
@@ -0,0 +1,293 @@
+//! `radishgauge keys`: makes the certificate authority and the certificates of
+//! the daemons' mutual TLS.
+//!
+//! A daemon's certificate names its host and failure domain, so that a daemon
+//! cannot pass for another one.
+
+use std::fs;
+use std::fs::OpenOptions;
+use std::io;
+use std::io::Write;
+use std::path::Path;
+
+use anyhow::Context;
+use anyhow::anyhow;
+use gumdrop::Options;
+use indexmap::IndexMap;
+use radishgauge_config::is_name;
+use radishgauge_schema::config::ConfigSet;
+use rcgen::BasicConstraints;
+use rcgen::CertificateParams;
+use rcgen::DnType;
+use rcgen::ExtendedKeyUsagePurpose;
+use rcgen::IsCa;
+use rcgen::Issuer;
+use rcgen::KeyPair;
+use rcgen::KeyUsagePurpose;
+use serde::Serialize;
+use time::Duration;
+use time::OffsetDateTime;
+use x509_parser::extensions::GeneralName;
+use x509_parser::pem::parse_x509_pem;
+
+use crate::CommandError;
+use crate::ExitStatus;
+use crate::Subcommand;
+use crate::source::open_set;
+use crate::table::table;
+
+/// The domain under which daemons' certificates name hosts.
+const ZONE: &str = "radishgauge.internal";
+
+/// The validity of a certificate in days by default; hosts are replaced more
+/// often than that.
+const DAYS: u32 = 365;
+
+/// The longest accepted validity in days, which is that of the authority.
+const DAYS_MAX: u32 = 3650;
+
+/// Certificates are valid from an hour before they are made, because hosts'
+/// clocks differ.
+const CLOCK_SKEW: Duration = Duration::HOUR;
+
+/// Makes a certificate authority, and a certificate and key for each host.
+#[derive(Debug, Default, Options)]
+pub struct KeysOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "hosts, each as HOST.FAILURE-DOMAIN")]
+    hosts: Vec<String>,
+    #[options(help = "make certificates for all hosts of this set", meta = "DIR")]
+    set: Option<String>,
+    #[options(help = "the directory for the PEM files", meta = "DIR")]
+    output: Option<String>,
+    #[options(help = "validity in days, 1 to 3650 (default 365)", meta = "N")]
+    days: Option<u32>,
+    #[options(help = "replace the certificates that are there, but not the authority")]
+    renew: bool,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// One certificate, as `--json` prints it.
+#[derive(Debug, Serialize)]
+struct KeyReport {
+    host: String,
+    failure_domain: String,
+    name: String,
+    certificate: String,
+    key: String,
+    made: bool,
+}
+
+impl Subcommand for KeysOptions {
+    fn example(&self) -> &'static str {
+        "radishgauge keys --set examples/abay-etchcraft --output keys\n\
+         radishgauge keys shop-1.addis-bole --output keys --days 90"
+    }
+
+    fn run(&self, out: &mut dyn Write) -> Result<ExitStatus, CommandError> {
+        let Some(output) = &self.output else {
+            return Err(CommandError::usage("give --output DIR"));
+        };
+        let days = self.days.unwrap_or(DAYS);
+        if !(1..=DAYS_MAX).contains(&days) {
+            let text = format!("--days; found: {days}; accepted: 1 to {DAYS_MAX}");
+            return Err(CommandError::usage(&text));
+        }
+        let hosts = self.hosts()?;
+        if hosts.is_empty() {
+            return Err(CommandError::usage("give hosts or --set DIR"));
+        }
+        let output = Path::new(output);
+        let reports = make_keys(output, &hosts, days, self.renew)
+            .with_context(|| format!("cannot make keys in {}", output.display()))
+            .map_err(CommandError::refused)?;
+        if self.json {
+            let text = serde_json::to_string_pretty(&reports).map_err(CommandError::refused)?;
+            writeln!(out, "{text}")?;
+            return Ok(ExitStatus::Done);
+        }
+        let rows: Vec<Vec<String>> = reports
+            .into_iter()
+            .map(|report| {
+                let made = if report.made { "made" } else { "kept" };
+                let KeyReport {
+                    name,
+                    certificate,
+                    key,
+                    ..
+                } = report;
+                vec![made.to_owned(), name, certificate, key]
+            })
+            .collect();
+        write!(out, "{}", table(&["", "NAME", "CERTIFICATE", "KEY"], &rows))?;
+        Ok(ExitStatus::Done)
+    }
+}
+
+impl KeysOptions {
+    /// Returns the failure domain of each host.
+    fn hosts(&self) -> Result<IndexMap<String, String>, CommandError> {
+        let mut hosts = IndexMap::new();
+        if let Some(dir) = &self.set {
+            let set = open_set(dir)?;
+            hosts.extend(set_hosts(&set));
+        }
+        for text in &self.hosts {
+            let parts = text.split_once('.');
+            let named = parts.filter(|(host, domain)| is_name(host) && is_name(domain));
+            let Some((host, domain)) = named else {
+                let text = format!(
+                    "host; found: {text:?}; accepted: HOST.FAILURE-DOMAIN, each of 1 to 63 \
+                     lower-case letters, digits and inner hyphens"
+                );
+                return Err(CommandError::usage(&text));
+            };
+            let earlier = hosts.insert(host.to_owned(), domain.to_owned());
+            if let Some(earlier) = earlier.filter(|earlier| earlier != domain) {
+                let text = format!("host {host} is in two failure domains, {earlier} and {domain}");
+                return Err(CommandError::usage(&text));
+            }
+        }
+        if hosts.contains_key("ca") {
+            let text = "host ca: the files of the authority have this name";
+            return Err(CommandError::usage(text));
+        }
+        hosts.sort_unstable_keys();
+        Ok(hosts)
+    }
+}
+
+fn set_hosts(set: &ConfigSet) -> impl Iterator<Item = (String, String)> {
+    let targets = set.services.iter().flat_map(|service| &service.targets);
+    targets.map(|target| (target.host.clone(), target.failure_domain.clone()))
+}
+
+fn make_keys(
+    output: &Path,
+    hosts: &IndexMap<String, String>,
+    days: u32,
+    renew: bool,
+) -> anyhow::Result<Vec<KeyReport>> {
+    fs::create_dir_all(output)?;
+    let issuer = open_authority(output)?;
+    let mut reports = Vec::new();
+    for (host, domain) in hosts {
+        let certificate = output.join(format!("{host}.pem"));
+        let key = output.join(format!("{host}.key.pem"));
+        let name = format!("{host}.{domain}.{ZONE}");
+        let made = renew || !key.exists() || !is_current(&certificate, &name);
+        if made {
+            let pair = KeyPair::generate()?;
+            let params = host_params(host, &name, days)?;
+            let signed = params.signed_by(&pair, &issuer)?;
+            write_file(&key, &pair.serialize_pem(), true)?;
+            write_file(&certificate, &signed.pem(), false)?;
+        }
+        reports.push(KeyReport {
+            host: host.clone(),
+            failure_domain: domain.clone(),
+            name,
+            certificate: certificate.display().to_string(),
+            key: key.display().to_string(),
+            made,
+        });
+    }
+    Ok(reports)
+}
+
+/// Returns whether a certificate is there, names the host and is valid.
+///
+/// A host that moved to another failure domain needs another certificate.
+fn is_current(path: &Path, name: &str) -> bool {
+    let Ok(bytes) = fs::read(path) else {
+        return false;
+    };
+    let Ok((_, pem)) = parse_x509_pem(&bytes) else {
+        return false;
+    };
+    pem.parse_x509().is_ok_and(|certificate| {
+        let names = certificate.subject_alternative_name();
+        let names = names.ok().flatten().map(|names| &names.value.general_names);
+        let named = names.is_some_and(|names| names == &[GeneralName::DNSName(name)]);
+        named && certificate.validity().is_valid()
+    })
+}
+
+// The authority's parameters are constant but for its key, so the key alone is
+// enough to sign for it again.
+fn open_authority(output: &Path) -> anyhow::Result<Issuer<'static, KeyPair>> {
+    let certificate = output.join("ca.pem");
+    let key = output.join("ca.key.pem");
+    match (certificate.exists(), key.exists()) {
+        (true, true) => {
+            let text = fs::read_to_string(&key)?;
+            let pair = KeyPair::from_pem(&text).context("ca.key.pem is not a private key")?;
+            Ok(Issuer::new(authority_params(), pair))
+        }
+        (false, false) => {
+            let pair = KeyPair::generate()?;
+            let params = authority_params();
+            let signed = params.self_signed(&pair)?;
+            write_file(&key, &pair.serialize_pem(), true)?;
+            write_file(&certificate, &signed.pem(), false)?;
+            Ok(Issuer::new(params, pair))
+        }
+        _ => Err(anyhow!(
+            "only one of ca.pem and ca.key.pem is there; accepted: both or none"
+        )),
+    }
+}
+
+fn authority_params() -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params
+        .distinguished_name
+        .push(DnType::CommonName, "radishgauge authority");
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    set_validity(&mut params, DAYS_MAX);
+    params
+}
+
+fn host_params(host: &str, name: &str, days: u32) -> anyhow::Result<CertificateParams> {
+    let mut params = CertificateParams::new(vec![name.to_owned()])?;
+    params.distinguished_name.push(DnType::CommonName, host);
+    params.is_ca = IsCa::ExplicitNoCa;
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    // A daemon is the server of some sessions and the client of others.
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    params.use_authority_key_identifier_extension = true;
+    set_validity(&mut params, days);
+    Ok(params)
+}
+
+fn set_validity(params: &mut CertificateParams, days: u32) {
+    let now = OffsetDateTime::now_utc();
+    params.not_before = now - CLOCK_SKEW;
+    params.not_after = now + Duration::days(i64::from(days));
+}
+
+/// Replaces a file by a rename, readable by its owner only if it is private.
+fn write_file(path: &Path, text: &str, private: bool) -> io::Result<()> {
+    let fresh = path.with_extension("tmp");
+    // The rights of a file left by an interrupted run would be kept.
+    if fresh.exists() {
+        fs::remove_file(&fresh)?;
+    }
+    let mut options = OpenOptions::new();
+    options.write(true).create_new(true);
+    #[cfg(unix)]
+    if private {
+        use std::os::unix::fs::OpenOptionsExt;
+        options.mode(0o600);
+    }
+    let mut file = options.open(&fresh)?;
+    file.write_all(text.as_bytes())?;
+    file.sync_all()?;
+    fs::rename(&fresh, path)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,183 @@
-//! Placeholder.
+//! The operators' command line.
+//!
+//! Each sub-command is a module with an options type that implements
+//! [`Subcommand`]; [`command::Command`] lists them. Results go to the standard
+//! output and messages to the standard error output, so that `--json` output
+//! can be read by programs.
+
+use std::ffi::OsString;
+use std::io;
+use std::io::ErrorKind;
+use std::io::Write;
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use gumdrop::ParsingStyle;
+
+pub mod check;
+pub mod command;
+pub mod diff;
+pub mod help;
+pub mod keys;
+pub mod pack;
+pub mod source;
+pub mod table;
+
+use crate::command::Command;
+
+/// How a command ended, as the exit code tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExitStatus {
+    /// The command did what was asked.
+    Done = 0,
+    /// The input was checked and refused; nothing was changed.
+    Refused = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// A daemon or the platform could not be reached.
+    Unreachable = 3,
+    /// Only a part of the answer is there.
+    Partial = 4,
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> ExitCode {
+        ExitCode::from(status as u8)
+    }
+}
+
+/// A failure of a command with the exit code that it leads to.
+#[derive(Debug)]
+pub struct CommandError {
+    /// The exit code.
+    pub status: ExitStatus,
+    /// What failed.
+    pub error: anyhow::Error,
+}
+
+impl CommandError {
+    /// Returns a failure because of the command line.
+    pub fn usage(text: &str) -> CommandError {
+        CommandError {
+            status: ExitStatus::Usage,
+            error: anyhow::Error::msg(text.to_owned()),
+        }
+    }
+
+    /// Returns a failure because the input was refused.
+    pub fn refused<E>(error: E) -> CommandError
+    where
+        E: Into<anyhow::Error>,
+    {
+        CommandError {
+            status: ExitStatus::Refused,
+            error: error.into(),
+        }
+    }
+
+    /// Returns a failure because a daemon or the platform could not be reached.
+    pub fn unreachable<E>(error: E) -> CommandError
+    where
+        E: Into<anyhow::Error>,
+    {
+        CommandError {
+            status: ExitStatus::Unreachable,
+            error: error.into(),
+        }
+    }
+}
+
+// Writing the results is the only I/O that commands pass on as it is.
+impl From<io::Error> for CommandError {
+    fn from(error: io::Error) -> CommandError {
+        CommandError::unreachable(error)
+    }
+}
+
+/// One sub-command with its parsed options.
+pub trait Subcommand {
+    /// Returns example command lines, one a line.
+    fn example(&self) -> &'static str;
+
+    /// Runs the command and writes its results.
+    ///
+    /// # Errors
+    ///
+    /// When the command cannot do what was asked; the error says which exit
+    /// code that gives.
+    fn run(&self, out: &mut dyn Write) -> Result<ExitStatus, CommandError>;
+}
+
+/// Distributes mesh configuration: checks, packs and compares sets of files.
+#[derive(Debug, Options)]
+struct ProgramOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// Runs the program with its arguments.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_cli::ExitStatus;
+///
+/// let mut out = Vec::new();
+/// let status = radishgauge_cli::run(vec!["help".into()], &mut out, &mut Vec::new());
+/// assert_eq!(status, ExitStatus::Done);
+/// assert!(String::from_utf8(out).unwrap().contains("check"));
+/// ```
+pub fn run(args: Vec<OsString>, out: &mut dyn Write, err: &mut dyn Write) -> ExitStatus {
+    let texts: Result<Vec<String>, OsString> =
+        args.into_iter().map(OsString::into_string).collect();
+    let result = match &texts {
+        Ok(texts) => dispatch(texts, out),
+        Err(text) => {
+            let text = format!("argument is not UTF-8: {}", text.display());
+            Err(CommandError::usage(&text))
+        }
+    };
+    match result {
+        Ok(status) => status,
+        // The reader of the output has read enough, as `head` does.
+        Err(failure) if is_broken_pipe(&failure.error) => ExitStatus::Done,
+        Err(failure) => {
+            // Nothing is left to report to when the error output fails.
+            let _ = writeln!(err, "radishgauge: {:#}", failure.error);
+            if failure.status == ExitStatus::Usage {
+                let _ = writeln!(err, "See radishgauge help.");
+            }
+            failure.status
+        }
+    }
+}
+
+fn dispatch(args: &[String], out: &mut dyn Write) -> Result<ExitStatus, CommandError> {
+    let options = ProgramOptions::parse_args(args, ParsingStyle::AllOptions)
+        .map_err(|error| CommandError::usage(&error.to_string()))?;
+    if options.version {
+        writeln!(out, "radishgauge {}", env!("CARGO_PKG_VERSION"))?;
+        return Ok(ExitStatus::Done);
+    }
+    match &options.command {
+        Some(command) if command.help_requested() => {
+            help::command_help(command, out)?;
+            Ok(ExitStatus::Done)
+        }
+        Some(command) if !options.help => command.subcommand().run(out),
+        _ if options.help => {
+            help::program_help(out)?;
+            Ok(ExitStatus::Done)
+        }
+        _ => Err(CommandError::usage("no command given")),
+    }
+}
+
+fn is_broken_pipe(error: &anyhow::Error) -> bool {
+    let error = error.downcast_ref::<io::Error>();
+    error.is_some_and(|error| error.kind() == ErrorKind::BrokenPipe)
+}
--- /dev/null
+++ b/crates/cli/src/pack.rs
@@ -0,0 +1,166 @@
+//! `radishgauge pack`: writes a set in the form in which the platform holds it.
+
+use std::io::ErrorKind;
+use std::io::Write;
+use std::path::Path;
+
+use anyhow::Context;
+use anyhow::anyhow;
+use gumdrop::Options;
+use radishgauge_config::PackedError;
+use radishgauge_config::PackedSet;
+use radishgauge_config::load_set;
+use radishgauge_config::pack;
+use radishgauge_config::read_packed;
+use radishgauge_config::read_root;
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::config::IndexRoot;
+use serde::Serialize;
+
+use crate::CommandError;
+use crate::ExitStatus;
+use crate::Subcommand;
+use crate::check::refusals;
+use crate::source::open_set;
+use crate::table::table;
+
+/// Checks a set and writes it as the values that the platform publishes.
+#[derive(Debug, Default, Options)]
+pub struct PackOptions {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "the directory of the set")]
+    set: Option<String>,
+    #[options(
+        help = "the revision, greater than that of every earlier version",
+        meta = "N"
+    )]
+    revision: Option<u64>,
+    #[options(help = "the directory that the platform publishes", meta = "DIR")]
+    output: Option<String>,
+    #[options(
+        help = "refuse too large cuts since this set; without it, since the version in the output",
+        meta = "DIR"
+    )]
+    previous: Option<String>,
+    #[options(help = "print JSON")]
+    json: bool,
+}
+
+/// The result of packing, as `--json` prints it.
+#[derive(Debug, Serialize)]
+struct PackReport {
+    revision: u64,
+    root_digest: String,
+    parts: usize,
+    values_written: usize,
+    bytes_written: usize,
+    output: String,
+}
+
+impl Subcommand for PackOptions {
+    fn example(&self) -> &'static str {
+        "radishgauge pack examples/abay-etchcraft --revision 12 --output platform"
+    }
+
+    fn run(&self, out: &mut dyn Write) -> Result<ExitStatus, CommandError> {
+        let Some(set) = &self.set else {
+            return Err(CommandError::usage("give the directory of the set"));
+        };
+        let Some(revision) = self.revision.filter(|revision| *revision > 0) else {
+            let text = "give --revision N, a number greater than that of every earlier version";
+            return Err(CommandError::usage(text));
+        };
+        let Some(output) = &self.output else {
+            let text = "give --output DIR, the directory that the platform publishes";
+            return Err(CommandError::usage(text));
+        };
+        let set = load_set(Path::new(set)).map_err(CommandError::refused)?;
+        let packed = pack(&set, revision);
+        check_revision(&packed, Path::new(output))?;
+        let previous = match &self.previous {
+            Some(previous) => Some(open_set(previous)?),
+            None => published(Path::new(output))?,
+        };
+        let refused = refusals(&set, previous.as_ref());
+        if !refused.is_empty() {
+            return Err(CommandError::refused(anyhow!(
+                "the set is refused\n{}",
+                refused.join("\n")
+            )));
+        }
+        let written = packed
+            .write_to(Path::new(output))
+            .with_context(|| format!("cannot write to {output}"))
+            .map_err(CommandError::unreachable)?;
+        let report = PackReport {
+            revision,
+            root_digest: packed.root_digest().to_string(),
+            parts: packed.parts().count(),
+            values_written: written.values,
+            bytes_written: written.bytes,
+            output: output.clone(),
+        };
+        if self.json {
+            let text = serde_json::to_string_pretty(&report).map_err(CommandError::refused)?;
+            writeln!(out, "{text}")?;
+        } else {
+            let row = vec![
+                report.revision.to_string(),
+                report.root_digest,
+                report.parts.to_string(),
+                report.values_written.to_string(),
+                report.bytes_written.to_string(),
+            ];
+            let heading = [
+                "REVISION",
+                "ROOT DIGEST",
+                "PARTS",
+                "VALUES WRITTEN",
+                "BYTES WRITTEN",
+            ];
+            write!(out, "{}", table(&heading, &[row]))?;
+        }
+        Ok(ExitStatus::Done)
+    }
+}
+
+// A version that is packed twice gives the same values, so repeating the
+// command after a failure is allowed; another content needs a greater revision.
+fn check_revision(packed: &PackedSet, output: &Path) -> Result<(), CommandError> {
+    let Some(root) = found(read_root(output), output)? else {
+        return Ok(());
+    };
+    let revision = packed.index().revision();
+    let IndexRoot { revision: last, .. } = root;
+    if revision > last || packed.index().root() == root {
+        return Ok(());
+    }
+    Err(CommandError::refused(anyhow!(
+        "--revision; found: {revision}; accepted: greater than {last}, the revision in {}",
+        output.display()
+    )))
+}
+
+fn published(output: &Path) -> Result<Option<ConfigSet>, CommandError> {
+    let packed = found(read_packed(output), output)?;
+    Ok(packed.map(|(_, set)| set))
+}
+
+fn found<T>(result: Result<T, PackedError>, output: &Path) -> Result<Option<T>, CommandError> {
+    match result {
+        Ok(value) => Ok(Some(value)),
+        Err(PackedError::Read { key, error })
+            if key == "root" && error.kind() == ErrorKind::NotFound =>
+        {
+            Ok(None)
+        }
+        Err(error) => {
+            let context = format!(
+                "cannot read the version in {}; with --previous only its root is read",
+                output.display()
+            );
+            Err(CommandError::refused(anyhow!(error).context(context)))
+        }
+    }
+}
