--- /dev/null
+++ b/crates/traffic/tests/traffic/picking.rs
@@ -0,0 +1,217 @@
+//! Picking under lagging reports, full domains, home regions and budgets.
+
+use std::collections::HashMap;
+
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+use radishgauge_traffic::CallOutcome;
+use radishgauge_traffic::HomeRule;
+use radishgauge_traffic::LinkBudget;
+use radishgauge_traffic::PickRequest;
+use radishgauge_traffic::Picked;
+use radishgauge_traffic::Refusal;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::TargetPicker;
+use radishgauge_traffic::TrafficSnapshot;
+use radishgauge_traffic::TriedTargets;
+use radishgauge_traffic::pick::PickRule;
+use radishgauge_traffic::snapshot::Distance;
+
+use crate::fleet::cases;
+use crate::fleet::fleet;
+use crate::fleet::ms;
+use crate::fleet::snapshot;
+
+const ANYWHERE: PickRequest = PickRequest {
+    home: HomeRule::ANYWHERE,
+    bytes: 1000,
+};
+
+fn pick(
+    picker: &TargetPicker,
+    snapshot: &TrafficSnapshot,
+    tried: &TriedTargets,
+    now: u64,
+) -> Result<Picked, Refusal> {
+    let service = snapshot.service_key("desk").unwrap();
+    picker.pick(snapshot, service, &ANYWHERE, tried, ms(now))
+}
+
+fn refuse(picked: Picked, reason: RefusalReason, now: u64) {
+    picked.finish(CallOutcome::Refused { reason }, ms(now));
+}
+
+/// Guards against traffic that leaves its failure domain or region while the
+/// near targets have room, and against one that cannot leave when they do not.
+#[test]
+fn near_targets_come_first_and_full_ones_spill() {
+    let snapshot = snapshot(&fleet([2, 2, 2, 0, 0, 0]));
+    let picker = TargetPicker::new(1, 8);
+    let tried = TriedTargets::default();
+    for _ in 0..50 {
+        let picked = pick(&picker, &snapshot, &tried, 0).unwrap();
+        assert_eq!(picked.distance, Distance::Near);
+    }
+    let mut seen = Vec::new();
+    for _ in 0..5 {
+        let picked = pick(&picker, &snapshot, &tried, 0).unwrap();
+        seen.push(picked.distance);
+        refuse(picked, RefusalReason::QueueFull, 0);
+    }
+    // The fifth call takes the link's second of 1000 bytes.
+    use Distance::Far;
+    use Distance::Near;
+    use Distance::Region;
+    assert_eq!(seen, [Near, Near, Region, Region, Far]);
+    // With the link used up, a full target of the region gets the call.
+    let picked = pick(&picker, &snapshot, &tried, 0).unwrap();
+    assert_eq!(picked.distance, Near);
+    let picked = pick(&picker, &snapshot, &tried, 100).unwrap();
+    assert_eq!(picked.distance, Near);
+}
+
+/// Guards against refusals that hide why no target was left.
+#[test]
+fn refusals_name_what_is_missing() {
+    let picker = TargetPicker::new(1, 0);
+    let empty = snapshot(&fleet([0; 6]));
+    let tried = TriedTargets::default();
+    let reason = |snapshot: &TrafficSnapshot, tried: &TriedTargets| {
+        pick(&picker, snapshot, tried, 0).unwrap_err().reason
+    };
+    assert_eq!(reason(&empty, &tried), RefusalReason::NoTarget);
+    let far = snapshot(&fleet([0, 0, 1, 0, 0, 0]));
+    assert_eq!(reason(&far, &tried), RefusalReason::LinkBudget);
+    let near = snapshot(&fleet([1, 0, 0, 0, 0, 0]));
+    let mut tried = TriedTargets::default();
+    tried.insert(pick(&picker, &near, &tried, 0).unwrap().target);
+    assert_eq!(reason(&near, &tried), RefusalReason::AllTried);
+}
+
+/// Guards against all calls going to the target whose last report was best,
+/// when reports lag: none comes back here.
+#[test]
+fn lagging_capacity_does_not_gather_calls_at_one_target() {
+    for rule in [PickRule::TwoChoices, PickRule::LeastLoaded] {
+        let snapshot = snapshot(&fleet([5, 0, 0, 0, 0, 0]));
+        let picker = TargetPicker::with_rule(rule, 3, 0);
+        let tried = TriedTargets::default();
+        let first = pick(&picker, &snapshot, &tried, 0).unwrap();
+        first.finish(CallOutcome::Answered { capacity: 20 }, ms(1));
+        let held: Vec<_> = (0..100)
+            .map(|_| pick(&picker, &snapshot, &tried, 1).unwrap())
+            .collect();
+        let mut counts: HashMap<_, usize> = HashMap::new();
+        for picked in &held {
+            *counts.entry(picked.target).or_default() += 1;
+        }
+        let most = counts.values().max().unwrap();
+        assert!(*most <= 30, "{rule:?} sent {most} of 100 calls to one of 5");
+    }
+}
+
+/// Guards against a stale snapshot that sends to a domain taken out: each
+/// target there is asked once, then passed over until the next snapshot.
+#[test]
+fn stale_sender_learns_from_refusals() {
+    let snapshot = snapshot(&fleet([3, 3, 0, 0, 0, 0]));
+    let picker = TargetPicker::new(11, 0);
+    let mut asked = 0;
+    for now in 0..500 {
+        let picked = pick(&picker, &snapshot, &TriedTargets::default(), now).unwrap();
+        if picked.distance == Distance::Near {
+            asked += 1;
+            refuse(picked, RefusalReason::DomainOut, now);
+        } else {
+            picked.finish(CallOutcome::Answered { capacity: 20 }, ms(now + 10));
+        }
+    }
+    assert_eq!(asked, 3);
+}
+
+/// Guards against counting a call as under way for ever when its task is
+/// dropped, as on cancellation.
+#[test]
+fn dropped_pick_is_not_outstanding() {
+    let snapshot = snapshot(&fleet([1, 0, 0, 0, 0, 0]));
+    let picker = TargetPicker::new(1, 0);
+    drop(pick(&picker, &snapshot, &TriedTargets::default(), 0).unwrap());
+    let service = snapshot
+        .service(snapshot.service_key("desk").unwrap())
+        .unwrap();
+    assert_eq!(service.tier(Distance::Near)[0].stats.outstanding(), 0);
+}
+
+/// Guards against a link budget that is exceeded in any second, or that is
+/// lost after answers of unknown size have overdrawn it.
+#[test]
+fn link_budget_holds_and_recovers() {
+    let link = LinkBudget::new(800);
+    let sent = (0..5000).filter(|time| link.take(1000, ms(*time))).count();
+    // One second's burst and five seconds' rate, 100 kB each.
+    assert!((595..=600).contains(&sent), "{sent} kB were let through");
+    link.charge(200_000, ms(5000));
+    assert!(!link.has_room(ms(6900)));
+    assert!(link.has_room(ms(7100)));
+}
+
+proptest! {
+    #![proptest_config(cases(256, 0x51))]
+
+    /// Guards invariant I6: no pick, retry or spill leaves the home regions,
+    /// whatever is full, broken or tried.
+    #[test]
+    fn home_regions_hold_for_each_pick(
+        targets in prop::array::uniform6(0_usize..4),
+        tenant in 0_usize..4,
+        route_home in prop::collection::vec(0_usize..3, 0..3),
+        events in prop::collection::vec((any::<bool>(), 0_u8..5, 0_u64..30), 1..60),
+        seed in any::<u64>(),
+    ) {
+        let regions = ["addis", "bahir", "gonder"];
+        let mut model = fleet(targets);
+        let route = model.routes.get_mut("orders").unwrap();
+        route.home_regions = route_home.iter().map(|index| regions[*index].into()).collect();
+        let snapshot = snapshot(&model);
+        let key = snapshot.routes().find("GET", "/orders").unwrap();
+        let route = snapshot.routes().get(key).unwrap();
+        let tenant = ["", "free", "local", "lake"][tenant];
+        let Ok(home) = snapshot.home_rule(route, tenant, &[]) else {
+            return Ok(());
+        };
+        let picker = TargetPicker::new(seed, 100);
+        let request = PickRequest { home, bytes: 500 };
+        let mut now = 0;
+        let mut tried = TriedTargets::default();
+        for (retry, outcome, pause) in events {
+            now += pause;
+            if !retry {
+                tried = TriedTargets::default();
+            }
+            let Ok(picked) = picker.pick(&snapshot, route.service, &request, &tried, ms(now)) else {
+                continue;
+            };
+            let region = snapshot.region_name(picked.region).unwrap();
+            let of_route = route_home.is_empty()
+                || route_home.iter().any(|index| regions[*index] == region);
+            let of_tenant = match tenant {
+                "local" => region == "addis",
+                "lake" => region == "bahir",
+                _ => true,
+            };
+            prop_assert!(of_route && of_tenant, "{tenant} {route_home:?} went to {region}");
+            prop_assert!(!tried.contains(picked.target));
+            tried.insert(picked.target);
+            let outcome = match outcome {
+                0 => CallOutcome::Answered { capacity: 0 },
+                1 => CallOutcome::Refused { reason: RefusalReason::QueueFull },
+                2 => CallOutcome::Refused { reason: RefusalReason::DomainOut },
+                3 => CallOutcome::Broken,
+                _ => CallOutcome::Cancelled,
+            };
+            picked.finish(outcome, ms(now + 5));
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/tests/traffic/sessions.rs
@@ -0,0 +1,88 @@
+//! Silent sessions, paused daemons and stale configurations.
+
+use radishgauge_traffic::FreshnessGate;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::SessionProbe;
+use radishgauge_traffic::gate::Freshness;
+use radishgauge_traffic::session::ProbeAction;
+use radishgauge_traffic::session::is_idle;
+
+use crate::fleet::ms;
+
+/// Guards against calls that wait on a session which carries nothing any more.
+#[test]
+fn silence_is_found_within_two_seconds() {
+    let mut probe = SessionProbe::new(ms(0));
+    probe.received(ms(10_000));
+    probe.call_sent(ms(20_000));
+    assert_eq!(probe.tick(ms(20_000)), ProbeAction::Wait(Some(ms(21_000))));
+    assert_eq!(probe.tick(ms(21_000)), ProbeAction::Ping);
+    // New calls on the silent session do not put off the verdict.
+    probe.call_sent(ms(21_500));
+    assert_eq!(probe.tick(ms(21_500)), ProbeAction::Wait(Some(ms(22_000))));
+    assert_eq!(probe.tick(ms(22_000)), ProbeAction::Silent);
+}
+
+/// Guards against pings on sessions that need none, and more than one a second.
+#[test]
+fn pings_are_sent_only_while_calls_wait() {
+    let mut probe = SessionProbe::new(ms(0));
+    assert_eq!(probe.tick(ms(60_000)), ProbeAction::Wait(None));
+    probe.call_sent(ms(60_000));
+    let mut pings = 0;
+    for now in (60_000..70_000).step_by(100) {
+        match probe.tick(ms(now)) {
+            ProbeAction::Ping => {
+                pings += 1;
+                probe.received(ms(now + 5));
+            }
+            ProbeAction::Wait(_) => {}
+            ProbeAction::Silent => panic!("a session that answers is not silent"),
+        }
+    }
+    assert!((8..=10).contains(&pings), "{pings} pings in 10 s");
+    probe.call_ended();
+    assert_eq!(probe.tick(ms(70_000)), ProbeAction::Wait(None));
+}
+
+/// Guards against a daemon that was paused and takes its own pause for the
+/// peer's silence, while the answer waits unread.
+#[test]
+fn pause_of_the_own_process_is_not_silence() {
+    let mut probe = SessionProbe::new(ms(0));
+    probe.call_sent(ms(0));
+    assert_eq!(probe.tick(ms(1000)), ProbeAction::Ping);
+    assert_eq!(probe.tick(ms(9000)), ProbeAction::Wait(Some(ms(10_000))));
+    assert_eq!(probe.tick(ms(10_000)), ProbeAction::Silent);
+}
+
+/// Guards against a request that may not be repeated being lost on a session or
+/// connection that died while it was idle.
+#[test]
+fn idle_paths_are_checked_before_use() {
+    let mut probe = SessionProbe::new(ms(0));
+    assert!(!probe.needs_ping(false, ms(4999)));
+    assert!(probe.needs_ping(false, ms(5000)));
+    assert!(!probe.needs_ping(true, ms(5000)));
+    probe.received(ms(5001));
+    assert!(!probe.needs_ping(false, ms(5002)));
+    assert!(is_idle(ms(0), ms(5000)));
+    assert!(!is_idle(ms(0), ms(4999)));
+}
+
+/// Guards invariant I5 at a daemon that was paused: it holds calls and refuses
+/// them until what it knows is confirmed.
+#[test]
+fn paused_daemon_holds_and_then_refuses() {
+    let gate = FreshnessGate::new(ms(2000), ms(0));
+    assert_eq!(gate.check(ms(2000), ms(2000)), Freshness::Fresh);
+    let held = Freshness::Hold { until: ms(9500) };
+    assert_eq!(gate.check(ms(9000), ms(9000)), held);
+    let refused = gate.check(ms(9000), ms(9500));
+    assert!(
+        matches!(refused, Freshness::Refuse(refusal) if refusal.reason == RefusalReason::Stale)
+    );
+    gate.confirm(ms(9600));
+    gate.confirm(ms(9550));
+    assert_eq!(gate.check(ms(9650), ms(11_600)), Freshness::Fresh);
+}
--- /dev/null
+++ b/crates/traffic/tests/traffic/suspects.rs
@@ -0,0 +1,201 @@
+//! Requests that crash the targets that run them.
+
+use std::time::Duration;
+
+use radishgauge_config::model::Criticality;
+use radishgauge_traffic::Admit;
+use radishgauge_traffic::AdmitRequest;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::SuspectTable;
+use radishgauge_traffic::TargetAdmission;
+use radishgauge_traffic::admit::RunOutcome;
+use radishgauge_traffic::admit::RunningTicket;
+use radishgauge_traffic::suspect::Fingerprint;
+use radishgauge_traffic::suspect::MAX_SUSPECTS;
+use radishgauge_traffic::suspect::StrikeRecord;
+use radishgauge_traffic::suspect::SuspectState;
+
+use crate::fleet::admission;
+use crate::fleet::ms;
+
+const WINDOW: Duration = Duration::from_secs(600);
+
+/// A target, its daemon's table and what it runs.
+struct TargetHost {
+    admission: TargetAdmission,
+    suspects: SuspectTable,
+    running: Vec<(Fingerprint, RunningTicket)>,
+}
+
+impl TargetHost {
+    fn new() -> TargetHost {
+        TargetHost {
+            admission: admission(20, 20),
+            suspects: SuspectTable::new(WINDOW),
+            running: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, fingerprint: Fingerprint, now: Duration) -> Result<bool, RefusalReason> {
+        let state = self.suspects.check(fingerprint, now);
+        if let Some(refusal) = state.refusal(now) {
+            return Err(refusal.reason);
+        }
+        let request = AdmitRequest {
+            criticality: Criticality::Normal,
+            deadline: now + ms(1000),
+            suspect: state == SuspectState::Suspect,
+        };
+        match self.admission.admit(&request, now) {
+            Admit::Run(ticket) => {
+                self.running.push((fingerprint, ticket.hand_over(now)));
+                Ok(true)
+            }
+            Admit::Wait(_) => Ok(false),
+            Admit::Refuse(refusal) => Err(refusal.reason),
+        }
+    }
+
+    fn crash(&mut self, crash: u64, now: Duration) -> Vec<StrikeRecord> {
+        let under_way: Vec<_> = self.running.iter().map(|(print, _)| *print).collect();
+        let told = self.suspects.crashed(crash, &under_way, now);
+        for (_, ticket) in self.running.drain(..) {
+            self.admission.finish(ticket, RunOutcome::Crashed, now);
+        }
+        told
+    }
+}
+
+/// Guards against a request that takes down one target after the other while
+/// its caller sends it again, and against innocent requests being blocked with
+/// it. Innocent requests run beside it all the time.
+#[test]
+fn crashing_request_takes_at_most_two_targets() {
+    let poison = Fingerprint(666);
+    let mut hosts: Vec<_> = (0..6).map(|_| TargetHost::new()).collect();
+    let mut crashes = 0;
+    let mut innocent = 0;
+    for round in 0..60_u64 {
+        let now = ms(round * 1000);
+        let place = (round % 6) as usize;
+        for number in 0..5 {
+            let print = Fingerprint(round * 5 % 20 + number);
+            match hosts[place].run(print, now) {
+                Ok(_) => innocent += 1,
+                Err(reason) => panic!("an innocent request was refused: {reason:?}"),
+            }
+        }
+        let poisoned = hosts[place].run(poison, now).is_ok();
+        if poisoned {
+            crashes += 1;
+            let told = hosts[place].crash(round, now);
+            for (other, host) in hosts.iter().enumerate() {
+                // A notice may come twice.
+                for record in told.iter().chain(&told).filter(|_| other != place) {
+                    host.suspects.receive(*record, now);
+                }
+            }
+            continue;
+        }
+        let running: Vec<_> = hosts[place].running.drain(..).collect();
+        for (print, ticket) in running {
+            for host in &hosts {
+                host.suspects.answered(print);
+            }
+            let admission = &hosts[place].admission;
+            for wake in admission.finish(ticket, RunOutcome::Answered, now + ms(10)) {
+                admission.cancel(wake.decision.unwrap(), now);
+            }
+        }
+    }
+    assert_eq!(crashes, 2);
+    assert_eq!(innocent, 300);
+    let late = ms(60_000);
+    assert_eq!(hosts[3].run(poison, late), Err(RefusalReason::Quarantined));
+    assert_eq!(hosts[3].run(poison, late + WINDOW), Ok(true));
+}
+
+/// Guards against several suspects at one target, of which a crash could not
+/// tell the guilty one.
+#[test]
+fn one_suspect_at_a_time_runs_at_a_target() {
+    let mut host = TargetHost::new();
+    for print in 0..3 {
+        host.run(Fingerprint(print), ms(0)).unwrap();
+    }
+    assert_eq!(host.crash(1, ms(1)).len(), 3);
+    assert_eq!(host.run(Fingerprint(0), ms(2)), Ok(true));
+    assert_eq!(host.run(Fingerprint(1), ms(2)), Ok(false));
+    assert_eq!(host.run(Fingerprint(9), ms(2)), Ok(true));
+    let (_, ticket) = host.running.remove(0);
+    let wakes = host.admission.finish(ticket, RunOutcome::Answered, ms(10));
+    assert_eq!(wakes.len(), 1);
+    assert!(wakes.into_iter().next().unwrap().decision.is_ok());
+}
+
+/// Guards against a repeated or late notice that lifts or makes a quarantine.
+#[test]
+fn notices_count_once_and_in_any_order() {
+    let table = SuspectTable::new(WINDOW);
+    let strike = StrikeRecord {
+        fingerprint: Fingerprint(1),
+        crash: 7,
+        quarantine: false,
+    };
+    table.receive(strike, ms(0));
+    table.receive(strike, ms(1));
+    assert_eq!(table.check(Fingerprint(1), ms(2)), SuspectState::Suspect);
+    table.answered(Fingerprint(1));
+    table.receive(strike, ms(3));
+    assert_eq!(table.check(Fingerprint(1), ms(4)), SuspectState::Clear);
+    let quarantine = StrikeRecord {
+        fingerprint: Fingerprint(2),
+        crash: 9,
+        quarantine: true,
+    };
+    table.receive(quarantine, ms(5));
+    let earlier = StrikeRecord {
+        crash: 8,
+        quarantine: false,
+        ..quarantine
+    };
+    table.receive(earlier, ms(6));
+    table.answered(Fingerprint(2));
+    let state = table.check(Fingerprint(2), ms(7));
+    assert!(matches!(state, SuspectState::Quarantined { .. }));
+}
+
+/// Guards against a table that grows without bound, and against strikes that
+/// push out a quarantine.
+#[test]
+fn table_is_bounded_and_keeps_quarantines() {
+    let table = SuspectTable::new(WINDOW);
+    table.crashed(0, &[Fingerprint(0)], ms(0));
+    table.crashed(1, &[Fingerprint(0)], ms(1));
+    for number in 1..3 * MAX_SUSPECTS as u64 {
+        table.crashed(number + 1, &[Fingerprint(number)], ms(number));
+        assert!(table.len() <= MAX_SUSPECTS);
+    }
+    let state = table.check(Fingerprint(0), ms(20_000));
+    assert!(matches!(state, SuspectState::Quarantined { .. }));
+}
+
+/// Guards against two requests that differ and share a fingerprint by the way
+/// their parts are joined, and against parts that are left out.
+#[test]
+fn fingerprint_covers_each_part() {
+    let body = vec![7; 70_000];
+    let mut longer = body.clone();
+    longer.extend([1, 2, 3]);
+    let base = Fingerprint::new("a", "GET", "/p", "t", None, &body);
+    assert_eq!(base, Fingerprint::new("a", "GET", "/p", "t", None, &longer));
+    let others = [
+        Fingerprint::new("b", "GET", "/p", "t", None, &body),
+        Fingerprint::new("aG", "ET", "/p", "t", None, &body),
+        Fingerprint::new("a", "GET", "/q", "t", None, &body),
+        Fingerprint::new("a", "GET", "/p", "u", None, &body),
+        Fingerprint::new("a", "GET", "/p", "t", Some("k"), &body),
+        Fingerprint::new("a", "GET", "/p", "t", None, &body[1..60_000]),
+    ];
+    assert!(others.iter().all(|other| *other != base));
+}
