Stop the ledger's time during pauses

A re-send that waits in the socket of a paused owner is read after the pause; by the clock its record's window may be over by then. No event now moves the ledger's time by more than 2 s.

--- a/crates/traffic/src/once.rs
+++ b/crates/traffic/src/once.rs
@@ -33,12 +33,19 @@
 pub use crate::once_decision::OnceRequest;
 pub use crate::once_decision::OnceTicket;
 
+/// The most that one event moves the ledger's time, as long as a pause that
+/// makes a daemon stale (design section 5).
+const LONGEST_STEP: Duration = Duration::from_secs(2);
+
 /// The queue may hold this many places of removed records before it is compacted.
 const QUEUE_SLACK: usize = 1024;
 
 /// The records of the keys that a daemon owns.
 ///
-/// Times are since the start of the process.
+/// Times are since the start of the process. [`OnceLedger::expire_some`] is to
+/// be called each second, since no event moves the ledger's own time by more
+/// than 2 s: while the process is paused no time passes. Else a re-send that
+/// waited in the socket of a paused owner would be read after its record expired.
 ///
 /// # Examples
 ///
@@ -81,6 +88,10 @@
     pub(crate) index: HashMap<RecordName, OnceTicket>,
     /// The records by the time they were begun, with places of removed ones.
     queue: VecDeque<(Duration, OnceTicket)>,
+    /// The time without pauses.
+    clock: Duration,
+    /// The latest time seen.
+    seen: Duration,
     bytes: usize,
     /// Serials below it may have lost their record.
     serial_floor: u64,
@@ -101,6 +112,8 @@
             entries: SlotMap::with_key(),
             index: HashMap::new(),
             queue: VecDeque::new(),
+            clock: Duration::ZERO,
+            seen: Duration::ZERO,
             bytes: 0,
             serial_floor: 0,
             known_since: Duration::ZERO,
@@ -141,6 +154,7 @@
 
     /// Decides what to do with a request that arrived at this daemon as owner.
     pub fn begin(&mut self, request: &OnceRequest<'_>, now: Duration) -> OnceDecision {
+        let now = self.advance(now);
         let name = RecordName::of(request);
         let fingerprint = mix(request);
         if let Some(&ticket) = self.index.get(&name) {
@@ -150,7 +164,7 @@
             return OnceDecision::Refuse { verdict, reason };
         }
         // A full ledger may hold records that are due.
-        self.expire_some(now, 2);
+        self.drop_due(2);
         if self.entries.len() >= self.limits.records || self.bytes >= self.limits.bytes {
             let verdict = CallVerdict::NotRun;
             let reason = OnceReason::Full;
@@ -230,6 +244,34 @@
     ///
     /// A run that has not finished by then is kept as "may have run".
     pub fn expire_some(&mut self, now: Duration, most: usize) -> usize {
+        self.advance(now);
+        self.drop_due(most)
+    }
+
+    /// Drops all records whose repeat window is over.
+    pub fn expire(&mut self, now: Duration) {
+        self.expire_some(now, usize::MAX);
+    }
+
+    /// Sets the repeat window of a new configuration.
+    ///
+    /// After an increase, records that the old window dropped are missing, so
+    /// opaque keys without a record are refused for the difference.
+    pub fn set_repeat_window(&mut self, window: Duration, now: Duration) {
+        let held = self.advance(now).saturating_sub(self.limits.keep());
+        self.known_since = self.known_since.max(held);
+        self.limits.repeat_window = window;
+    }
+
+    /// Moves the ledger's time and returns it.
+    pub(crate) fn advance(&mut self, now: Duration) -> Duration {
+        self.clock += now.saturating_sub(self.seen).min(LONGEST_STEP);
+        self.seen = self.seen.max(now);
+        self.clock
+    }
+
+    fn drop_due(&mut self, most: usize) -> usize {
+        let now = self.clock;
         let mut seen = 0;
         while seen < most
             && let Some(&(since, ticket)) = self.queue.front()
@@ -255,21 +297,6 @@
         seen
     }
 
-    /// Drops all records whose repeat window is over.
-    pub fn expire(&mut self, now: Duration) {
-        self.expire_some(now, usize::MAX);
-    }
-
-    /// Sets the repeat window of a new configuration.
-    ///
-    /// After an increase, records that the old window dropped are missing, so
-    /// opaque keys without a record are refused for the difference.
-    pub fn set_repeat_window(&mut self, window: Duration, now: Duration) {
-        let held = now.saturating_sub(self.limits.keep());
-        self.known_since = self.known_since.max(held);
-        self.limits.repeat_window = window;
-    }
-
     fn repeat(&self, ticket: OnceTicket, fingerprint: u64) -> OnceDecision {
         let entry = &self.entries[ticket];
         let refuse = |verdict, reason| OnceDecision::Refuse { verdict, reason };
@@ -314,7 +341,7 @@
                     Some(owner) if owner.host == *self.host() => {}
                     owner => return unknown(OnceReason::NotOwner(owner.map(|owner| owner.host))),
                 }
-                if now.saturating_sub(self.known_since) < self.limits.keep() {
+                if self.unknown_for() > Duration::ZERO {
                     return unknown(OnceReason::RecentStart);
                 }
                 match self.unresolved(request.service, text, request.regions, now) {
@@ -361,8 +388,9 @@
         self.limits.bytes.saturating_sub(self.bytes)
     }
 
-    pub(crate) fn uptime_left(&self, now: Duration) -> Duration {
-        let known = now.saturating_sub(self.known_since);
+    /// Returns the time until opaque keys without a record are known.
+    pub(crate) fn unknown_for(&self) -> Duration {
+        let known = self.clock.saturating_sub(self.known_since);
         self.limits.keep().saturating_sub(known)
     }
 }
--- a/crates/traffic/src/once_cover.rs
+++ b/crates/traffic/src/once_cover.rs
@@ -114,6 +114,7 @@
     ///
     /// A change of an older revision than the one known does nothing.
     pub fn ownership_changed(&mut self, change: OwnerChange, now: Duration) {
+        let now = self.advance(now);
         let revision = change.revision;
         let cover = self.covers.entry(change.service.clone());
         let cover = cover.or_insert_with(|| ServiceCover {
@@ -141,6 +142,7 @@
     ///
     /// To be called also for each former owner that the first list lacks.
     pub fn host_gone(&mut self, host: &str, now: Duration) {
+        let now = self.advance(now);
         self.gone.entry(SmolStr::new(host)).or_insert(now);
     }
 
@@ -151,7 +153,8 @@
 
     /// Returns the former owners whose records of `service` are still needed,
     /// each of which is to be sent an `OwnerTransferRequest`.
-    pub fn wanted(&self, service: &str, now: Duration) -> Vec<SmolStr> {
+    pub fn wanted(&mut self, service: &str, now: Duration) -> Vec<SmolStr> {
+        let now = self.advance(now);
         let mut wanted = Vec::new();
         for former in self
             .covers
--- a/crates/traffic/src/once_decision.rs
+++ b/crates/traffic/src/once_decision.rs
@@ -73,7 +73,7 @@
 /// What the owner does with a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OnceDecision {
-    /// Run the request, then call [`OnceLedger::finish`].
+    /// Run the request, then call `OnceLedger::finish`.
     Run(OnceTicket),
     /// The run named is under way: answer with its outcome.
     Attach(OnceTicket),
--- a/crates/traffic/src/once_transfer.rs
+++ b/crates/traffic/src/once_transfer.rs
@@ -99,7 +99,7 @@
     /// `applied` is the revision in force, of which this ledger has taken all
     /// ownership changes.
     pub fn export(
-        &self,
+        &mut self,
         request: &TransferRequest,
         applied: u64,
         bytes: usize,
@@ -108,6 +108,7 @@
         if applied < request.revision {
             return None;
         }
+        let now = self.advance(now);
         let cover = self.covers.get(&request.service);
         let region = cover.and_then(|cover| cover.current().region(&request.to));
         // Under another revision the requester may own keys that this daemon's
@@ -163,13 +164,14 @@
             after: request.after,
             next,
             withheld,
-            unknown_for: self.uptime_left(now),
+            unknown_for: self.unknown_for(),
             records,
         })
     }
 
     /// Takes a piece of a transfer, in any order and any number of times.
     pub fn import(&mut self, piece: OnceTransfer, now: Duration) -> TransferStep {
+        let now = self.advance(now);
         if !self.covers.contains_key(&piece.service) {
             return TransferStep::Ignored;
         }
--- /dev/null
+++ b/crates/traffic/tests/once/ledger.rs
@@ -0,0 +1,265 @@
+//! The ledger of one owner: what it runs, replays and refuses.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishgauge_traffic::CallVerdict;
+use radishgauge_traffic::key::IdempotencyKey;
+use radishgauge_traffic::key::KeyIssuer;
+use radishgauge_traffic::once::OnceDecision;
+use radishgauge_traffic::once::OnceLedger;
+use radishgauge_traffic::once::OnceLimits;
+use radishgauge_traffic::once::OnceOutcome;
+use radishgauge_traffic::once::OnceReason;
+use radishgauge_traffic::once::OnceRequest;
+use smol_str::SmolStr;
+
+use crate::support::COVERED;
+use crate::support::answer;
+use crate::support::change;
+use crate::support::ledger;
+use crate::support::ledger_with;
+use crate::support::live;
+use crate::support::opaque;
+use crate::support::refuse;
+use crate::support::request;
+use crate::support::run;
+
+/// Guards against a second run, and a replay that differs, on a re-send after the answer.
+#[test]
+fn a_resend_gets_the_first_response_whole() {
+    let mut ledger = ledger("a", 1, &["a"], &[]);
+    let key = opaque("k");
+    let ticket = run(&mut ledger, &key, COVERED);
+    assert_eq!(
+        ledger.begin(&request(&key), COVERED),
+        OnceDecision::Attach(ticket)
+    );
+    assert!(ledger.started(ticket));
+    assert_eq!(
+        ledger.finish(ticket, OnceOutcome::Ran(answer(65536))),
+        CallVerdict::Ran
+    );
+    let replay = OnceDecision::Replay(Arc::new(answer(65536)));
+    assert_eq!(ledger.begin(&request(&key), COVERED), replay);
+    assert_eq!(
+        ledger.finish(ticket, OnceOutcome::MayHaveRun),
+        CallVerdict::Ran
+    );
+    assert_eq!(ledger.begin(&request(&key), COVERED), replay);
+}
+
+/// Guards against a cut or lost large response that reads as "not run".
+#[test]
+fn a_response_too_large_to_keep_leaves_its_verdict() {
+    let mut ledger = ledger("a", 1, &["a"], &[]);
+    let key = opaque("k");
+    let ticket = run(&mut ledger, &key, COVERED);
+    assert!(ledger.started(ticket));
+    ledger.finish(ticket, OnceOutcome::Ran(answer(65537)));
+    let kept = refuse(CallVerdict::Ran, OnceReason::AnswerNotKept);
+    assert_eq!(ledger.begin(&request(&key), COVERED), kept);
+}
+
+/// Guards against "not run" for a request that was handed over and not refused.
+#[test]
+fn not_run_after_a_hand_over_needs_a_refusal() {
+    let mut ledger = ledger("a", 1, &["a"], &[]);
+    let lost = opaque("lost");
+    let ticket = run(&mut ledger, &lost, COVERED);
+    assert!(ledger.started(ticket));
+    assert!(!ledger.started(ticket), "handed over twice");
+    assert_eq!(
+        ledger.finish(ticket, OnceOutcome::NotRun),
+        CallVerdict::MayHaveRun
+    );
+    let unknown = refuse(CallVerdict::MayHaveRun, OnceReason::OutcomeUnknown);
+    assert_eq!(ledger.begin(&request(&lost), COVERED), unknown);
+
+    let refused = opaque("refused");
+    let ticket = run(&mut ledger, &refused, COVERED);
+    assert!(ledger.started(ticket));
+    ledger.refused(ticket);
+    assert!(
+        ledger.started(ticket),
+        "a refused hand-over may be tried elsewhere"
+    );
+    ledger.refused(ticket);
+    assert_eq!(
+        ledger.finish(ticket, OnceOutcome::NotRun),
+        CallVerdict::NotRun
+    );
+    let again = run(&mut ledger, &refused, COVERED);
+    assert_ne!(again, ticket);
+    assert!(!ledger.started(ticket), "a late hand-over of the ended run");
+    assert_eq!(
+        ledger.finish(ticket, OnceOutcome::NotRun),
+        CallVerdict::MayHaveRun
+    );
+    assert_eq!(
+        ledger.begin(&request(&refused), COVERED),
+        OnceDecision::Attach(again)
+    );
+}
+
+/// Guards against a thread that pauses between decision and hand-over, and
+/// wakes after the record's time.
+#[test]
+fn a_ticket_older_than_its_record_hands_nothing_over() {
+    let mut ledger = ledger("a", 1, &["a"], &[]);
+    let key = opaque("k");
+    let ticket = run(&mut ledger, &key, COVERED);
+    let late = COVERED * 2;
+    live(&mut ledger, late);
+    assert!(!ledger.started(ticket));
+    let unknown = refuse(CallVerdict::MayHaveRun, OnceReason::OutcomeUnknown);
+    assert_eq!(ledger.begin(&request(&key), late), unknown);
+    live(&mut ledger, COVERED * 3);
+    assert!(ledger.is_empty());
+    assert_eq!(ledger.bytes(), 0);
+}
+
+/// Guards against a re-send that waits in the socket of a paused owner and is
+/// read after the pause, when by the clock the record's time is over.
+#[test]
+fn records_do_not_expire_during_a_pause() {
+    let mut ledger = ledger("a", 1, &["a"], &[]);
+    let key = opaque("k");
+    let ticket = run(&mut ledger, &key, COVERED);
+    assert!(ledger.started(ticket));
+    ledger.finish(ticket, OnceOutcome::Ran(answer(3)));
+    let woken = COVERED * 20;
+    ledger.expire(woken);
+    let replay = OnceDecision::Replay(Arc::new(answer(3)));
+    assert_eq!(ledger.begin(&request(&key), woken), replay);
+}
+
+/// Guards against the response of one request given to another (invariant I7).
+#[test]
+fn a_key_is_bound_to_its_request_and_tenant() {
+    let mut ledger = ledger("a", 1, &["a"], &[]);
+    let key = opaque("k");
+    let ticket = run(&mut ledger, &key, COVERED);
+    assert!(ledger.started(ticket));
+    ledger.finish(ticket, OnceOutcome::Ran(answer(3)));
+    let other = OnceRequest {
+        fingerprint: 2,
+        ..request(&key)
+    };
+    let reused = refuse(CallVerdict::MayHaveRun, OnceReason::KeyReused);
+    assert_eq!(ledger.begin(&other, COVERED), reused);
+    let tenant = SmolStr::new("u");
+    let other = OnceRequest {
+        tenant: &tenant,
+        ..request(&key)
+    };
+    assert!(matches!(
+        ledger.begin(&other, COVERED),
+        OnceDecision::Run(_)
+    ));
+
+    let issued = IdempotencyKey::Issued(ledger.issue());
+    run(&mut ledger, &issued, COVERED);
+    let other = OnceRequest {
+        tenant: &tenant,
+        ..request(&issued)
+    };
+    assert_eq!(ledger.begin(&other, COVERED), reused);
+}
+
+/// Guards against records dropped early under load, which would run keys twice.
+#[test]
+fn a_full_ledger_refuses_new_keys_and_keeps_old_ones() {
+    let limits = OnceLimits {
+        records: 3,
+        ..OnceLimits::default()
+    };
+    let mut ledger = ledger_with("a", limits);
+    change(&mut ledger, 1, &["a"], &[]);
+    live(&mut ledger, COVERED);
+    let keys: Vec<IdempotencyKey> = (0..4).map(|number| opaque(&format!("k{number}"))).collect();
+    for key in &keys[..3] {
+        let ticket = run(&mut ledger, key, COVERED);
+        assert!(ledger.started(ticket));
+        ledger.finish(ticket, OnceOutcome::MayHaveRun);
+    }
+    let full = refuse(CallVerdict::NotRun, OnceReason::Full);
+    assert_eq!(ledger.begin(&request(&keys[3]), COVERED), full);
+    let unknown = refuse(CallVerdict::MayHaveRun, OnceReason::OutcomeUnknown);
+    assert_eq!(ledger.begin(&request(&keys[0]), COVERED), unknown);
+    live(&mut ledger, COVERED * 2);
+    run(&mut ledger, &keys[3], COVERED * 2);
+}
+
+/// Guards against a byte bound that a burst of large responses breaks.
+#[test]
+fn the_byte_bound_drops_responses_and_no_record() {
+    let limits = OnceLimits {
+        bytes: 40_000,
+        ..OnceLimits::default()
+    };
+    let mut ledger = ledger_with("a", limits);
+    change(&mut ledger, 1, &["a"], &[]);
+    live(&mut ledger, COVERED);
+    for number in 0..4 {
+        let key = opaque(&format!("k{number}"));
+        let ticket = run(&mut ledger, &key, COVERED);
+        assert!(ledger.started(ticket));
+        ledger.finish(ticket, OnceOutcome::Ran(answer(15_000)));
+        assert!(ledger.bytes() <= 40_000);
+    }
+    assert_eq!(ledger.len(), 4);
+    let kept = refuse(CallVerdict::Ran, OnceReason::AnswerNotKept);
+    assert_eq!(ledger.begin(&request(&opaque("k3")), COVERED), kept);
+}
+
+/// Guards against a second run of a key whose owner restarted with an empty ledger.
+#[test]
+fn a_restarted_owner_refuses_keys_that_it_may_have_run() {
+    let mut old = ledger("a", 1, &["a"], &[]);
+    let issued = IdempotencyKey::Issued(old.issue());
+    let mut new = OnceLedger::new(KeyIssuer::new("a", 2, [4; 32]), "x", OnceLimits::default());
+    change(&mut new, 1, &["a"], &[]);
+    let gone = refuse(CallVerdict::MayHaveRun, OnceReason::IncarnationGone);
+    assert_eq!(new.begin(&request(&issued), Duration::ZERO), gone);
+    let fresh = IdempotencyKey::Issued(new.issue());
+    run(&mut new, &fresh, Duration::ZERO);
+    let recent = refuse(CallVerdict::MayHaveRun, OnceReason::RecentStart);
+    let short = COVERED - Duration::from_millis(1);
+    live(&mut new, short);
+    assert_eq!(new.begin(&request(&opaque("k")), short), recent);
+    run(&mut new, &opaque("k"), COVERED);
+}
+
+/// Guards against a run of an issued key whose record expired.
+#[test]
+fn an_issued_key_without_record_is_judged_by_its_serial() {
+    let mut ledger = ledger_with("a", OnceLimits::default());
+    let [unused, used, later] = [(); 3].map(|()| IdempotencyKey::Issued(ledger.issue()));
+    run(&mut ledger, &used, Duration::ZERO);
+    live(&mut ledger, COVERED - Duration::from_secs(1));
+    run(&mut ledger, &later, COVERED - Duration::from_secs(1));
+    live(&mut ledger, COVERED * 2);
+    let expired = refuse(CallVerdict::MayHaveRun, OnceReason::KeyExpired);
+    for key in [&unused, &used] {
+        assert_eq!(ledger.begin(&request(key), COVERED * 2), expired, "{key}");
+    }
+    let unknown = refuse(CallVerdict::MayHaveRun, OnceReason::OutcomeUnknown);
+    assert_eq!(ledger.begin(&request(&later), COVERED * 2), unknown);
+}
+
+/// Guards against a longer repeat window that trusts records a shorter one dropped.
+#[test]
+fn a_longer_window_waits_for_the_difference() {
+    let mut ledger = ledger("a", 1, &["a"], &[]);
+    live(&mut ledger, COVERED * 2);
+    ledger.set_repeat_window(Duration::from_secs(1200), COVERED * 2);
+    let recent = refuse(CallVerdict::MayHaveRun, OnceReason::RecentStart);
+    let key = opaque("k");
+    assert_eq!(ledger.begin(&request(&key), COVERED * 2), recent);
+    let later = COVERED * 2 + Duration::from_secs(600);
+    let short = later - Duration::from_millis(1);
+    live(&mut ledger, short);
+    assert_eq!(ledger.begin(&request(&key), short), recent);
+    run(&mut ledger, &key, later);
+}
