Add peer sessions over QUIC with mutual TLS, framed calls and requests

Each request and call has a stream of its own. Bodies end with their length and XXH3 digest, a dropped half resets the stream, and every error says whether a byte of the request was handed over.

--- /dev/null
+++ b/crates/net/src/error.rs
@@ -0,0 +1,157 @@
+//! What can go wrong between two daemons.
+//!
+//! A caller may repeat a request only when it knows that the request did not
+//! run. Every error therefore says whether a byte of it was handed over.
+
+use quinn::ConnectionError;
+use quinn::ReadError;
+use quinn::VarInt;
+use quinn::WriteError;
+
+/// Stream code: the caller gave up, or the sender was dropped before the end.
+pub const CODE_CANCELLED: VarInt = VarInt::from_u32(1);
+/// Stream code: a frame was larger than its limit.
+pub const CODE_OVERSIZE: VarInt = VarInt::from_u32(2);
+/// Stream code: a frame could not be decoded or came out of order.
+pub const CODE_MALFORMED: VarInt = VarInt::from_u32(3);
+/// Session code: an ordinary end.
+pub const CODE_CLOSED: VarInt = VarInt::from_u32(16);
+/// Session code: the hello does not agree with the certificate.
+pub const CODE_REFUSED: VarInt = VarInt::from_u32(17);
+
+/// A failed request, call or dial.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{fault}")]
+pub struct PeerError {
+    /// What went wrong.
+    pub fault: PeerFault,
+    /// Whether any byte of the request was handed to the session. The peer
+    /// cannot have seen a request for which this is false.
+    pub sent: bool,
+}
+
+impl PeerError {
+    /// Returns an error of a request that never left this process.
+    pub fn unsent(fault: PeerFault) -> PeerError {
+        PeerError { fault, sent: false }
+    }
+
+    /// Returns an error of a request that may have reached the peer.
+    pub fn sent(fault: PeerFault) -> PeerError {
+        PeerError { fault, sent: true }
+    }
+}
+
+/// The kinds of failure between two daemons.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PeerFault {
+    /// The keys of this daemon cannot be used.
+    #[error("the keys cannot be used: {0}")]
+    Keys(String),
+    /// The listening address cannot be bound.
+    #[error("the peer address cannot be bound: {0}")]
+    Bind(String),
+    /// No session could be opened.
+    #[error("the peer cannot be dialled: {0}")]
+    Dial(String),
+    /// The TLS handshake failed: a wrong authority, or a missing key.
+    #[error("the TLS handshake failed: {0}")]
+    Tls(String),
+    /// The peer's hello claims another host or failure domain than its certificate.
+    #[error("the hello claims {claimed}, the certificate names {certified}")]
+    Identity {
+        /// `host.failure domain` of the hello.
+        claimed: String,
+        /// `host.failure domain` of the certificate.
+        certified: String,
+    },
+    /// The peer refused this daemon.
+    #[error("the peer refused the session: {0}")]
+    Refused(String),
+    /// The session ended.
+    #[error("the session ended: {0}")]
+    Closed(String),
+    /// The time for the reply ran out.
+    #[error("no reply within the time")]
+    Timeout,
+    /// A frame is larger than its limit.
+    #[error("a frame of {bytes} bytes exceeds the limit of {limit}")]
+    Oversize {
+        /// The length that the frame claims.
+        bytes: u64,
+        /// The greatest length of such a frame.
+        limit: u64,
+    },
+    /// A frame cannot be decoded.
+    #[error("a frame cannot be decoded: {0}")]
+    Malformed(String),
+    /// The stream ended inside a frame, or before the end of the body.
+    #[error("the stream was cut off")]
+    Truncated,
+    /// The body's length or digest differs from what its end states.
+    #[error("the body does not match its digest: {bytes} of {stated} bytes")]
+    Digest {
+        /// The received bytes.
+        bytes: u64,
+        /// The bytes that the end states.
+        stated: u64,
+    },
+    /// The peer reset or stopped the stream.
+    #[error("the peer reset the stream with code {0}")]
+    Reset(u64),
+    /// The answer belongs to another call.
+    #[error("the answer is for call {found}, not {expected}")]
+    Crossed {
+        /// The call that waits.
+        expected: u64,
+        /// The call that the answer names.
+        found: u64,
+    },
+    /// A message of a wrong kind.
+    #[error("unexpected message, wanted {0}")]
+    Unexpected(&'static str),
+}
+
+impl From<ConnectionError> for PeerFault {
+    fn from(error: ConnectionError) -> PeerFault {
+        // Codes 0x100 to 0x1ff carry TLS alerts (RFC 9001, section 4.8).
+        let tls = |code: quinn::TransportErrorCode| (0x100..0x200).contains(&u64::from(code));
+        match error {
+            ConnectionError::ApplicationClosed(close) => {
+                let reason = String::from_utf8_lossy(&close.reason).into_owned();
+                if close.error_code == CODE_REFUSED {
+                    PeerFault::Refused(reason)
+                } else {
+                    PeerFault::Closed(reason)
+                }
+            }
+            ConnectionError::TransportError(error) if tls(error.code) => {
+                PeerFault::Tls(error.reason)
+            }
+            ConnectionError::ConnectionClosed(close) if tls(close.error_code) => {
+                PeerFault::Tls(String::from_utf8_lossy(&close.reason).into_owned())
+            }
+            other => PeerFault::Closed(other.to_string()),
+        }
+    }
+}
+
+impl From<ReadError> for PeerFault {
+    fn from(error: ReadError) -> PeerFault {
+        match error {
+            ReadError::Reset(code) => PeerFault::Reset(code.into_inner()),
+            ReadError::ConnectionLost(error) => error.into(),
+            other => PeerFault::Closed(other.to_string()),
+        }
+    }
+}
+
+impl From<WriteError> for PeerFault {
+    fn from(error: WriteError) -> PeerFault {
+        match error {
+            WriteError::Stopped(code) => PeerFault::Reset(code.into_inner()),
+            WriteError::ConnectionLost(error) => error.into(),
+            other => PeerFault::Closed(other.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/frame.rs
@@ -0,0 +1,368 @@
+//! Frames on a stream: a length, then one message.
+//!
+//! Every length is checked against its limit before a byte of the frame is
+//! held, so a peer can never make a daemon hold more than the limit. An error
+//! ends one stream and leaves the session alone.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::FutureExt;
+use prost::Message;
+use quinn::RecvStream;
+use quinn::SendStream;
+use quinn::VarInt;
+use radishgauge_schema::peer::BodyEnd;
+use radishgauge_schema::peer::BodyFrame;
+use radishgauge_schema::peer::body_frame::Frame;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::error::CODE_CANCELLED;
+use crate::error::CODE_MALFORMED;
+use crate::error::CODE_OVERSIZE;
+use crate::error::PeerFault;
+
+/// The greatest control message in bytes: a platform value of 1 MB and its envelope.
+pub const CONTROL_LIMIT: usize = 1024 * 1024 + 4096;
+/// The greatest head of a call or an answer in bytes.
+pub const HEAD_LIMIT: usize = 32 * 1024;
+/// The most body bytes in one frame.
+pub const BODY_LIMIT: usize = 64 * 1024;
+/// Room for the envelope around a body frame's bytes.
+const BODY_ENVELOPE: usize = 16;
+/// The longest length prefix that a frame may have: lengths stay below 2^28.
+const PREFIX_MAX: usize = 4;
+/// How many bytes are taken from a stream at once.
+const READ_MAX: usize = 64 * 1024;
+
+/// Bytes moved by the frames of one session.
+#[derive(Debug, Default)]
+pub(crate) struct FrameMeter {
+    pub(crate) control_sent: AtomicU64,
+    pub(crate) control_received: AtomicU64,
+    pub(crate) call_sent: AtomicU64,
+    pub(crate) call_received: AtomicU64,
+}
+
+/// Which of the counters a stream belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum StreamUse {
+    Control,
+    Call,
+}
+
+/// Reads the frames of one stream.
+pub(crate) struct FrameReader {
+    stream: RecvStream,
+    rest: Bytes,
+    partial: Option<(BytesMut, usize)>,
+    meter: Arc<FrameMeter>,
+    usage: StreamUse,
+    ended: bool,
+}
+
+impl FrameReader {
+    pub(crate) fn new(stream: RecvStream, meter: Arc<FrameMeter>, usage: StreamUse) -> FrameReader {
+        FrameReader {
+            stream,
+            rest: Bytes::new(),
+            partial: None,
+            meter,
+            usage,
+            ended: false,
+        }
+    }
+
+    pub(crate) fn set_usage(&mut self, usage: StreamUse) {
+        self.usage = usage;
+    }
+
+    /// Returns the next frame, or `None` at the end of the stream. Dropping the
+    /// future loses nothing: a later call goes on where it stopped.
+    pub(crate) async fn frame(&mut self, limit: usize) -> Result<Option<Bytes>, PeerFault> {
+        let result = self.read_frame(limit).await;
+        match &result {
+            Err(PeerFault::Oversize { .. }) => self.stop(CODE_OVERSIZE),
+            Err(PeerFault::Malformed(_)) => self.stop(CODE_MALFORMED),
+            Err(_) => self.ended = true,
+            Ok(Some(frame)) => self.count(frame.len()),
+            Ok(None) => self.ended = true,
+        }
+        result
+    }
+
+    async fn read_frame(&mut self, limit: usize) -> Result<Option<Bytes>, PeerFault> {
+        if self.partial.is_none() {
+            let (prefix, length) = loop {
+                if let Some(found) = frame_length(&self.rest)? {
+                    break found;
+                }
+                match self.stream.read_chunk(READ_MAX, true).await? {
+                    Some(chunk) if self.rest.is_empty() => self.rest = chunk.bytes,
+                    Some(chunk) => {
+                        let mut joined =
+                            BytesMut::with_capacity(self.rest.len() + chunk.bytes.len());
+                        joined.extend_from_slice(&self.rest);
+                        joined.extend_from_slice(&chunk.bytes);
+                        self.rest = joined.freeze();
+                    }
+                    None if self.rest.is_empty() => return Ok(None),
+                    None => return Err(PeerFault::Truncated),
+                }
+            };
+            if length > limit {
+                return Err(PeerFault::Oversize {
+                    bytes: length as u64,
+                    limit: limit as u64,
+                });
+            }
+            self.rest.advance(prefix);
+            if self.rest.len() >= length {
+                return Ok(Some(self.rest.split_to(length)));
+            }
+            // Capacity grows with what arrives, so a claimed length alone costs no memory.
+            let held = BytesMut::from(std::mem::take(&mut self.rest));
+            self.partial = Some((held, length));
+        }
+        while let Some((held, length)) = &mut self.partial {
+            let missing = *length - held.len();
+            if missing == 0 {
+                break;
+            }
+            match self.stream.read_chunk(missing, true).await? {
+                Some(chunk) => held.extend_from_slice(&chunk.bytes),
+                None => return Err(PeerFault::Truncated),
+            }
+        }
+        let (held, _) = self.partial.take().unwrap_or_default();
+        Ok(Some(held.freeze()))
+    }
+
+    /// Returns the next frame as a message; the end of the stream is an error.
+    pub(crate) async fn message<M: Message + Default>(
+        &mut self,
+        limit: usize,
+    ) -> Result<(M, usize), PeerFault> {
+        let frame = self.frame(limit).await?.ok_or(PeerFault::Truncated)?;
+        let length = frame.len();
+        match M::decode(frame) {
+            Ok(message) => Ok((message, length)),
+            Err(error) => {
+                self.stop(CODE_MALFORMED);
+                Err(PeerFault::Malformed(error.to_string()))
+            }
+        }
+    }
+
+    /// Takes note of the stream's end after its last message. The end mostly
+    /// arrives with that message; taking it here spares a stop frame to the peer.
+    pub(crate) fn close(&mut self) {
+        self.ended = true;
+        let _ = self.stream.read_chunk(1, true).now_or_never();
+    }
+
+    /// Tells the peer to send no more on this stream.
+    pub(crate) fn stop(&mut self, code: VarInt) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let _ = self.stream.stop(code);
+        }
+    }
+
+    fn count(&self, bytes: usize) {
+        let counter = match self.usage {
+            StreamUse::Control => &self.meter.control_received,
+            StreamUse::Call => &self.meter.call_received,
+        };
+        counter.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+impl Drop for FrameReader {
+    fn drop(&mut self) {
+        self.stop(CODE_CANCELLED);
+    }
+}
+
+/// Returns the length of the prefix and of the frame; `None` when more bytes are needed.
+fn frame_length(bytes: &[u8]) -> Result<Option<(usize, usize)>, PeerFault> {
+    let prefix = bytes
+        .iter()
+        .take(PREFIX_MAX)
+        .position(|byte| byte & 0x80 == 0);
+    match prefix {
+        Some(last) => {
+            let length = prost::decode_length_delimiter(&bytes[..=last])
+                .map_err(|error| PeerFault::Malformed(error.to_string()))?;
+            Ok(Some((last + 1, length)))
+        }
+        None if bytes.len() >= PREFIX_MAX => Err(PeerFault::Oversize {
+            bytes: 1 << (7 * PREFIX_MAX),
+            limit: CONTROL_LIMIT as u64,
+        }),
+        None => Ok(None),
+    }
+}
+
+/// Writes the frames of one stream; reset when dropped before its end.
+pub(crate) struct FrameWriter {
+    stream: SendStream,
+    meter: Arc<FrameMeter>,
+    usage: StreamUse,
+    ended: bool,
+    sent: bool,
+}
+
+impl FrameWriter {
+    pub(crate) fn new(stream: SendStream, meter: Arc<FrameMeter>, usage: StreamUse) -> FrameWriter {
+        FrameWriter {
+            stream,
+            meter,
+            usage,
+            ended: false,
+            sent: false,
+        }
+    }
+
+    pub(crate) fn set_usage(&mut self, usage: StreamUse) {
+        self.usage = usage;
+    }
+
+    /// Whether any byte was handed to the session.
+    pub(crate) fn sent(&self) -> bool {
+        self.sent
+    }
+
+    pub(crate) fn stream(&self) -> &SendStream {
+        &self.stream
+    }
+
+    /// Writes encoded frames in one go.
+    pub(crate) async fn write(&mut self, frames: &mut [Bytes]) -> Result<(), PeerFault> {
+        let total: usize = frames.iter().map(Bytes::len).sum();
+        let mut from = 0;
+        while from < frames.len() {
+            let written = self.stream.write_chunks(&mut frames[from..]).await?;
+            self.sent |= written.bytes > 0;
+            from += written.chunks;
+        }
+        let counter = match self.usage {
+            StreamUse::Control => &self.meter.control_sent,
+            StreamUse::Call => &self.meter.call_sent,
+        };
+        counter.fetch_add(total as u64, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Ends the stream in order.
+    pub(crate) fn finish(&mut self) -> Result<(), PeerFault> {
+        self.ended = true;
+        self.stream
+            .finish()
+            .map_err(|error| PeerFault::Closed(error.to_string()))
+    }
+
+    /// Ends the stream abnormally; the peer sees the code.
+    pub(crate) fn reset(&mut self, code: VarInt) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let _ = self.stream.reset(code);
+        }
+    }
+}
+
+impl Drop for FrameWriter {
+    fn drop(&mut self) {
+        self.reset(CODE_CANCELLED);
+    }
+}
+
+/// Encodes one message as a frame.
+pub(crate) fn encode<M: Message>(message: &M, limit: usize) -> Result<Bytes, PeerFault> {
+    let length = message.encoded_len();
+    if length > limit {
+        return Err(PeerFault::Oversize {
+            bytes: length as u64,
+            limit: limit as u64,
+        });
+    }
+    Ok(message.encode_length_delimited_to_vec().into())
+}
+
+/// The length and digest of a body as it passes.
+#[derive(Default)]
+pub(crate) struct BodyDigest {
+    bytes: u64,
+    // The hash state is over half a kilobyte; boxed, it is not copied with every move.
+    hash: Box<Xxh3>,
+}
+
+impl BodyDigest {
+    fn add(&mut self, data: &[u8]) {
+        self.bytes += data.len() as u64;
+        self.hash.update(data);
+    }
+
+    /// Appends the frames of some body bytes to a list; the bytes are not copied.
+    pub(crate) fn push_data(&mut self, mut data: Bytes, frames: &mut Vec<Bytes>) {
+        while !data.is_empty() {
+            let piece = data.split_to(data.len().min(BODY_LIMIT));
+            self.add(&piece);
+            frames.push(data_prefix(piece.len()));
+            frames.push(piece);
+        }
+    }
+
+    /// Appends the frame that ends the body.
+    pub(crate) fn push_end(&self, frames: &mut Vec<Bytes>) {
+        let end = BodyFrame {
+            frame: Some(Frame::End(BodyEnd {
+                bytes: self.bytes,
+                digest: self.hash.digest(),
+            })),
+        };
+        frames.push(end.encode_length_delimited_to_vec().into());
+    }
+
+    /// Reads one body frame; `None` after the end, which must agree with what was read.
+    pub(crate) async fn read(
+        &mut self,
+        reader: &mut FrameReader,
+    ) -> Result<Option<Bytes>, PeerFault> {
+        let (message, _) = reader
+            .message::<BodyFrame>(BODY_LIMIT + BODY_ENVELOPE)
+            .await?;
+        match message.frame {
+            Some(Frame::Data(data)) => {
+                self.add(&data);
+                Ok(Some(data))
+            }
+            Some(Frame::End(end))
+                if end.bytes == self.bytes && end.digest == self.hash.digest() =>
+            {
+                reader.close();
+                Ok(None)
+            }
+            Some(Frame::End(end)) => Err(PeerFault::Digest {
+                bytes: self.bytes,
+                stated: end.bytes,
+            }),
+            None => Err(PeerFault::Malformed("an empty body frame".to_owned())),
+        }
+    }
+}
+
+/// Returns what precedes the bytes of a data frame, so that they need no copy.
+fn data_prefix(length: usize) -> Bytes {
+    // Key of field 1 (`data`) with a length: (1 << 3) | 2.
+    const DATA_KEY: u8 = 0x0a;
+    let inner = 1 + prost::length_delimiter_len(length) + length;
+    let mut prefix = BytesMut::with_capacity(2 * PREFIX_MAX + 1);
+    // Writing to a buffer that grows cannot fail.
+    let _ = prost::encode_length_delimiter(inner, &mut prefix);
+    prefix.extend_from_slice(&[DATA_KEY]);
+    let _ = prost::encode_length_delimiter(length, &mut prefix);
+    prefix.freeze()
+}
--- /dev/null
+++ b/crates/net/src/peer.rs
@@ -0,0 +1,458 @@
+//! The endpoint through which a daemon dials and is dialled.
+//!
+//! One UDP socket carries all sessions. Both ends exchange a hello before
+//! anything else; a peer whose hello does not agree with its certificate is
+//! refused, so a host cannot speak for another failure domain.
+
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Weak;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use quinn::Connection;
+use quinn::ConnectionId;
+use quinn::ConnectionIdGenerator;
+use quinn::Endpoint;
+use quinn::EndpointConfig;
+use quinn::Incoming;
+use quinn::TransportConfig;
+use quinn::VarInt;
+use quinn::crypto::CryptoError;
+use quinn::crypto::HmacKey;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::crypto::rustls::QuicServerConfig;
+use radishgauge_schema::peer::Hello;
+use radishgauge_schema::peer::PeerReply;
+use radishgauge_schema::peer::PeerRequest;
+use radishgauge_schema::peer::peer_reply::Reply;
+use radishgauge_schema::peer::peer_request::Request;
+use rustls_pki_types::CertificateDer;
+use smol_str::SmolStr;
+use tokio::sync::Mutex;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+use crate::error::CODE_CLOSED;
+use crate::error::CODE_REFUSED;
+use crate::error::PeerError;
+use crate::error::PeerFault;
+use crate::frame;
+use crate::frame::FrameMeter;
+use crate::frame::FrameReader;
+use crate::frame::FrameWriter;
+use crate::frame::StreamUse;
+use crate::keys::PeerIdentity;
+use crate::keys::PeerName;
+use crate::keys::TlsPair;
+use crate::keys::tls_pair;
+use crate::session::PeerSession;
+
+/// The TLS name of every daemon; certificates are compared with hellos instead.
+const TLS_NAME: &str = "peer.radishgauge.internal";
+
+/// Inbound sessions that wait to be accepted; handshakes wait when it is full.
+const INBOUND_QUEUE: usize = 64;
+
+/// Where a daemon listens and who it is.
+#[derive(Clone)]
+pub struct PeerConfig {
+    /// The UDP address; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// The keys.
+    pub identity: PeerIdentity,
+    /// The host of the hello.
+    pub host: SmolStr,
+    /// The failure domain of the hello.
+    pub failure_domain: SmolStr,
+    /// The region of the hello.
+    pub region: SmolStr,
+    /// The start time of this life of the host in ms.
+    pub incarnation: u64,
+    /// Bounds of the endpoint.
+    pub limits: PeerLimits,
+}
+
+/// Bounds of an endpoint and its sessions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerLimits {
+    /// How long a handshake and the hellos may take, in both directions.
+    pub handshake: Duration,
+    /// After how long without any packet a session is dropped.
+    pub idle: Duration,
+    /// How many streams a peer may have open on one session.
+    pub streams: u32,
+    /// How many inbound handshakes may be under way; more are refused.
+    pub handshakes: usize,
+}
+
+impl Default for PeerLimits {
+    fn default() -> PeerLimits {
+        PeerLimits {
+            // Several round trips over the slowest link, lost packets included.
+            handshake: Duration::from_secs(5),
+            // Sessions of calls are kept through pauses of their callers; a dead
+            // peer is found by pings long before.
+            idle: Duration::from_secs(120),
+            streams: 4096,
+            handshakes: 256,
+        }
+    }
+}
+
+/// A peer whose session was refused.
+#[derive(Debug, Clone, thiserror::Error)]
+#[error("the session of {address} was refused: {error}")]
+pub struct RefusedPeer {
+    /// Where the peer dialled from.
+    pub address: SocketAddr,
+    /// Why it was refused.
+    pub error: PeerError,
+}
+
+/// The UDP endpoint of one daemon; clones share it.
+#[derive(Clone)]
+pub struct PeerEndpoint {
+    shared: Arc<EndpointShared>,
+}
+
+struct EndpointShared {
+    endpoint: Endpoint,
+    clients: ArcSwap<quinn::ClientConfig>,
+    hello: Hello,
+    revision: AtomicU64,
+    limits: PeerLimits,
+    inbound: Mutex<mpsc::Receiver<Result<PeerSession, RefusedPeer>>>,
+}
+
+impl PeerEndpoint {
+    /// Binds the address and begins to accept sessions. Needs a tokio runtime,
+    /// which carries the packets of all sessions.
+    ///
+    /// # Errors
+    ///
+    /// When the keys cannot be used, name another host or failure domain than
+    /// the configuration, or the address cannot be bound.
+    pub fn bind(config: PeerConfig) -> Result<PeerEndpoint, PeerError> {
+        PeerEndpoint::open(config).map_err(PeerError::unsent)
+    }
+
+    fn open(config: PeerConfig) -> Result<PeerEndpoint, PeerFault> {
+        let hello = Hello {
+            host: config.host.to_string(),
+            failure_domain: config.failure_domain.to_string(),
+            incarnation: config.incarnation,
+            revision: 0,
+            region: config.region.to_string(),
+        };
+        agree(&hello, Some(config.identity.name()?))?;
+        let pair = tls_pair(&config.identity)?;
+        let bind = |error: std::io::Error| PeerFault::Bind(format!("{}: {error}", config.listen));
+        let socket = UdpSocket::bind(config.listen).map_err(bind)?;
+
+        // Identifiers and reset tokens follow from the daemon's key, so that a
+        // restarted daemon ends the sessions of its former life at the first
+        // packet instead of leaving the peers to find out by silence.
+        let mut settings = EndpointConfig::new(Arc::new(ResetKey(pair.secret)));
+        settings.cid_generator(|| Box::new(RandomIds));
+        let server = server_config(&pair, &config.limits)?;
+        let endpoint = Endpoint::new(
+            settings,
+            Some(server),
+            socket,
+            Arc::new(quinn::TokioRuntime),
+        )
+        .map_err(bind)?;
+
+        let (results, inbound) = mpsc::channel(INBOUND_QUEUE);
+        let shared = Arc::new(EndpointShared {
+            endpoint,
+            clients: ArcSwap::from_pointee(client_config(&pair, &config.limits)?),
+            hello,
+            revision: AtomicU64::new(0),
+            limits: config.limits,
+            inbound: Mutex::new(inbound),
+        });
+        tokio::spawn(accept_peers(
+            Arc::downgrade(&shared),
+            shared.endpoint.clone(),
+            config.limits,
+            results,
+        ));
+        Ok(PeerEndpoint { shared })
+    }
+
+    /// The bound address.
+    ///
+    /// # Errors
+    ///
+    /// When the socket is gone.
+    pub fn local_address(&self) -> Result<SocketAddr, PeerError> {
+        self.shared
+            .endpoint
+            .local_addr()
+            .map_err(|error| PeerError::unsent(PeerFault::Bind(error.to_string())))
+    }
+
+    /// Sets the revision in force that later hellos carry.
+    pub fn set_revision(&self, revision: u64) {
+        self.shared.revision.store(revision, Ordering::Relaxed);
+    }
+
+    /// Takes new keys for later sessions; present sessions go on.
+    ///
+    /// # Errors
+    ///
+    /// When the keys cannot be used or name another host; the old ones stay.
+    pub fn set_identity(&self, identity: &PeerIdentity) -> Result<(), PeerError> {
+        self.change_keys(identity).map_err(PeerError::unsent)
+    }
+
+    fn change_keys(&self, identity: &PeerIdentity) -> Result<(), PeerFault> {
+        agree(&self.shared.hello, Some(identity.name()?))?;
+        let pair = tls_pair(identity)?;
+        let server = server_config(&pair, &self.shared.limits)?;
+        let client = client_config(&pair, &self.shared.limits)?;
+        self.shared.endpoint.set_server_config(Some(server));
+        self.shared.clients.store(Arc::new(client));
+        Ok(())
+    }
+
+    /// Opens a session and exchanges hellos.
+    ///
+    /// # Errors
+    ///
+    /// When the peer cannot be reached, is refused, or refuses this daemon.
+    pub async fn dial(&self, address: SocketAddr) -> Result<PeerSession, PeerError> {
+        let dialled =
+            tokio::time::timeout(self.shared.limits.handshake, self.shared.dial(address)).await;
+        dialled
+            .unwrap_or_else(|_| {
+                Err(PeerFault::Dial(format!(
+                    "{address} did not answer the handshake"
+                )))
+            })
+            .map_err(PeerError::unsent)
+    }
+
+    /// Returns the next inbound session after its hellos, or the next peer that
+    /// was refused; `None` once the endpoint is closed.
+    pub async fn accept(&self) -> Option<Result<PeerSession, RefusedPeer>> {
+        self.shared.inbound.lock().await.recv().await
+    }
+
+    /// Closes all sessions and waits until the peers were told.
+    pub async fn close(&self, reason: &str) {
+        self.shared.endpoint.close(CODE_CLOSED, reason.as_bytes());
+        self.shared.endpoint.wait_idle().await;
+    }
+}
+
+impl EndpointShared {
+    fn hello(&self) -> Hello {
+        Hello {
+            revision: self.revision.load(Ordering::Relaxed),
+            ..self.hello.clone()
+        }
+    }
+
+    async fn dial(&self, address: SocketAddr) -> Result<PeerSession, PeerFault> {
+        let client = quinn::ClientConfig::clone(&self.clients.load());
+        let connecting = self
+            .endpoint
+            .connect_with(client, address, TLS_NAME)
+            .map_err(|error| PeerFault::Dial(error.to_string()))?;
+        let connection = connecting.await?;
+        let meter = Arc::new(FrameMeter::default());
+        let (send, receive) = connection.open_bi().await?;
+        let mut writer = FrameWriter::new(send, meter.clone(), StreamUse::Control);
+        let mut reader = FrameReader::new(receive, meter.clone(), StreamUse::Control);
+        let hello = PeerRequest {
+            request: Some(Request::Hello(self.hello())),
+        };
+        writer
+            .write(&mut [frame::encode(&hello, frame::HEAD_LIMIT)?])
+            .await?;
+        writer.finish()?;
+        let reply = match reader.message::<PeerReply>(frame::HEAD_LIMIT).await {
+            Ok((reply, _)) => reply,
+            // A refusal closes the session, which says more than the stream's end.
+            Err(fault) => return Err(connection.close_reason().map_or(fault, PeerFault::from)),
+        };
+        reader.close();
+        let Some(Reply::Hello(peer)) = reply.reply else {
+            return Err(refuse(&connection, PeerFault::Unexpected("a hello")));
+        };
+        agree(&peer, certified(&connection)).map_err(|fault| refuse(&connection, fault))?;
+        Ok(PeerSession::new(connection, peer, true, meter))
+    }
+
+    async fn greet(&self, incoming: Incoming) -> Result<PeerSession, PeerFault> {
+        let connection = incoming.await?;
+        let meter = Arc::new(FrameMeter::default());
+        let (send, receive) = connection.accept_bi().await?;
+        let mut writer = FrameWriter::new(send, meter.clone(), StreamUse::Control);
+        let mut reader = FrameReader::new(receive, meter.clone(), StreamUse::Control);
+        let request = match reader.message::<PeerRequest>(frame::HEAD_LIMIT).await {
+            Ok((request, _)) => request,
+            Err(fault) => return Err(refuse(&connection, fault)),
+        };
+        reader.close();
+        let Some(Request::Hello(peer)) = request.request else {
+            return Err(refuse(&connection, PeerFault::Unexpected("a hello")));
+        };
+        agree(&peer, certified(&connection)).map_err(|fault| refuse(&connection, fault))?;
+        let reply = PeerReply {
+            reply: Some(Reply::Hello(self.hello())),
+        };
+        writer
+            .write(&mut [frame::encode(&reply, frame::HEAD_LIMIT)?])
+            .await?;
+        writer.finish()?;
+        Ok(PeerSession::new(connection, peer, false, meter))
+    }
+}
+
+/// Accepts inbound sessions until the endpoint is closed or dropped. Each
+/// handshake has a task, so that a slow one delays no other.
+async fn accept_peers(
+    shared: Weak<EndpointShared>,
+    endpoint: Endpoint,
+    limits: PeerLimits,
+    results: mpsc::Sender<Result<PeerSession, RefusedPeer>>,
+) {
+    let permits = Arc::new(Semaphore::new(limits.handshakes));
+    while let Some(incoming) = endpoint.accept().await {
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let Ok(permit) = permits.clone().try_acquire_owned() else {
+            incoming.refuse();
+            continue;
+        };
+        let results = results.clone();
+        tokio::spawn(async move {
+            let _permit = permit;
+            let address = incoming.remote_address();
+            let greeted = tokio::time::timeout(limits.handshake, shared.greet(incoming)).await;
+            drop(shared);
+            let result = greeted
+                .unwrap_or(Err(PeerFault::Timeout))
+                .map_err(|fault| RefusedPeer {
+                    address,
+                    error: PeerError::unsent(fault),
+                });
+            // Fails only when the endpoint was dropped, which ends its sessions.
+            let _ = results.send(result).await;
+        });
+    }
+}
+
+/// Compares a hello with the name in the certificate.
+fn agree(hello: &Hello, certified: Option<PeerName>) -> Result<(), PeerFault> {
+    let claimed = format!("{}.{}", hello.host, hello.failure_domain);
+    match certified {
+        Some(name) if name.host == hello.host && name.failure_domain == hello.failure_domain => {
+            Ok(())
+        }
+        name => Err(PeerFault::Identity {
+            claimed,
+            certified: name.map_or("no daemon".to_owned(), |name| name.to_string()),
+        }),
+    }
+}
+
+/// Returns the name in the certificate that the peer proved to hold.
+fn certified(connection: &Connection) -> Option<PeerName> {
+    let chain = connection
+        .peer_identity()?
+        .downcast::<Vec<CertificateDer<'static>>>()
+        .ok()?;
+    PeerName::of(chain.first()?)
+}
+
+/// Closes a session with the reason and returns the reason.
+fn refuse(connection: &Connection, fault: PeerFault) -> PeerFault {
+    connection.close(CODE_REFUSED, fault.to_string().as_bytes());
+    fault
+}
+
+fn server_config(pair: &TlsPair, limits: &PeerLimits) -> Result<quinn::ServerConfig, PeerFault> {
+    let tls = QuicServerConfig::try_from(pair.server.clone())
+        .map_err(|error| PeerFault::Keys(error.to_string()))?;
+    let mut server = quinn::ServerConfig::with_crypto(Arc::new(tls));
+    server.transport_config(transport(limits)?);
+    Ok(server)
+}
+
+fn client_config(pair: &TlsPair, limits: &PeerLimits) -> Result<quinn::ClientConfig, PeerFault> {
+    let tls = QuicClientConfig::try_from(pair.client.clone())
+        .map_err(|error| PeerFault::Keys(error.to_string()))?;
+    let mut client = quinn::ClientConfig::new(Arc::new(tls));
+    client.transport_config(transport(limits)?);
+    Ok(client)
+}
+
+fn transport(limits: &PeerLimits) -> Result<Arc<TransportConfig>, PeerFault> {
+    let idle = limits
+        .idle
+        .try_into()
+        .map_err(|_| PeerFault::Keys("the idle time is too long".to_owned()))?;
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(idle))
+        .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .datagram_receive_buffer_size(None);
+    Ok(Arc::new(transport))
+}
+
+/// Signs reset tokens with a key that outlives the process.
+struct ResetKey([u8; 32]);
+
+impl HmacKey for ResetKey {
+    fn sign(&self, data: &[u8], signature_out: &mut [u8]) {
+        signature_out.copy_from_slice(blake3::keyed_hash(&self.0, data).as_bytes());
+    }
+
+    fn signature_len(&self) -> usize {
+        blake3::OUT_LEN
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        // The comparison of the hash type takes constant time.
+        let signature: [u8; blake3::OUT_LEN] = signature.try_into().map_err(|_| CryptoError)?;
+        if blake3::keyed_hash(&self.0, data) == signature {
+            Ok(())
+        } else {
+            Err(CryptoError)
+        }
+    }
+}
+
+/// Random connection identifiers. They carry no check value of this process,
+/// so that a restarted daemon answers the packets of its former life with a
+/// reset instead of dropping them.
+struct RandomIds;
+
+impl RandomIds {
+    /// Eight bytes: collisions among thousands of sessions are out of reach.
+    const LEN: usize = 8;
+}
+
+impl ConnectionIdGenerator for RandomIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&rand::random::<[u8; RandomIds::LEN]>())
+    }
+
+    fn cid_len(&self) -> usize {
+        RandomIds::LEN
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
