Add the control machine: distribution, membership and freshness without I/O

The daemon drives one machine with events and carries out its actions. Versions come into force in one place, after the index matches its root, all parts of the share are held and the rule accepted them.

--- /dev/null
+++ b/crates/control/src/apply.rs
@@ -0,0 +1,307 @@
+//! From a fetched version to the one in force.
+//!
+//! This is the only place where a version comes into force: index and parts are
+//! whole, the rule accepted them, and the model of the share was built.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use prost::Message;
+use radishgauge_config::FleetModel;
+use radishgauge_config::PartDigest;
+use radishgauge_schema::config::ConfigPart;
+use radishgauge_schema::config::config_part::Part;
+use smol_str::SmolStr;
+
+use crate::accept::NamedPart;
+use crate::exchange;
+use crate::ledger::VersionMark;
+use crate::log::ControlLog;
+use crate::machine::ControlMachine;
+use crate::machine::Work;
+use crate::share;
+use crate::view::EntryChange;
+use crate::view::IndexChange;
+
+/// Above this many changed entries the gaps are computed anew, since each entry
+/// otherwise searches them.
+const RESCAN_ABOVE: usize = 64;
+
+impl ControlMachine {
+    /// Returns whether every part belongs to what this daemon holds.
+    pub(crate) fn holds_all(&self) -> bool {
+        self.roles.relay || self.lone
+    }
+
+    /// Takes a moved index into account: scope and gaps follow it.
+    pub(crate) fn note_change(&mut self, change: &IndexChange) {
+        let rescan = change.len() > RESCAN_ABOVE;
+        for (key, digest) in change {
+            if !rescan {
+                self.gaps.retain(|_, other| other != key);
+            }
+            match digest {
+                None => self.scope.forget(key),
+                Some(digest) => self.note_entry(key, *digest),
+            }
+        }
+        if self.scope.refresh() || rescan {
+            self.rescan_gaps();
+        }
+    }
+
+    fn note_entry(&mut self, key: &SmolStr, digest: PartDigest) {
+        if let Some(value) = self.parts.get(digest) {
+            self.scope.note(key, value);
+        } else if self.holds_all() || self.scope.covers(key) {
+            self.gaps.insert(digest, key.clone());
+        }
+    }
+
+    /// Computes the missing parts anew.
+    pub(crate) fn rescan_gaps(&mut self) {
+        let all = self.holds_all();
+        self.gaps = self
+            .view
+            .index()
+            .iter()
+            .filter(|(key, digest)| {
+                (all || self.scope.covers(key)) && !self.parts.contains(*digest)
+            })
+            .map(|(key, digest)| (digest, key.clone()))
+            .collect();
+    }
+
+    /// Notes that a part which closes a gap is now held.
+    pub(crate) fn note_part(&mut self, digest: PartDigest) {
+        let Some(key) = self.gaps.swap_remove(&digest) else {
+            return;
+        };
+        if let Some(value) = self.parts.get(digest) {
+            self.scope.note(&key, value);
+        }
+    }
+
+    /// Puts the scope back to the version in force, after a refusal.
+    fn revert(&mut self) {
+        self.view.revert();
+        self.scope.clear();
+        for (key, digest) in self.view.index().iter() {
+            if let Some(value) = self.parts.get(digest) {
+                self.scope.note(key, value);
+            }
+        }
+        self.scope.refresh();
+        self.rescan_gaps();
+        self.drop_unnamed();
+    }
+
+    /// Ends the transfer under way when no part is missing.
+    ///
+    /// Returns whether it ended.
+    pub(crate) fn complete(
+        &mut self,
+        mark: VersionMark,
+        source: SmolStr,
+        judged: bool,
+        unconfirmed: bool,
+    ) -> bool {
+        if self.scope.refresh() {
+            self.rescan_gaps();
+        }
+        if !self.gaps.is_empty() || self.view.root_digest() != mark.root {
+            return false;
+        }
+        self.work = Work::Idle;
+        if self.ledger.mark() == Some(mark) {
+            self.rebuild_model();
+            return true;
+        }
+        match self.judge_content(mark, judged) {
+            Ok(model) => self.enforce(mark, source, unconfirmed, model),
+            Err(reasons) => self.refuse(mark, reasons),
+        }
+        self.lone = false;
+        true
+    }
+
+    // The model stays `None` when nothing of the share changed.
+    fn judge_content(
+        &mut self,
+        mark: VersionMark,
+        judged: bool,
+    ) -> Result<Option<FleetModel>, Vec<String>> {
+        if !judged || self.holds_all() {
+            let parts = self.named_parts(|_| true);
+            let root = self.view.root();
+            debug_assert_eq!(root.revision, mark.revision);
+            self.config.rule.accept(&root, &parts)?;
+        }
+        let touched = self.ledger.record().is_none()
+            || self.model_scope != *self.scope.needed()
+            || self.view.pending_keys().any(|key| self.scope.covers(key));
+        touched.then(|| self.build_model()).transpose()
+    }
+
+    fn build_model(&self) -> Result<FleetModel, Vec<String>> {
+        let parts = self.named_parts(|key| self.scope.covers(key));
+        self.config.rule.model(&parts)
+    }
+
+    fn named_parts<F>(&self, covers: F) -> Vec<NamedPart>
+    where
+        F: Fn(&str) -> bool,
+    {
+        self.view
+            .index()
+            .iter()
+            .filter(|(key, _)| covers(key))
+            .filter_map(|(key, digest)| Some((key.clone(), self.parts.get(digest)?.clone())))
+            .collect()
+    }
+
+    fn refuse(&mut self, mark: VersionMark, reasons: Vec<String>) {
+        if self.ledger.refuse(mark, reasons.clone()) {
+            let revision = mark.revision;
+            self.log(ControlLog::VersionRefused { revision, reasons });
+        }
+        self.revert();
+        self.push_heads(u64::MAX);
+    }
+
+    fn enforce(
+        &mut self,
+        mark: VersionMark,
+        source: SmolStr,
+        unconfirmed: bool,
+        model: Option<FleetModel>,
+    ) {
+        if !self
+            .ledger
+            .enforce(mark, source.clone(), unconfirmed, self.now)
+        {
+            self.revert();
+            return;
+        }
+        let first = self.view.base_revision() == 0;
+        let (base, changes) = self.view.settle();
+        if !first {
+            let change = changes
+                .iter()
+                .map(|change| (change.key.clone(), change.new));
+            self.history
+                .push(base, mark.root, mark.revision, change.collect());
+        }
+        self.announce_hosting(&changes);
+        for change in &changes {
+            if let Some(old) = change.old {
+                self.parts.remove(old);
+            }
+        }
+        if let Some(model) = model {
+            self.set_model(model);
+        }
+        if first {
+            self.audit_at = Some(self.now);
+        }
+        self.share_dirty = true;
+        let revision = mark.revision;
+        self.log(ControlLog::VersionInForce {
+            revision,
+            source,
+            unconfirmed,
+        });
+        if let Some((_, seen, _)) = &self.plan.seen
+            && seen.revision <= revision
+        {
+            self.plan.seen = None;
+        }
+        self.push_heads(revision);
+    }
+
+    /// Builds the model of the version in force anew, after the scope changed.
+    pub(crate) fn rebuild_model(&mut self) {
+        let Some(mark) = self.ledger.mark() else {
+            return;
+        };
+        if self.view.root_digest() != mark.root {
+            return;
+        }
+        // The rule accepted these parts, and the model only drops some of them.
+        if let Ok(model) = self.build_model() {
+            self.set_model(model);
+        }
+        self.drop_unnamed();
+    }
+
+    fn set_model(&mut self, mut model: FleetModel) {
+        let unloaded = share::split_unloaded(&mut model);
+        self.unloaded = Arc::new(unloaded);
+        self.model_scope = self.scope.needed().clone();
+        self.foreign = model
+            .services
+            .values()
+            .flat_map(|service| &service.targets)
+            .filter(|(_, target)| target.failure_domain != self.config.domain)
+            .map(|(host, _)| host.clone())
+            .collect();
+        if model.domains != self.model.domains {
+            self.roles_dirty = true;
+        }
+        self.model = Arc::new(model);
+        self.share_dirty = true;
+    }
+
+    // Parts of services that left the share and of refused versions.
+    fn drop_unnamed(&mut self) {
+        let all = self.holds_all();
+        let keep: HashSet<_> = self
+            .view
+            .index()
+            .iter()
+            .filter(|(key, _)| all || self.scope.covers(key))
+            .map(|(_, digest)| digest)
+            .collect();
+        self.parts.retain(&keep);
+    }
+
+    /// Pushes the head to the peers that are not known to have the revision.
+    pub(crate) fn push_heads(&mut self, revision: u64) {
+        for peer in exchange::behind(&self.peers, revision) {
+            self.ask_head(peer);
+        }
+    }
+
+    // The first relay of a failure domain opens a session to each host that a
+    // change made a target; the host then asks what concerns it.
+    fn announce_hosting(&mut self, changes: &[EntryChange]) {
+        if !self.first_relay() {
+            return;
+        }
+        for change in changes {
+            let targets = |digest: Option<PartDigest>| {
+                let value = digest.and_then(|digest| self.parts.get(digest))?;
+                match ConfigPart::decode(value.as_ref()).ok()?.part? {
+                    Part::Service(service) => Some(service.targets),
+                    Part::Fleet(_) | Part::Route(_) => None,
+                }
+            };
+            let old: HashSet<_> = targets(change.old)
+                .into_iter()
+                .flatten()
+                .map(|target| target.host)
+                .collect();
+            let new = targets(change.new).into_iter().flatten();
+            let added: Vec<_> = new
+                .filter(|target| {
+                    target.failure_domain == self.config.domain && !old.contains(&target.host)
+                })
+                .collect();
+            for target in added {
+                if let Ok(address) = target.daemon.parse() {
+                    self.dial(address, SmolStr::new(&target.host));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/hosting.rs
@@ -0,0 +1,87 @@
+//! Which services a host runs, and which were called through it.
+//!
+//! A daemon that does not hold a service's part cannot see that it was made a
+//! target of it. A relay holds every part and tells the hosts that ask.
+
+use std::time::Duration;
+
+use radishgauge_config::PartDigest;
+use radishgauge_schema::peer::PartReply;
+use radishgauge_schema::peer::peer_request::Request;
+use rand::Rng;
+use smol_str::SmolStr;
+
+use crate::machine::Ask;
+use crate::machine::ControlMachine;
+use crate::share;
+
+/// How often a daemon asks a relay which services it hosts, in case the hint of
+/// a change was lost.
+const AUDIT: Duration = Duration::from_secs(300);
+
+impl ControlMachine {
+    /// Asks a relay for the services that this host runs, when it is time.
+    pub(crate) fn audit(&mut self) {
+        if self.audit_at.is_none_or(|at| at > self.now) || self.roles.relay {
+            return;
+        }
+        let Some(peer) = self.any_relay() else {
+            self.want_relay();
+            return;
+        };
+        let spread = AUDIT.mul_f64(self.rng.random_range(0.5..1.0));
+        self.audit_at = Some(self.now + spread);
+        self.send(peer, Ask::Audit, Request::Parts(Default::default()));
+        self.ask_foreign_lists(peer);
+    }
+
+    // Parts of services that this host runs, as a relay sees it.
+    pub(crate) fn take_audit(&mut self, reply: &PartReply) {
+        let mut stale = false;
+        let mut took = false;
+        for part in &reply.parts {
+            let Ok(digest) = PartDigest::try_from(part.digest.as_ref()) else {
+                continue;
+            };
+            if self.parts.contains(digest) {
+                continue;
+            }
+            let Some(digest) = self.parts.insert_message(part) else {
+                continue;
+            };
+            let value = self.parts.get(digest).cloned().unwrap_or_default();
+            match share::key_of(&value) {
+                Some(key) if self.view.index().get(&key) == Some(digest) => {
+                    self.gaps.swap_remove(&digest);
+                    self.scope.note(&key, &value);
+                    took = true;
+                }
+                _ => {
+                    self.parts.remove(digest);
+                    stale = true;
+                }
+            }
+        }
+        if took {
+            if self.scope.refresh() {
+                self.rescan_gaps();
+            }
+            self.rebuild_model();
+        }
+        if stale {
+            let soon = self.now + Duration::from_secs(2);
+            self.audit_at = self.audit_at.map(|at| at.min(soon));
+        }
+    }
+
+    /// A call needs a service; its part is fetched if it is not held.
+    pub(crate) fn service_wanted(&mut self, service: SmolStr) {
+        if self.scope.want(service, self.now) && self.scope.refresh() {
+            self.rescan_gaps();
+            if self.gaps.is_empty() {
+                self.rebuild_model();
+            }
+            self.advance();
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,458 @@
+//! The one machine that owns a daemon's control state.
+//!
+//! Events come in one at a time with the time of the daemon's clock; every
+//! decision that needs chance takes it from the seed given at the start.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use radishgauge_config::FleetModel;
+use radishgauge_config::PartDigest;
+use radishgauge_config::model::RouteModel;
+use radishgauge_schema::peer::PeerReply;
+use radishgauge_schema::peer::PeerRequest;
+use radishgauge_schema::peer::VersionHead;
+use radishgauge_schema::peer::peer_request::Request;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use smol_str::SmolStr;
+
+use crate::accept::AcceptRule;
+use crate::event::ControlAction;
+use crate::event::ControlEvent;
+use crate::event::PeerFailure;
+use crate::event::PeerKey;
+use crate::event::PlatformKey;
+use crate::event::RequestId;
+use crate::exchange::ExchangeTimer;
+use crate::fresh::FreshnessCheck;
+use crate::hosts::HostLists;
+use crate::ledger::VersionLedger;
+use crate::log::ControlLog;
+use crate::member::HostBook;
+use crate::parts::PartStore;
+use crate::peers::PeerTable;
+use crate::platform::CallBudget;
+use crate::platform::ReadPlan;
+use crate::policy::ControlPolicy;
+use crate::pull::Pull;
+use crate::read::Read;
+use crate::sessions::Sessions;
+use crate::share::FleetShare;
+use crate::share::RoleSet;
+use crate::share::ShareScope;
+use crate::start::FreshStart;
+use crate::transfer::TransferAdmission;
+use crate::view::DeltaHistory;
+use crate::view::IndexView;
+
+/// The time between ticks. Staggers and waits are hundreds of milliseconds or
+/// more, so this is fine enough, and four wake-ups a second cost nothing.
+pub const TICK: Duration = Duration::from_millis(250);
+
+/// How long a peer may take to answer before it counts as silent.
+pub const SILENT_AFTER: Duration = Duration::from_secs(3);
+
+/// Who a daemon is and what it was told by its settings.
+#[derive(Clone)]
+pub struct ControlConfig {
+    /// The name of the host.
+    pub host: SmolStr,
+    /// The region of the host.
+    pub region: SmolStr,
+    /// The failure domain of the host.
+    pub domain: SmolStr,
+    /// The peer address that others dial.
+    pub address: SocketAddr,
+    /// The start time of this process in ms.
+    pub incarnation: u64,
+    /// The peer addresses to ask after a start.
+    pub seeds: Vec<SocketAddr>,
+    /// Timings and sizes.
+    pub policy: ControlPolicy,
+    /// The acceptance rule.
+    pub rule: Arc<dyn AcceptRule>,
+}
+
+/// What a request of this daemon was for.
+#[derive(Debug, Clone)]
+pub(crate) enum Ask {
+    Head,
+    Hosts,
+    Pull,
+    Audit,
+    Notice,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Pending {
+    pub(crate) peer: PeerKey,
+    pub(crate) deadline: Duration,
+    pub(crate) ask: Ask,
+}
+
+/// The transfer under way: one version at a time, from peers or the platform.
+#[derive(Debug, Clone)]
+pub(crate) enum Work {
+    Idle,
+    Pull(Pull),
+    Read(Read),
+}
+
+/// The control state of one daemon.
+pub struct ControlMachine {
+    pub(crate) config: ControlConfig,
+    pub(crate) rng: Pcg32,
+    pub(crate) now: Duration,
+    pub(crate) due: Duration,
+    pub(crate) ledger: VersionLedger,
+    pub(crate) view: IndexView,
+    pub(crate) history: DeltaHistory,
+    pub(crate) parts: PartStore,
+    pub(crate) gaps: IndexMap<PartDigest, SmolStr>,
+    pub(crate) scope: ShareScope,
+    pub(crate) lone: bool,
+    pub(crate) work: Work,
+    pub(crate) peers: PeerTable,
+    pub(crate) pending: BTreeMap<RequestId, Pending>,
+    pub(crate) lists: HostLists,
+    pub(crate) book: HostBook,
+    pub(crate) sessions: Sessions,
+    pub(crate) roles: RoleSet,
+    pub(crate) plan: ReadPlan,
+    pub(crate) budget: CallBudget,
+    pub(crate) other_reads: BTreeMap<RequestId, (PlatformKey, Duration)>,
+    pub(crate) lists_at: Option<Duration>,
+    pub(crate) start: Option<FreshStart>,
+    pub(crate) fresh: FreshnessCheck,
+    pub(crate) exchange: Option<ExchangeTimer>,
+    pub(crate) transfers: TransferAdmission,
+    pub(crate) model: Arc<FleetModel>,
+    pub(crate) unloaded: Arc<IndexMap<SmolStr, RouteModel>>,
+    pub(crate) model_scope: BTreeSet<SmolStr>,
+    pub(crate) foreign: HashSet<SmolStr>,
+    pub(crate) audit_at: Option<Duration>,
+    pub(crate) roles_dirty: bool,
+    pub(crate) share_dirty: bool,
+    pub(crate) leaving: bool,
+    next_id: u64,
+    pub(crate) out: Vec<ControlAction>,
+}
+
+impl ControlMachine {
+    /// Returns a machine without any state; its time starts with the first event.
+    pub fn new(config: ControlConfig, seed: u64) -> ControlMachine {
+        ControlMachine {
+            rng: Pcg32::seed_from_u64(seed),
+            now: Duration::ZERO,
+            due: Duration::ZERO,
+            ledger: VersionLedger::default(),
+            view: IndexView::default(),
+            history: DeltaHistory::default(),
+            parts: PartStore::default(),
+            gaps: IndexMap::new(),
+            scope: ShareScope::new(config.host.clone()),
+            lone: false,
+            work: Work::Idle,
+            peers: PeerTable::default(),
+            pending: BTreeMap::new(),
+            lists: HostLists::default(),
+            book: HostBook::default(),
+            sessions: Sessions::default(),
+            roles: RoleSet::default(),
+            plan: ReadPlan::default(),
+            budget: CallBudget::default(),
+            other_reads: BTreeMap::new(),
+            lists_at: None,
+            start: None,
+            fresh: FreshnessCheck::new(config.policy.stale_after),
+            exchange: None,
+            transfers: TransferAdmission::new(config.policy.transfers),
+            model: Arc::default(),
+            unloaded: Arc::default(),
+            model_scope: BTreeSet::new(),
+            foreign: HashSet::new(),
+            audit_at: None,
+            roles_dirty: false,
+            share_dirty: false,
+            leaving: false,
+            next_id: 0,
+            out: Vec::new(),
+            config,
+        }
+    }
+
+    /// Takes one event and returns what is to be done, in order.
+    ///
+    /// `now` is the time since the process's start and never goes back.
+    pub fn handle(&mut self, event: ControlEvent, now: Duration) -> Vec<ControlAction> {
+        self.now = self.now.max(now);
+        if self.start.is_none() {
+            self.begin();
+        } else if let Some(late) = self.fresh.observe(self.due, self.now) {
+            self.resume(late);
+        }
+        match event {
+            ControlEvent::Tick => self.tick(),
+            ControlEvent::PlatformValue { id, result } => self.platform_value(id, result),
+            ControlEvent::PeerUp { peer, hello, link } => self.peer_up(peer, &hello, link),
+            ControlEvent::PeerDown { peer } => self.peer_down(peer),
+            ControlEvent::DialFailed { address } => self.dial_failed(address),
+            ControlEvent::Request { peer, id, request } => self.request(peer, id, request),
+            ControlEvent::Reply { id, result } => self.reply(id, result),
+            ControlEvent::ServiceWanted { service } => self.service_wanted(service),
+            ControlEvent::Stop => self.stop(),
+        }
+        self.publish_if_due();
+        std::mem::take(&mut self.out)
+    }
+
+    /// Returns when the next tick is due.
+    pub fn next_tick(&self) -> Duration {
+        self.fresh
+            .deadline()
+            .map_or(self.due, |at| at.min(self.due))
+    }
+
+    /// Returns the version ledger, for status pages.
+    pub fn ledger(&self) -> &VersionLedger {
+        &self.ledger
+    }
+
+    /// Returns the roles that this daemon believes it has.
+    pub fn roles(&self) -> RoleSet {
+        self.roles
+    }
+
+    /// Returns the index of the newest version held.
+    pub fn view(&self) -> &IndexView {
+        &self.view
+    }
+
+    /// Returns the parts held.
+    pub fn parts(&self) -> &PartStore {
+        &self.parts
+    }
+
+    /// Returns the share's scope.
+    pub fn scope(&self) -> &ShareScope {
+        &self.scope
+    }
+
+    /// Returns the number of open sessions.
+    pub fn session_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    fn begin(&mut self) {
+        let policy = &self.config.policy;
+        let seed = self.config.seeds.contains(&self.config.address);
+        self.start = Some(FreshStart::new(self.now, policy.alone_after, seed));
+        let timer = ExchangeTimer::new(policy.exchange_interval, self.now, &mut self.rng);
+        self.exchange = Some(timer);
+        self.due = self.now + TICK;
+        self.keep_sessions();
+    }
+
+    // The deadlines of a paused process have passed while nobody could answer.
+    fn resume(&mut self, late: Duration) {
+        for pending in self.pending.values_mut() {
+            pending.deadline += late;
+        }
+        self.due = self.now + TICK;
+        self.log(ControlLog::PausedFor {
+            late_ms: late.as_millis() as u64,
+        });
+        self.share_dirty = true;
+        if !self.peers.is_empty() {
+            let position = self.rng.random_range(0..self.peers.len());
+            if let Some(peer) = self.peers.at(position) {
+                self.ask_head(peer);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.due = self.now + TICK;
+        if self.fresh.expire(self.now) {
+            self.share_dirty = true;
+            self.log(ControlLog::Isolated);
+        }
+        self.expire_pending();
+        self.share_dirty |= self.book.warm(self.now);
+        if self.scope.expire(self.now) && self.scope.refresh() {
+            self.rescan_gaps();
+            self.rebuild_model();
+        }
+        if std::mem::take(&mut self.roles_dirty) {
+            self.compute_roles();
+        }
+        self.keep_sessions();
+        if let Some(timer) = &mut self.exchange
+            && let Some(peer) = timer.due(&self.peers, self.now, &mut self.rng)
+        {
+            self.ask_head(peer);
+            self.ask_first_readers(peer);
+        }
+        self.audit();
+        let now = self.now;
+        self.other_reads.retain(|_, (_, until)| *until > now);
+        self.follow_platform();
+        self.advance();
+    }
+
+    /// Goes on with the transfer under way, or begins the next.
+    pub(crate) fn advance(&mut self) {
+        match self.work {
+            Work::Idle => {
+                self.try_pull();
+                self.try_read();
+                self.try_fill();
+            }
+            Work::Pull(_) => self.advance_pull(),
+            Work::Read(_) => self.pump_read(),
+        }
+    }
+
+    fn expire_pending(&mut self) {
+        let now = self.now;
+        let late: Vec<_> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.deadline <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.reply(id, Err(PeerFailure::Silent));
+        }
+    }
+
+    pub(crate) fn id(&mut self) -> RequestId {
+        self.next_id += 1;
+        RequestId(self.next_id)
+    }
+
+    pub(crate) fn log(&mut self, log: ControlLog) {
+        self.out.push(ControlAction::Log(log));
+    }
+
+    pub(crate) fn send(&mut self, peer: PeerKey, ask: Ask, request: Request) -> RequestId {
+        let id = self.id();
+        let deadline = self.now + SILENT_AFTER;
+        self.pending.insert(
+            id,
+            Pending {
+                peer,
+                deadline,
+                ask,
+            },
+        );
+        if let Some(info) = self.peers.get_mut(peer) {
+            info.used = self.now;
+        }
+        let request = PeerRequest {
+            request: Some(request),
+        };
+        self.out.push(ControlAction::Send { peer, id, request });
+        id
+    }
+
+    pub(crate) fn ask_head(&mut self, peer: PeerKey) {
+        let head = self.head();
+        if let Some(info) = self.peers.get_mut(peer) {
+            info.revision = info.revision.max(head.revision);
+        }
+        self.send(peer, Ask::Head, Request::Head(head));
+    }
+
+    /// Reads a platform value if the bucket has a call left.
+    pub(crate) fn read_platform(&mut self, key: PlatformKey) -> Option<RequestId> {
+        if !self.budget.take(self.now) {
+            return None;
+        }
+        let id = self.id();
+        self.out.push(ControlAction::ReadPlatform { id, key });
+        Some(id)
+    }
+
+    /// Returns the head that this daemon announces.
+    pub fn head(&self) -> VersionHead {
+        let refusal = self.ledger.refusal();
+        let mark = self.ledger.mark();
+        VersionHead {
+            revision: self.ledger.revision(),
+            root: mark
+                .map(|mark| bytes::Bytes::copy_from_slice(mark.root.as_bytes()))
+                .unwrap_or_default(),
+            accepted: mark.is_some(),
+            reasons: Vec::new(),
+            refused_revision: refusal.revision,
+            refused_reasons: refusal.reasons.clone(),
+            hosts: self.lists.revisions(),
+        }
+    }
+
+    fn reply(&mut self, id: RequestId, result: Result<PeerReply, PeerFailure>) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let reply = match result {
+            Ok(reply) => reply.reply,
+            Err(failure) => {
+                self.request_failed(pending, failure);
+                return;
+            }
+        };
+        if self.peers.get(pending.peer).is_none() {
+            return;
+        }
+        if self.fresh.answered() {
+            self.share_dirty = true;
+            self.log(ControlLog::FreshAgain);
+        }
+        self.take_reply(pending, reply);
+    }
+
+    fn publish_if_due(&mut self) {
+        if !std::mem::take(&mut self.share_dirty) {
+            return;
+        }
+        if let Some(share) = self.share() {
+            self.out.push(ControlAction::Publish(Arc::new(share)));
+        }
+    }
+
+    /// Returns the share in force, once there is one.
+    pub fn share(&self) -> Option<FleetShare> {
+        let record = self.ledger.record()?;
+        let hosts = self
+            .model
+            .services
+            .values()
+            .flat_map(|service| service.targets.keys())
+            .map(|host| (host.clone(), self.book.standing(host)))
+            .collect();
+        let domain = self.model.domains.get(&self.config.domain);
+        Some(FleetShare {
+            model: self.model.clone(),
+            unloaded: self.unloaded.clone(),
+            revision: record.mark.revision,
+            root: record.mark.root,
+            source: record.source.clone(),
+            unconfirmed: record.unconfirmed,
+            hosts: Arc::new(hosts),
+            domain_state: domain.map_or(radishgauge_config::model::DomainState::In, |domain| {
+                domain.state
+            }),
+            roles: self.roles,
+            freshness: self.fresh.state(),
+            leaving: self.leaving,
+        })
+    }
+}
--- /dev/null
+++ b/crates/control/src/policy.rs
@@ -0,0 +1,64 @@
+//! The timings of the control protocol as durations.
+//!
+//! Ranges and defaults stand in the schema, next to their reasons; this module
+//! only types them. A field that a caller leaves at 0 takes the schema's
+//! default, since 0 is outside every range.
+
+use std::time::Duration;
+
+use radishgauge_schema::descriptors;
+use radishgauge_schema::settings::DaemonPolicy;
+
+/// Typed values of [`DaemonPolicy`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlPolicy {
+    /// The time between two exchanges of heads.
+    pub exchange_interval: Duration,
+    /// How long each reader waits for the one before it.
+    pub reader_stagger: Duration,
+    /// The relays of a failure domain.
+    pub relays: usize,
+    /// The neighbours that a daemon chooses.
+    pub neighbours: usize,
+    /// How long a fresh daemon waits for a peer.
+    pub alone_after: Duration,
+    /// A tick that is later than this means that the process was paused.
+    pub stale_after: Duration,
+    /// How long a watch waits at the platform.
+    pub watch: Duration,
+    /// The full transfers that a daemon serves at once.
+    pub transfers: usize,
+}
+
+impl From<&DaemonPolicy> for ControlPolicy {
+    fn from(policy: &DaemonPolicy) -> ControlPolicy {
+        let ms = |value, name| Duration::from_millis(or_default(value, name));
+        ControlPolicy {
+            exchange_interval: ms(policy.exchange_interval_ms, "exchange_interval_ms"),
+            reader_stagger: ms(policy.reader_stagger_ms, "reader_stagger_ms"),
+            relays: or_default(policy.relays.into(), "relays") as usize,
+            neighbours: or_default(policy.neighbours.into(), "neighbours") as usize,
+            alone_after: ms(policy.alone_after_ms, "alone_after_ms"),
+            stale_after: ms(policy.stale_after_ms, "stale_after_ms"),
+            watch: Duration::from_secs(or_default(policy.watch_s, "watch_s")),
+            transfers: or_default(policy.transfers.into(), "transfers") as usize,
+        }
+    }
+}
+
+impl Default for ControlPolicy {
+    fn default() -> ControlPolicy {
+        ControlPolicy::from(&DaemonPolicy::default())
+    }
+}
+
+fn or_default(value: u64, name: &str) -> u64 {
+    if value != 0 {
+        return value;
+    }
+    let message = descriptors::message("radishgauge.settings.v1.DaemonPolicy");
+    message
+        .and_then(|message| message.get_field_by_name(name))
+        .and_then(|field| descriptors::rule(&field).default.parse().ok())
+        .expect("the schema gives each policy number a default")
+}
--- /dev/null
+++ b/crates/control/src/roster.rs
@@ -0,0 +1,165 @@
+//! Host lists: who asks whom for them, and what they change.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use radishgauge_schema::config::HostList;
+use radishgauge_schema::peer::HostListRevision;
+use radishgauge_schema::peer::HostsReply;
+use radishgauge_schema::peer::HostsRequest;
+use radishgauge_schema::peer::peer_request::Request;
+
+use crate::event::PeerKey;
+use crate::event::PlatformKey;
+use crate::hosts::ListChange;
+use crate::machine::Ask;
+use crate::machine::ControlMachine;
+
+impl ControlMachine {
+    // Relays get other domains' lists from each other; the first relay of a
+    // domain reads what none of them has, and the next ones wait for it.
+    pub(crate) fn read_foreign_lists(&mut self) {
+        let Some(rank) = self.relay_rank() else {
+            self.lists_at = None;
+            return;
+        };
+        let missing = self
+            .model
+            .domains
+            .keys()
+            .find(|domain| **domain != self.config.domain && !self.lists.whole(domain))
+            .cloned();
+        let Some(domain) = missing else {
+            self.lists_at = None;
+            return;
+        };
+        let stagger = self.config.policy.reader_stagger * (rank as u32 + 1);
+        let at = *self.lists_at.get_or_insert(self.now + stagger);
+        if self.now >= at {
+            self.lists_at = Some(self.now + stagger);
+            self.read_other(PlatformKey::Hosts(domain));
+        }
+    }
+
+    pub(crate) fn see_hosts(&mut self, value: &Bytes) {
+        match HostList::decode(value.as_ref()) {
+            Ok(list) if !list.failure_domain.is_empty() => self.take_list(&list),
+            _ => self.discard(&PlatformKey::Hosts(self.config.domain.clone())),
+        }
+    }
+
+    fn keeps(&self, domain: &str) -> impl Fn(&str) -> bool + use<> {
+        let all = domain == self.config.domain || self.roles.relay;
+        let foreign = if all {
+            Default::default()
+        } else {
+            self.foreign.clone()
+        };
+        move |host: &str| all || foreign.contains(host)
+    }
+
+    fn take_list(&mut self, list: &HostList) {
+        let keep = self.keeps(&list.failure_domain);
+        if let Some(change) = self.lists.take_list(list, keep) {
+            self.note_hosts(&list.failure_domain, change);
+        }
+    }
+
+    /// Takes host lists and deltas from a peer.
+    pub(crate) fn take_hosts(&mut self, peer: PeerKey, reply: &HostsReply) {
+        if reply.busy_ms > 0
+            && let Some(info) = self.peers.get_mut(peer)
+        {
+            info.lists_at = self.now + Duration::from_millis(reply.busy_ms);
+        }
+        for list in &reply.lists {
+            self.take_list(list);
+        }
+        for delta in &reply.deltas {
+            let keep = self.keeps(&delta.failure_domain);
+            if let Some(change) = self.lists.take_delta(delta, keep) {
+                self.note_hosts(&delta.failure_domain, change);
+            }
+        }
+    }
+
+    fn note_hosts(&mut self, domain: &str, change: ListChange) {
+        for (host, listed) in &change {
+            if *host != self.config.host
+                && self
+                    .book
+                    .list(host, listed.incarnation, listed.state, self.now)
+            {
+                self.share_dirty |= self.shares_host(host);
+            }
+        }
+        self.roles_dirty = true;
+        if domain == self.config.domain {
+            let own: Vec<_> = self
+                .peers
+                .iter()
+                .filter(|(_, info)| info.domain == domain)
+                .map(|(key, _)| key)
+                .collect();
+            for peer in own {
+                self.ask_head(peer);
+            }
+        }
+    }
+
+    /// Asks a peer for the lists that it has newer and this daemon needs.
+    pub(crate) fn hear_lists(&mut self, peer: PeerKey, revisions: &[HostListRevision]) {
+        let Some(info) = self.peers.get(peer) else {
+            return;
+        };
+        let (now, waits) = (self.now, info.lists_at > self.now);
+        let have: Vec<_> = revisions
+            .iter()
+            .filter(|theirs| {
+                let domain = theirs.failure_domain.as_str();
+                let held = self.lists.revision(domain);
+                let wanted = domain == self.config.domain || self.roles.relay || held > 0;
+                wanted && theirs.revision > held
+            })
+            .map(|theirs| HostListRevision {
+                failure_domain: theirs.failure_domain.clone(),
+                revision: self.lists.revision(&theirs.failure_domain),
+            })
+            .collect();
+        if have.is_empty() || waits {
+            return;
+        }
+        // One request at a time to each peer; its answer covers later heads too.
+        if let Some(info) = self.peers.get_mut(peer) {
+            info.lists_at = now + Duration::from_secs(1);
+        }
+        self.send(peer, Ask::Hosts, Request::Hosts(HostsRequest { have }));
+    }
+
+    /// Asks a relay for the lists of other failure domains with targets of the
+    /// share.
+    pub(crate) fn ask_foreign_lists(&mut self, peer: PeerKey) {
+        let mut domains: Vec<_> = self
+            .model
+            .services
+            .values()
+            .flat_map(|service| service.targets.values())
+            .map(|target| target.failure_domain.clone())
+            .filter(|domain| *domain != self.config.domain && self.lists.revision(domain) == 0)
+            .collect();
+        domains.sort_unstable();
+        domains.dedup();
+        if domains.is_empty() {
+            return;
+        }
+        let have = domains
+            .into_iter()
+            .map(|domain| HostListRevision {
+                failure_domain: domain.to_string(),
+                revision: 0,
+            })
+            .collect();
+        self.send(peer, Ask::Hosts, Request::Hosts(HostsRequest { have }));
+    }
+}
--- /dev/null
+++ b/crates/control/src/sessions.rs
@@ -0,0 +1,405 @@
+//! Roles, and the sessions that they call for.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use radishgauge_schema::config::HostState;
+use radishgauge_schema::peer::Hello;
+use radishgauge_schema::peer::LeavingNotice;
+use radishgauge_schema::peer::peer_request::Request;
+use rand::seq::IndexedRandom;
+use smol_str::SmolStr;
+
+use crate::event::ControlAction;
+use crate::event::PeerKey;
+use crate::event::PeerLink;
+use crate::log::ControlLog;
+use crate::machine::Ask;
+use crate::machine::ControlMachine;
+use crate::machine::Work;
+use crate::neighbour;
+use crate::neighbour::RelayPlace;
+use crate::peers::PeerInfo;
+use crate::rank;
+use crate::share::RoleSet;
+
+/// A session that serves no role is closed after this time without use.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// How long a dial may take before it counts as failed.
+const DIAL_TIME: Duration = Duration::from_secs(3);
+
+/// The relays of a failure domain that a member fetches parts from, so that
+/// members spread over the relays.
+const PREFERRED: usize = 2;
+
+/// The seeds that a daemon without a host list keeps sessions with.
+const SEEDS: usize = 3;
+
+/// Relays exchange heads with this many of the first readers each time, so that
+/// a silent one is noticed and replaced within seconds.
+const WATCHED_READERS: usize = 2;
+
+/// The sessions wanted, and the dials under way.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sessions {
+    // Host and failure domain of each session that a role calls for.
+    wanted: IndexMap<SmolStr, SmolStr>,
+    seeds: Vec<SocketAddr>,
+    dials: IndexMap<SocketAddr, (Option<SmolStr>, Duration)>,
+    failed_seeds: IndexMap<SocketAddr, Duration>,
+    relays: Vec<SmolStr>,
+    readers: Vec<SmolStr>,
+}
+
+impl ControlMachine {
+    /// Computes relays, readers and wanted sessions from the current view.
+    pub(crate) fn compute_roles(&mut self) {
+        let own = self.config.host.clone();
+        let domain = self.config.domain.clone();
+        let relays = self.relays_of(&domain);
+        let relay = relays.contains(&own);
+        let mut wanted = IndexMap::new();
+        let live: Vec<_> = self.usable_hosts(&domain);
+        for host in neighbour::neighbours(&own, &live, self.config.policy.neighbours) {
+            wanted.insert(host, domain.clone());
+        }
+        let mut rank = None;
+        let mut readers = Vec::new();
+        if relay {
+            let places = self.relay_places(&relays);
+            readers = neighbour::readers(&self.config.region, &places);
+            rank = readers.iter().position(|host| *host == own);
+            wanted.extend(neighbour::relay_sessions(
+                &own,
+                &self.config.region,
+                rank == Some(0),
+                &places,
+            ));
+        }
+        let roles = RoleSet { relay, rank };
+        self.sessions.wanted = wanted;
+        self.sessions.relays = relays;
+        self.sessions.readers = readers;
+        if roles != self.roles {
+            let became = relay && !self.roles.relay;
+            self.roles = roles;
+            self.share_dirty = true;
+            self.log(ControlLog::RolesChanged { relay, rank });
+            if became {
+                self.rescan_gaps();
+            }
+        }
+    }
+
+    fn usable_hosts(&self, domain: &str) -> Vec<SmolStr> {
+        self.lists
+            .hosts(domain)
+            .filter(|(host, listed)| {
+                listed.state == HostState::Live
+                    && (self.book.usable(host) && !(self.leaving && **host == self.config.host))
+            })
+            .map(|(host, _)| host.clone())
+            .collect()
+    }
+
+    fn relays_of(&self, domain: &str) -> Vec<SmolStr> {
+        rank::best(
+            domain,
+            &self.usable_hosts(domain),
+            self.config.policy.relays,
+        )
+    }
+
+    fn relay_places(&self, own: &[SmolStr]) -> Vec<RelayPlace> {
+        let place = |host: &SmolStr, domain: &SmolStr, region: &SmolStr| RelayPlace {
+            host: host.clone(),
+            domain: domain.clone(),
+            region: region.clone(),
+        };
+        let mut places: Vec<_> = own
+            .iter()
+            .map(|host| place(host, &self.config.domain, &self.config.region))
+            .collect();
+        for (domain, model) in &self.model.domains {
+            if *domain != self.config.domain {
+                let relays = self.relays_of(domain);
+                places.extend(relays.iter().map(|host| place(host, domain, &model.region)));
+            }
+        }
+        places
+    }
+
+    /// Returns whether this daemon is the first relay of its failure domain.
+    pub(crate) fn first_relay(&self) -> bool {
+        self.sessions.relays.first() == Some(&self.config.host)
+    }
+
+    /// Returns this daemon's rank among the relays of its failure domain.
+    pub(crate) fn relay_rank(&self) -> Option<usize> {
+        self.sessions
+            .relays
+            .iter()
+            .position(|host| *host == self.config.host)
+    }
+
+    /// Returns whether a host is a relay of the own failure domain.
+    pub(crate) fn is_relay(&self, host: &str) -> bool {
+        self.sessions.relays.iter().any(|relay| relay == host)
+    }
+
+    /// Returns an open session with a relay of the own failure domain.
+    pub(crate) fn any_relay(&self) -> Option<PeerKey> {
+        let now = self.now;
+        self.sessions
+            .relays
+            .iter()
+            .filter_map(|host| self.peers.by_host(host))
+            .find(|key| {
+                self.peers
+                    .get(*key)
+                    .is_some_and(|info| info.retry_at <= now)
+            })
+    }
+
+    /// Dials the preferred relays that are not connected.
+    pub(crate) fn want_relay(&mut self) {
+        let own = &self.config.host;
+        let relays: Vec<_> = self
+            .sessions
+            .relays
+            .iter()
+            .filter(|host| *host != own && self.peers.by_host(host).is_none())
+            .cloned()
+            .collect();
+        for host in rank::best(own, &relays, PREFERRED) {
+            let address = self
+                .lists
+                .get(&self.config.domain, &host)
+                .and_then(|listed| listed.address);
+            if let Some(address) = address
+                && self.book.may_dial(&host, self.now)
+            {
+                self.dial(address, host);
+            }
+        }
+    }
+
+    /// Opens a session unless there is one or one is being opened.
+    pub(crate) fn dial(&mut self, address: SocketAddr, host: SmolStr) {
+        if host == self.config.host || self.peers.by_host(&host).is_some() {
+            return;
+        }
+        self.dial_address(address, Some(host));
+    }
+
+    fn dial_address(&mut self, address: SocketAddr, host: Option<SmolStr>) {
+        if address == self.config.address || self.sessions.dials.contains_key(&address) {
+            return;
+        }
+        let until = self.now + DIAL_TIME;
+        self.sessions.dials.insert(address, (host, until));
+        self.out.push(ControlAction::Dial { address });
+    }
+
+    /// Opens the wanted sessions and closes idle ones.
+    pub(crate) fn keep_sessions(&mut self) {
+        let now = self.now;
+        let late: Vec<_> = self
+            .sessions
+            .dials
+            .iter()
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(address, _)| *address)
+            .collect();
+        for address in late {
+            self.dial_failed(address);
+        }
+        if self.lists.revision(&self.config.domain) == 0 {
+            self.keep_seeds();
+        }
+        let missing: Vec<_> = self
+            .sessions
+            .wanted
+            .iter()
+            .filter(|(host, _)| self.peers.by_host(host).is_none() && self.book.may_dial(host, now))
+            .filter_map(|(host, domain)| {
+                let address = self.lists.get(domain, host)?.address?;
+                Some((address, host.clone()))
+            })
+            .collect();
+        for (address, host) in missing {
+            self.dial(address, host);
+        }
+        let listed = self.lists.revision(&self.config.domain) > 0;
+        let idle: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|(_, info)| {
+                matches!(info.link, PeerLink::Outbound(_))
+                    && listed
+                    && now >= info.used + IDLE
+                    && !self.sessions.wanted.contains_key(&info.host)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for peer in idle {
+            self.drop_peer(peer);
+        }
+    }
+
+    fn keep_seeds(&mut self) {
+        if self.sessions.seeds.is_empty() {
+            let seeds = &self.config.seeds;
+            self.sessions.seeds = seeds
+                .choose_multiple(&mut self.rng, SEEDS)
+                .copied()
+                .collect();
+        }
+        let now = self.now;
+        let seeds = self.sessions.seeds.clone();
+        for address in seeds {
+            let waits = self
+                .sessions
+                .failed_seeds
+                .get(&address)
+                .is_some_and(|at| *at > now);
+            if !waits && !self.peers.dialled(address) {
+                self.dial_address(address, None);
+            }
+        }
+    }
+
+    /// Exchanges heads with the first readers of the region, beside the peer
+    /// that the timer chose.
+    pub(crate) fn ask_first_readers(&mut self, chosen: PeerKey) {
+        let readers: Vec<_> = self
+            .sessions
+            .readers
+            .iter()
+            .take(WATCHED_READERS)
+            .filter_map(|host| self.peers.by_host(host))
+            .filter(|key| *key != chosen)
+            .collect();
+        for peer in readers {
+            self.ask_head(peer);
+        }
+    }
+
+    pub(crate) fn peer_up(&mut self, peer: PeerKey, hello: &Hello, link: PeerLink) {
+        let info = PeerInfo::new(hello, link, self.now);
+        let host = info.host.clone();
+        if let PeerLink::Outbound(address) = link {
+            self.sessions.dials.swap_remove(&address);
+            self.sessions.failed_seeds.swap_remove(&address);
+        }
+        if host == self.config.host {
+            // A seed address may be this daemon's own under another name.
+            self.out.push(ControlAction::Drop { peer });
+            return;
+        }
+        let changed = self.book.observe(&host, info.incarnation, self.now);
+        self.roles_dirty |= changed;
+        self.share_dirty |= changed && self.shares_host(&host);
+        if let Some(dropped) = self.peers.insert(&self.config.host, peer, info) {
+            self.forget_requests(dropped);
+            self.out.push(ControlAction::Drop { peer: dropped });
+            if dropped == peer {
+                return;
+            }
+        }
+        if matches!(link, PeerLink::Outbound(_)) {
+            self.ask_head(peer);
+        } else if self.is_relay(&host) && !self.roles.relay && self.audit_at.is_some() {
+            // A relay that dials a member may have made it a target. The wait
+            // lets the version that says so arrive first.
+            let soon = self.now + Duration::from_secs(1);
+            self.audit_at = self.audit_at.map(|at| at.min(soon));
+        }
+        if self.leaving {
+            self.send_notice(peer);
+        }
+        self.advance();
+    }
+
+    pub(crate) fn peer_down(&mut self, peer: PeerKey) {
+        self.peers.remove(peer);
+        self.forget_requests(peer);
+        self.advance();
+    }
+
+    pub(crate) fn drop_peer(&mut self, peer: PeerKey) {
+        if self.peers.remove(peer).is_some() {
+            self.forget_requests(peer);
+            self.out.push(ControlAction::Drop { peer });
+        }
+    }
+
+    fn forget_requests(&mut self, peer: PeerKey) {
+        self.pending.retain(|_, pending| pending.peer != peer);
+        if let Work::Pull(pull) = &mut self.work {
+            pull.lost(peer, self.now);
+        }
+    }
+
+    pub(crate) fn dial_failed(&mut self, address: SocketAddr) {
+        let Some((host, _)) = self.sessions.dials.swap_remove(&address) else {
+            return;
+        };
+        let now = self.now;
+        match host {
+            Some(host) => {
+                let changed = self.book.fail(&host, now);
+                self.roles_dirty |= changed;
+                self.share_dirty |= changed && self.shares_host(&host);
+                if changed {
+                    self.log(ControlLog::DialFailed { address });
+                }
+            }
+            None => {
+                self.sessions.failed_seeds.insert(address, now + DIAL_TIME);
+                // Another seed may be up; all are tried in random order.
+                self.sessions.seeds.clear();
+            }
+        }
+    }
+
+    /// A peer did not answer: it is taken for unreachable until a dial succeeds.
+    pub(crate) fn peer_silent(&mut self, peer: PeerKey) {
+        let Some(info) = self.peers.get(peer) else {
+            return;
+        };
+        let host = info.host.clone();
+        self.book.fail(&host, self.now);
+        self.roles_dirty = true;
+        self.share_dirty |= self.shares_host(&host);
+        self.log(ControlLog::PeerSilent { host });
+        self.drop_peer(peer);
+    }
+
+    pub(crate) fn shares_host(&self, host: &SmolStr) -> bool {
+        let mut services = self.model.services.values();
+        services.any(|service| service.targets.contains_key(host))
+    }
+
+    pub(crate) fn stop(&mut self) {
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
+        }
+        self.share_dirty = true;
+        self.roles_dirty = true;
+        let peers: Vec<_> = self.peers.iter().map(|(key, _)| key).collect();
+        for peer in peers {
+            self.send_notice(peer);
+        }
+    }
+
+    fn send_notice(&mut self, peer: PeerKey) {
+        let notice = LeavingNotice {
+            host: self.config.host.to_string(),
+            incarnation: self.config.incarnation,
+        };
+        self.send(peer, Ask::Notice, Request::Leaving(notice));
+    }
+}
