--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -69,7 +69,11 @@
             Some(Request::Hello(_)) => Reply::Hello(self.hello()),
             // Strikes, calls and key transfers belong to the request path.
             Some(
-                Request::Ping(_) | Request::Strike(_) | Request::Call(_) | Request::Transfer(_),
+                Request::Ping(_)
+                | Request::Strike(_)
+                | Request::Call(_)
+                | Request::Transfer(_)
+                | Request::IssueKey(_),
             )
             | None => Reply::Received(Received {}),
         };
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -37,7 +37,10 @@
             ..AnswerHead::default()
         };
         let text = format!("{}\n", refusal.reason.as_str());
-        CallAnswer { head, body: AnswerBody::Whole(Bytes::from(text)) }
+        CallAnswer {
+            head,
+            body: AnswerBody::Whole(Bytes::from(text)),
+        }
     }
 
     /// Returns the answer for a call with a verdict and no answer of a target.
@@ -52,7 +55,10 @@
             reason: reason.to_owned(),
             ..AnswerHead::default()
         };
-        CallAnswer { head, body: AnswerBody::Whole(Bytes::from(format!("{reason}\n"))) }
+        CallAnswer {
+            head,
+            body: AnswerBody::Whole(Bytes::from(format!("{reason}\n"))),
+        }
     }
 
     /// Returns the verdict.
--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -46,17 +46,33 @@
                 joined.extend_from_slice(&piece);
             }
             if held.len() + joined.len() >= HELD_BYTES {
-                let held = if joined.is_empty() { held } else { joined.freeze() };
-                return Ok(RequestBody { held, rest: Some(stream), cut: false });
+                let held = if joined.is_empty() {
+                    held
+                } else {
+                    joined.freeze()
+                };
+                return Ok(RequestBody {
+                    held,
+                    rest: Some(stream),
+                    cut: false,
+                });
             }
         }
-        let held = if joined.is_empty() { held } else { joined.freeze() };
+        let held = if joined.is_empty() {
+            held
+        } else {
+            joined.freeze()
+        };
         Ok(RequestBody::whole(held))
     }
 
     /// Returns a body that is held whole.
     pub fn whole(held: Bytes) -> RequestBody {
-        RequestBody { held, rest: None, cut: false }
+        RequestBody {
+            held,
+            rest: None,
+            cut: false,
+        }
     }
 
     /// Whether the body can be sent from its start.
@@ -67,7 +83,8 @@
     /// Returns the pieces for one attempt. A body that is held whole can be
     /// taken again; of a longer one the rest is gone afterwards.
     pub fn take(&mut self) -> BodyStream {
-        let held = futures_util::stream::iter((!self.held.is_empty()).then(|| Ok(self.held.clone())));
+        let held =
+            futures_util::stream::iter((!self.held.is_empty()).then(|| Ok(self.held.clone())));
         match self.rest.take() {
             None => held.boxed(),
             Some(rest) => {
--- /dev/null
+++ b/crates/daemon/src/callers.rs
@@ -0,0 +1,155 @@
+//! Connects the listener for callers with the entry of calls.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::Response;
+use http::StatusCode;
+use radishgauge_net::listener::AnswerBody as HttpAnswerBody;
+use radishgauge_net::listener::BodyFault as HttpBodyFault;
+use radishgauge_net::listener::BoxError;
+use radishgauge_net::listener::HttpAnswer;
+use radishgauge_net::listener::HttpBody;
+use radishgauge_net::listener::HttpRequest;
+use tokio::sync::mpsc;
+
+use crate::answer::CallAnswer;
+use crate::body::AnswerBody;
+use crate::body::BodyFault;
+use crate::body::BodyStream;
+use crate::body::HELD_BYTES;
+use crate::body::RequestBody;
+use crate::entry;
+use crate::entry::EntryRequest;
+use crate::events;
+use crate::node::DaemonNode;
+
+/// Pieces of a long body that wait between the listener's thread and the
+/// session; more make the caller wait.
+const BODY_QUEUE: usize = 4;
+
+/// Answers callers.
+#[derive(Clone)]
+pub struct CallerDesk {
+    /// The daemon's shared parts.
+    pub node: Arc<DaemonNode>,
+}
+
+impl CallerDesk {
+    /// Answers one request. Dropping the future cancels the call.
+    pub async fn answer(self, request: HttpRequest) -> HttpAnswer {
+        let HttpRequest { head, mut body, .. } = request;
+        let held = match hold(&mut body).await {
+            Ok(held) => held,
+            Err(fault) => return rejected(&fault),
+        };
+        let (body, rest) = match held {
+            Held::Whole(bytes) => (RequestBody::whole(bytes), None),
+            Held::Start(pieces) => {
+                // The listener's body stays on its thread; the pieces cross in
+                // a short queue while the call is under way.
+                let (sender, receiver) = mpsc::channel(BODY_QUEUE);
+                let first = futures_util::stream::iter(pieces.into_iter().map(Ok));
+                let stream: BodyStream = first.chain(receive(receiver)).boxed();
+                match RequestBody::read(stream).await {
+                    Ok(start) => (start, Some((body, sender))),
+                    Err(fault) => return rejected(&HttpBodyFault::Cut(fault.to_string())),
+                }
+            }
+        };
+        let call = entry::enter(&self.node, EntryRequest { head, body });
+        let answer = match rest {
+            None => call.await,
+            Some((body, sender)) => with_rest(call, body, sender).await,
+        };
+        http_answer(answer)
+    }
+}
+
+enum Held {
+    Whole(Bytes),
+    Start(Vec<Bytes>),
+}
+
+async fn hold(body: &mut HttpBody) -> Result<Held, HttpBodyFault> {
+    let mut pieces = Vec::new();
+    let mut length = 0;
+    while let Some(piece) = body.data().await? {
+        length += piece.len();
+        pieces.push(piece);
+        if length >= HELD_BYTES {
+            return Ok(Held::Start(pieces));
+        }
+    }
+    match <[Bytes; 1]>::try_from(pieces) {
+        Ok([single]) => Ok(Held::Whole(single)),
+        Err(pieces) => Ok(Held::Whole(pieces.concat().into())),
+    }
+}
+
+fn receive(
+    receiver: mpsc::Receiver<Result<Bytes, BodyFault>>,
+) -> impl futures_util::Stream<Item = Result<Bytes, BodyFault>> {
+    futures_util::stream::unfold(receiver, |mut receiver| async move {
+        let piece = receiver.recv().await?;
+        Some((piece, receiver))
+    })
+}
+
+/// Feeds the rest of the body while the call is under way. An answer may come
+/// before the body is all read.
+async fn with_rest<F>(
+    call: F,
+    mut body: HttpBody,
+    sender: mpsc::Sender<Result<Bytes, BodyFault>>,
+) -> CallAnswer
+where
+    F: Future<Output = CallAnswer>,
+{
+    let feed = async {
+        loop {
+            let piece = match body.data().await {
+                Ok(Some(piece)) => Ok(piece),
+                Ok(None) => break,
+                Err(fault) => Err(BodyFault(fault.to_string())),
+            };
+            let ends = piece.is_err();
+            if sender.send(piece).await.is_err() || ends {
+                break;
+            }
+        }
+        // The receiver sees the end of the body only when the sender is gone.
+        drop(sender);
+        std::future::pending::<()>().await;
+    };
+    tokio::select! {
+        answer = call => answer,
+        () = feed => unreachable!("the feed waits for the call"),
+    }
+}
+
+fn http_answer(answer: CallAnswer) -> HttpAnswer {
+    let (response, body) = entry::response(answer);
+    let body = match body {
+        AnswerBody::Whole(bytes) => HttpAnswerBody::whole(bytes),
+        AnswerBody::Stream(pieces) => {
+            HttpAnswerBody::stream(pieces.map(|piece| piece.map_err(BoxError::from)))
+        }
+    };
+    response.map(|()| body)
+}
+
+fn rejected(fault: &HttpBodyFault) -> HttpAnswer {
+    events::REQUEST_REJECTED.emit(format_args!("reason={:?}", fault.to_string()));
+    let mut response = Response::new(HttpAnswerBody::whole(format!("{fault}\n")));
+    *response.status_mut() = match fault {
+        HttpBodyFault::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        HttpBodyFault::Cut(_) => StatusCode::BAD_REQUEST,
+    };
+    let verdict = http::HeaderValue::from_static("not-run");
+    response
+        .headers_mut()
+        .insert(crate::headers::VERDICT, verdict);
+    response
+}
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -23,7 +23,9 @@
 impl SystemClock {
     /// Returns a clock that starts now.
     pub fn start() -> SystemClock {
-        SystemClock { start: Instant::now() }
+        SystemClock {
+            start: Instant::now(),
+        }
     }
 }
 
--- a/crates/daemon/src/control_log.rs
+++ b/crates/daemon/src/control_log.rs
@@ -7,18 +7,29 @@
 /// Writes a log event of the control machine.
 pub fn emit(log: &ControlLog) {
     match log {
-        ControlLog::VersionInForce { revision, source, unconfirmed } => {
+        ControlLog::VersionInForce {
+            revision,
+            source,
+            unconfirmed,
+        } => {
             events::VERSION_IN_FORCE.emit(format_args!(
                 "revision={revision} source={source} unconfirmed={unconfirmed}"
             ));
         }
         ControlLog::VersionRefused { revision, reasons } => {
-            events::VERSION_REFUSED
-                .emit(format_args!("revision={revision} reasons={:?}", reasons.join("; ")));
+            events::VERSION_REFUSED.emit(format_args!(
+                "revision={revision} reasons={:?}",
+                reasons.join("; ")
+            ));
         }
-        ControlLog::ConflictingRevision { revision, held, refused } => {
-            events::VERSION_CONFLICT
-                .emit(format_args!("revision={revision} root={held} other={refused}"));
+        ControlLog::ConflictingRevision {
+            revision,
+            held,
+            refused,
+        } => {
+            events::VERSION_CONFLICT.emit(format_args!(
+                "revision={revision} root={held} other={refused}"
+            ));
         }
         ControlLog::RolesChanged { relay, rank } => {
             events::ROLES_CHANGED.emit(format_args!("relay={relay} rank={rank:?}"));
@@ -37,8 +48,9 @@
             events::DIAL_FAILED.emit(format_args!("address={address}"));
         }
         ControlLog::HostLeaving { host, incarnation } => {
-            events::HOST_CHANGED
-                .emit(format_args!("host={host} state=leaving incarnation={incarnation}"));
+            events::HOST_CHANGED.emit(format_args!(
+                "host={host} state=leaving incarnation={incarnation}"
+            ));
         }
         ControlLog::PausedFor { late_ms } => {
             events::PAUSED.emit(format_args!("late_ms={late_ms}"));
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -18,13 +18,13 @@
 use radishgauge_control::ControlConfig;
 use radishgauge_control::ControlEvent;
 use radishgauge_control::ControlMachine;
-use radishgauge_control::PeerFailure;
 use radishgauge_control::PeerKey;
 use radishgauge_control::PeerLink;
 use radishgauge_control::PlatformAnswer;
-use radishgauge_control::PlatformFailure;
 use radishgauge_control::PlatformKey;
 use radishgauge_control::RequestId;
+use radishgauge_control::event::PeerFailure;
+use radishgauge_control::event::PlatformFailure;
 use radishgauge_net::PeerEndpoint;
 use radishgauge_net::PeerError;
 use radishgauge_net::PeerFault;
@@ -33,10 +33,12 @@
 use radishgauge_net::Responder;
 use radishgauge_schema::peer::PeerReply;
 use radishgauge_schema::peer::PeerRequest;
+use radishgauge_schema::peer::StatusReply;
 use slotmap::SlotMap;
 use smol_str::SmolStr;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 
 use crate::clock::ProcessClock;
 use crate::control_log;
@@ -44,6 +46,7 @@
 use crate::meters::CallMeters;
 use crate::meters::MeterSender;
 use crate::meters::count;
+use crate::node::DaemonNode;
 use crate::publish::Publisher;
 use crate::sessions::is_refused;
 
@@ -81,6 +84,8 @@
     },
     /// An event that needs no translation.
     Event(ControlEvent),
+    /// Asks what the control machine says of itself.
+    Status(oneshot::Sender<StatusReply>),
     /// Ends the control thread.
     End,
 }
@@ -123,6 +128,8 @@
     pub platform: PlatformClient,
     /// Where shares are published.
     pub publisher: Publisher,
+    /// What the traffic threads share.
+    pub node: Arc<DaemonNode>,
     /// The counters of the daemon.
     pub meters: Arc<CallMeters>,
     /// Sends the counters, if a receiver is set.
@@ -162,7 +169,6 @@
     responders: HashMap<(PeerKey, RequestId), Responder>,
     next_request: u64,
     next_meter: Duration,
-    platform_failing: bool,
     telemetry_failing: bool,
 }
 
@@ -177,7 +183,6 @@
             responders: HashMap::new(),
             next_request: 0,
             next_meter: Duration::ZERO,
-            platform_failing: false,
             telemetry_failing: false,
         }
     }
@@ -185,7 +190,10 @@
     async fn run(mut self, mut queue: mpsc::UnboundedReceiver<ControlInput>) {
         self.step(ControlEvent::Tick);
         loop {
-            let wait = self.machine.next_tick().saturating_sub(self.parts.clock.now());
+            let wait = self
+                .machine
+                .next_tick()
+                .saturating_sub(self.parts.clock.now());
             tokio::select! {
                 input = queue.recv() => match input {
                     None | Some(ControlInput::End) => return,
@@ -207,13 +215,19 @@
                 }
                 Err(error) => {
                     if is_refused(&error.fault) {
-                        events::PEER_REFUSED
-                            .emit(format_args!("address={address} reason={:?}", error.to_string()));
+                        events::PEER_REFUSED.emit(format_args!(
+                            "address={address} reason={:?}",
+                            error.to_string()
+                        ));
                     }
                     self.step(ControlEvent::DialFailed { address });
                 }
             },
-            ControlInput::Request { session, request, responder } => {
+            ControlInput::Request {
+                session,
+                request,
+                responder,
+            } => {
                 let peer = match self.keys.get(&session.id()) {
                     Some(peer) => *peer,
                     None => self.add_peer(session, PeerLink::Inbound),
@@ -233,6 +247,10 @@
                     self.step(ControlEvent::PeerDown { peer });
                 }
             }
+            ControlInput::Status(sender) => {
+                // An operator that went away needs no answer.
+                let _ = sender.send(self.machine.status());
+            }
             ControlInput::End => {}
         }
     }
@@ -250,7 +268,10 @@
         let handle = self.handle.clone();
         self.parts.runtime.spawn(async move {
             let reason = session.closed().await;
-            handle.send(ControlInput::Closed { session: session.id(), reason });
+            handle.send(ControlInput::Closed {
+                session: session.id(),
+                reason,
+            });
         });
         self.step(ControlEvent::PeerUp { peer, hello, link });
         peer
@@ -266,7 +287,12 @@
     fn act(&mut self, action: ControlAction) {
         match action {
             ControlAction::ReadPlatform { id, key } => self.read(id, key, None),
-            ControlAction::WatchPlatform { id, key, known, wait } => {
+            ControlAction::WatchPlatform {
+                id,
+                key,
+                known,
+                wait,
+            } => {
                 self.read(id, key, Some((known, wait)));
             }
             ControlAction::Dial { address } => self.dial(address),
@@ -292,16 +318,20 @@
                 if self.parts.publisher.publish(share, now) {
                     count(&self.parts.meters.versions);
                 }
+                if let Some(version) = self.parts.node.state.current() {
+                    self.parts.node.configure(&version);
+                }
             }
-            ControlAction::Log(log) => self.log(&log),
+            ControlAction::Log(log) => control_log::emit(&log),
         }
     }
 
-    fn log(&mut self, log: &radishgauge_control::ControlLog) {
-        control_log::emit(log);
-    }
-
-    fn read(&mut self, id: RequestId, key: PlatformKey, watch: Option<(Option<PartDigest>, Duration)>) {
+    fn read(
+        &mut self,
+        id: RequestId,
+        key: PlatformKey,
+        watch: Option<(Option<PartDigest>, Duration)>,
+    ) {
         count(&self.parts.meters.platform_calls);
         let platform = self.parts.platform.clone();
         let handle = self.handle.clone();
@@ -315,18 +345,26 @@
                         None => PlatformAnswer::Missing,
                     }),
                     Some((known, wait)) => {
-                        platform.watch(&name, known, wait).await.map(|value| match value {
-                            Some(value) => PlatformAnswer::Value(value),
-                            None => PlatformAnswer::Unchanged,
-                        })
+                        platform
+                            .watch(&name, known, wait)
+                            .await
+                            .map(|value| match value {
+                                Some(value) => PlatformAnswer::Value(value),
+                                None => PlatformAnswer::Unchanged,
+                            })
                     }
                 }
             };
             let result = match tokio::time::timeout(limit, work).await {
-                Ok(result) => result.map_err(|error| PlatformFailure(SmolStr::new(error.to_string()))),
+                Ok(result) => {
+                    result.map_err(|error| PlatformFailure(SmolStr::new(error.to_string())))
+                }
                 Err(_) => Err(PlatformFailure(SmolStr::new_static("no answer in time"))),
             };
-            handle.send(ControlInput::Event(ControlEvent::PlatformValue { id, result }));
+            handle.send(ControlInput::Event(ControlEvent::PlatformValue {
+                id,
+                result,
+            }));
         });
     }
 
@@ -342,31 +380,37 @@
     fn send(&self, peer: PeerKey, id: RequestId, request: PeerRequest) {
         let Some(session) = self.peers.get(peer).cloned() else {
             let result = Err(PeerFailure::Closed);
-            self.handle.send(ControlInput::Event(ControlEvent::Reply { id, result }));
+            self.handle
+                .send(ControlInput::Event(ControlEvent::Reply { id, result }));
             return;
         };
         let handle = self.handle.clone();
         self.parts.runtime.spawn(async move {
             let result = session.request(request, REPLY_TIMEOUT).await;
-            let result: Result<PeerReply, PeerFailure> = result.map_err(|error| match error.fault {
-                PeerFault::Timeout => PeerFailure::Silent,
-                PeerFault::Malformed(_) | PeerFault::Oversize { .. } | PeerFault::Unexpected(_) => {
-                    events::MESSAGE_REJECTED.emit(format_args!(
-                        "host={} reason={:?}",
-                        session.peer().host,
-                        error.to_string()
-                    ));
-                    PeerFailure::Malformed
-                }
-                _ => PeerFailure::Closed,
-            });
+            let result: Result<PeerReply, PeerFailure> =
+                result.map_err(|error| match error.fault {
+                    PeerFault::Timeout => PeerFailure::Silent,
+                    PeerFault::Malformed(_)
+                    | PeerFault::Oversize { .. }
+                    | PeerFault::Unexpected(_) => {
+                        events::MESSAGE_REJECTED.emit(format_args!(
+                            "host={} reason={:?}",
+                            session.peer().host,
+                            error.to_string()
+                        ));
+                        PeerFailure::Malformed
+                    }
+                    _ => PeerFailure::Closed,
+                });
             handle.send(ControlInput::Event(ControlEvent::Reply { id, result }));
         });
     }
 
     fn send_meters(&mut self) {
         let now = self.parts.clock.now();
-        let Some(sender) = &mut self.parts.sender else { return };
+        let Some(sender) = &mut self.parts.sender else {
+            return;
+        };
         if now < self.next_meter {
             return;
         }
@@ -376,7 +420,10 @@
         if let Err(error) = &sent
             && !self.telemetry_failing
         {
-            events::TELEMETRY_FAILED.emit(format_args!("receiver=statsd error={:?}", error.to_string()));
+            events::TELEMETRY_FAILED.emit(format_args!(
+                "receiver=statsd error={:?}",
+                error.to_string()
+            ));
         }
         self.telemetry_failing = sent.is_err();
     }
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,443 @@
+//! The life of a daemon: open, running, stopping, ended.
+//!
+//! Each state is a type, so that a stopped daemon cannot be asked to serve.
+
+use std::fs;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use radishgauge_control::ControlConfig;
+use radishgauge_control::ControlEvent;
+use radishgauge_control::ControlPolicy;
+use radishgauge_net::PeerConfig;
+use radishgauge_net::PeerEndpoint;
+use radishgauge_net::PeerIdentity;
+use radishgauge_net::PeerLimits;
+use radishgauge_net::PlatformClient;
+use radishgauge_net::listener::CallerListener;
+use radishgauge_net::listener::ListenLimits;
+use radishgauge_net::listener::OperatorListener;
+use radishgauge_schema::settings::DaemonSettings;
+use radishgauge_schema::settings::LimitSettings;
+use radishgauge_traffic::FreshnessGate;
+use radishgauge_traffic::LocalHost;
+use radishgauge_traffic::key::KeyIssuer;
+use radishgauge_traffic::once::OnceLedger;
+use radishgauge_traffic::once::OnceLimits;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use smol_str::SmolStr;
+use tokio::runtime::Handle;
+use tokio::sync::Notify;
+
+use crate::accept_rule::ContentRule;
+use crate::callers;
+use crate::clock;
+use crate::clock::ProcessClock;
+use crate::control_loop;
+use crate::control_loop::ControlHandle;
+use crate::control_loop::ControlInput;
+use crate::control_loop::ControlParts;
+use crate::events;
+use crate::meters::CallMeters;
+use crate::meters::MeterSender;
+use crate::node::DaemonNode;
+use crate::node::NodeParts;
+use crate::operator::OperatorDesk;
+use crate::publish::Publisher;
+use crate::publish::SharedState;
+use crate::serve;
+use crate::sessions::SessionPool;
+use crate::traces::HopTracer;
+use crate::transfer;
+
+/// How long a leaving daemon goes on accepting peers' refused calls before it
+/// closes its sessions, so that senders learn that it leaves.
+const NOTICE_TIME: Duration = Duration::from_millis(300);
+
+/// The state of a daemon that serves.
+#[derive(Debug)]
+pub struct Running;
+
+/// The state of a daemon that takes no new calls.
+#[derive(Debug)]
+pub struct Stopping;
+
+/// What a daemon takes from its process.
+pub struct DaemonResources {
+    /// The runtime whose threads carry sessions and calls.
+    pub runtime: Handle,
+    /// The threads of the listener for callers.
+    pub listener_threads: usize,
+    /// The process clock.
+    pub clock: Arc<dyn ProcessClock>,
+    /// The start time of the daemon in ms.
+    pub incarnation: u64,
+    /// The seed of all choices, jitter and key nonces.
+    pub seed: u64,
+}
+
+impl DaemonResources {
+    /// Returns the resources of a daemon that has its process to itself.
+    ///
+    /// # Panics
+    ///
+    /// When called outside a tokio runtime.
+    pub fn of_process() -> DaemonResources {
+        DaemonResources {
+            runtime: Handle::current(),
+            listener_threads: 2,
+            clock: Arc::new(clock::SystemClock::start()),
+            incarnation: clock::incarnation_now(),
+            seed: rand::random(),
+        }
+    }
+}
+
+/// What became of a graceful stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopReport {
+    /// Calls that were still under way at the deadline.
+    pub cut_off: usize,
+    /// How long the stop took.
+    pub took: Duration,
+}
+
+/// A daemon in one state of its life.
+pub struct Daemon<S> {
+    node: Arc<DaemonNode>,
+    endpoint: PeerEndpoint,
+    callers: CallerListener,
+    operators: OperatorListener,
+    control: JoinHandle<()>,
+    stop_asked: Arc<Notify>,
+    stop_deadline: Duration,
+    peer_address: SocketAddr,
+    state: PhantomData<S>,
+}
+
+impl Daemon<Running> {
+    /// Opens a daemon: binds its listeners and starts its control thread.
+    ///
+    /// # Errors
+    ///
+    /// When keys cannot be read or used, or an address cannot be bound.
+    pub async fn open(
+        settings: &DaemonSettings,
+        resources: DaemonResources,
+    ) -> Result<Daemon<Running>> {
+        let local = LocalHost {
+            host: SmolStr::new(&settings.host),
+            region: SmolStr::new(&settings.region),
+            failure_domain: SmolStr::new(&settings.failure_domain),
+        };
+        let listen = settings.listen.clone().unwrap_or_default();
+        let limits = settings.limits.unwrap_or_default();
+        let policy = ControlPolicy::from(&settings.policy.unwrap_or_default());
+        let meters = Arc::new(CallMeters::default());
+        let _entered = resources.runtime.enter();
+        let endpoint = PeerEndpoint::bind(PeerConfig {
+            listen: address("listen.peers", &listen.peers)?,
+            identity: identity(settings)?,
+            host: local.host.clone(),
+            failure_domain: local.failure_domain.clone(),
+            region: local.region.clone(),
+            incarnation: resources.incarnation,
+            limits: PeerLimits::default(),
+        })?;
+        let peer_address = match settings.advertise.as_str() {
+            "" => endpoint.local_address()?,
+            text => address("advertise", text)?,
+        };
+        let (control, queue) = ControlHandle::queue();
+        let state = Arc::new(shared_state(&local, &resources, &policy));
+        let node = Arc::new(DaemonNode::new(NodeParts {
+            local: local.clone(),
+            incarnation: resources.incarnation,
+            clock: Arc::clone(&resources.clock),
+            state: Arc::clone(&state),
+            control: control.clone(),
+            pool: SessionPool::new(endpoint.clone(), Arc::clone(&resources.clock)),
+            meters: Arc::clone(&meters),
+            tracer: tracer(settings, &resources.runtime)?,
+            limits,
+            seed: resources.seed,
+        }));
+        let callers = bind_callers(
+            &node,
+            address("listen.callers", &listen.callers)?,
+            &limits,
+            resources.listener_threads,
+        )?;
+        let stop_asked = Arc::new(Notify::new());
+        let desk = OperatorDesk {
+            node: Arc::clone(&node),
+            stop: Arc::clone(&stop_asked),
+        };
+        let operators = OperatorListener::bind(
+            address("listen.operators", &listen.operators)?,
+            move |request| desk.clone().answer(request),
+        )
+        .context("bind listen.operators")?;
+        let parts = ControlParts {
+            config: ControlConfig {
+                host: local.host.clone(),
+                region: local.region.clone(),
+                domain: local.failure_domain.clone(),
+                address: peer_address,
+                incarnation: resources.incarnation,
+                seeds: settings
+                    .seeds
+                    .iter()
+                    .map(|seed| address("seeds", seed))
+                    .collect::<Result<_>>()?,
+                policy,
+                rule: Arc::new(ContentRule),
+            },
+            seed: resources.seed,
+            clock: Arc::clone(&resources.clock),
+            endpoint: endpoint.clone(),
+            platform: platform(settings)?,
+            publisher: Publisher::new(state, local),
+            node: Arc::clone(&node),
+            meters,
+            sender: meter_sender(settings)?,
+            runtime: resources.runtime.clone(),
+        };
+        let control = control_loop::spawn(parts, control, queue)?;
+        resources
+            .runtime
+            .spawn(serve::accept(Arc::clone(&node), endpoint.clone()));
+        resources.runtime.spawn(transfer::run(Arc::clone(&node)));
+        events::STARTED.emit(format_args!(
+            "host={} failure_domain={} callers={} peers={peer_address} operators={}",
+            settings.host,
+            settings.failure_domain,
+            callers.local_address(),
+            operators.local_address()
+        ));
+        let seconds = settings.policy.map_or(0, |policy| policy.stop_deadline_s);
+        Ok(Daemon {
+            node,
+            endpoint,
+            callers,
+            operators,
+            control,
+            stop_asked,
+            stop_deadline: Duration::from_secs(if seconds == 0 { 30 } else { seconds }),
+            peer_address,
+            state: PhantomData,
+        })
+    }
+
+    /// Waits until an operator asks for a graceful stop.
+    pub async fn stop_asked(&self) {
+        self.stop_asked.notified().await;
+    }
+
+    /// Waits until a version is in force, or the time is over; returns whether
+    /// one is.
+    pub async fn wait_for_revision(&self, revision: u64, time: Duration) -> bool {
+        let mut changes = self.node.state.changes();
+        let reached = async {
+            while self.revision() < revision {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        tokio::time::timeout(time, reached).await.is_ok()
+    }
+
+    /// Stops taking new calls and tells the peers.
+    pub fn begin_stop(self) -> Daemon<Stopping> {
+        let running = self.node.under_way.load(Ordering::Acquire);
+        events::STOPPING.emit(format_args!("running={running}"));
+        self.node.begin_stop();
+        self.node
+            .control
+            .send(ControlInput::Event(ControlEvent::Stop));
+        Daemon {
+            node: self.node,
+            endpoint: self.endpoint,
+            callers: self.callers,
+            operators: self.operators,
+            control: self.control,
+            stop_asked: self.stop_asked,
+            stop_deadline: self.stop_deadline,
+            peer_address: self.peer_address,
+            state: PhantomData,
+        }
+    }
+
+    /// Ends the daemon at once, as a crash would: nothing is finished and no
+    /// peer is told. For failure tests and the demo.
+    pub async fn kill(self) {
+        self.node.end();
+        self.node.control.send(ControlInput::End);
+        self.endpoint.close("killed").await;
+        let _ = tokio::time::timeout(Duration::from_millis(10), self.callers.stop()).await;
+        let _ = tokio::time::timeout(Duration::from_millis(10), self.operators.stop()).await;
+    }
+}
+
+impl Daemon<Stopping> {
+    /// Waits until the calls under way have ended, or the stop deadline, and
+    /// ends the daemon.
+    pub async fn finish(self) -> StopReport {
+        let begun = self.node.clock.now();
+        tokio::time::sleep(NOTICE_TIME).await;
+        let idle = async {
+            loop {
+                let ended = self.node.ended.notified();
+                if self.node.under_way.load(Ordering::Acquire) == 0 {
+                    return;
+                }
+                ended.await;
+            }
+        };
+        let _ = tokio::time::timeout(self.stop_deadline, idle).await;
+        let cut_off = self.node.under_way.load(Ordering::Acquire);
+        let left = if cut_off == 0 {
+            serve::FLUSH_TIME
+        } else {
+            Duration::ZERO
+        };
+        let _ = tokio::time::timeout(left, self.callers.stop()).await;
+        self.node.end();
+        self.endpoint.close("stopped").await;
+        self.node.control.send(ControlInput::End);
+        let _ = tokio::task::spawn_blocking(move || self.control.join()).await;
+        if let Some(tracer) = &self.node.tracer {
+            tracer.shutdown();
+        }
+        let _ = tokio::time::timeout(serve::FLUSH_TIME, self.operators.stop()).await;
+        let took = self.node.clock.now().saturating_sub(begun);
+        events::STOPPED.emit(format_args!(
+            "cut_off={cut_off} took_ms={}",
+            took.as_millis()
+        ));
+        StopReport { cut_off, took }
+    }
+}
+
+impl<S> Daemon<S> {
+    /// Returns the shared parts, for tests and the demo.
+    pub fn node(&self) -> &Arc<DaemonNode> {
+        &self.node
+    }
+
+    /// Returns the address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers.local_address()
+    }
+
+    /// Returns the address for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators.local_address()
+    }
+
+    /// Returns the address for peers.
+    pub fn peers(&self) -> SocketAddr {
+        self.peer_address
+    }
+
+    /// Returns the revision in force; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.node
+            .state
+            .current()
+            .map_or(0, |current| current.share.revision)
+    }
+}
+
+fn shared_state(
+    local: &LocalHost,
+    resources: &DaemonResources,
+    policy: &ControlPolicy,
+) -> SharedState {
+    let mut random = Pcg64::seed_from_u64(resources.seed);
+    let mut seed = [0; 32];
+    random.fill(&mut seed);
+    let issuer = KeyIssuer::new(&local.host, resources.incarnation, seed);
+    let ledger = OnceLedger::new(issuer, &local.region, OnceLimits::default());
+    let gate = FreshnessGate::new(policy.stale_after, resources.clock.now());
+    SharedState::new(gate, ledger)
+}
+
+fn bind_callers(
+    node: &Arc<DaemonNode>,
+    address: SocketAddr,
+    limits: &LimitSettings,
+    threads: usize,
+) -> Result<CallerListener> {
+    let handler = callers::CallerDesk {
+        node: Arc::clone(node),
+    };
+    let bounds = ListenLimits {
+        head: limits.header_kib as usize * 1024,
+        body: limits.body_mib * 1024 * 1024,
+        threads,
+        requests: limits.calls as usize,
+    };
+    CallerListener::bind(address, bounds, move |request| {
+        handler.clone().answer(request)
+    })
+    .context("bind listen.callers")
+}
+
+fn address(field: &str, text: &str) -> Result<SocketAddr> {
+    text.parse()
+        .with_context(|| format!("{field}: {text:?} is not an IP address and port"))
+}
+
+fn identity(settings: &DaemonSettings) -> Result<PeerIdentity> {
+    let tls = settings.tls.clone().unwrap_or_default();
+    let read = |field: &str, path: &str| {
+        fs::read_to_string(path).with_context(|| format!("{field}: read {path}"))
+    };
+    Ok(PeerIdentity {
+        ca: read("tls.ca", &tls.ca)?,
+        certificate: read("tls.certificate", &tls.certificate)?,
+        key: read("tls.key", &tls.key)?,
+    })
+}
+
+fn platform(settings: &DaemonSettings) -> Result<PlatformClient> {
+    let platform = settings.platform.clone().unwrap_or_default();
+    if platform.url.is_empty() {
+        return Ok(PlatformClient::directory(platform.directory));
+    }
+    PlatformClient::http(&platform.url).context("platform.url")
+}
+
+fn tracer(settings: &DaemonSettings, runtime: &Handle) -> Result<Option<HopTracer>> {
+    let telemetry = settings.telemetry.clone().unwrap_or_default();
+    if telemetry.otlp.is_empty() {
+        return Ok(None);
+    }
+    let tracer = HopTracer::open(
+        &telemetry.otlp,
+        telemetry.trace_per_mille,
+        &settings.host,
+        &settings.failure_domain,
+        runtime.clone(),
+    );
+    tracer.map(Some).context("telemetry.otlp")
+}
+
+fn meter_sender(settings: &DaemonSettings) -> Result<Option<MeterSender>> {
+    let telemetry = settings.telemetry.clone().unwrap_or_default();
+    if telemetry.statsd.is_empty() {
+        return Ok(None);
+    }
+    let receiver = address("telemetry.statsd", &telemetry.statsd)?;
+    MeterSender::open(receiver, &settings.host, &settings.failure_domain).map(Some)
+}
--- /dev/null
+++ b/crates/daemon/src/dispatch.rs
@@ -0,0 +1,378 @@
+//! Sends a call to a target: picks one, sends, and sends again where allowed.
+//!
+//! Used by the entry daemon for ordinary requests and by the owner of an
+//! idempotency key for requests that may not be repeated.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use opentelemetry::trace::SpanKind;
+use radishgauge_net::BodyReceiver;
+use radishgauge_net::CallReceiver;
+use radishgauge_net::PeerError;
+use radishgauge_net::PeerSession;
+use radishgauge_schema::peer::CallHead;
+use radishgauge_schema::peer::Header;
+use radishgauge_traffic::CallContext;
+use radishgauge_traffic::CallOutcome;
+use radishgauge_traffic::CallVerdict;
+use radishgauge_traffic::HomeRule;
+use radishgauge_traffic::PickRequest;
+use radishgauge_traffic::Picked;
+use radishgauge_traffic::Refusal;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::RetryDecision;
+use radishgauge_traffic::TriedTargets;
+use radishgauge_traffic::once::OnceTicket;
+use radishgauge_traffic::pick::TargetPicker;
+use radishgauge_traffic::retry::FailedCall;
+use radishgauge_traffic::route::RouteEntry;
+use radishgauge_traffic::route::RouteKey;
+
+use crate::answer::CallAnswer;
+use crate::body::AnswerBody;
+use crate::body::BodyFault;
+use crate::body::BodyStream;
+use crate::body::RequestBody;
+use crate::meters::count;
+use crate::node::DaemonNode;
+use crate::publish::PublishedVersion;
+use crate::receive;
+use crate::sessions::WaitingCall;
+
+/// The reason of a call whose session broke or could not be opened.
+pub const PATH_BROKE: &str = "path-broke";
+
+/// A request with everything that its attempts need.
+#[derive(Clone)]
+pub struct OutboundCall {
+    /// The daemon's shared parts.
+    pub node: Arc<DaemonNode>,
+    /// The version that the call began under; it ends under the same.
+    pub version: Arc<PublishedVersion>,
+    /// The route of the request.
+    pub route: RouteKey,
+    /// The regions that may handle the request.
+    pub home: HomeRule,
+    /// The context that the call carries.
+    pub context: CallContext,
+    /// When the caller stops waiting, on the process clock.
+    pub deadline: Duration,
+    /// The method.
+    pub method: String,
+    /// The path with its query.
+    pub path: String,
+    /// The headers that pass on.
+    pub headers: Vec<Header>,
+    /// The trace context of the request.
+    pub traceparent: String,
+    /// The idempotency key; empty for none.
+    pub key: String,
+    /// The run of the key, when this daemon owns it.
+    pub ticket: Option<OnceTicket>,
+}
+
+/// How one attempt ended.
+enum Attempt {
+    /// A target answered.
+    Answered(CallAnswer),
+    /// The attempt failed; the answer says so to the caller.
+    Failed(CallAnswer),
+}
+
+impl OutboundCall {
+    /// Returns the route of the request.
+    ///
+    /// # Errors
+    ///
+    /// [`RefusalReason::NoRoute`] when the key belongs to another snapshot.
+    pub fn route(&self) -> Result<&RouteEntry, Refusal> {
+        let routes = self.version.snapshot.routes();
+        routes
+            .get(self.route)
+            .ok_or(Refusal::new(RefusalReason::NoRoute))
+    }
+
+    /// Returns the time left until the deadline.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(self.node.clock.now())
+    }
+
+    /// Sends the call until it is answered or must not be sent again.
+    pub async fn dispatch(&self, body: &mut RequestBody) -> CallAnswer {
+        let revision = self.version.snapshot.revision();
+        let (route, picker) = match self.route() {
+            Ok(route) => (route, &self.node.picker),
+            Err(refusal) => return CallAnswer::refused(&refusal, revision),
+        };
+        if !self.context.is_marked() {
+            self.node.budget.deposit();
+        }
+        let mut tried = TriedTargets::default();
+        let mut context = self.context.clone();
+        let mut retries = 0;
+        let mut worst: Option<CallAnswer> = None;
+        loop {
+            let picked = match self.pick(picker, route, &tried, body) {
+                Ok(picked) => picked,
+                Err(refusal) => {
+                    return worst.unwrap_or_else(|| CallAnswer::refused(&refusal, revision));
+                }
+            };
+            tried.insert(picked.target);
+            let expected = picked.expected_response();
+            count(&self.node.meters.attempts);
+            let failed = match self.attempt(picked, &context, body).await {
+                Attempt::Answered(answer) => {
+                    route.cost.record(answer.head.calls);
+                    if let Some(allowance) = context.allowance
+                        && !self.context.is_marked()
+                    {
+                        self.node
+                            .budget
+                            .refund(allowance.saturating_sub(answer.head.calls));
+                    }
+                    return answer;
+                }
+                Attempt::Failed(answer) => answer,
+            };
+            let decision = self.node.budget.decide(
+                &FailedCall {
+                    verdict: failed.verdict(),
+                    reason: failed.refusal_reason(),
+                    repeatable: route.repeatable && self.ticket.is_none(),
+                    marked: self.context.is_marked(),
+                    retries,
+                    remaining: self.remaining(),
+                    expected,
+                    cost: route.cost.estimate(),
+                },
+                self.node.next_number(),
+            );
+            let RetryDecision::Retry { after, allowance } = decision else {
+                return worse(worst, failed);
+            };
+            if !body.is_complete() {
+                self.node.budget.refund(allowance);
+                return worse(worst, failed);
+            }
+            worst = Some(worse(worst, failed));
+            count(&self.node.meters.retries);
+            retries += 1;
+            context.allowance = Some(allowance);
+            tokio::time::sleep(after).await;
+        }
+    }
+
+    fn pick(
+        &self,
+        picker: &TargetPicker,
+        route: &RouteEntry,
+        tried: &TriedTargets,
+        body: &RequestBody,
+    ) -> Result<Picked, Refusal> {
+        let request = PickRequest {
+            home: self.home,
+            bytes: body.held.len() as u64,
+        };
+        let now = self.node.clock.now();
+        picker.pick(&self.version.snapshot, route.service, &request, tried, now)
+    }
+
+    /// Returns the head of the call for the receiving daemon.
+    pub fn head(&self, host: &str, context: &CallContext, traceparent: &str) -> CallHead {
+        let service = self
+            .route()
+            .ok()
+            .and_then(|route| self.version.snapshot.service(route.service))
+            .map_or_else(String::new, |service| service.name.to_string());
+        let mut context = context.clone();
+        context.deadline = self.remaining();
+        CallHead {
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: self.headers.clone(),
+            route: self
+                .route()
+                .map_or_else(|_| String::new(), |route| route.name.to_string()),
+            service,
+            host: host.to_owned(),
+            context: Some(context.to_message(traceparent)),
+            revision: self.version.snapshot.revision(),
+            call: self.node.next_number(),
+            key: self.key.clone(),
+            owner: false,
+        }
+    }
+
+    async fn attempt(
+        &self,
+        picked: Picked,
+        context: &CallContext,
+        body: &mut RequestBody,
+    ) -> Attempt {
+        let span = self
+            .node
+            .span("attempt", SpanKind::Client, &self.traceparent);
+        let traceparent = span
+            .as_ref()
+            .map_or(self.traceparent.as_str(), |span| span.traceparent());
+        let head = self.head(&picked.host, context, traceparent);
+        if let Some(ticket) = self.ticket
+            && !self.node.state.with_ledger(|ledger| ledger.started(ticket))
+        {
+            return Attempt::Failed(CallAnswer::unanswered(
+                CallVerdict::MayHaveRun,
+                "key-in-use",
+            ));
+        }
+        let local = *picked.host == *self.node.local.host;
+        let time = self.remaining();
+        let answer = if local {
+            // No session stands between; the same admission decides.
+            let whole = body.as_whole().cloned();
+            let own = match whole {
+                Some(bytes) => RequestBody::whole(bytes),
+                None => match RequestBody::read(body.take()).await {
+                    Ok(own) => own,
+                    Err(fault) => return Attempt::Failed(self.not_sent(&fault)),
+                },
+            };
+            match tokio::time::timeout(time, receive::receive(&self.node, head, own)).await {
+                Ok(answer) => answer,
+                Err(_) => CallAnswer::unanswered(CallVerdict::MayHaveRun, receive::DEADLINE),
+            }
+        } else {
+            let sent = send(&self.node, picked.daemon, head, body, self.may_repeat());
+            match tokio::time::timeout(time, sent).await {
+                Ok(answer) => answer,
+                Err(_) => CallAnswer::unanswered(CallVerdict::MayHaveRun, receive::DEADLINE),
+            }
+        };
+        self.conclude(picked, answer)
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.ticket.is_none() && self.route().is_ok_and(|route| route.repeatable)
+    }
+
+    fn not_sent(&self, fault: &BodyFault) -> CallAnswer {
+        if let Some(ticket) = self.ticket {
+            self.node.state.with_ledger(|ledger| ledger.refused(ticket));
+        }
+        CallAnswer::unanswered(CallVerdict::NotRun, &fault.to_string())
+    }
+
+    fn conclude(&self, picked: Picked, answer: CallAnswer) -> Attempt {
+        let now = self.node.clock.now();
+        let verdict = answer.verdict();
+        if verdict == CallVerdict::NotRun
+            && let Some(ticket) = self.ticket
+        {
+            self.node.state.with_ledger(|ledger| ledger.refused(ticket));
+        }
+        let outcome = match (verdict, answer.refusal_reason()) {
+            (CallVerdict::Ran, _) => CallOutcome::Answered {
+                capacity: answer.head.capacity,
+            },
+            (_, Some(reason)) => CallOutcome::Refused { reason },
+            (_, None) if answer.head.reason == receive::DEADLINE => CallOutcome::Cancelled,
+            (_, None) => CallOutcome::Broken,
+        };
+        picked.finish(outcome, now);
+        match verdict {
+            CallVerdict::Ran => Attempt::Answered(answer),
+            CallVerdict::NotRun | CallVerdict::MayHaveRun => Attempt::Failed(answer),
+        }
+    }
+}
+
+/// Returns the answer that tells the caller more of what may have been done.
+fn worse(first: Option<CallAnswer>, second: CallAnswer) -> CallAnswer {
+    match first {
+        Some(first) if first.verdict() > second.verdict() => first,
+        _ => second,
+    }
+}
+
+/// Sends a call to the daemon at an address and waits for the head of its
+/// answer. The verdict is "not run" only when nothing was sent or the daemon
+/// says so.
+pub async fn send(
+    node: &Arc<DaemonNode>,
+    address: SocketAddr,
+    head: CallHead,
+    body: &mut RequestBody,
+    repeatable: bool,
+) -> CallAnswer {
+    let held = match node.pool.get(address).await {
+        Ok(held) => held,
+        Err(error) => return broken(&error),
+    };
+    if let Err(error) = held.confirm(repeatable).await {
+        return broken(&error);
+    }
+    let waiting = held.wait();
+    let call = match body.as_whole() {
+        Some(bytes) => held.session().call_whole(head, bytes.clone()).await,
+        None => stream_call(held.session(), head, body).await,
+    };
+    let receiver = match call {
+        Ok(receiver) => receiver,
+        Err(error) => return broken(&error),
+    };
+    match receiver.answer().await {
+        Ok((head, body)) => {
+            waiting.received();
+            let pieces = answer_pieces(body, waiting);
+            CallAnswer {
+                head,
+                body: AnswerBody::Stream(pieces),
+            }
+        }
+        Err(error) => broken(&error),
+    }
+}
+
+/// Sends head and body from a task of its own, so that the answer may come
+/// before the body is all sent.
+async fn stream_call(
+    session: &PeerSession,
+    head: CallHead,
+    body: &mut RequestBody,
+) -> Result<CallReceiver, PeerError> {
+    let (mut sender, receiver) = session.call(head).await?;
+    let mut pieces = body.take();
+    tokio::spawn(async move {
+        while let Some(piece) = pieces.next().await {
+            // Dropping the sender resets the stream, so the receiver never
+            // takes a part of the body for the whole.
+            let Ok(piece) = piece else { return };
+            if sender.send(piece).await.is_err() {
+                return;
+            }
+        }
+        // A failure shows at the answer.
+        let _ = sender.finish().await;
+    });
+    Ok(receiver)
+}
+
+fn answer_pieces(body: BodyReceiver, waiting: WaitingCall) -> BodyStream {
+    let stream = body.into_stream().map(move |piece| {
+        waiting.received();
+        piece.map_err(|error| BodyFault(error.to_string()))
+    });
+    stream.boxed()
+}
+
+fn broken(error: &PeerError) -> CallAnswer {
+    let verdict = if error.sent {
+        CallVerdict::MayHaveRun
+    } else {
+        CallVerdict::NotRun
+    };
+    CallAnswer::unanswered(verdict, PATH_BROKE)
+}
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -74,5 +74,8 @@
 
 /// Returns a header's text; empty when it is absent or not text.
 pub fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
-    headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
 }
--- /dev/null
+++ b/crates/daemon/src/hosted.rs
@@ -0,0 +1,319 @@
+//! The targets of this host: slots, waiting calls, and what runs.
+//!
+//! Admission itself is decided in `radishgauge-traffic`. This module wakes the
+//! calls that wait, and makes sure that a call that is dropped at any point
+//! gives its slot back.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use radishgauge_traffic::Admit;
+use radishgauge_traffic::AdmitRequest;
+use radishgauge_traffic::Refusal;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::TargetAdmission;
+use radishgauge_traffic::admit::RunOutcome;
+use radishgauge_traffic::admit::RunningTicket;
+use radishgauge_traffic::admit::Ticket;
+use radishgauge_traffic::admit::Waiter;
+use radishgauge_traffic::admit::Wake;
+use radishgauge_traffic::suspect::Fingerprint;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use crate::clock::ProcessClock;
+
+type Decision = Result<Ticket, Refusal>;
+
+/// One target of this host.
+pub struct HostedTarget {
+    admission: Arc<TargetAdmission>,
+    clock: Arc<dyn ProcessClock>,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Decision>>>,
+    running: Mutex<RunningCalls>,
+}
+
+#[derive(Default)]
+struct RunningCalls {
+    next: u64,
+    calls: HashMap<u64, RunningCall>,
+}
+
+struct RunningCall {
+    fingerprint: Fingerprint,
+    /// The call was counted in a crash that another call reported.
+    crashed: bool,
+}
+
+impl HostedTarget {
+    fn new(admission: Arc<TargetAdmission>, clock: Arc<dyn ProcessClock>) -> HostedTarget {
+        HostedTarget {
+            admission,
+            clock,
+            waiting: Mutex::default(),
+            running: Mutex::default(),
+        }
+    }
+
+    /// Returns the admission of the target.
+    pub fn admission(&self) -> &TargetAdmission {
+        &self.admission
+    }
+
+    /// Waits until the request may run.
+    ///
+    /// # Errors
+    ///
+    /// A refusal; the request was not run.
+    pub async fn enter(self: &Arc<Self>, request: &AdmitRequest) -> Result<HeldSlot, Refusal> {
+        let (waiter, decision) = {
+            // Held while the request joins the queue, so that a wake for it
+            // cannot come before its receiver is there.
+            let mut waiting = lock(&self.waiting);
+            match self.admission.admit(request, self.clock.now()) {
+                Admit::Run(ticket) => return Ok(self.slot(ticket)),
+                Admit::Refuse(refusal) => return Err(refusal),
+                Admit::Wait(waiter) => {
+                    let (sender, receiver) = oneshot::channel();
+                    waiting.insert(waiter.id, sender);
+                    (waiter, receiver)
+                }
+            }
+        };
+        self.wait(waiter, decision).await
+    }
+
+    async fn wait(
+        self: &Arc<Self>,
+        waiter: Waiter,
+        decision: oneshot::Receiver<Decision>,
+    ) -> Result<HeldSlot, Refusal> {
+        let mut queued = QueuedCall {
+            target: self,
+            waiter,
+            decision: Some(decision),
+        };
+        let time = waiter.until.saturating_sub(self.clock.now());
+        let Some(receiver) = queued.decision.as_mut() else {
+            return Err(Refusal::new(RefusalReason::QueueTimeout));
+        };
+        if let Ok(Ok(decision)) = tokio::time::timeout(time, receiver).await {
+            queued.decision = None;
+            return decision.map(|ticket| self.slot(ticket));
+        }
+        // Out of time, unless the decision was made at the same moment.
+        match self.admission.give_up(&waiter) {
+            Some(refusal) => Err(refusal),
+            None => match queued
+                .decision
+                .take()
+                .and_then(|mut late| late.try_recv().ok())
+            {
+                Some(decision) => decision.map(|ticket| self.slot(ticket)),
+                None => Err(Refusal::new(RefusalReason::QueueTimeout)),
+            },
+        }
+    }
+
+    fn slot(self: &Arc<Self>, ticket: Ticket) -> HeldSlot {
+        HeldSlot {
+            target: Arc::clone(self),
+            ticket: Some(ticket),
+        }
+    }
+
+    fn wake(&self, wakes: Vec<Wake>) {
+        let mut again = Vec::new();
+        for wake in wakes {
+            let sender = lock(&self.waiting).remove(&wake.waiter);
+            let unused = match sender {
+                Some(sender) => sender.send(wake.decision).err(),
+                None => Some(wake.decision),
+            };
+            // The call that waited is gone; its ticket wakes the next.
+            if let Some(Ok(ticket)) = unused {
+                again.extend(self.admission.cancel(ticket, self.clock.now()));
+            }
+        }
+        if !again.is_empty() {
+            self.wake(again);
+        }
+    }
+
+    /// Returns the fingerprints under way when a call's connection broke;
+    /// `None` when another call has already reported the crash.
+    fn crash(&self, id: u64) -> Option<Vec<Fingerprint>> {
+        let mut running = lock(&self.running);
+        if running.calls.get(&id).is_none_or(|call| call.crashed) {
+            return None;
+        }
+        for call in running.calls.values_mut() {
+            call.crashed = true;
+        }
+        Some(
+            running
+                .calls
+                .values()
+                .map(|call| call.fingerprint)
+                .collect(),
+        )
+    }
+}
+
+/// A call in the queue; dropping it takes it out.
+struct QueuedCall<'a> {
+    target: &'a HostedTarget,
+    waiter: Waiter,
+    decision: Option<oneshot::Receiver<Decision>>,
+}
+
+impl Drop for QueuedCall<'_> {
+    fn drop(&mut self) {
+        lock(&self.target.waiting).remove(&self.waiter.id);
+        let Some(mut decision) = self.decision.take() else {
+            return;
+        };
+        if self.target.admission.give_up(&self.waiter).is_none()
+            && let Ok(Ok(ticket)) = decision.try_recv()
+        {
+            let wakes = self
+                .target
+                .admission
+                .cancel(ticket, self.target.clock.now());
+            self.target.wake(wakes);
+        }
+    }
+}
+
+/// The right to run one request at a target; dropping it gives it back.
+pub struct HeldSlot {
+    target: Arc<HostedTarget>,
+    ticket: Option<Ticket>,
+}
+
+impl HeldSlot {
+    /// Marks the request as handed over to the target.
+    ///
+    /// # Panics
+    ///
+    /// Never: the ticket is taken only here and when the slot is dropped.
+    pub fn hand_over(mut self, fingerprint: Fingerprint) -> RunningSlot {
+        let ticket = self.ticket.take().expect("a slot is handed over once");
+        let id = {
+            let mut running = lock(&self.target.running);
+            running.next += 1;
+            let id = running.next;
+            running.calls.insert(
+                id,
+                RunningCall {
+                    fingerprint,
+                    crashed: false,
+                },
+            );
+            id
+        };
+        RunningSlot {
+            target: Arc::clone(&self.target),
+            ticket: Some(ticket.hand_over(self.target.clock.now())),
+            id,
+        }
+    }
+}
+
+impl Drop for HeldSlot {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            let wakes = self
+                .target
+                .admission
+                .cancel(ticket, self.target.clock.now());
+            self.target.wake(wakes);
+        }
+    }
+}
+
+/// A request that runs at a target; dropping it counts as cancelled.
+pub struct RunningSlot {
+    target: Arc<HostedTarget>,
+    ticket: Option<RunningTicket>,
+    id: u64,
+}
+
+impl RunningSlot {
+    /// Returns what was under way when this call's connection broke; `None`
+    /// when another call has reported the crash.
+    pub fn crash(&self) -> Option<Vec<Fingerprint>> {
+        self.target.crash(self.id)
+    }
+
+    /// Returns the capacity to report with the answer.
+    pub fn capacity(&self) -> u32 {
+        // The slot of this call is free for the sender again.
+        self.target.admission.reported_capacity() + 1
+    }
+
+    /// Gives the slot back.
+    pub fn finish(mut self, outcome: RunOutcome) {
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: RunOutcome) {
+        let Some(ticket) = self.ticket.take() else {
+            return;
+        };
+        lock(&self.target.running).calls.remove(&self.id);
+        let wakes = self
+            .target
+            .admission
+            .finish(ticket, outcome, self.target.clock.now());
+        self.target.wake(wakes);
+    }
+}
+
+impl Drop for RunningSlot {
+    fn drop(&mut self) {
+        self.end(RunOutcome::Cancelled);
+    }
+}
+
+/// The targets of this host, by service.
+#[derive(Default)]
+pub struct HostedTargets {
+    targets: Mutex<HashMap<SmolStr, Arc<HostedTarget>>>,
+}
+
+impl HostedTargets {
+    /// Returns the target that stands for an admission of the snapshot.
+    pub fn get(
+        &self,
+        service: &SmolStr,
+        admission: &Arc<TargetAdmission>,
+        clock: &Arc<dyn ProcessClock>,
+    ) -> Arc<HostedTarget> {
+        let mut targets = lock(&self.targets);
+        if let Some(target) = targets.get(service)
+            && Arc::ptr_eq(&target.admission, admission)
+        {
+            return Arc::clone(target);
+        }
+        let target = Arc::new(HostedTarget::new(Arc::clone(admission), Arc::clone(clock)));
+        targets.insert(service.clone(), Arc::clone(&target));
+        target
+    }
+
+    /// Returns the calls that run at targets of this host.
+    pub fn running(&self) -> usize {
+        lock(&self.targets)
+            .values()
+            .map(|target| lock(&target.running).calls.len())
+            .sum()
+    }
+}
+
+/// A panic elsewhere leaves these maps usable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/daemon/src/keyed.rs
@@ -0,0 +1,413 @@
+//! Requests with an idempotency key: run at most once, by the key's owner.
+//!
+//! The entry daemon sends such a request to the owner of its key; the owner
+//! runs it, attaches it to the run under way, repeats the first answer, or says
+//! what is known. A run goes on when its caller goes away, so that the answer
+//! is there when the caller asks again.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use radishgauge_schema::peer::Header;
+use radishgauge_schema::peer::IssueKeyRequest;
+use radishgauge_schema::peer::PeerReply;
+use radishgauge_schema::peer::PeerRequest;
+use radishgauge_schema::peer::Verdict;
+use radishgauge_schema::peer::peer_reply::Reply;
+use radishgauge_schema::peer::peer_request::Request;
+use radishgauge_traffic::CallVerdict;
+use radishgauge_traffic::PickRequest;
+use radishgauge_traffic::Refusal;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::TriedTargets;
+use radishgauge_traffic::key::IdempotencyKey;
+use radishgauge_traffic::once::OnceAnswer;
+use radishgauge_traffic::once::OnceDecision;
+use radishgauge_traffic::once::OnceOutcome;
+use radishgauge_traffic::once::OnceReason;
+use radishgauge_traffic::once::OnceRequest;
+use radishgauge_traffic::once::OnceTicket;
+use radishgauge_traffic::once_entry::KeyedAttempt;
+use radishgauge_traffic::once_owner::KeyOwner;
+use radishgauge_traffic::suspect::Fingerprint;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::answer::CallAnswer;
+use crate::body::AnswerBody;
+use crate::body::RequestBody;
+use crate::dispatch;
+use crate::dispatch::OutboundCall;
+use crate::headers;
+use crate::meters::count;
+use crate::node::DaemonNode;
+use crate::publish::owner_set;
+
+/// The greatest body that is kept to be repeated.
+const KEPT_BYTES: usize = 64 * 1024;
+
+/// How often a request is sent to its owner while no byte of it got there.
+const OWNER_TRIES: usize = 2;
+
+/// How long a daemon may take to issue a key.
+const ISSUE_TIME: Duration = Duration::from_secs(1);
+
+/// The runs under way at this daemon as owner.
+#[derive(Default)]
+pub struct KeyRuns {
+    runs: Mutex<HashMap<OnceTicket, watch::Sender<()>>>,
+}
+
+impl KeyRuns {
+    fn begin(&self, ticket: OnceTicket) {
+        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.insert(ticket, watch::channel(()).0);
+    }
+
+    fn end(&self, ticket: OnceTicket) {
+        // Those that wait see the sender go.
+        self.runs
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&ticket);
+    }
+
+    fn watch(&self, ticket: OnceTicket) -> Option<watch::Receiver<()>> {
+        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        runs.get(&ticket).map(watch::Sender::subscribe)
+    }
+}
+
+/// Sends a request to the owner of its key, which may be this daemon.
+///
+/// Without a key of the caller, this daemon issues one for this request alone.
+pub async fn send(
+    call: &OutboundCall,
+    key: Option<IdempotencyKey>,
+    body: &mut RequestBody,
+) -> CallAnswer {
+    let node = &call.node;
+    let Some(key) = key else {
+        let key = IdempotencyKey::Issued(node.state.with_ledger(|ledger| ledger.issue()));
+        return own(own_call(call, &key), key, take(body)).await;
+    };
+    let Some(owner) = owner_of(call, &key) else {
+        return CallAnswer::unanswered(CallVerdict::MayHaveRun, "owner-unknown");
+    };
+    if owner == node.local.host {
+        return own(own_call(call, &key), key, take(body)).await;
+    }
+    let Some(address) = node.peer_address(&owner) else {
+        return CallAnswer::unanswered(CallVerdict::MayHaveRun, "owner-unknown");
+    };
+    let mut attempt = KeyedAttempt::new(false);
+    for _ in 0..OWNER_TRIES {
+        let mut head = call.head(&owner, &call.context, &call.traceparent);
+        head.owner = true;
+        head.key = key.to_string();
+        attempt.sent();
+        let sent = dispatch::send(node, address, head, body, false);
+        let answer = match tokio::time::timeout(call.remaining(), sent).await {
+            Ok(answer) => answer,
+            Err(_) => CallAnswer::unanswered(CallVerdict::MayHaveRun, "deadline"),
+        };
+        let never_sent =
+            answer.verdict() == CallVerdict::NotRun && answer.head.reason == dispatch::PATH_BROKE;
+        if !never_sent {
+            let verdict = attempt.answered(answer.verdict());
+            return with_verdict(answer, verdict);
+        }
+        attempt.answered(CallVerdict::NotRun);
+        if !body.is_complete() {
+            break;
+        }
+    }
+    CallAnswer::unanswered(attempt.unanswered(), "owner-unreachable")
+}
+
+fn with_verdict(mut answer: CallAnswer, verdict: CallVerdict) -> CallAnswer {
+    answer.head.verdict = Verdict::from(verdict).into();
+    answer
+}
+
+fn take(body: &mut RequestBody) -> RequestBody {
+    std::mem::replace(body, RequestBody::whole(Bytes::new()))
+}
+
+fn own_call(call: &OutboundCall, key: &IdempotencyKey) -> OutboundCall {
+    let mut own = call.clone();
+    own.key = key.to_string();
+    own
+}
+
+fn owner_of(call: &OutboundCall, key: &IdempotencyKey) -> Option<SmolStr> {
+    match key {
+        IdempotencyKey::Issued(key) => Some(key.host.clone()),
+        IdempotencyKey::Opaque(text) => {
+            let service = service_of(call)?;
+            let set = owner_set(&call.version.share.model, &service);
+            Some(KeyOwner::of(&service, text, &set, &call.context.home)?.host)
+        }
+    }
+}
+
+fn service_of(call: &OutboundCall) -> Option<SmolStr> {
+    let route = call.route().ok()?;
+    Some(call.version.snapshot.service(route.service)?.name.clone())
+}
+
+/// Acts as the owner of a key.
+pub async fn own(mut call: OutboundCall, key: IdempotencyKey, body: RequestBody) -> CallAnswer {
+    let node = Arc::clone(&call.node);
+    let Some(service) = service_of(&call) else {
+        let refusal = Refusal::new(RefusalReason::NoRoute);
+        return CallAnswer::refused(&refusal, call.version.snapshot.revision());
+    };
+    let fingerprint = Fingerprint::new(
+        &service,
+        &call.method,
+        &call.path,
+        &call.context.tenant,
+        None,
+        &body.held,
+    );
+    let mut body = Some(body);
+    loop {
+        let request = OnceRequest {
+            key: &key,
+            service: &service,
+            tenant: &call.context.tenant,
+            regions: &call.context.home,
+            fingerprint: fingerprint.0,
+        };
+        let now = node.clock.now();
+        let decision = node.state.with_ledger(|ledger| {
+            let decision = ledger.begin(&request, now);
+            if let OnceDecision::Run(ticket) = decision {
+                // Under the same lock, so that a request that attaches finds it.
+                node.runs.begin(ticket);
+            }
+            decision
+        });
+        match decision {
+            OnceDecision::Run(ticket) => {
+                call.ticket = Some(ticket);
+                let guard = RunGuard {
+                    node,
+                    ticket: Some(ticket),
+                };
+                let body = body
+                    .take()
+                    .unwrap_or_else(|| RequestBody::whole(Bytes::new()));
+                return run(call, body, guard).await;
+            }
+            OnceDecision::Attach(ticket) => {
+                if let Some(mut ended) = node.runs.watch(ticket) {
+                    // An error says that the run has ended.
+                    let waited = tokio::time::timeout(call.remaining(), ended.changed()).await;
+                    if waited.is_err() {
+                        return CallAnswer::unanswered(CallVerdict::MayHaveRun, "deadline");
+                    }
+                }
+            }
+            OnceDecision::Replay(answer) => {
+                count(&node.meters.replayed);
+                return replay(&answer);
+            }
+            OnceDecision::Refuse { verdict, reason } => return refuse(verdict, &reason),
+        }
+    }
+}
+
+/// Runs the request in a task of its own, so that a caller that goes away
+/// neither cancels paid work nor loses its answer.
+async fn run(call: OutboundCall, mut body: RequestBody, guard: RunGuard) -> CallAnswer {
+    let (sender, receiver) = oneshot::channel();
+    let under_way = call.node.begin_background();
+    tokio::spawn(async move {
+        let answer = call.dispatch(&mut body).await;
+        let answer = guard.conclude(answer).await;
+        // The caller may be gone; the ledger has the answer.
+        let _ = sender.send(answer);
+        drop(under_way);
+    });
+    receiver
+        .await
+        .unwrap_or_else(|_| CallAnswer::unanswered(CallVerdict::MayHaveRun, "run-lost"))
+}
+
+/// Finishes a run in the ledger; a run that is dropped may have run.
+struct RunGuard {
+    node: Arc<DaemonNode>,
+    ticket: Option<OnceTicket>,
+}
+
+impl RunGuard {
+    async fn conclude(mut self, answer: CallAnswer) -> CallAnswer {
+        let CallAnswer { head, body } = answer;
+        let verdict: CallVerdict = head.verdict().into();
+        match verdict {
+            CallVerdict::NotRun => {
+                let verdict = self.finish(OnceOutcome::NotRun);
+                with_verdict(CallAnswer { head, body }, verdict)
+            }
+            CallVerdict::MayHaveRun => {
+                self.finish(OnceOutcome::MayHaveRun);
+                CallAnswer { head, body }
+            }
+            CallVerdict::Ran => match body.hold(KEPT_BYTES).await {
+                Ok(AnswerBody::Whole(bytes)) => {
+                    self.finish(OnceOutcome::Ran(kept(&head.headers, head.status, &bytes)));
+                    CallAnswer {
+                        head,
+                        body: AnswerBody::Whole(bytes),
+                    }
+                }
+                Ok(body) => {
+                    self.finish(OnceOutcome::RanUnkept);
+                    CallAnswer { head, body }
+                }
+                Err(fault) => {
+                    self.finish(OnceOutcome::RanUnkept);
+                    CallAnswer::unanswered(CallVerdict::Ran, &fault.to_string())
+                }
+            },
+        }
+    }
+
+    fn finish(&mut self, outcome: OnceOutcome) -> CallVerdict {
+        let Some(ticket) = self.ticket.take() else {
+            return CallVerdict::MayHaveRun;
+        };
+        let verdict = self
+            .node
+            .state
+            .with_ledger(|ledger| ledger.finish(ticket, outcome));
+        self.node.runs.end(ticket);
+        verdict
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        self.finish(OnceOutcome::MayHaveRun);
+    }
+}
+
+fn kept(headers: &[Header], status: u32, body: &Bytes) -> OnceAnswer {
+    let headers = headers
+        .iter()
+        .map(|header| (SmolStr::new(&header.name), Box::from(&header.value[..])));
+    OnceAnswer {
+        status: u16::try_from(status).unwrap_or(502),
+        headers: headers.collect(),
+        body: Box::from(&body[..]),
+    }
+}
+
+fn replay(kept: &OnceAnswer) -> CallAnswer {
+    let body = AnswerBody::Whole(Bytes::copy_from_slice(&kept.body));
+    let mut answer = CallAnswer::unanswered(CallVerdict::Ran, "");
+    answer.body = body;
+    answer.head.status = kept.status.into();
+    answer.head.headers = kept
+        .headers
+        .iter()
+        .map(|(name, value)| Header {
+            name: name.to_string(),
+            value: Bytes::copy_from_slice(value),
+        })
+        .collect();
+    answer.add_header(headers::REPLAYED, "true");
+    answer
+}
+
+fn refuse(verdict: CallVerdict, reason: &OnceReason) -> CallAnswer {
+    let mut answer = CallAnswer::unanswered(verdict, &reason.to_string());
+    answer.head.status = match reason {
+        OnceReason::KeyReused | OnceReason::KeyForged => 422,
+        OnceReason::Full | OnceReason::OutsideHome => 503,
+        // The request must not be sent again as it is: Conflict.
+        _ => 409,
+    };
+    answer
+}
+
+/// Issues a key for later requests to a path, given as `path=/orders`.
+pub async fn issue(node: &Arc<DaemonNode>, head: &Parts) -> CallAnswer {
+    match issue_key(node, head).await {
+        Ok(key) => {
+            let mut answer = CallAnswer::unanswered(CallVerdict::Ran, "");
+            answer.head.status = 200;
+            answer.add_header(headers::IDEMPOTENCY_KEY, &key);
+            answer.body = AnswerBody::Whole(Bytes::from(format!("{key}\n")));
+            answer
+        }
+        Err(refusal) => CallAnswer::refused(&refusal, 0),
+    }
+}
+
+async fn issue_key(node: &Arc<DaemonNode>, head: &Parts) -> Result<String, Refusal> {
+    let version = node.fresh_version().await?;
+    let snapshot = &version.snapshot;
+    let query = head.uri.query().unwrap_or_default();
+    let path = query.split('&').find_map(|pair| pair.strip_prefix("path="));
+    let path = path.ok_or(Refusal::new(RefusalReason::NoRoute))?;
+    let route = snapshot.routes().find("POST", path)?;
+    let route = snapshot
+        .routes()
+        .get(route)
+        .ok_or(Refusal::new(RefusalReason::NoRoute))?;
+    let home = snapshot.home_rule(route, headers::text(&head.headers, headers::TENANT), &[])?;
+    home.check_entry(snapshot.local_region())?;
+    let service = snapshot
+        .service(route.service)
+        .ok_or(Refusal::new(RefusalReason::NoTarget))?;
+    if snapshot.hosted(&service.name).is_ok() {
+        return Ok(node.state.with_ledger(|ledger| ledger.issue()).to_string());
+    }
+    let mut tried = TriedTargets::default();
+    let request = PickRequest { home, bytes: 0 };
+    loop {
+        let now = node.clock.now();
+        let picked = node
+            .picker
+            .pick(snapshot, route.service, &request, &tried, now)?;
+        tried.insert(picked.target);
+        let Ok(held) = node.pool.get(picked.daemon).await else {
+            continue;
+        };
+        let wanted = IssueKeyRequest {
+            service: service.name.to_string(),
+        };
+        let wanted = PeerRequest {
+            request: Some(Request::IssueKey(wanted)),
+        };
+        if let Ok(PeerReply {
+            reply: Some(Reply::IssuedKey(issued)),
+        }) = held.session().request(wanted, ISSUE_TIME).await
+            && !issued.key.is_empty()
+        {
+            return Ok(issued.key);
+        }
+    }
+}
+
+/// Issues a key for another daemon; empty when this host has no target of the
+/// service.
+pub fn issue_for(node: &DaemonNode, service: &str) -> String {
+    let hosted = node
+        .state
+        .current()
+        .is_some_and(|version| version.snapshot.hosted(service).is_ok());
+    if !hosted || node.is_stopping() {
+        return String::new();
+    }
+    node.state.with_ledger(|ledger| ledger.issue()).to_string()
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,3 +1,118 @@
-//! Placeholder.
+//! `radishgauged`: the daemon's process.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use anyhow::Result;
+use gumdrop::Options;
+use radishgauge_config::load_settings;
+use radishgauge_daemon::Daemon;
+use radishgauge_daemon::DaemonResources;
+use radishgauge_daemon::logs;
+use radishgauge_schema::settings::DaemonSettings;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// The exit code for settings that were checked and refused.
+const REFUSED: u8 = 1;
+/// The exit code for wrong usage.
+const USAGE: u8 = 2;
+/// The exit code when the daemon cannot start although its settings are good.
+const CANNOT_START: u8 = 3;
+/// The exit code of a stop that cut off calls.
+const CUT_OFF: u8 = 4;
+
+#[derive(Debug, Options)]
+struct DaemonOptions {
+    #[options(help = "print this text")]
+    help: bool,
+    #[options(help = "print the version")]
+    version: bool,
+    #[options(help = "the settings file (YAML)", meta = "FILE")]
+    settings: Option<PathBuf>,
+    #[options(
+        help = "threads that carry sessions and calls; 0 for one per core",
+        meta = "N"
+    )]
+    threads: usize,
+}
+
+const EXAMPLE: &str = "\
+Example:
+  radishgauged --settings /etc/radishgauge/host.yaml
+
+SIGTERM and SIGINT stop gracefully: no new calls, those under way finish.
+
+Exit codes: 0 stopped, 1 settings refused, 2 wrong usage, 3 cannot start,
+4 stopped with calls cut off at the deadline.";
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let options = match DaemonOptions::parse_args_default(&arguments) {
+        Ok(options) => options,
+        Err(error) => {
+            eprintln!(
+                "radishgauged: {error}\n\n{}\n\n{EXAMPLE}",
+                DaemonOptions::usage()
+            );
+            return ExitCode::from(USAGE);
+        }
+    };
+    if options.help {
+        println!(
+            "Usage: radishgauged --settings FILE\n\n{}\n\n{EXAMPLE}",
+            DaemonOptions::usage()
+        );
+        return ExitCode::SUCCESS;
+    }
+    if options.version {
+        println!("radishgauged {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let Some(path) = &options.settings else {
+        eprintln!("radishgauged: --settings is required\n\n{EXAMPLE}");
+        return ExitCode::from(USAGE);
+    };
+    let settings = match load_settings(path) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return ExitCode::from(REFUSED);
+        }
+    };
+    match run(&settings, options.threads) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(cut_off) => {
+            eprintln!("radishgauged: {cut_off} calls were cut off at the stop deadline");
+            ExitCode::from(CUT_OFF)
+        }
+        Err(error) => {
+            eprintln!("radishgauged: cannot start: {error:#}");
+            ExitCode::from(CANNOT_START)
+        }
+    }
+}
+
+fn run(settings: &DaemonSettings, threads: usize) -> Result<usize> {
+    logs::open(settings.telemetry.clone().unwrap_or_default().log_level())?;
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if threads > 0 {
+        builder.worker_threads(threads);
+    }
+    let runtime = builder
+        .enable_all()
+        .build()
+        .context("start the traffic threads")?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        let daemon = Daemon::open(settings, DaemonResources::of_process()).await?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+            () = daemon.stop_asked() => {}
+        }
+        Ok(daemon.begin_stop().finish().await.cut_off)
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,212 @@
+//! What operators may ask a daemon.
+//!
+//! The listener changes nothing but that its own process stops gracefully.
+
+use std::sync::Arc;
+
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use radishgauge_net::listener::AnswerBody;
+use radishgauge_net::listener::HttpAnswer;
+use radishgauge_net::listener::HttpRequest;
+use radishgauge_schema::peer::StatusReply;
+use radishgauge_traffic::snapshot::Distance;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::control_loop::ControlInput;
+use crate::node::DaemonNode;
+
+/// Answers operators.
+#[derive(Clone)]
+pub struct OperatorDesk {
+    /// The daemon's shared parts.
+    pub node: Arc<DaemonNode>,
+    /// Signalled when an operator asks for a graceful stop.
+    pub stop: Arc<Notify>,
+}
+
+impl OperatorDesk {
+    /// Answers one request.
+    pub async fn answer(self, request: HttpRequest) -> HttpAnswer {
+        let query = request.head.uri.query().unwrap_or_default();
+        match (&request.head.method, request.head.uri.path()) {
+            (&Method::GET, "/status") => reply(StatusCode::OK, &self.status().await),
+            (&Method::GET, "/explain/version") => {
+                reply(StatusCode::OK, &self.explain_version().await)
+            }
+            (&Method::GET, "/explain/route") => {
+                let path = parameter(query, "path").unwrap_or("/");
+                let method = parameter(query, "method").unwrap_or("GET");
+                let tenant = parameter(query, "tenant").unwrap_or_default();
+                reply(StatusCode::OK, &self.explain_route(method, path, tenant))
+            }
+            (&Method::POST, "/stop") => {
+                self.stop.notify_one();
+                reply(StatusCode::ACCEPTED, &json!({ "stopping": true }))
+            }
+            _ => reply(
+                StatusCode::NOT_FOUND,
+                &json!({ "error": "accepted: GET /status, GET /explain/version, \
+                    GET /explain/route?path=PATH&method=METHOD&tenant=TENANT, POST /stop" }),
+            ),
+        }
+    }
+
+    /// Returns what the control thread says of the version; `None` after it has
+    /// ended.
+    async fn control_status(&self) -> Option<StatusReply> {
+        let (sender, receiver) = oneshot::channel();
+        self.node.control.send(ControlInput::Status(sender));
+        receiver.await.ok()
+    }
+
+    async fn status(&self) -> Value {
+        let control = self.control_status().await.unwrap_or_default();
+        let meters: serde_json::Map<String, Value> = self
+            .node
+            .meters
+            .values()
+            .into_iter()
+            .map(|(name, _, value)| (name.to_owned(), value.into()))
+            .collect();
+        let hosted: Vec<Value> = self
+            .node
+            .state
+            .current()
+            .iter()
+            .flat_map(|version| version.snapshot.all_hosted())
+            .map(|(service, admission)| {
+                json!({
+                    "service": service.as_str(),
+                    "limit": admission.limit(),
+                    "running": admission.running(),
+                    "waiting": admission.waiting(),
+                    "cold": admission.is_cold(),
+                })
+            })
+            .collect();
+        json!({
+            "host": self.node.local.host.as_str(),
+            "region": self.node.local.region.as_str(),
+            "failure_domain": self.node.local.failure_domain.as_str(),
+            "revision": control.revision,
+            "source": control.source,
+            "age_ms": control.age_ms,
+            "took_ms": control.took_ms,
+            "unconfirmed": control.unconfirmed,
+            "refused_revision": control.refused_revision,
+            "refused_reasons": control.refused_reasons,
+            "platform_age_ms": control.platform_age_ms,
+            "roles": control.roles,
+            "stopping": self.node.is_stopping(),
+            "hosted": hosted,
+            "suspects": self.node.suspects.len(),
+            "retry_budget_calls": self.node.budget.available(),
+            "keys": self.node.state.with_ledger(|ledger| ledger.len()),
+            "meters": meters,
+        })
+    }
+
+    async fn explain_version(&self) -> Value {
+        let control = self.control_status().await.unwrap_or_default();
+        let Some(current) = self.node.state.current() else {
+            return json!({ "revision": 0, "because": "no version is in force yet" });
+        };
+        let share = &current.share;
+        let confirmed = if share.unconfirmed {
+            "it was taken from the platform while no peer had a version"
+        } else {
+            "a peer or a reader of the region confirmed it"
+        };
+        json!({
+            "revision": share.revision,
+            "root": share.root.to_string(),
+            "source": share.source.as_str(),
+            "because": format!("{} is the greatest accepted revision heard of; {confirmed}", share.revision),
+            "freshness": format!("{:?}", share.freshness),
+            "services_held": share.model.services.keys().map(|name| name.as_str()).collect::<Vec<_>>(),
+            "routes_held": share.model.routes.len(),
+            "routes_not_held": share.unloaded.len(),
+            "refused_revision": control.refused_revision,
+            "refused_reasons": control.refused_reasons,
+        })
+    }
+
+    fn explain_route(&self, method: &str, path: &str, tenant: &str) -> Value {
+        let Some(current) = self.node.state.current() else {
+            return json!({ "refused": "no version is in force yet" });
+        };
+        let snapshot = &current.snapshot;
+        let found = snapshot.routes().find(method, path);
+        let entry = match found.map(|key| snapshot.routes().get(key)) {
+            Ok(Some(entry)) => entry,
+            Ok(None) => return json!({ "refused": "no-route" }),
+            Err(refusal) => return json!({ "refused": refusal.reason.as_str() }),
+        };
+        let home = match snapshot.home_rule(entry, tenant, &[]) {
+            Ok(home) => home,
+            Err(refusal) => {
+                return json!({ "route": entry.name.as_str(), "refused": refusal.reason.as_str() });
+            }
+        };
+        let entry_refused = home.check_entry(snapshot.local_region()).err();
+        let Some(service) = snapshot.service(entry.service) else {
+            return json!({ "route": entry.name.as_str(), "refused": "no-target" });
+        };
+        let now = self.node.clock.now();
+        let targets: Vec<Value> = Distance::ALL
+            .into_iter()
+            .flat_map(|distance| {
+                service
+                    .tier(distance)
+                    .iter()
+                    .map(move |target| (distance, target))
+            })
+            .map(|(distance, target)| {
+                json!({
+                    "host": target.host.as_str(),
+                    "distance": format!("{distance:?}").to_lowercase(),
+                    "allowed": home.allows_target(target.region),
+                    "outstanding": target.stats.outstanding(),
+                    "response_us": target.stats.response_time().as_micros() as u64,
+                    "capacity": target.stats.capacity(),
+                    "passed_over": target.stats.is_full(now),
+                })
+            })
+            .collect();
+        json!({
+            "revision": snapshot.revision(),
+            "route": entry.name.as_str(),
+            "service": service.name.as_str(),
+            "repeatable": entry.repeatable,
+            "timeout_ms": entry.timeout.as_millis() as u64,
+            "home_regions": snapshot.home_names(&home).iter().map(|name| name.as_str()).collect::<Vec<_>>(),
+            "refused_here": entry_refused.map(|refusal| refusal.reason.as_str()),
+            "targets": targets,
+        })
+    }
+}
+
+fn reply(status: StatusCode, value: &Value) -> HttpAnswer {
+    let mut response = Response::new(AnswerBody::whole(format!("{value:#}\n")));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+/// Returns a parameter of a query. Names of routes and tenants need no
+/// percent-decoding.
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(found, _)| *found == name)
+        .map(|(_, value)| value)
+}
--- a/crates/daemon/src/publish.rs
+++ b/crates/daemon/src/publish.rs
@@ -89,20 +89,25 @@
 impl Publisher {
     /// Returns the publisher of a daemon.
     pub fn new(state: Arc<SharedState>, local: LocalHost) -> Publisher {
-        Publisher { state, local, published: 0 }
+        Publisher {
+            state,
+            local,
+            published: 0,
+        }
     }
 
     /// Returns the revision in force; 0 for none.
     pub fn revision(&self) -> u64 {
-        self.state.current().map_or(0, |current| current.share.revision)
+        self.state
+            .current()
+            .map_or(0, |current| current.share.revision)
     }
 
     /// Tells the traffic threads that the control thread is on time.
     pub fn confirm(&self, now: Duration) {
         let current = self.state.current();
-        let checking = current.is_some_and(|current| {
-            current.share.freshness == fresh::Freshness::Checking
-        });
+        let checking =
+            current.is_some_and(|current| current.share.freshness == fresh::Freshness::Checking);
         if !checking {
             self.state.gate.confirm(now);
         }
@@ -120,7 +125,9 @@
                 share.revision,
                 now,
             ),
-            Some(previous) => previous.snapshot.rebuild(&share.model, &hosts, share.revision, now),
+            Some(previous) => previous
+                .snapshot
+                .rebuild(&share.model, &hosts, share.revision, now),
         };
         let first_of_revision = previous
             .as_ref()
@@ -130,11 +137,17 @@
             _ => now,
         };
         if share.leaving {
-            snapshot.all_hosted().for_each(|(_, admission)| admission.leave());
+            snapshot
+                .all_hosted()
+                .for_each(|(_, admission)| admission.leave());
         }
         self.change_owners(&share, now);
         let snapshot = Arc::new(snapshot);
-        let version = PublishedVersion { share, snapshot, since };
+        let version = PublishedVersion {
+            share,
+            snapshot,
+            since,
+        };
         self.state.current.store(Some(Arc::new(version)));
         self.published += 1;
         self.state.changes.send_replace(self.published);
@@ -196,5 +209,9 @@
         },
         incarnation: standing.incarnation,
     };
-    share.hosts.iter().map(|(name, standing)| (name.clone(), view(standing))).collect()
+    share
+        .hosts
+        .iter()
+        .map(|(name, standing)| (name.clone(), view(standing)))
+        .collect()
 }
--- /dev/null
+++ b/crates/daemon/src/receive.rs
@@ -0,0 +1,371 @@
+//! The receiving daemon: runs a call at a target of this host, or refuses it.
+//!
+//! Everything that is sent to a target passes here, whoever the sender is and
+//! whatever it believes. Refusals are made before the first byte is handed to
+//! the target, so they are truthfully "not run".
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use http::HeaderValue;
+use http::Request;
+use http::header::HOST;
+use opentelemetry::trace::SpanKind;
+use radishgauge_config::model::Criticality;
+use radishgauge_net::TargetBody;
+use radishgauge_net::target::RequestProgress;
+use radishgauge_net::target::TargetAnswer;
+use radishgauge_schema::peer::AnswerHead;
+use radishgauge_schema::peer::CallHead;
+use radishgauge_schema::peer::Verdict;
+use radishgauge_traffic::AdmitRequest;
+use radishgauge_traffic::CallContext;
+use radishgauge_traffic::CallVerdict;
+use radishgauge_traffic::Refusal;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::admit::RunOutcome;
+use radishgauge_traffic::context::CONTEXT_HEADER;
+use radishgauge_traffic::suspect::Fingerprint;
+use radishgauge_traffic::suspect::SuspectState;
+use radishgauge_traffic::tree::CallKey;
+use smol_str::SmolStr;
+
+use crate::answer::CallAnswer;
+use crate::body::AnswerBody;
+use crate::body::BodyFault;
+use crate::body::RequestBody;
+use crate::headers;
+use crate::hosted::HostedTarget;
+use crate::hosted::RunningSlot;
+use crate::meters::count;
+use crate::node::DaemonNode;
+use crate::publish::PublishedVersion;
+use crate::strike;
+
+/// The reason of a call whose deadline passed while it ran.
+pub const DEADLINE: &str = "deadline";
+
+/// Runs one call at a target of this host.
+///
+/// Dropping the future cancels the call: its slot is given back and the request
+/// to the target is dropped.
+pub async fn receive(node: &Arc<DaemonNode>, head: CallHead, body: RequestBody) -> CallAnswer {
+    count(&node.meters.received);
+    let version = match node.fresh_version().await {
+        Ok(version) => version,
+        Err(refusal) => return CallAnswer::refused(&refusal, 0),
+    };
+    let revision = version.snapshot.revision();
+    match ReceivedCall::check(node, &version, &head, &body) {
+        Ok(call) => call.run(head, body).await,
+        Err(refusal) => {
+            count(&node.meters.shed);
+            CallAnswer::refused(&refusal, revision)
+        }
+    }
+}
+
+/// A call that passed the checks that need no waiting.
+struct ReceivedCall {
+    node: Arc<DaemonNode>,
+    version: Arc<PublishedVersion>,
+    target: Arc<HostedTarget>,
+    context: CallContext,
+    deadline: Duration,
+    criticality: Criticality,
+    fingerprint: Fingerprint,
+    service: SmolStr,
+}
+
+impl ReceivedCall {
+    fn check(
+        node: &Arc<DaemonNode>,
+        version: &Arc<PublishedVersion>,
+        head: &CallHead,
+        body: &RequestBody,
+    ) -> Result<ReceivedCall, Refusal> {
+        let now = node.clock.now();
+        let snapshot = &version.snapshot;
+        let message = head.context.clone().unwrap_or_default();
+        let context = CallContext::from_message(&message)?;
+        let service = SmolStr::new(&head.service);
+        let admission = snapshot.hosted(&service)?;
+        let route = snapshot.routes().find(&head.method, &head.path).ok();
+        let route = route.and_then(|key| snapshot.routes().get(key));
+        // The route of the sender's version may be gone here; what the context
+        // says of home regions holds all the same.
+        if let Some(route) = route {
+            let rule = snapshot.home_rule(route, &context.tenant, &context.home)?;
+            rule.check_entry(snapshot.local_region())?;
+        } else if !context.home.is_empty() && !context.home.contains(&node.local.region) {
+            return Err(Refusal::new(RefusalReason::HomeRegion));
+        }
+        let fingerprint = Fingerprint::new(
+            &service,
+            &head.method,
+            &head.path,
+            &context.tenant,
+            (!head.key.is_empty()).then_some(head.key.as_str()),
+            &body.held,
+        );
+        Ok(ReceivedCall {
+            target: node.hosted.get(&service, admission, &node.clock),
+            node: Arc::clone(node),
+            version: Arc::clone(version),
+            deadline: now + context.deadline,
+            criticality: route.map_or(Criticality::Normal, |route| route.criticality),
+            context,
+            fingerprint,
+            service,
+        })
+    }
+
+    async fn run(self, head: CallHead, body: RequestBody) -> CallAnswer {
+        let revision = self.version.snapshot.revision();
+        let slot = match self.admit().await {
+            Ok(slot) => slot,
+            Err(refusal) => {
+                count(&self.node.meters.shed);
+                return CallAnswer::refused(&refusal, revision);
+            }
+        };
+        let key = self.node.tree.begin(self.context.allowance);
+        let call = TreeCall {
+            node: Arc::clone(&self.node),
+            key,
+        };
+        let running = slot.hand_over(self.fingerprint);
+        self.send(head, body, running, call).await
+    }
+
+    async fn admit(&self) -> Result<crate::hosted::HeldSlot, Refusal> {
+        let now = self.node.clock.now();
+        let state = self.node.suspects.check(self.fingerprint, now);
+        if let Some(refusal) = state.refusal(now) {
+            return Err(refusal);
+        }
+        let request = AdmitRequest {
+            criticality: self.criticality,
+            deadline: self.deadline,
+            suspect: state == SuspectState::Suspect,
+        };
+        let slot = self.target.enter(&request).await?;
+        // The request may have been quarantined while it waited.
+        let now = self.node.clock.now();
+        match self.node.suspects.check(self.fingerprint, now).refusal(now) {
+            Some(refusal) => Err(refusal),
+            None => Ok(slot),
+        }
+    }
+
+    async fn send(
+        self,
+        head: CallHead,
+        mut body: RequestBody,
+        running: RunningSlot,
+        call: TreeCall,
+    ) -> CallAnswer {
+        let home_bound = !self.context.home.is_empty();
+        let traceparent = head
+            .context
+            .as_ref()
+            .map_or("", |context| &context.traceparent);
+        let span = self.node.span("target", SpanKind::Client, traceparent);
+        if let Some(span) = &span
+            && !home_bound
+        {
+            span.set("service", self.service.to_string());
+        }
+        let traceparent = span.as_ref().map_or(traceparent, |span| span.traceparent());
+        let revision = self.version.snapshot.revision();
+        let remaining = self.deadline.saturating_sub(self.node.clock.now());
+        let prepared = self.address().ok_or(Refusal::new(RefusalReason::NotHosted));
+        let prepared = prepared.and_then(|address| {
+            let request =
+                self.request(&head, &mut body, traceparent, call.key, remaining, address)?;
+            Ok((address, request))
+        });
+        let (address, request) = match prepared {
+            Ok(prepared) => prepared,
+            // Nothing was written yet.
+            Err(refusal) => return CallAnswer::refused(&refusal, revision),
+        };
+        let client = self.node.targets.get(address);
+        let progress = RequestProgress::default();
+        let sent = tokio::time::timeout(remaining, client.send_tracked(request, &progress)).await;
+        match sent {
+            Ok(Ok(response)) => self.answered(response, running, call),
+            Ok(Err(_)) if progress.seal() => self.broken(running).await,
+            Err(_) if progress.seal() => {
+                running.finish(RunOutcome::Cancelled);
+                CallAnswer::unanswered(CallVerdict::MayHaveRun, DEADLINE)
+            }
+            Ok(Err(_)) => {
+                running.finish(RunOutcome::ConnectionRefused);
+                CallAnswer::refused(&Refusal::new(RefusalReason::QueueFull), revision)
+            }
+            Err(_) => {
+                running.finish(RunOutcome::Cancelled);
+                CallAnswer::refused(&Refusal::new(RefusalReason::Deadline), revision)
+            }
+        }
+    }
+
+    fn request(
+        &self,
+        head: &CallHead,
+        body: &mut RequestBody,
+        traceparent: &str,
+        key: CallKey,
+        remaining: Duration,
+        address: SocketAddr,
+    ) -> Result<Request<TargetBody>, Refusal> {
+        let bad = |_| Refusal::new(RefusalReason::BadContext);
+        let mut context = self.context.below(remaining)?;
+        context.call = Some(key.0);
+        let body = match body.as_whole() {
+            Some(bytes) => TargetBody::whole(bytes.clone()),
+            None => TargetBody::stream(body.take().map(|piece| {
+                piece.map_err(|fault| radishgauge_net::BoxError::from(fault.to_string()))
+            })),
+        };
+        let mut request = Request::builder()
+            .method(head.method.as_str())
+            .uri(head.path.as_str())
+            .body(body)
+            .map_err(|_| Refusal::new(RefusalReason::BadContext))?;
+        let map = request.headers_mut();
+        headers::add_all(map, &head.headers);
+        map.insert(
+            HOST,
+            HeaderValue::try_from(address.to_string()).map_err(bad)?,
+        );
+        map.insert(
+            CONTEXT_HEADER,
+            HeaderValue::try_from(context.to_string()).map_err(bad)?,
+        );
+        if let Ok(value) = HeaderValue::try_from(traceparent)
+            && !traceparent.is_empty()
+        {
+            map.insert(headers::TRACEPARENT, value);
+        }
+        Ok(request)
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        let services = &self.version.share.model.services;
+        let service = services.get(&self.service)?;
+        Some(service.targets.get(&self.node.local.host)?.address)
+    }
+
+    fn answered(
+        self,
+        response: http::Response<TargetAnswer>,
+        running: RunningSlot,
+        call: TreeCall,
+    ) -> CallAnswer {
+        let (parts, body) = response.into_parts();
+        let status = parts.status.as_u16();
+        let outcome = match status {
+            429 | 503 => RunOutcome::Overloaded,
+            500..=599 => RunOutcome::Failed,
+            _ => RunOutcome::Answered,
+        };
+        let suspects = Arc::clone(&self.node);
+        let fingerprint = self.fingerprint;
+        let answer_head = AnswerHead {
+            verdict: Verdict::Ran.into(),
+            status: status.into(),
+            headers: headers::pass_on(&parts.headers),
+            capacity: running.capacity(),
+            calls: call.end(),
+            revision: self.version.snapshot.revision(),
+            ..AnswerHead::default()
+        };
+        // The slot is held until the whole body has passed.
+        let guard = AnswerGuard {
+            running: Some(running),
+            outcome,
+        };
+        let pieces = body
+            .into_stream()
+            .map(|piece| piece.map_err(|error| BodyFault(error.to_string())));
+        let stream = futures_util::stream::unfold(
+            (pieces.boxed(), Some(guard), suspects),
+            move |(mut pieces, mut guard, node)| async move {
+                match pieces.next().await {
+                    Some(Ok(piece)) => Some((Ok(piece), (pieces, guard, node))),
+                    Some(Err(fault)) => {
+                        drop(guard.take());
+                        Some((
+                            Err(fault),
+                            (futures_util::stream::empty().boxed(), None, node),
+                        ))
+                    }
+                    None => {
+                        if let Some(guard) = guard.take() {
+                            guard.finish();
+                            node.suspects.answered(fingerprint);
+                        }
+                        None
+                    }
+                }
+            },
+        );
+        CallAnswer {
+            head: answer_head,
+            body: AnswerBody::Stream(stream.boxed()),
+        }
+    }
+
+    /// The connection broke after bytes of the request were written.
+    async fn broken(self, running: RunningSlot) -> CallAnswer {
+        if let Some(under_way) = running.crash() {
+            let told = strike::report(
+                &self.node,
+                &self.version,
+                &self.service,
+                &under_way,
+                &self.context,
+            );
+            told.await;
+        }
+        running.finish(RunOutcome::Crashed);
+        CallAnswer::unanswered(CallVerdict::MayHaveRun, "target-broke")
+    }
+}
+
+/// Gives a slot back with its outcome once an answer has passed whole.
+struct AnswerGuard {
+    running: Option<RunningSlot>,
+    outcome: RunOutcome,
+}
+
+impl AnswerGuard {
+    fn finish(mut self) {
+        if let Some(running) = self.running.take() {
+            running.finish(self.outcome);
+        }
+    }
+}
+
+/// A running call in the tree of calls; dropping it ends it.
+struct TreeCall {
+    node: Arc<DaemonNode>,
+    key: CallKey,
+}
+
+impl TreeCall {
+    /// Returns how many calls were made for it so far, and ends it.
+    fn end(&self) -> u32 {
+        self.node.tree.end(self.key)
+    }
+}
+
+impl Drop for TreeCall {
+    fn drop(&mut self) {
+        self.node.tree.end(self.key);
+    }
+}
--- a/crates/daemon/src/sessions.rs
+++ b/crates/daemon/src/sessions.rs
@@ -43,7 +43,9 @@
     pub fn wait(self: &Arc<Self>) -> WaitingCall {
         self.with_probe(|probe, now| probe.call_sent(now));
         self.waiting.notify_one();
-        WaitingCall { session: Arc::clone(self) }
+        WaitingCall {
+            session: Arc::clone(self),
+        }
     }
 
     /// Makes sure that an idle session still carries messages before a call
@@ -73,7 +75,10 @@
         F: FnOnce(&mut SessionProbe, Duration) -> R,
     {
         let now = self.clock.now();
-        action(&mut self.probe.lock().unwrap_or_else(PoisonError::into_inner), now)
+        action(
+            &mut self.probe.lock().unwrap_or_else(PoisonError::into_inner),
+            now,
+        )
     }
 
     /// Pings while calls wait; ends when the session is closed or silent.
@@ -140,7 +145,11 @@
     /// Returns an empty pool.
     pub fn new(endpoint: PeerEndpoint, clock: Arc<dyn ProcessClock>) -> SessionPool {
         let slots = RwLock::default();
-        SessionPool { endpoint, clock, slots }
+        SessionPool {
+            endpoint,
+            clock,
+            slots,
+        }
     }
 
     /// Returns the session to an address; the first caller dials and others
@@ -177,9 +186,11 @@
     {
         let mut slots = self.slots.write().unwrap_or_else(PoisonError::into_inner);
         slots.retain(|address, slot| {
-            let busy = slot.current.load().as_ref().is_some_and(|held| {
-                held.with_probe(|probe, _| probe.is_waiting())
-            });
+            let busy = slot
+                .current
+                .load()
+                .as_ref()
+                .is_some_and(|held| held.with_probe(|probe, _| probe.is_waiting()));
             let keep = busy || needed(address);
             if !keep && let Some(held) = slot.current.swap(None) {
                 held.session.close("no longer needed");
--- /dev/null
+++ b/crates/daemon/src/strike.rs
@@ -0,0 +1,94 @@
+//! Tells the daemons of a service which requests were under way at a crash.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use radishgauge_schema::peer::PeerRequest;
+use radishgauge_schema::peer::StrikeNotice;
+use radishgauge_schema::peer::peer_request::Request;
+use radishgauge_traffic::CallContext;
+use radishgauge_traffic::suspect::Fingerprint;
+use radishgauge_traffic::suspect::StrikeRecord;
+use smol_str::SmolStr;
+
+use crate::events;
+use crate::node::DaemonNode;
+use crate::publish::PublishedVersion;
+
+/// How long callers wait for the notices to arrive. A caller that is answered
+/// before could send the request to a daemon that does not know of the crash.
+const NOTICE_TIME: Duration = Duration::from_millis(200);
+
+/// Records a crash and tells the other daemons of the service.
+pub async fn report(
+    node: &Arc<DaemonNode>,
+    version: &Arc<PublishedVersion>,
+    service: &SmolStr,
+    under_way: &[Fingerprint],
+    context: &CallContext,
+) {
+    events::TARGET_CRASHED.emit(format_args!("service={service} calls={}", under_way.len()));
+    let crash = node.next_number();
+    let records = node.suspects.crashed(crash, under_way, node.clock.now());
+    for record in records.iter().filter(|record| record.quarantine) {
+        events::REQUEST_QUARANTINED.emit(format_args!(
+            "service={service} fingerprint={:016x}",
+            record.fingerprint.0
+        ));
+    }
+    let model = &version.share.model;
+    let Some(entry) = model.services.get(service) else {
+        return;
+    };
+    let at_home = |domain: &SmolStr| {
+        let region = model.domains.get(domain).map(|domain| &domain.region);
+        context.home.is_empty() || region.is_some_and(|region| context.home.contains(region))
+    };
+    let others = entry
+        .targets
+        .iter()
+        .filter(|(host, target)| **host != node.local.host && at_home(&target.failure_domain));
+    let told = others.map(|(_, target)| {
+        let node = Arc::clone(node);
+        let records = records.clone();
+        let address = target.daemon;
+        async move {
+            let Ok(held) = node.pool.get(address).await else {
+                return;
+            };
+            for record in records {
+                let request = PeerRequest {
+                    request: Some(Request::Strike(notice(service, record))),
+                };
+                // A daemon that cannot be told learns of the request when it
+                // crashes its own target.
+                let _ = held.session().request(request, NOTICE_TIME).await;
+            }
+        }
+    });
+    let _ = tokio::time::timeout(NOTICE_TIME, join_all(told)).await;
+}
+
+/// Takes a notice of another daemon.
+pub fn take(node: &DaemonNode, notice: &StrikeNotice) {
+    let Ok(bytes) = <[u8; 8]>::try_from(notice.fingerprint.as_ref()) else {
+        return;
+    };
+    let record = StrikeRecord {
+        fingerprint: Fingerprint(u64::from_le_bytes(bytes)),
+        crash: notice.crash,
+        quarantine: notice.quarantine,
+    };
+    node.suspects.receive(record, node.clock.now());
+}
+
+fn notice(service: &SmolStr, record: StrikeRecord) -> StrikeNotice {
+    StrikeNotice {
+        service: service.to_string(),
+        fingerprint: Bytes::copy_from_slice(&record.fingerprint.0.to_le_bytes()),
+        crash: record.crash,
+        quarantine: record.quarantine,
+    }
+}
--- a/crates/daemon/src/transfer.rs
+++ b/crates/daemon/src/transfer.rs
@@ -37,7 +37,10 @@
 
 /// Answers a new owner's request.
 pub fn export(node: &DaemonNode, request: OwnerTransferRequest) -> OwnerTransferReply {
-    let applied = node.state.current().map_or(0, |current| current.share.revision);
+    let applied = node
+        .state
+        .current()
+        .map_or(0, |current| current.share.revision);
     let request = TransferRequest {
         service: request.service.into(),
         to: request.to.into(),
@@ -45,8 +48,9 @@
         after: request.after,
     };
     let now = node.clock.now();
-    let piece =
-        node.state.with_ledger(|ledger| ledger.export(&request, applied, PIECE_BYTES, now));
+    let piece = node
+        .state
+        .with_ledger(|ledger| ledger.export(&request, applied, PIECE_BYTES, now));
     match piece {
         Some(piece) => reply_of(piece),
         None => OwnerTransferReply::default(),
@@ -61,12 +65,19 @@
         if node.is_stopped() {
             return;
         }
-        let Some(current) = node.state.current() else { continue };
-        let services: Vec<SmolStr> =
-            current.snapshot.all_hosted().map(|(name, _)| name.clone()).collect();
+        let Some(current) = node.state.current() else {
+            continue;
+        };
+        let services: Vec<SmolStr> = current
+            .snapshot
+            .all_hosted()
+            .map(|(name, _)| name.clone())
+            .collect();
         for service in services {
             let now = node.clock.now();
-            let wanted = node.state.with_ledger(|ledger| ledger.wanted(&service, now));
+            let wanted = node
+                .state
+                .with_ledger(|ledger| ledger.wanted(&service, now));
             for host in wanted {
                 ask(&node, &service, &host, current.share.revision).await;
             }
@@ -75,10 +86,14 @@
 }
 
 async fn ask(node: &DaemonNode, service: &SmolStr, host: &SmolStr, revision: u64) {
-    let Some(address) = node.peer_address(host) else { return };
+    let Some(address) = node.peer_address(host) else {
+        return;
+    };
     let mut after = None;
     // A transfer ends, or goes on at the next interval.
-    let Ok(held) = node.pool.get(address).await else { return };
+    let Ok(held) = node.pool.get(address).await else {
+        return;
+    };
     loop {
         let request = OwnerTransferRequest {
             service: service.to_string(),
@@ -86,9 +101,12 @@
             revision,
             after,
         };
-        let request = PeerRequest { request: Some(Request::Transfer(request)) };
-        let Ok(PeerReply { reply: Some(Reply::Transfer(reply)) }) =
-            held.session().request(request, TIMEOUT).await
+        let request = PeerRequest {
+            request: Some(Request::Transfer(request)),
+        };
+        let Ok(PeerReply {
+            reply: Some(Reply::Transfer(reply)),
+        }) = held.session().request(request, TIMEOUT).await
         else {
             return;
         };
@@ -150,7 +168,11 @@
         tenant: message.tenant.into(),
         key: message.key.into(),
         fingerprint: message.fingerprint,
-        regions: message.home_regions.into_iter().map(SmolStr::from).collect(),
+        regions: message
+            .home_regions
+            .into_iter()
+            .map(SmolStr::from)
+            .collect(),
         answer: message.answer.map(|answer| Arc::new(answer_of(answer))),
         age: Duration::from_millis(message.age_ms),
     }
--- a/crates/traffic/src/session.rs
+++ b/crates/traffic/src/session.rs
@@ -60,6 +60,11 @@
         !repeatable && now.saturating_sub(self.received) >= IDLE_LIMIT
     }
 
+    /// Whether a call waits on the session.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
     /// Records that a call or a ping before a call was sent.
     pub fn call_sent(&mut self, now: Duration) {
         if self.waiting == 0 {
