Give the root a check, so that a torn root is found

The platform's key of the root names no digest. A read that joins the start of one version's root with the end of another's would give a newer revision with older pages, whose parts all match, and the true version would then be refused as a conflicting revision. The root now carries the digest of its other fields, open_root verifies it, and accept answers Mismatch when it differs.

--- a/crates/config/src/accept.rs
+++ b/crates/config/src/accept.rs
@@ -17,6 +17,7 @@
 use crate::check::check_set;
 use crate::index::PAGES;
 use crate::index::SCHEMA;
+use crate::index::root_check;
 use crate::model::decode_part;
 use crate::pack::FLEET_KEY;
 use crate::pack::VALUE_MAX;
@@ -34,8 +35,9 @@
     Accepted,
     /// The version must not be put in force.
     Refused(Vec<RefuseReason>),
-    /// The parts are not those that the root names, which says nothing about
-    /// the version: read it again. The pages that differ are given.
+    /// The root is torn or the parts are not those that it names, which says
+    /// nothing about the version: read it again. The pages that differ are
+    /// given; all of them when the root is torn.
     Mismatch(Vec<usize>),
 }
 
@@ -99,6 +101,9 @@
     V: AsRef<[u8]>,
     P: IntoIterator<Item = (K, V)>,
 {
+    if root.check.as_ref() != root_check(root).as_bytes() {
+        return AcceptVerdict::Mismatch((0..PAGES).collect());
+    }
     // Another format cannot be judged by this release's rules, so nothing else
     // is looked at.
     if root.schema != SCHEMA {
--- a/crates/config/src/index.rs
+++ b/crates/config/src/index.rs
@@ -113,11 +113,14 @@
         let pages = (0..PAGES)
             .map(|page| Bytes::copy_from_slice(self.page_digest(page).as_bytes()))
             .collect();
-        IndexRoot {
+        let mut root = IndexRoot {
             schema: SCHEMA,
             revision: self.revision,
             pages,
-        }
+            check: Bytes::new(),
+        };
+        root.check = Bytes::copy_from_slice(root_check(&root).as_bytes());
+        root
     }
 
     /// Returns the digest of the root's bytes, which names the whole version.
@@ -154,6 +157,49 @@
     }
 }
 
+/// Returns the digest that a root must carry in its field `check`.
+pub fn root_check(root: &IndexRoot) -> PartDigest {
+    let plain = IndexRoot {
+        check: Bytes::new(),
+        ..root.clone()
+    };
+    PartDigest::of(&plain.encode_to_vec())
+}
+
+/// Decodes a root that was read from the platform or a peer.
+///
+/// # Examples
+///
+/// ```
+/// use prost::Message;
+/// use radishgauge_config::DigestIndex;
+/// use radishgauge_config::open_root;
+///
+/// let root = DigestIndex::new(7).root();
+/// let mut bytes = root.encode_to_vec();
+/// assert_eq!(open_root(&bytes), Ok(root));
+/// bytes[3] ^= 1;
+/// assert!(open_root(&bytes).is_err());
+/// ```
+///
+/// # Errors
+///
+/// When the bytes do not decode or do not match the check that they carry, as
+/// after a torn read. The schema number is not looked at.
+pub fn open_root(bytes: &[u8]) -> Result<IndexRoot, RootError> {
+    let root = IndexRoot::decode(bytes).map_err(|_| RootError)?;
+    if root.check.as_ref() == root_check(&root).as_bytes() {
+        Ok(root)
+    } else {
+        Err(RootError)
+    }
+}
+
+/// Bytes that are no root, or a torn one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the root does not decode or does not match its check")]
+pub struct RootError;
+
 /// An index page that cannot be one of a packed configuration.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("the index entry {key:?} is malformed, out of order or on the wrong page")]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -35,6 +35,7 @@
 pub use fault::Fault;
 pub use fault::FaultList;
 pub use index::DigestIndex;
+pub use index::open_root;
 pub use load::load_set;
 pub use load::load_settings;
 pub use model::FleetModel;
--- a/crates/config/src/pack.rs
+++ b/crates/config/src/pack.rs
@@ -30,6 +30,7 @@
 use crate::PartDigest;
 use crate::index::PAGES;
 use crate::index::SCHEMA;
+use crate::index::open_root;
 
 /// The greatest length of a value in bytes; the platform holds values up to
 /// one megabyte.
@@ -325,7 +326,7 @@
         key: key.to_owned(),
         error,
     })?;
-    let reason = match IndexRoot::decode(bytes.as_slice()) {
+    let reason = match open_root(&bytes) {
         Ok(root) if root.schema == SCHEMA => return Ok(root),
         Ok(root) => format!(
             "unknown schema number; found: {}; accepted: {SCHEMA}",
