--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -5,6 +5,7 @@
 //! path; loading turns paths into file positions.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fmt;
 use std::fmt::Display;
 use std::hash::Hash;
@@ -126,9 +127,7 @@
 ///
 /// All faults, in the order of their paths.
 pub fn check_set(set: &ConfigSet) -> Result<(), Vec<SetFault>> {
-    let mut faults = check_bounds(rules::CONFIG_SET, set);
-    faults.extend(check_links(set, &|_| false));
-    finish(faults)
+    check_all(set, &|_| false)
 }
 
 /// Checks a daemon's share of a version, in which services may be absent.
@@ -142,10 +141,7 @@
 /// All faults, in the order of their paths. Positions in lists follow the
 /// model's order, which is the order of names.
 pub fn check_closure(model: &FleetModel) -> Result<(), Vec<SetFault>> {
-    let set = model.to_set();
-    let mut faults = check_bounds(rules::CONFIG_SET, &set);
-    faults.extend(check_links(&set, &|_| true));
-    finish(faults)
+    check_all(&model.to_set(), &|_| true)
 }
 
 /// Checks that every service that a route of the share names is known, for
@@ -170,7 +166,12 @@
     }
 }
 
-fn finish(mut faults: Vec<SetFault>) -> Result<(), Vec<SetFault>> {
+fn check_all(set: &ConfigSet, absent: &dyn Fn(&str) -> bool) -> Result<(), Vec<SetFault>> {
+    let mut faults = check_bounds(rules::CONFIG_SET, set);
+    let bad: HashSet<FieldPath> = faults.iter().map(|fault| fault.path.clone()).collect();
+    // A value that is not accepted refers to nothing, which is not a second fault.
+    let links = check_links(set, absent).into_iter();
+    faults.extend(links.filter(|fault| !bad.contains(&fault.path)));
     faults.sort();
     faults.dedup();
     if faults.is_empty() {
@@ -491,7 +492,7 @@
     }
 
     fn slots(&mut self, service: &Service, path: &FieldPath) {
-        if service.cold_start_slots > service.slots {
+        if service.cold_start_slots > service.slots && service.slots > 0 {
             let problem = "more slots at a cold start than in service";
             let accepted = format!("up to {}, the slots of the service", service.slots);
             let found = service.cold_start_slots.to_string();
--- a/crates/config/src/load.rs
+++ b/crates/config/src/load.rs
@@ -1,6 +1,7 @@
 //! Loading of settings files and of sets of configuration files.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -193,9 +194,12 @@
         return Err(FaultList::new(faults));
     }
     let merged = MergedSet::new(&files, &mut faults);
-    for fault in check_links(&merged.set, &|_| false) {
-        faults.push(merged.locate(&fault));
-    }
+    let key = |fault: &Fault| (fault.file.clone(), fault.field.clone());
+    // A value that is not accepted refers to nothing, which is not a second fault.
+    let bad: HashSet<(String, String)> = faults.iter().map(key).collect();
+    let links = check_links(&merged.set, &|_| false);
+    let links = links.iter().map(|fault| merged.locate(fault));
+    faults.extend(links.filter(|fault| !bad.contains(&key(fault))));
     if faults.is_empty() {
         Ok(merged.set)
     } else {
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -203,7 +203,10 @@
                     fault.other = Some(other);
                 }
             } else if let Some(field) = rules.field(&key.name) {
-                if let Some(value) = self.field(value, field, &path) {
+                // The default stands for an unusable value, so that later checks
+                // report no consequences of this fault.
+                let value = self.field(value, field, &path);
+                if let Some(value) = value.or_else(|| default_value(field)) {
                     message.set_field(&field.descriptor, value);
                 }
             } else {
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -15,6 +15,7 @@
 use serde::de::SeqAccess;
 use serde::de::Visitor;
 use serde_saphyr::DuplicateKeyPolicy;
+use serde_saphyr::Error;
 use serde_saphyr::Location;
 use serde_saphyr::Spanned;
 
@@ -227,7 +228,10 @@
     }
     serde_saphyr::from_str_with_options(text, options).map_err(|error| {
         let place = error.location().map(Place::from).unwrap_or_default();
-        let reason = error.without_snippet().to_string();
+        let reason = match error.without_snippet() {
+            Error::MultipleDocuments { .. } => "a second document".to_owned(),
+            error => error.to_string(),
+        };
         let end = reason.rfind(" at line ").unwrap_or(reason.len());
         TreeError {
             place,
