--- a/crates/config/src/pack.rs
+++ b/crates/config/src/pack.rs
@@ -197,6 +197,9 @@
             values.push((format!("bundle/{digest}"), bundle));
             values.push((format!("page/{digest}"), value));
         }
+        // All empty pages are one value.
+        values.sort();
+        values.dedup();
         let root = Bytes::from(self.index.root().encode_to_vec());
         values.push(("root".to_owned(), root));
         values
