Generate the reference pages from the schema

docs/settings.md and docs/configuration.md list each field with its accepted values, default and meaning. A test compares them with the descriptors and the schema's comments, and rewrites them with RADISHGAUGE_REWRITE=1.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod pack;
 mod read;
+pub mod reference;
 mod rules;
 mod tree;
 
--- /dev/null
+++ b/crates/config/tests/reference.rs
@@ -0,0 +1,142 @@
+//! Fails when the reference pages differ from the schema.
+//!
+//! `RADISHGAUGE_REWRITE=1 cargo test -p radishgauge-config --test reference`
+//! rewrites the pages.
+
+use std::collections::HashMap;
+use std::env;
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+
+use radishgauge_config::reference::FieldReference;
+use radishgauge_config::reference::MessageReference;
+use radishgauge_config::reference::configuration_reference;
+use radishgauge_config::reference::settings_reference;
+
+const SETTINGS: &str = "\
+# Settings of a daemon
+
+A daemon reads one YAML file. `radishgauge check --settings FILE` reports all its faults, and \
+[examples/settings.yaml](../examples/settings.yaml) is a complete file.
+";
+
+const CONFIGURATION: &str = "\
+# Configuration of a fleet
+
+A set is a directory of YAML files, each with any of the lists below; one file holds `policy`. \
+`radishgauge check DIR` reports all faults of a set, and \
+[examples/abay-etchcraft](../examples/abay-etchcraft) is a complete one.
+
+Names refer to entries of any file of the set. The checks go beyond single fields: each name, host \
+and address is used once; a host has one daemon and one failure domain; `cold_start_slots` is at \
+most `slots`; no two routes match the same path prefix and method; and at most \
+`policy.max_domains_out` failure domains are out.
+";
+
+const HEAD: &str = "\
+| field | accepted values | default | meaning |
+|---|---|---|---|
+";
+
+/// The comments of the schema by full name, as messages and as fields.
+fn comments() -> HashMap<String, String> {
+    let proto = Path::new(env!("CARGO_MANIFEST_DIR")).join("../schema/proto");
+    let files = protox::compile(["config.proto", "settings.proto"], [proto]).unwrap();
+    let mut comments = HashMap::new();
+    for file in &files.file {
+        let Some(info) = &file.source_code_info else {
+            continue;
+        };
+        for location in &info.location {
+            let Some(comment) = &location.leading_comments else {
+                continue;
+            };
+            // 4 is the number of a file's messages, 2 that of a message's fields.
+            let name = match location.path.as_slice() {
+                [4, message] => file.message_type[*message as usize].name().to_owned(),
+                [4, message, 2, field] => {
+                    let message = &file.message_type[*message as usize];
+                    let field = &message.field[*field as usize];
+                    format!("{}.{}", message.name(), field.name())
+                }
+                _ => continue,
+            };
+            let text = comment.split_whitespace().collect::<Vec<_>>().join(" ");
+            comments.insert(format!("{}.{name}", file.package()), text);
+        }
+    }
+    comments
+}
+
+fn page(intro: &str, messages: &[MessageReference]) -> String {
+    let comments = comments();
+    let mut page = format!(
+        "{intro}\nThis page is generated from the schema; see `crates/config/tests/reference.rs`.\n"
+    );
+    for message in messages {
+        let heading = match message.path.as_str() {
+            "" => "The file".to_owned(),
+            path => format!("`{path}`"),
+        };
+        let comment = &comments[&message.message];
+        write!(page, "\n## {heading}\n\n{comment}\n\n{HEAD}").unwrap();
+        for field in &message.fields {
+            let name = format!("{}.{}", message.message, field.name);
+            page.push_str(&row(field, comments.get(&name)));
+        }
+    }
+    page
+}
+
+fn row(field: &FieldReference, comment: Option<&String>) -> String {
+    let default = match (field.required, field.default.as_str()) {
+        (true, _) => "required".to_owned(),
+        (false, "") => String::new(),
+        (false, default) => format!("`{default}`"),
+    };
+    let unique = if field.unique {
+        "Unique in its list."
+    } else {
+        ""
+    };
+    let comment = comment.map_or("", String::as_str);
+    let meaning = [comment, unique, &field.reason];
+    let meaning: Vec<&str> = meaning
+        .into_iter()
+        .filter(|text| !text.is_empty())
+        .collect();
+    format!(
+        "| `{}` | {} | {default} | {} |\n",
+        field.name,
+        field.accepted,
+        meaning.join(" ")
+    )
+}
+
+fn compare(name: &str, page: &str) {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../docs")
+        .join(name);
+    if env::var_os("RADISHGAUGE_REWRITE").is_some() {
+        fs::write(&path, page).unwrap();
+    }
+    let committed = fs::read_to_string(&path).unwrap_or_default();
+    assert!(
+        committed == page,
+        "docs/{name} differs from the schema; run this test with RADISHGAUGE_REWRITE=1"
+    );
+}
+
+#[test]
+fn settings_page_is_current() {
+    compare("settings.md", &page(SETTINGS, &settings_reference()));
+}
+
+#[test]
+fn configuration_page_is_current() {
+    compare(
+        "configuration.md",
+        &page(CONFIGURATION, &configuration_reference()),
+    );
+}
