--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod model;
 pub mod pack;
 mod read;
+pub mod reference;
 mod rules;
 mod tree;
 
@@ -35,6 +36,7 @@
 pub use fault::Fault;
 pub use fault::FaultList;
 pub use index::DigestIndex;
+pub use index::open_root;
 pub use load::load_set;
 pub use load::load_settings;
 pub use model::FleetModel;
