--- /dev/null
+++ b/crates/traffic/examples/overload/world.rs
@@ -0,0 +1,419 @@
+//! Senders, targets and a virtual clock around the machines of the package.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishgauge_config::model::Criticality;
+use radishgauge_traffic::Admit;
+use radishgauge_traffic::AdmitRequest;
+use radishgauge_traffic::CallOutcome;
+use radishgauge_traffic::CallVerdict;
+use radishgauge_traffic::HomeRule;
+use radishgauge_traffic::PickRequest;
+use radishgauge_traffic::Picked;
+use radishgauge_traffic::RefusalReason;
+use radishgauge_traffic::RetryBudget;
+use radishgauge_traffic::RetryDecision;
+use radishgauge_traffic::TargetAdmission;
+use radishgauge_traffic::TargetPicker;
+use radishgauge_traffic::TrafficSnapshot;
+use radishgauge_traffic::TriedTargets;
+use radishgauge_traffic::admit::RunOutcome;
+use radishgauge_traffic::admit::RunningTicket;
+use radishgauge_traffic::admit::Ticket;
+use radishgauge_traffic::admit::Waiter;
+use radishgauge_traffic::admit::Wake;
+use radishgauge_traffic::pick::PickRule;
+use radishgauge_traffic::retry::FailedCall;
+use radishgauge_traffic::snapshot::Distance;
+use rand::Rng;
+use rand_pcg::Pcg64;
+
+use crate::fleet;
+use crate::report::Tally;
+use crate::worker::Accept;
+use crate::worker::Worker;
+
+/// Retries of the baseline, sent at once and to the next target in turn.
+const BLIND_RETRIES: u32 = 3;
+
+/// How the calls are handled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Handling {
+    /// Round robin, three blind retries, no limits, no ramp.
+    Naive,
+    /// The machines of the package.
+    Mesh(PickRule),
+}
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive,
+    Send(usize),
+    Reach(usize),
+    GiveUp(usize, u64),
+    Done(usize, usize, u32),
+    Reply(usize, Reply),
+    FallCold(usize),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Reply {
+    Answer(u32),
+    Refused(usize),
+    Broken,
+}
+
+struct Call {
+    sender: usize,
+    started: Duration,
+    target: usize,
+    tried: TriedTargets,
+    picked: Option<Picked>,
+    running: Option<RunningTicket>,
+    retries: u32,
+    critical: Criticality,
+}
+
+struct Sender {
+    snapshot: TrafficSnapshot,
+    picker: TargetPicker,
+    budget: RetryBudget,
+    turn: usize,
+}
+
+/// One service with its senders and targets.
+pub struct World {
+    handling: Handling,
+    pub now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    order: u64,
+    calls: Vec<Call>,
+    senders: Vec<Sender>,
+    hosts: HashMap<smol_str::SmolStr, usize>,
+    admissions: Vec<Arc<TargetAdmission>>,
+    waiters: HashMap<(usize, u64), usize>,
+    pub workers: Vec<Worker>,
+    /// The time that a caller waits for its answer.
+    pub deadline: Duration,
+    /// Requests a second of all senders.
+    rate: f64,
+    random: Pcg64,
+    pub tally: Tally,
+}
+
+impl World {
+    pub fn new(handling: Handling, targets: usize, senders: usize, seed: u64) -> World {
+        let model = fleet::model(targets);
+        let hosts = fleet::hosts(targets);
+        let rule = match handling {
+            Handling::Mesh(rule) => rule,
+            Handling::Naive => PickRule::default(),
+        };
+        let sender = |number: usize| Sender {
+            snapshot: fleet::snapshot(&model, &format!("caller-{number}"), number % 2),
+            picker: TargetPicker::with_rule(rule, seed + number as u64, 0),
+            budget: RetryBudget::new(10),
+            turn: number,
+        };
+        let admission = |(index, host): (usize, &smol_str::SmolStr)| {
+            let snapshot = fleet::snapshot(&model, host, index % 2);
+            Arc::clone(snapshot.hosted("desk").expect("the host runs a target"))
+        };
+        let mut world = World {
+            handling,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            order: 0,
+            calls: Vec::new(),
+            senders: (0..senders).map(sender).collect(),
+            admissions: hosts.iter().enumerate().map(admission).collect(),
+            hosts: hosts.into_iter().zip(0..).collect(),
+            waiters: HashMap::new(),
+            workers: (0..targets)
+                .map(|number| Worker::new(seed + number as u64))
+                .collect(),
+            deadline: Duration::from_millis(250),
+            rate: 1.0,
+            random: Pcg64::new(u128::from(seed), 2),
+            tally: Tally::default(),
+        };
+        world.push(Duration::ZERO, Event::Arrive);
+        world
+    }
+
+    /// Runs until the time with so many requests a second.
+    pub fn run(&mut self, rate: f64, until: Duration) {
+        self.rate = rate;
+        while let Some(Reverse((time, _, _))) = self.events.peek()
+            && *time < until
+        {
+            let Reverse((time, _, event)) = self.events.pop().expect("an event was seen");
+            self.now = time;
+            self.handle(event);
+        }
+        self.now = until;
+    }
+
+    /// Makes a target cold, without a sign to its daemon, at a later time.
+    pub fn fall_cold(&mut self, target: usize, after: Duration) {
+        self.push(after, Event::FallCold(target));
+    }
+
+    /// Forgets what was counted so far.
+    pub fn reset(&mut self) {
+        self.tally = Tally::default();
+    }
+
+    pub fn limits(&self) -> Vec<u32> {
+        self.admissions
+            .iter()
+            .map(|target| target.limit())
+            .collect()
+    }
+
+    fn push(&mut self, after: Duration, event: Event) {
+        self.order += 1;
+        self.events
+            .push(Reverse((self.now + after, self.order, event)));
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive => self.arrive(),
+            Event::Send(call) => self.send(call),
+            Event::Reach(call) => self.reach(call),
+            Event::GiveUp(target, waiter) => self.give_up(target, waiter),
+            Event::Done(target, call, life) => self.done(target, call, life),
+            Event::Reply(call, reply) => self.reply(call, reply),
+            Event::FallCold(target) => self.workers[target].fall_cold(self.now),
+        }
+    }
+
+    fn arrive(&mut self) {
+        let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
+        let gap = Duration::from_secs_f64(-uniform.ln() / self.rate);
+        self.push(gap, Event::Arrive);
+        let sender = self.random.random_range(0..self.senders.len());
+        let critical = match self.random.random_range(0..10) {
+            0 => Criticality::Critical,
+            1..6 => Criticality::Normal,
+            _ => Criticality::Sheddable,
+        };
+        self.tally.first += 1;
+        self.tally.critical += u64::from(critical == Criticality::Critical);
+        self.senders[sender].budget.deposit();
+        self.calls.push(Call {
+            sender,
+            started: self.now,
+            target: 0,
+            tried: TriedTargets::default(),
+            picked: None,
+            running: None,
+            retries: 0,
+            critical,
+        });
+        self.send(self.calls.len() - 1);
+    }
+
+    fn send(&mut self, index: usize) {
+        let now = self.now;
+        let call = &mut self.calls[index];
+        let sender = &mut self.senders[call.sender];
+        if self.handling == Handling::Naive {
+            call.target = sender.turn % self.workers.len();
+            sender.turn += 1;
+        } else {
+            let request = PickRequest {
+                home: HomeRule::ANYWHERE,
+                bytes: 0,
+            };
+            let service = sender.snapshot.service_key("desk").expect("configured");
+            let picked = sender
+                .picker
+                .pick(&sender.snapshot, service, &request, &call.tried, now);
+            let Ok(picked) = picked else {
+                self.tally.failed += 1;
+                return;
+            };
+            call.target = self.hosts[&picked.host];
+            call.tried.insert(picked.target);
+            call.picked = Some(picked);
+        }
+        self.tally.attempts += 1;
+        self.push(self.delay(index), Event::Reach(index));
+    }
+
+    /// One-way time between the failure domains of the sender and the target.
+    fn delay(&self, call: usize) -> Duration {
+        let call = &self.calls[call];
+        match call.picked.as_ref().map(|picked| picked.distance) {
+            Some(Distance::Near) => Duration::from_micros(200),
+            Some(_) => Duration::from_micros(1500),
+            None if call.sender % 2 == call.target % 2 => Duration::from_micros(200),
+            None => Duration::from_micros(1500),
+        }
+    }
+
+    fn reach(&mut self, index: usize) {
+        if self.handling == Handling::Naive {
+            return self.start(index, None);
+        }
+        let call = &self.calls[index];
+        let target = call.target;
+        let request = AdmitRequest {
+            criticality: call.critical,
+            deadline: call.started + self.deadline,
+            suspect: false,
+        };
+        match self.admissions[target].admit(&request, self.now) {
+            Admit::Run(ticket) => self.start(index, Some(ticket)),
+            Admit::Wait(waiter) => {
+                self.waiters.insert((target, waiter.id), index);
+                self.push(waiter.until - self.now, Event::GiveUp(target, waiter.id));
+            }
+            Admit::Refuse(refusal) => {
+                self.workers[target].refuse();
+                self.refuse(index, refusal.reason);
+            }
+        }
+    }
+
+    fn refuse(&mut self, call: usize, reason: RefusalReason) {
+        *self.tally.refused.entry(reason.as_str()).or_default() += 1;
+        let place = RefusalReason::ALL.iter().position(|other| *other == reason);
+        let reply = Reply::Refused(place.expect("all reasons are listed"));
+        self.push(self.delay(call), Event::Reply(call, reply));
+    }
+
+    fn give_up(&mut self, target: usize, id: u64) {
+        let until = self.now;
+        if let Some(refusal) = self.admissions[target].give_up(&Waiter { id, until })
+            && let Some(call) = self.waiters.remove(&(target, id))
+        {
+            self.refuse(call, refusal.reason);
+        }
+    }
+
+    fn start(&mut self, index: usize, ticket: Option<Ticket>) {
+        let target = self.calls[index].target;
+        match self.workers[target].accept(index, self.now) {
+            Accept::Refused => match ticket {
+                Some(ticket) => {
+                    let admission = &self.admissions[target];
+                    let (refusal, wakes) = admission.connection_refused(ticket, self.now);
+                    self.refuse(index, refusal.reason);
+                    self.wake(target, wakes);
+                }
+                None => self.push(self.delay(index), Event::Reply(index, Reply::Broken)),
+            },
+            accepted => {
+                self.calls[index].running = ticket.map(|ticket| ticket.hand_over(self.now));
+                match accepted {
+                    Accept::Started(took) => {
+                        let life = self.workers[target].life;
+                        self.push(took, Event::Done(target, index, life));
+                    }
+                    Accept::Crashed(lost) => self.crash(target, lost),
+                    Accept::Backlog | Accept::Refused => {}
+                }
+            }
+        }
+    }
+
+    fn crash(&mut self, target: usize, lost: Vec<usize>) {
+        self.tally.crashes += 1;
+        for call in lost {
+            self.push(self.delay(call), Event::Reply(call, Reply::Broken));
+            if let Some(running) = self.calls[call].running.take() {
+                let wakes = self.admissions[target].finish(running, RunOutcome::Crashed, self.now);
+                self.wake(target, wakes);
+            }
+        }
+    }
+
+    fn done(&mut self, target: usize, call: usize, life: u32) {
+        if self.workers[target].life != life {
+            return;
+        }
+        if let Some((next, took)) = self.workers[target].end(call, self.now) {
+            self.push(took, Event::Done(target, next, life));
+        }
+        let admission = Arc::clone(&self.admissions[target]);
+        let mut wakes = Vec::new();
+        if let Some(running) = self.calls[call].running.take() {
+            wakes = admission.finish(running, RunOutcome::Answered, self.now);
+        }
+        let reply = Reply::Answer(admission.reported_capacity());
+        self.push(self.delay(call), Event::Reply(call, reply));
+        self.wake(target, wakes);
+    }
+
+    fn wake(&mut self, target: usize, wakes: Vec<Wake>) {
+        for wake in wakes {
+            let call = self.waiters.remove(&(target, wake.waiter));
+            let call = call.expect("each waiter is woken once");
+            match wake.decision {
+                Ok(ticket) => self.start(call, Some(ticket)),
+                Err(refusal) => self.refuse(call, refusal.reason),
+            }
+        }
+    }
+
+    fn reply(&mut self, index: usize, reply: Reply) {
+        let now = self.now;
+        let call = &mut self.calls[index];
+        let took = now - call.started;
+        let expected = call.picked.as_ref().map(Picked::expected_response);
+        if let Some(picked) = call.picked.take() {
+            let outcome = match reply {
+                Reply::Answer(capacity) => CallOutcome::Answered { capacity },
+                Reply::Refused(place) => CallOutcome::Refused {
+                    reason: RefusalReason::ALL[place],
+                },
+                Reply::Broken => CallOutcome::Broken,
+            };
+            picked.finish(outcome, now);
+        }
+        if let Reply::Answer(_) = reply {
+            let critical = call.critical == Criticality::Critical;
+            self.tally
+                .answer(took, took <= self.deadline, critical, now);
+            return;
+        }
+        let failed = match reply {
+            Reply::Refused(place) => (CallVerdict::NotRun, Some(RefusalReason::ALL[place])),
+            _ => (CallVerdict::MayHaveRun, None),
+        };
+        if self.handling == Handling::Naive {
+            if call.retries < BLIND_RETRIES {
+                call.retries += 1;
+                self.send(index);
+            } else {
+                self.tally.fail(now);
+            }
+            return;
+        }
+        let failed = FailedCall {
+            verdict: failed.0,
+            reason: failed.1,
+            repeatable: true,
+            marked: false,
+            retries: call.retries,
+            remaining: self.deadline.saturating_sub(took),
+            expected: expected.unwrap_or_default(),
+            cost: 1,
+        };
+        let seed = self.random.random();
+        match self.senders[call.sender].budget.decide(&failed, seed) {
+            RetryDecision::Retry { after, .. } => {
+                call.retries += 1;
+                self.push(after, Event::Send(index));
+            }
+            RetryDecision::Stop(_) => self.tally.fail(now),
+        }
+    }
+}
--- a/crates/traffic/src/admit.rs
+++ b/crates/traffic/src/admit.rs
@@ -101,8 +101,6 @@
     Overloaded,
     /// The target answered with a server error; its time says nothing.
     Failed,
-    /// The target refused the connection.
-    ConnectionRefused,
     /// The connection broke while the request ran.
     Crashed,
     /// The caller went away or its deadline passed.
@@ -228,6 +226,15 @@
         state.wake(now)
     }
 
+    /// Gives back a ticket whose request was not handed over because the target
+    /// refused the connection. A target that was down is cold when it accepts
+    /// again. Returns the refusal for the sender.
+    pub fn connection_refused(&self, ticket: Ticket, now: Duration) -> (Refusal, Vec<Wake>) {
+        self.lock().ramp.restart(now);
+        let wakes = self.cancel(ticket, now);
+        (Refusal::new(RefusalReason::TargetDown), wakes)
+    }
+
     /// Ends a request that was handed over. Returns the decisions on waiting
     /// requests that the free slot allows.
     pub fn finish(&self, ticket: RunningTicket, outcome: RunOutcome, now: Duration) -> Vec<Wake> {
@@ -245,7 +252,7 @@
                 state.ramp.record_failure();
             }
             RunOutcome::Failed => state.ramp.record_failure(),
-            RunOutcome::ConnectionRefused | RunOutcome::Crashed => state.ramp.restart(now),
+            RunOutcome::Crashed => state.ramp.restart(now),
             RunOutcome::Cancelled => {}
         }
         state.wake(now)
--- a/crates/traffic/src/pick.rs
+++ b/crates/traffic/src/pick.rs
@@ -31,8 +31,8 @@
 /// time in which a full queue drains by a quarter.
 const FULL_PAUSE: Duration = Duration::from_millis(10);
 
-/// How long a target is passed over after its path broke, so that a session can
-/// be dialled and the next calls do not meet the same fault.
+/// How long a target is passed over after its path broke or it was down, so
+/// that a session can be dialled and the next calls do not meet the same fault.
 const BROKEN_PAUSE: Duration = Duration::from_millis(250);
 
 /// How long a target is passed over that said it takes no work at all. The next
@@ -141,8 +141,11 @@
                     | RefusalReason::NotHosted
                     | RefusalReason::Stale,
             } => self.stats.record_full(now + CLOSED_PAUSE),
+            CallOutcome::Broken
+            | CallOutcome::Refused {
+                reason: RefusalReason::TargetDown,
+            } => self.stats.record_full(now + BROKEN_PAUSE),
             CallOutcome::Refused { .. } | CallOutcome::Cancelled => {}
-            CallOutcome::Broken => self.stats.record_full(now + BROKEN_PAUSE),
         }
     }
 
--- a/crates/traffic/src/refusal.rs
+++ b/crates/traffic/src/refusal.rs
@@ -34,6 +34,8 @@
     Leaving,
     /// The daemon's configuration may be old, and no neighbour confirmed it.
     Stale,
+    /// The target refused the connection.
+    TargetDown,
     /// The queue of the target is full for requests of this criticality.
     QueueFull,
     /// The request waited in the queue for as long as is allowed.
@@ -67,6 +69,7 @@
             RefusalReason::DomainOut => "domain-out",
             RefusalReason::Leaving => "leaving",
             RefusalReason::Stale => "stale",
+            RefusalReason::TargetDown => "target-down",
             RefusalReason::QueueFull => "queue-full",
             RefusalReason::QueueTimeout => "queue-timeout",
             RefusalReason::Deadline => "deadline",
@@ -86,7 +89,7 @@
     }
 
     /// All reasons.
-    pub const ALL: [RefusalReason; 19] = [
+    pub const ALL: [RefusalReason; 20] = [
         RefusalReason::NoRoute,
         RefusalReason::MethodNotAllowed,
         RefusalReason::UnknownTenant,
@@ -98,6 +101,7 @@
         RefusalReason::DomainOut,
         RefusalReason::Leaving,
         RefusalReason::Stale,
+        RefusalReason::TargetDown,
         RefusalReason::QueueFull,
         RefusalReason::QueueTimeout,
         RefusalReason::Deadline,
@@ -131,6 +135,7 @@
                 | RefusalReason::DomainOut
                 | RefusalReason::Leaving
                 | RefusalReason::Stale
+                | RefusalReason::TargetDown
                 | RefusalReason::QueueFull
                 | RefusalReason::QueueTimeout
                 | RefusalReason::SuspectBusy
--- a/crates/traffic/tests/traffic/admission.rs
+++ b/crates/traffic/tests/traffic/admission.rs
@@ -163,8 +163,12 @@
         }
     };
     let refuses: fn(&TargetAdmission) = |admission| {
-        let ticket = run(admission, 30_000).hand_over(ms(30_000));
-        admission.finish(ticket, RunOutcome::ConnectionRefused, ms(30_001));
+        let ticket = run(admission, 30_000);
+        let (refusal, wakes) = admission.connection_refused(ticket, ms(30_001));
+        assert_eq!(
+            (refusal.reason, wakes.len()),
+            (RefusalReason::TargetDown, 0)
+        );
     };
     let crashes: fn(&TargetAdmission) = |admission| {
         let ticket = run(admission, 30_000).hand_over(ms(30_000));
@@ -268,14 +272,17 @@
                 }
                 5 if !held.is_empty() => {
                     let (ticket, _) = held.swap_remove(choice % held.len());
-                    wakes = admission.cancel(ticket, ms(now));
+                    wakes = match choice % 4 {
+                        0 => admission.connection_refused(ticket, ms(now)).1,
+                        _ => admission.cancel(ticket, ms(now)),
+                    };
                 }
                 6 | 7 if !running.is_empty() => {
                     let (ticket, _) = running.swap_remove(choice % running.len());
                     let outcome = [
                         RunOutcome::Answered, RunOutcome::Overloaded, RunOutcome::Failed,
-                        RunOutcome::ConnectionRefused, RunOutcome::Crashed, RunOutcome::Cancelled,
-                    ][choice % 6];
+                        RunOutcome::Crashed, RunOutcome::Cancelled,
+                    ][choice % 5];
                     wakes = admission.finish(ticket, outcome, ms(now));
                 }
                 8 => {
