--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -7,8 +7,8 @@
 use bytes::Bytes;
 use prost::Message;
 use radishgauge_config::PartDigest;
+use radishgauge_config::open_root;
 use radishgauge_schema::config::IndexPage;
-use radishgauge_schema::config::IndexRoot;
 use radishgauge_schema::peer::PartReply;
 use smol_str::SmolStr;
 
@@ -206,7 +206,7 @@
     }
 
     fn see_root(&mut self, value: &Bytes) {
-        let mark = IndexRoot::decode(value.as_ref()).ok().map(|root| {
+        let mark = open_root(value.as_ref()).ok().map(|root| {
             let revision = root.revision;
             let digest = PartDigest::of(value);
             (
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -116,6 +116,7 @@
             schema: radishgauge_config::index::SCHEMA,
             revision,
             pages: Vec::new(),
+            check: Bytes::new(),
         };
         DeltaReply {
             known: true,
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -13,6 +13,7 @@
 use radishgauge_config::PartDigest;
 use radishgauge_config::index::PAGES;
 use radishgauge_config::index::SCHEMA;
+use radishgauge_config::index::root_check;
 use radishgauge_schema::config::IndexEntry;
 use radishgauge_schema::config::IndexPage;
 use radishgauge_schema::config::IndexRoot;
@@ -76,7 +77,7 @@
 
     /// Returns the root, built from the kept page digests.
     pub fn root(&self) -> IndexRoot {
-        IndexRoot {
+        let mut root = IndexRoot {
             schema: SCHEMA,
             revision: self.index.revision(),
             pages: self
@@ -84,7 +85,10 @@
                 .iter()
                 .map(|digest| Bytes::copy_from_slice(digest.as_bytes()))
                 .collect(),
-        }
+            check: Bytes::new(),
+        };
+        root.check = Bytes::copy_from_slice(root_check(&root).as_bytes());
+        root
     }
 
     /// Returns the pages whose digest differs from those of a root.
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use radishgauge_traffic::Admit;
 use radishgauge_traffic::AdmitRequest;
@@ -16,7 +17,6 @@
 use radishgauge_traffic::RefusalReason;
 use radishgauge_traffic::TargetAdmission;
 use radishgauge_traffic::admit::RunOutcome;
-use radishgauge_traffic::admit::RunningTicket;
 use radishgauge_traffic::admit::Ticket;
 use radishgauge_traffic::admit::Waiter;
 use radishgauge_traffic::admit::Wake;
@@ -195,7 +195,7 @@
 }
 
 impl HeldSlot {
-    /// Marks the request as handed over to the target.
+    /// Begins the request; from here on it counts as under way at the target.
     ///
     /// # Panics
     ///
@@ -217,7 +217,8 @@
         };
         RunningSlot {
             target: Arc::clone(&self.target),
-            ticket: Some(ticket.hand_over(self.target.clock.now())),
+            ticket: Some(ticket),
+            started: self.target.clock.now(),
             id,
         }
     }
@@ -238,7 +239,8 @@
 /// A request that runs at a target; dropping it counts as cancelled.
 pub struct RunningSlot {
     target: Arc<HostedTarget>,
-    ticket: Option<RunningTicket>,
+    ticket: Option<Ticket>,
+    started: Duration,
     id: u64,
 }
 
@@ -255,22 +257,37 @@
         self.target.admission.reported_capacity() + 1
     }
 
-    /// Gives the slot back.
+    /// Gives the slot back after an outcome.
     pub fn finish(mut self, outcome: RunOutcome) {
         self.end(outcome);
     }
 
+    /// Gives the slot back when no byte reached the target.
+    pub fn not_sent(mut self) -> Refusal {
+        let Some(ticket) = self.ticket.take() else {
+            return Refusal::new(RefusalReason::QueueFull);
+        };
+        self.forget();
+        let now = self.target.clock.now();
+        let (refusal, wakes) = self.target.admission.connection_refused(ticket, now);
+        self.target.wake(wakes);
+        refusal
+    }
+
     fn end(&mut self, outcome: RunOutcome) {
         let Some(ticket) = self.ticket.take() else {
             return;
         };
-        lock(&self.target.running).calls.remove(&self.id);
-        let wakes = self
-            .target
-            .admission
-            .finish(ticket, outcome, self.target.clock.now());
+        self.forget();
+        let ticket = ticket.hand_over(self.started);
+        let now = self.target.clock.now();
+        let wakes = self.target.admission.finish(ticket, outcome, now);
         self.target.wake(wakes);
     }
+
+    fn forget(&self) {
+        lock(&self.target.running).calls.remove(&self.id);
+    }
 }
 
 impl Drop for RunningSlot {
--- a/crates/daemon/src/receive.rs
+++ b/crates/daemon/src/receive.rs
@@ -202,10 +202,7 @@
                 running.finish(RunOutcome::Cancelled);
                 CallAnswer::unanswered(CallVerdict::MayHaveRun, DEADLINE)
             }
-            Ok(Err(_)) => {
-                running.finish(RunOutcome::ConnectionRefused);
-                CallAnswer::refused(&Refusal::new(RefusalReason::QueueFull), revision)
-            }
+            Ok(Err(_)) => CallAnswer::refused(&running.not_sent(), revision),
             Err(_) => {
                 running.finish(RunOutcome::Cancelled);
                 CallAnswer::refused(&Refusal::new(RefusalReason::Deadline), revision)
