Check bounds and references without descriptors and path copies

Messages are now taken apart field by field, which does not compile when the schema gains a field, and paths are built only for faults.

--- a/crates/config/src/accept.rs
+++ b/crates/config/src/accept.rs
@@ -11,9 +11,8 @@
 use smol_str::SmolStr;
 
 use crate::DigestIndex;
+use crate::FieldPath;
 use crate::PartDigest;
-use crate::check::FieldPath;
-use crate::check::PathStep;
 use crate::check::check_set;
 use crate::index::PAGES;
 use crate::index::SCHEMA;
@@ -23,6 +22,7 @@
 use crate::pack::VALUE_MAX;
 use crate::pack::route_key;
 use crate::pack::service_key;
+use crate::path::PathStep;
 
 /// The most reasons that a verdict gives; a version head carries them to every
 /// daemon.
--- /dev/null
+++ b/crates/config/src/bounds.rs
@@ -0,0 +1,205 @@
+//! The range, form and presence of each field of a set.
+
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::config::FailureDomain;
+use radishgauge_schema::config::FleetPolicy;
+use radishgauge_schema::config::Region;
+use radishgauge_schema::config::Route;
+use radishgauge_schema::config::Service;
+use radishgauge_schema::config::Target;
+use radishgauge_schema::config::Tenant;
+
+use crate::SetFault;
+use crate::path::POLICY;
+use crate::path::Spot;
+use crate::rules;
+use crate::rules::FieldRules;
+use crate::rules::MessageRules;
+
+/// Checks the range, form and presence of each field of a set.
+///
+/// Messages are taken apart field by field, so that a field that is added to
+/// the schema does not compile until it is checked. Walking the descriptors
+/// instead took nine tenths of the time of acceptance.
+pub(crate) fn check_bounds(set: &ConfigSet) -> Vec<SetFault> {
+    let ConfigSet {
+        regions,
+        failure_domains,
+        services,
+        routes,
+        tenants,
+        policy,
+    } = set;
+    let mut check = BoundCheck { faults: Vec::new() };
+    let rules = rules::of("radishgauge.config.v1.Region");
+    for (at, Region { name }) in regions.iter().enumerate() {
+        check.text(rules, Spot::new("regions", at, "name"), name);
+    }
+    let rules = rules::of("radishgauge.config.v1.FailureDomain");
+    for (at, domain) in failure_domains.iter().enumerate() {
+        let FailureDomain {
+            name,
+            region,
+            state,
+        } = domain;
+        let spot = Spot::new("failure_domains", at, "name");
+        check.text(rules, spot, name);
+        check.text(rules, spot.field("region"), region);
+        check.choice(rules, spot.field("state"), *state);
+    }
+    let rules = rules::of("radishgauge.config.v1.Service");
+    for (at, service) in services.iter().enumerate() {
+        let Service {
+            name,
+            slots,
+            connections,
+            cold_start_slots,
+            targets,
+            owner_epoch,
+        } = service;
+        let spot = Spot::new("services", at, "name");
+        check.text(rules, spot, name);
+        check.number(rules, spot.field("slots"), u64::from(*slots));
+        check.number(rules, spot.field("connections"), u64::from(*connections));
+        let cold = u64::from(*cold_start_slots);
+        check.number(rules, spot.field("cold_start_slots"), cold);
+        check.number(rules, spot.field("owner_epoch"), *owner_epoch);
+        check.targets(spot.field("targets"), targets);
+    }
+    let rules = rules::of("radishgauge.config.v1.Route");
+    for (at, route) in routes.iter().enumerate() {
+        let Route {
+            name,
+            path_prefix,
+            methods,
+            service,
+            criticality,
+            repeatable: _,
+            timeout_ms,
+            home_regions,
+            calls,
+        } = route;
+        let spot = Spot::new("routes", at, "name");
+        check.text(rules, spot, name);
+        check.text(rules, spot.field("path_prefix"), path_prefix);
+        check.texts(rules, spot.field("methods"), methods);
+        check.text(rules, spot.field("service"), service);
+        check.choice(rules, spot.field("criticality"), *criticality);
+        check.number(rules, spot.field("timeout_ms"), *timeout_ms);
+        check.texts(rules, spot.field("home_regions"), home_regions);
+        check.texts(rules, spot.field("calls"), calls);
+    }
+    let rules = rules::of("radishgauge.config.v1.Tenant");
+    for (at, Tenant { name, home_regions }) in tenants.iter().enumerate() {
+        let spot = Spot::new("tenants", at, "name");
+        check.text(rules, spot, name);
+        check.texts(rules, spot.field("home_regions"), home_regions);
+    }
+    if let Some(policy) = policy {
+        check.policy(policy);
+    }
+    check.faults
+}
+
+struct BoundCheck {
+    faults: Vec<SetFault>,
+}
+
+impl BoundCheck {
+    fn targets(&mut self, list: Spot, targets: &[Target]) {
+        let rules = rules::of("radishgauge.config.v1.Target");
+        for (at, target) in targets.iter().enumerate() {
+            let Target {
+                host,
+                address,
+                daemon,
+                failure_domain,
+            } = target;
+            let spot = list.item(at);
+            self.text(rules, spot.field("host"), host);
+            self.text(rules, spot.field("address"), address);
+            self.text(rules, spot.field("daemon"), daemon);
+            self.text(rules, spot.field("failure_domain"), failure_domain);
+        }
+    }
+
+    fn policy(&mut self, policy: &FleetPolicy) {
+        let FleetPolicy {
+            retry_percent,
+            link_budget_kbit,
+            repeat_window_s,
+            max_domains_out,
+            max_target_drop_percent,
+            quarantine_s,
+            ramp_step_ms,
+        } = *policy;
+        let rules = rules::of("radishgauge.config.v1.FleetPolicy");
+        for (field, number) in [
+            ("retry_percent", u64::from(retry_percent)),
+            ("link_budget_kbit", link_budget_kbit),
+            ("repeat_window_s", repeat_window_s),
+            ("max_domains_out", u64::from(max_domains_out)),
+            (
+                "max_target_drop_percent",
+                u64::from(max_target_drop_percent),
+            ),
+            ("quarantine_s", quarantine_s),
+            ("ramp_step_ms", ramp_step_ms),
+        ] {
+            self.number(rules, Spot::new(POLICY, 0, field), number);
+        }
+    }
+
+    // An absent text is empty, which only a required field refuses.
+    fn text(&mut self, rules: &MessageRules, spot: Spot, text: &str) {
+        let field = rules_of(rules, spot);
+        if text.is_empty() {
+            if field.rule.required {
+                self.add(field, spot, "required field missing", String::new());
+            }
+        } else if !field.accepts_text(text) {
+            self.add(field, spot, REFUSED, format!("{text:?}"));
+        }
+    }
+
+    fn texts(&mut self, rules: &MessageRules, list: Spot, texts: &[String]) {
+        let field = rules_of(rules, list);
+        for (at, text) in texts.iter().enumerate() {
+            if !field.accepts_text(text) {
+                self.add(field, list.item(at), REFUSED, format!("{text:?}"));
+            }
+        }
+    }
+
+    fn number(&mut self, rules: &MessageRules, spot: Spot, number: u64) {
+        let field = rules_of(rules, spot);
+        if !field.accepts_number(number) {
+            self.add(field, spot, REFUSED, number.to_string());
+        }
+    }
+
+    // The number 0 stands for an absent value, which has a default.
+    fn choice(&mut self, rules: &MessageRules, spot: Spot, number: i32) {
+        let field = rules_of(rules, spot);
+        if number != 0 && !field.accepts_choice(number) {
+            self.add(field, spot, REFUSED, number.to_string());
+        }
+    }
+
+    fn add(&mut self, field: &FieldRules, spot: Spot, problem: &str, found: String) {
+        self.faults.push(SetFault {
+            path: spot.path(),
+            problem: problem.to_owned(),
+            found,
+            accepted: field.accepted(),
+            other: None,
+        });
+    }
+}
+
+/// The problem of a value that breaks the rule of its field.
+const REFUSED: &str = "value not accepted";
+
+fn rules_of(rules: &MessageRules, spot: Spot) -> &FieldRules {
+    rules.field(spot.name()).expect("the schema has the field")
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,14 +6,17 @@
 //! the same verdict on the same bytes.
 
 pub mod accept;
+mod bounds;
 pub mod check;
 pub mod compare;
 pub mod digest;
 pub mod fault;
 pub mod index;
+mod links;
 pub mod load;
 pub mod model;
 pub mod pack;
+pub mod path;
 mod read;
 pub mod reference;
 mod rules;
@@ -22,7 +25,6 @@
 pub use accept::AcceptVerdict;
 pub use accept::RefuseReason;
 pub use accept::accept;
-pub use check::FieldPath;
 pub use check::SetFault;
 pub use check::check_closure;
 pub use check::check_services;
@@ -48,4 +50,6 @@
 pub use pack::pack;
 pub use pack::read_packed;
 pub use pack::read_root;
+pub use path::FieldPath;
+pub use path::PathStep;
 pub use rules::is_name;
--- a/crates/config/src/rules.rs
+++ b/crates/config/src/rules.rs
@@ -148,6 +148,14 @@
         (min..=max).contains(&number)
     }
 
+    /// Returns whether a number stands for a named choice.
+    pub(crate) fn accepts_choice(&self, number: i32) -> bool {
+        match &self.kind {
+            FieldKind::Choice(names) => names.iter().any(|(_, known)| *known == number),
+            _ => false,
+        }
+    }
+
     /// Returns whether a text has the accepted form.
     pub(crate) fn accepts_text(&self, text: &str) -> bool {
         match self.form {
