Bound the source line in messages, and try damaged files

A message about a line of many thousand characters filled the terminal, and its carets went one past the end of a block text. A property damages the example files and requires faults with positions within the file, without a panic. Wrong usage names the help of the command.

--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -149,7 +149,16 @@
             // Nothing is left to report to when the error output fails.
             let _ = writeln!(err, "radishgauge: {:#}", failure.error);
             if failure.status == ExitStatus::Usage {
-                let _ = writeln!(err, "See radishgauge help.");
+                let names = Command::command_list().unwrap_or_default();
+                let names = names
+                    .lines()
+                    .filter_map(|line| line.split_whitespace().next());
+                let first = texts.ok().and_then(|texts| texts.into_iter().next());
+                let known = names
+                    .into_iter()
+                    .find(|name| Some(*name) == first.as_deref());
+                let hint = known.map_or("help".to_owned(), |name| format!("help {name}"));
+                let _ = writeln!(err, "See radishgauge {hint}.");
             }
             failure.status
         }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -121,6 +121,12 @@
         assert!(outcome.out.is_empty(), "{case:?}");
         assert!(outcome.err.starts_with("radishgauge: "), "{case:?}");
     }
+    assert!(
+        run(&["check"])
+            .err
+            .ends_with("See radishgauge help check.\n")
+    );
+    assert!(run(&["chekc"]).err.ends_with("See radishgauge help.\n"));
 }
 
 // Guards against exit codes that differ between the library and the program.
--- a/crates/config/examples/scale.rs
+++ b/crates/config/examples/scale.rs
@@ -38,10 +38,8 @@
     let root = packed.index().root();
     let model = FleetModel::from_set(&set)?;
     let size: usize = packed.parts().map(|(_, value)| value.len()).sum();
-    println!(
-        "files {bytes} B, {} parts, {size} B",
-        packed.parts().count()
-    );
+    let (parts, values) = (packed.parts().count(), packed.values().len());
+    println!("files {bytes} B, {parts} parts of {size} B, {values} values");
     measure("load_set", || load_set(files.path()).unwrap());
     measure("pack", || pack(&set, 1));
     measure("root_digest", || packed.root_digest());
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -49,20 +49,36 @@
             write!(f, "; see {other}")?;
         }
         if self.line > 0 {
-            let number = self.line.to_string();
-            let margin = " ".repeat(number.len());
-            write!(f, "\n{margin} |\n{number} | {}", self.source)?;
-            // Tabs are kept, so that the carets stay under the marked text.
-            let before = self.source.chars().take(self.column.saturating_sub(1));
-            let indent: String = before.map(|c| if c == '\t' { c } else { ' ' }).collect();
-            let rest = self.source.chars().count() + 1 - indent.len().min(self.source.len());
-            let carets = "^".repeat(self.width.clamp(1, rest.max(1)));
-            write!(f, "\n{margin} | {indent}{carets}")?;
+            self.write_source(f)?;
         }
         Ok(())
     }
 }
 
+impl Fault {
+    fn write_source(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let before = self.column.saturating_sub(1);
+        let start = before.saturating_sub(SOURCE_BEFORE);
+        let shown: Vec<char> = self.source.chars().skip(start).take(SOURCE_MAX).collect();
+        let mark = (before - start).min(shown.len());
+        let number = self.line.to_string();
+        let margin = " ".repeat(number.len());
+        write!(f, "\n{margin} |\n{number} | {}", String::from_iter(&shown))?;
+        // Tabs are kept, so that the carets stay under the marked text.
+        let keep = |c: &char| if *c == '\t' { '\t' } else { ' ' };
+        let indent: String = shown[..mark].iter().map(keep).collect();
+        let carets = "^".repeat(self.width.clamp(1, (shown.len() - mark).max(1)));
+        write!(f, "\n{margin} | {indent}{carets}")
+    }
+}
+
+/// The most characters of a source line that a message shows, so that it fits
+/// into a few lines of a terminal.
+const SOURCE_MAX: usize = 160;
+
+/// The characters of a long source line that are shown before the marked text.
+const SOURCE_BEFORE: usize = 100;
+
 /// All faults of a file or a set, ordered by file and line.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
 pub struct FaultList(Vec<Fault>);
--- a/crates/config/src/tree.rs
+++ b/crates/config/src/tree.rs
@@ -232,7 +232,7 @@
             Error::MultipleDocuments { .. } => "a second document".to_owned(),
             error => error.to_string(),
         };
-        let end = reason.rfind(" at line ").unwrap_or(reason.len());
+        let end = reason.find(" at line ").unwrap_or(reason.len());
         TreeError {
             place,
             reason: reason[..end].to_owned(),
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -1,6 +1,7 @@
 //! Properties of packing and acceptance over generated sets, with fixed seeds.
 
 use std::fs;
+use std::path::Path;
 
 use proptest::collection::btree_map;
 use proptest::collection::vec;
@@ -18,6 +19,7 @@
 use radishgauge_config::check_closure;
 use radishgauge_config::check_set;
 use radishgauge_config::compare;
+use radishgauge_config::load_set;
 use radishgauge_config::open_root;
 use radishgauge_config::open_value;
 use radishgauge_config::pack;
@@ -304,6 +306,47 @@
     }
 }
 
+prop_compose! {
+    fn edits()(edits in vec((any::<prop::sample::Index>(), 0..4_usize, select(EDITS.to_vec())), 1..6))
+        -> Vec<(prop::sample::Index, usize, &'static str)> { edits }
+}
+
+const EDITS: [&str; 12] = [
+    "", " ", "\n", "\t", ":", "- ", "[", "}", "\"", "&a ", "*a", "ä",
+];
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 256, ..config(0x5eed_0003) })]
+
+    // Guards against a panic, an endless loop or a position outside of the
+    // file, whatever an operator types.
+    #[test]
+    fn a_damaged_file_gives_faults_with_positions(edits in edits(), file in 0..3_usize) {
+        let example = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/cespedes");
+        let dir = tempfile::tempdir().unwrap();
+        for (at, name) in ["fleet.yaml", "routes.yaml", "services.yaml"].iter().enumerate() {
+            let mut text: Vec<char> = fs::read_to_string(example.join(name)).unwrap().chars().collect();
+            for (place, removed, added) in edits.iter().filter(|_| at == file) {
+                let start = place.index(text.len());
+                let end = (start + removed).min(text.len());
+                text.splice(start..end, added.chars());
+            }
+            fs::write(dir.path().join(name), String::from_iter(text)).unwrap();
+        }
+        let first = load_set(dir.path());
+        if let Err(faults) = &first {
+            for fault in faults.faults() {
+                let text = fs::read_to_string(&fault.file).unwrap();
+                let lines: Vec<&str> = text.lines().collect();
+                prop_assert!((1..=lines.len() + 1).contains(&fault.line), "{}", fault);
+                let line = lines.get(fault.line - 1).copied().unwrap_or_default();
+                prop_assert!((1..=line.chars().count() + 1).contains(&fault.column), "{}", fault);
+            }
+        }
+        prop_assert_eq!(load_set(dir.path()), first);
+    }
+}
+
 // Guards against a criticality or a page that changes its number or its order,
 // which daemons of different releases would read differently.
 #[test]
