--- a/crates/config/src/accept.rs
+++ b/crates/config/src/accept.rs
@@ -12,7 +12,10 @@
 
 use crate::DigestIndex;
 use crate::FieldPath;
+use crate::FleetModel;
 use crate::PartDigest;
+use crate::SetFault;
+use crate::check::check_all;
 use crate::check::check_set;
 use crate::index::PAGES;
 use crate::index::SCHEMA;
@@ -154,11 +157,7 @@
         }
     }
     if let Err(faults) = check_set(&set) {
-        reasons.extend(faults.into_iter().map(|fault| {
-            let (key, path) = part_path(&set, &fault.path);
-            let fault = crate::SetFault { path, ..fault };
-            refuse(&key, &fault.to_string())
-        }));
+        reasons.extend(faults.into_iter().map(|fault| set_reason(&set, fault)));
     }
     if reasons.is_empty() {
         return AcceptVerdict::Accepted;
@@ -167,6 +166,47 @@
     AcceptVerdict::Refused(reasons)
 }
 
+/// Checks a daemon's share of a version, in which services may be absent.
+///
+/// Targets must be in known failure domains, home regions must be known, and
+/// all bounds hold. Services that the routes name are not looked up, since a
+/// share does not hold them all; see [`crate::check_services`].
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_config::FleetModel;
+/// use radishgauge_config::check_closure;
+/// use radishgauge_config::model::TenantModel;
+///
+/// let mut share = FleetModel::default();
+/// let tenant = TenantModel { home_regions: vec!["addis".into()] };
+/// share.tenants.insert("walk-in".into(), tenant);
+/// let reasons = check_closure(&share).unwrap_err();
+/// assert!(reasons[0].to_string().starts_with("fleet: tenants[0].home_regions[0]: unknown"));
+/// ```
+///
+/// # Errors
+///
+/// All faults, ordered by part. Positions in lists follow the model's order,
+/// which is the order of names.
+pub fn check_closure(share: &FleetModel) -> Result<(), Vec<RefuseReason>> {
+    let set = share.to_set();
+    let Err(faults) = check_all(&set, &|_| true) else {
+        return Ok(());
+    };
+    let reasons = faults.into_iter().map(|fault| set_reason(&set, fault));
+    let mut reasons: Vec<RefuseReason> = reasons.collect();
+    reasons.sort();
+    Err(reasons)
+}
+
+fn set_reason(set: &ConfigSet, fault: SetFault) -> RefuseReason {
+    let (key, path) = part_path(set, &fault.path);
+    let fault = SetFault { path, ..fault };
+    refuse(&key, &fault.to_string())
+}
+
 fn refuse(key: &str, reason: &str) -> RefuseReason {
     RefuseReason {
         key: SmolStr::new(key),
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -77,20 +77,6 @@
     check_all(set, &|_| false)
 }
 
-/// Checks a daemon's share of a version, in which services may be absent.
-///
-/// Targets must be in known failure domains, home regions must be known, and
-/// all bounds hold. Services that the routes name are not looked up, since a
-/// share does not hold them all; see [`check_services`].
-///
-/// # Errors
-///
-/// All faults, in the order of their paths. Positions in lists follow the
-/// model's order, which is the order of names.
-pub fn check_closure(model: &FleetModel) -> Result<(), Vec<SetFault>> {
-    check_all(&model.to_set(), &|_| true)
-}
-
 /// Checks that every service that a route of the share names is known, for
 /// example from the digest index.
 ///
@@ -113,7 +99,11 @@
     }
 }
 
-fn check_all(set: &ConfigSet, absent: &dyn Fn(&str) -> bool) -> Result<(), Vec<SetFault>> {
+/// Checks a set in which some services may be absent.
+pub(crate) fn check_all(
+    set: &ConfigSet,
+    absent: &dyn Fn(&str) -> bool,
+) -> Result<(), Vec<SetFault>> {
     let mut faults = check_bounds(set);
     let bad: HashSet<FieldPath> = faults.iter().map(|fault| fault.path.clone()).collect();
     // A value that is not accepted refers to nothing, which is not a second fault.
--- a/crates/config/tests/accept.rs
+++ b/crates/config/tests/accept.rs
@@ -193,7 +193,11 @@
     torn.domains.shift_remove("bahir-gion");
     let faults = check_closure(&torn).unwrap_err();
     assert_eq!(faults.len(), 3);
-    assert_eq!(faults[0].problem, "unknown failure domain");
+    assert_eq!(
+        faults[0].to_string(),
+        "service/art-intake: targets[3].failure_domain: unknown failure domain; \
+         found: \"bahir-gion\"; accepted: addis-bole, addis-kality or bahir-tana"
+    );
     // A model that lacks the fleet part refers to nothing that is known.
     let lone = packed
         .parts()
