Write values with several threads, and sync their directories

A rename lasts only once its directory is synced; the directories of the values are now synced before the root is written, so that a root never outlasts a power loss that its values did not. A test blocks one value and looks for the old root.

--- a/crates/config/src/pack.rs
+++ b/crates/config/src/pack.rs
@@ -9,6 +9,9 @@
 use std::io::ErrorKind;
 use std::io::Write;
 use std::path::Path;
+use std::slice;
+use std::thread;
+use std::thread::ScopedJoinHandle;
 
 use bytes::Bytes;
 use indexmap::IndexMap;
@@ -226,14 +229,63 @@
         for kind in ["part", "page", "bundle"] {
             fs::create_dir_all(dir.join(kind))?;
         }
-        let mut report = WriteReport::default();
-        for (key, value) in &values {
-            if replace(&dir.join(key), value)? {
-                report.values += 1;
-                report.bytes += value.len();
-            }
+        let (root, values) = values.split_last().expect("a packed set has a root");
+        let threads = values.chunks(values.len().div_ceil(WRITERS).max(1));
+        let reports = thread::scope(|scope| {
+            let spawn = |values| scope.spawn(move || write_values(dir, values));
+            let writers: Vec<_> = threads.map(spawn).collect();
+            let join = |writer: ScopedJoinHandle<'_, io::Result<WriteReport>>| {
+                writer.join().expect("a writer does not panic")
+            };
+            writers.into_iter().map(join).collect::<Vec<_>>()
+        });
+        let mut total = WriteReport::default();
+        for report in reports {
+            total.add(report?);
+        }
+        // A rename lasts only once its directory is synced, so the values are
+        // made to last before the root names them.
+        for kind in ["part", "page", "bundle"] {
+            sync_dir(&dir.join(kind))?;
         }
-        Ok(report)
+        total.add(write_values(dir, slice::from_ref(root))?);
+        sync_dir(dir)?;
+        Ok(total)
+    }
+}
+
+#[cfg(unix)]
+fn sync_dir(dir: &Path) -> io::Result<()> {
+    fs::File::open(dir)?.sync_all()
+}
+
+// Other systems cannot open a directory as a file.
+#[cfg(not(unix))]
+fn sync_dir(_: &Path) -> io::Result<()> {
+    Ok(())
+}
+
+/// The threads that write values. Each file is synced, so a writer mostly waits
+/// for the disk, which takes several syncs at once.
+const WRITERS: usize = 8;
+
+fn write_values(dir: &Path, values: &[(String, Bytes)]) -> io::Result<WriteReport> {
+    let mut report = WriteReport::default();
+    for (key, value) in values {
+        if replace(&dir.join(key), value)? {
+            report.add(WriteReport {
+                values: 1,
+                bytes: value.len(),
+            });
+        }
+    }
+    Ok(report)
+}
+
+impl WriteReport {
+    fn add(&mut self, other: WriteReport) {
+        self.values += other.values;
+        self.bytes += other.bytes;
     }
 }
 
--- a/crates/config/tests/sets.rs
+++ b/crates/config/tests/sets.rs
@@ -7,12 +7,15 @@
 
 use radishgauge_config::ChangeKind;
 use radishgauge_config::FleetModel;
+use radishgauge_config::PartDigest;
 use radishgauge_config::SetDiff;
 use radishgauge_config::compare;
 use radishgauge_config::load_set;
 use radishgauge_config::load_settings;
 use radishgauge_config::model::Criticality;
 use radishgauge_config::model::PolicyModel;
+use radishgauge_config::pack;
+use radishgauge_config::read_packed;
 use radishgauge_schema::config::ConfigSet;
 use radishgauge_schema::config::DomainState;
 use radishgauge_schema::config::Target;
@@ -189,3 +192,22 @@
     assert_eq!(compare(&old, &replaced).drops.len(), 1);
     assert!(compare(&ConfigSet::default(), &old).drops.is_empty());
 }
+
+// Guards against a root that names values which could not be written.
+#[test]
+fn a_failed_write_leaves_the_root() {
+    let dir = tempfile::tempdir().unwrap();
+    let set = abay();
+    pack(&set, 1).write_to(dir.path()).unwrap();
+    let root = fs::read(dir.path().join("root")).unwrap();
+    let mut next = set.clone();
+    next.services[0].slots = 24;
+    let next = pack(&next, 2);
+    // A directory in the place of a value cannot be replaced by a file.
+    let part = next.part("service/motif-shop").unwrap();
+    let blocked = format!("part/{}", PartDigest::of(part));
+    fs::create_dir(dir.path().join(blocked)).unwrap();
+    assert!(next.write_to(dir.path()).is_err());
+    assert_eq!(fs::read(dir.path().join("root")).unwrap(), root);
+    assert_eq!(read_packed(dir.path()).unwrap().0, 1);
+}
