Add platform clients, listeners and the target client

The listener serves on xitca's own server with a watch beside each connection: its HTTP service neither notices a gone caller while a handler runs nor closes its listening socket at a stop, and its stream adapter states the number of pieces as the body's length, which cut answers short.

--- /dev/null
+++ b/crates/net/src/listener.rs
@@ -0,0 +1,388 @@
+//! Listeners for callers and for operators.
+//!
+//! Requests and answers are streamed, so an upload is never held whole. Limits
+//! on headers and bodies apply before the handler sees a byte beyond them, and
+//! a stop lets every request under way finish.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http::request::Parts;
+use tokio::sync::oneshot;
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_io::net::TcpStream;
+use xitca_web::body::Body;
+use xitca_web::body::Frame;
+use xitca_web::body::RequestBody;
+use xitca_web::body::ResponseBody;
+use xitca_web::body::SizeHint;
+use xitca_web::http::RequestExt;
+use xitca_web::service::ServiceExt;
+use xitca_web::service::fn_service;
+
+use crate::connection;
+use crate::connection::ConnectionGuard;
+use crate::connection::StopSignal;
+use crate::connection::StoppableListener;
+use crate::exchange::AnswerKind;
+use crate::exchange::BoxError;
+use crate::exchange::HttpAnswer;
+use crate::exchange::HttpBody;
+use crate::exchange::HttpRequest;
+use crate::exchange::PieceStream;
+
+/// The greatest number of header fields in a request.
+const HEADER_FIELDS: usize = 128;
+/// The read buffer of one connection; a request head cannot be larger.
+const READ_BUFFER: usize = 1024 * 1024;
+/// The write buffer of one connection, after which the answer waits for the caller.
+const WRITE_BUFFER: usize = 256 * 1024;
+/// How long an idle connection of a caller is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// How long a caller may take to send a request head.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+
+/// Bounds of a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListenLimits {
+    /// The greatest request head in bytes; at most 1 MiB.
+    pub head: usize,
+    /// The greatest request body in bytes.
+    pub body: u64,
+    /// The threads that serve connections.
+    pub threads: usize,
+    /// The requests under way; more are refused with status 503 before they run.
+    pub requests: usize,
+    /// How long a stop waits for the requests under way.
+    pub stop: Duration,
+}
+
+impl Default for ListenLimits {
+    fn default() -> ListenLimits {
+        ListenLimits {
+            head: 32 * 1024,
+            body: 64 * 1024 * 1024,
+            threads: 4,
+            requests: 4096,
+            stop: Duration::from_secs(30),
+        }
+    }
+}
+
+/// A running listener for callers; HTTP/1.1 on a TCP address.
+pub struct CallerListener(RunningListener);
+
+impl CallerListener {
+    /// Binds the address and serves until [`CallerListener::stop`].
+    ///
+    /// The handler runs on the listener's own threads, one task a connection,
+    /// and is dropped when the caller goes away.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound or the threads cannot be started.
+    pub fn bind<H, F>(
+        address: SocketAddr,
+        limits: ListenLimits,
+        handler: H,
+    ) -> std::io::Result<CallerListener>
+    where
+        H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = HttpAnswer> + 'static,
+    {
+        RunningListener::bind(address, limits, handler).map(CallerListener)
+    }
+
+    /// The bound address.
+    pub fn local_address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// The requests under way.
+    pub fn running(&self) -> usize {
+        self.0.state.running.load(Ordering::Acquire)
+    }
+
+    /// Accepts no more connections, lets the requests under way finish, and
+    /// ends. Dropping the listener does the same without waiting.
+    pub async fn stop(self) {
+        self.0.stop().await;
+    }
+}
+
+/// A running listener for operators.
+pub struct OperatorListener(RunningListener);
+
+impl OperatorListener {
+    /// Binds the address and serves until [`OperatorListener::stop`]; one
+    /// thread, and bodies of at most 64 KB, since operators only ask.
+    ///
+    /// # Errors
+    ///
+    /// When the address cannot be bound or the thread cannot be started.
+    pub fn bind<H, F>(address: SocketAddr, handler: H) -> std::io::Result<OperatorListener>
+    where
+        H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = HttpAnswer> + 'static,
+    {
+        let limits = ListenLimits {
+            body: 64 * 1024,
+            threads: 1,
+            requests: 64,
+            ..ListenLimits::default()
+        };
+        RunningListener::bind(address, limits, handler).map(OperatorListener)
+    }
+
+    /// The bound address.
+    pub fn local_address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    /// As [`CallerListener::stop`].
+    pub async fn stop(self) {
+        self.0.stop().await;
+    }
+}
+
+struct RunningListener {
+    address: SocketAddr,
+    state: Arc<ListenState>,
+    stop: Box<dyn Fn() + Send + Sync>,
+    ended: oneshot::Receiver<()>,
+}
+
+#[derive(Default)]
+struct ListenState {
+    stop: StopSignal,
+    running: AtomicUsize,
+}
+
+impl RunningListener {
+    fn bind<H, F>(
+        address: SocketAddr,
+        limits: ListenLimits,
+        handler: H,
+    ) -> std::io::Result<RunningListener>
+    where
+        H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = HttpAnswer> + 'static,
+    {
+        let listener = TcpListener::bind(address)?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(ListenState::default());
+        let served = state.clone();
+        let service = fn_service(move |request: Request<RequestExt<RequestBody>>| {
+            let state = served.clone();
+            let handler = handler.clone();
+            async move { Ok::<_, Infallible>(answer(request, limits, &state, handler).await) }
+        });
+        let config = HttpServiceConfig::new()
+            .keep_alive_timeout(KEEP_ALIVE)
+            .request_head_timeout(HEAD_TIME)
+            .max_read_buf_size::<READ_BUFFER>()
+            .max_write_buf_size::<WRITE_BUFFER>()
+            .max_request_headers::<HEADER_FIELDS>();
+        let watched = state.clone();
+        let service = service
+            .enclosed(HttpServiceBuilder::h1().config(config))
+            .enclosed_fn(
+                async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
+                    connection::serve(service, stream, remote, &watched.stop).await
+                },
+            );
+        let mut server = xitca_server::Builder::new()
+            .worker_threads(limits.threads.max(1))
+            .shutdown_timeout(limits.stop.as_secs().max(1))
+            .disable_signal()
+            .listen(
+                "listener",
+                StoppableListener::new(listener, state.stop.clone()),
+                service,
+            )
+            .build();
+        let handle = server.handle()?;
+        let (end, ended) = oneshot::channel();
+        std::thread::Builder::new()
+            .name("listener".to_owned())
+            .spawn(move || {
+                // The server fails only while it starts, which `handle` reported.
+                let _ = server.wait();
+                let _ = end.send(());
+            })?;
+        Ok(RunningListener {
+            address,
+            state,
+            stop: Box::new(move || handle.stop(true)),
+            ended,
+        })
+    }
+
+    async fn stop(mut self) {
+        self.begin_stop();
+        // The sender is dropped only together with the server's thread.
+        let _ = (&mut self.ended).await;
+    }
+
+    fn begin_stop(&self) {
+        self.state.stop.send();
+        (self.stop)();
+    }
+}
+
+impl Drop for RunningListener {
+    fn drop(&mut self) {
+        self.begin_stop();
+    }
+}
+
+/// Counts one request under way, at the listener and at its connection, until
+/// it is dropped.
+struct RunningRequest {
+    state: Arc<ListenState>,
+    _connection: ConnectionGuard,
+}
+
+impl RunningRequest {
+    fn begin(state: &Arc<ListenState>, limit: usize) -> Option<RunningRequest> {
+        let before = state.running.fetch_add(1, Ordering::AcqRel);
+        let request = RunningRequest {
+            state: state.clone(),
+            _connection: ConnectionGuard::begin(),
+        };
+        (before < limit).then_some(request)
+    }
+}
+
+impl Drop for RunningRequest {
+    fn drop(&mut self) {
+        self.state.running.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Checks the limits, runs the handler, and turns its answer into the listener's form.
+async fn answer<H, F>(
+    request: Request<RequestExt<RequestBody>>,
+    limits: ListenLimits,
+    state: &Arc<ListenState>,
+    handler: H,
+) -> Response<ResponseBody>
+where
+    H: Fn(HttpRequest) -> F,
+    F: Future<Output = HttpAnswer>,
+{
+    let (head, extended) = request.into_parts();
+    let remote = *extended.socket_addr();
+    let (_, inner) = extended.replace_body(());
+    if head_size(&head) > limits.head {
+        return refusal(
+            StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+            "request head too large",
+        );
+    }
+    if declared_length(&head).is_some_and(|length| length > limits.body) {
+        return refusal(StatusCode::PAYLOAD_TOO_LARGE, "request body too large");
+    }
+    let Some(running) = RunningRequest::begin(state, limits.requests) else {
+        return refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "too many requests under way",
+        );
+    };
+    let request = HttpRequest {
+        head,
+        remote,
+        body: HttpBody::new(inner, limits.body),
+    };
+    let (mut head, body) = handler(request).await.into_parts();
+    if state.stop.is_sent() {
+        head.headers
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    let body = match body.into_kind() {
+        AnswerKind::Whole(bytes) => ResponseBody::bytes(bytes),
+        AnswerKind::Stream(stream) => ResponseBody::boxed(CountedBody {
+            pieces: stream,
+            _running: running,
+        }),
+    };
+    Response::from_parts(head, body)
+}
+
+/// A streamed answer that counts as a request under way until its end.
+///
+/// The library's own adapter takes the number of pieces that a stream expects
+/// for the length of the body and cuts the answer there; this one states none.
+struct CountedBody {
+    pieces: PieceStream,
+    _running: RunningRequest,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        self.pieces
+            .as_mut()
+            .poll_next(cx)
+            .map(|piece| piece.map(|data| data.map(Frame::Data)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::Unknown
+    }
+}
+
+fn head_size(head: &Parts) -> usize {
+    // Each field has a colon, a space and a line end besides its name and value.
+    const FIELD_EXTRA: usize = 4;
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(0, |target| target.as_str().len());
+    let fields = head.headers.iter();
+    target
+        + fields
+            .map(|(name, value)| name.as_str().len() + value.len() + FIELD_EXTRA)
+            .sum::<usize>()
+}
+
+fn declared_length(head: &Parts) -> Option<u64> {
+    head.headers
+        .get(header::CONTENT_LENGTH)?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
+/// An answer to a request that was not run. The connection is closed, since the
+/// request's body was not read.
+fn refusal(status: StatusCode, reason: &'static str) -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::bytes(reason));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    headers.insert("x-radishgauge-verdict", HeaderValue::from_static("not-run"));
+    headers.insert("x-radishgauge-reason", HeaderValue::from_static(reason));
+    response
+}
--- /dev/null
+++ b/crates/net/src/platform.rs
@@ -0,0 +1,359 @@
+//! The platform's configuration service, which can only be read and watched.
+//!
+//! The values may be stale, torn or reordered; nothing here trusts them. The
+//! readers compare every value with the digest that names it.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::SystemTime;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use indexmap::IndexMap;
+use radishgauge_config::PartDigest;
+use tokio::time::Instant;
+
+/// The greatest value that the platform holds, in bytes.
+pub const VALUE_LIMIT: usize = 1024 * 1024;
+/// The longest key in bytes.
+const KEY_LIMIT: usize = 256;
+/// How often a watched file is looked at.
+const POLL_INTERVAL: Duration = Duration::from_millis(200);
+/// A file that was written this recently is read even when its time and length
+/// did not change, since file times may be as coarse as two seconds.
+const COARSE_TIME: Duration = Duration::from_secs(2);
+/// How long a read may take, and a watch beyond its wait; the platform answers
+/// in milliseconds.
+const READ_TIME: Duration = Duration::from_secs(5);
+/// How many watched keys are remembered with their entity tags.
+const TAGS: usize = 64;
+
+/// A failed read of the platform.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum PlatformError {
+    /// The key is not of the accepted form.
+    #[error("platform key {0:?}: wanted names of [a-z0-9._-] separated by single slashes")]
+    Key(String),
+    /// The base address is not of the form `http://ip:port`.
+    #[error("platform address {0:?}: wanted http://ip:port")]
+    Address(String),
+    /// The platform cannot be reached or did not answer in time.
+    #[error("the platform does not answer: {0}")]
+    Unreachable(String),
+    /// The platform answered with an error.
+    #[error("the platform answered with status {0}")]
+    Status(u16),
+    /// The value is larger than the platform may hold.
+    #[error("the platform's value exceeds {VALUE_LIMIT} bytes")]
+    TooLarge,
+}
+
+/// Reads and watches platform values; clones share connections.
+#[derive(Clone)]
+pub enum PlatformClient {
+    /// Values as files.
+    Directory(DirectoryPlatform),
+    /// Values over HTTP.
+    Http(HttpPlatform),
+}
+
+impl PlatformClient {
+    /// Reads values from the files of a directory.
+    pub fn directory(root: impl Into<PathBuf>) -> PlatformClient {
+        PlatformClient::Directory(DirectoryPlatform { root: root.into() })
+    }
+
+    /// Reads values over HTTP from `http://ip:port`.
+    ///
+    /// # Errors
+    ///
+    /// When the address is not of that form.
+    pub fn http(address: &str) -> Result<PlatformClient, PlatformError> {
+        HttpPlatform::new(address).map(PlatformClient::Http)
+    }
+
+    /// Returns the value of a key, or `None` when there is none.
+    ///
+    /// # Errors
+    ///
+    /// When the key is malformed, the platform does not answer, or the value is
+    /// too large.
+    pub async fn read(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        check_key(key)?;
+        match self {
+            PlatformClient::Directory(directory) => directory.read(key).await,
+            PlatformClient::Http(http) => http.read(key).await,
+        }
+    }
+
+    /// Returns the value of a key as soon as its digest differs from the known
+    /// one, or `None` when it still agrees, or there is no value, after the wait.
+    ///
+    /// # Errors
+    ///
+    /// As [`PlatformClient::read`].
+    pub async fn watch(
+        &self,
+        key: &str,
+        known: Option<PartDigest>,
+        wait: Duration,
+    ) -> Result<Option<Bytes>, PlatformError> {
+        check_key(key)?;
+        match self {
+            PlatformClient::Directory(directory) => directory.watch(key, known, wait).await,
+            PlatformClient::Http(http) => http.watch(key, known, wait).await,
+        }
+    }
+}
+
+/// Keys become paths, so nothing may lead out of the directory or the prefix.
+fn check_key(key: &str) -> Result<(), PlatformError> {
+    let name = |part: &str| {
+        let plain =
+            |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"._-".contains(&byte);
+        !part.is_empty() && !part.starts_with('.') && part.bytes().all(plain)
+    };
+    if key.len() <= KEY_LIMIT && key.split('/').all(name) {
+        Ok(())
+    } else {
+        Err(PlatformError::Key(key.to_owned()))
+    }
+}
+
+/// Platform values as files of a directory.
+#[derive(Clone)]
+pub struct DirectoryPlatform {
+    root: PathBuf,
+}
+
+impl DirectoryPlatform {
+    async fn read(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        Ok(self.look(key, None).await?.value)
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        known: Option<PartDigest>,
+        wait: Duration,
+    ) -> Result<Option<Bytes>, PlatformError> {
+        let end = Instant::now() + wait;
+        let mut last = None;
+        loop {
+            let look = self.look(key, last).await?;
+            if let Some(value) = look
+                .value
+                .filter(|value| known != Some(PartDigest::of(value)))
+            {
+                return Ok(Some(value));
+            }
+            last = look.stamp;
+            let now = Instant::now();
+            if now >= end {
+                return Ok(None);
+            }
+            tokio::time::sleep_until(end.min(now + POLL_INTERVAL)).await;
+        }
+    }
+
+    /// Reads a file unless its time and length are those of an earlier look.
+    async fn look(&self, key: &str, last: Option<FileStamp>) -> Result<FileLook, PlatformError> {
+        let path = self.root.join(key);
+        let looked = tokio::task::spawn_blocking(move || look_at(&path, last)).await;
+        match looked {
+            Ok(Ok(look)) => Ok(look),
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::NotFound => {
+                Ok(FileLook::default())
+            }
+            Ok(Err(error)) if error.kind() == std::io::ErrorKind::FileTooLarge => {
+                Err(PlatformError::TooLarge)
+            }
+            Ok(Err(error)) => Err(PlatformError::Unreachable(error.to_string())),
+            Err(error) => Err(PlatformError::Unreachable(error.to_string())),
+        }
+    }
+}
+
+type FileStamp = (SystemTime, u64);
+
+#[derive(Default)]
+struct FileLook {
+    value: Option<Bytes>,
+    stamp: Option<FileStamp>,
+}
+
+fn look_at(path: &std::path::Path, last: Option<FileStamp>) -> std::io::Result<FileLook> {
+    let metadata = std::fs::metadata(path)?;
+    if metadata.len() > VALUE_LIMIT as u64 {
+        return Err(std::io::ErrorKind::FileTooLarge.into());
+    }
+    let changed = metadata.modified()?;
+    let stamp = Some((changed, metadata.len()));
+    let settled = changed.elapsed().is_ok_and(|age| age > COARSE_TIME);
+    let value = if settled && stamp == last {
+        None
+    } else {
+        Some(std::fs::read(path)?.into())
+    };
+    Ok(FileLook { value, stamp })
+}
+
+/// Platform values over HTTP.
+#[derive(Clone)]
+pub struct HttpPlatform {
+    base: String,
+    client: Client<HttpConnector, Empty<Bytes>>,
+    tags: Arc<Mutex<IndexMap<String, (PartDigest, String)>>>,
+}
+
+impl HttpPlatform {
+    fn new(address: &str) -> Result<HttpPlatform, PlatformError> {
+        let base = address.trim_end_matches('/');
+        let number = base
+            .strip_prefix("http://")
+            .map(str::parse::<std::net::SocketAddr>);
+        if !matches!(number, Some(Ok(_))) {
+            return Err(PlatformError::Address(address.to_owned()));
+        }
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(READ_TIME));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(Duration::from_secs(60))
+            .pool_max_idle_per_host(2)
+            .build(connector);
+        Ok(HttpPlatform {
+            base: base.to_owned(),
+            client,
+            tags: Arc::default(),
+        })
+    }
+
+    async fn read(&self, key: &str) -> Result<Option<Bytes>, PlatformError> {
+        let uri = format!("{}/v1/values/{key}", self.base);
+        let exchange = async {
+            let response = self.get(&uri).await?;
+            match response.status() {
+                StatusCode::OK => value_of(response).await.map(Some),
+                StatusCode::NOT_FOUND => Ok(None),
+                status => Err(PlatformError::Status(status.as_u16())),
+            }
+        };
+        in_time(READ_TIME, exchange).await
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        known: Option<PartDigest>,
+        wait: Duration,
+    ) -> Result<Option<Bytes>, PlatformError> {
+        let end = Instant::now() + wait;
+        let tag = known.map_or(String::new(), |known| self.tag_of(key, known));
+        let wait_s = wait.as_secs_f64().ceil();
+        let uri = format!("{}/v1/watch/{key}?known={tag}&wait_s={wait_s}", self.base);
+        let exchange = async {
+            let response = self.get(&uri).await?;
+            match response.status() {
+                StatusCode::OK => {
+                    let tag = response
+                        .headers()
+                        .get(header::ETAG)
+                        .and_then(|tag| tag.to_str().ok());
+                    let tag = tag.map(|tag| tag.trim_matches('"').to_owned());
+                    let value = value_of(response).await?;
+                    if let Some(tag) = tag {
+                        self.remember(key, PartDigest::of(&value), tag);
+                    }
+                    Ok(Some(value))
+                }
+                StatusCode::NOT_MODIFIED => Ok(None),
+                // A platform that does not wait for a missing key must not be asked in a tight loop.
+                StatusCode::NOT_FOUND => {
+                    tokio::time::sleep_until(end).await;
+                    Ok(None)
+                }
+                status => Err(PlatformError::Status(status.as_u16())),
+            }
+        };
+        let value = in_time(wait + READ_TIME, exchange).await?;
+        Ok(value.filter(|value| known != Some(PartDigest::of(value))))
+    }
+
+    async fn get(&self, uri: &str) -> Result<Response<Incoming>, PlatformError> {
+        let request = Request::get(uri)
+            .body(Empty::new())
+            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
+        let sent = self.client.request(request).await;
+        sent.map_err(|error| PlatformError::Unreachable(error.to_string()))
+    }
+
+    /// The platform's own tag of a value; a platform of ours uses the digest.
+    fn tag_of(&self, key: &str, known: PartDigest) -> String {
+        let tags = self.tags.lock().unwrap_or_else(PoisonError::into_inner);
+        match tags.get(key) {
+            Some((digest, tag)) if *digest == known => query_value(tag),
+            _ => known.to_string(),
+        }
+    }
+
+    fn remember(&self, key: &str, digest: PartDigest, tag: String) {
+        let mut tags = self.tags.lock().unwrap_or_else(PoisonError::into_inner);
+        tags.insert(key.to_owned(), (digest, tag));
+        if tags.len() > TAGS {
+            tags.shift_remove_index(0);
+        }
+    }
+}
+
+/// Escapes what may not stand in a query value (RFC 3986, section 2.3).
+fn query_value(text: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    text.bytes().fold(String::new(), |mut escaped, byte| {
+        if plain(byte) {
+            escaped.push(byte.into());
+        } else {
+            escaped.push_str(&format!("%{byte:02X}"));
+        }
+        escaped
+    })
+}
+
+async fn value_of(response: Response<Incoming>) -> Result<Bytes, PlatformError> {
+    match Limited::new(response.into_body(), VALUE_LIMIT)
+        .collect()
+        .await
+    {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(PlatformError::TooLarge),
+        Err(error) => Err(PlatformError::Unreachable(error.to_string())),
+    }
+}
+
+async fn in_time<T, F>(time: Duration, exchange: F) -> Result<T, PlatformError>
+where
+    F: Future<Output = Result<T, PlatformError>>,
+{
+    let ended = tokio::time::timeout(time, exchange).await;
+    ended.unwrap_or_else(|_| {
+        Err(PlatformError::Unreachable(format!(
+            "no answer within {time:?}"
+        )))
+    })
+}
--- /dev/null
+++ b/crates/net/tests/http.rs
@@ -0,0 +1,318 @@
+//! Listeners and the target client over loopback.
+
+mod common;
+
+use std::io::ErrorKind;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use http::Request;
+use http::StatusCode;
+use radishgauge_net::AnswerBody;
+use radishgauge_net::BodyFault;
+use radishgauge_net::BoxError;
+use radishgauge_net::CallerListener;
+use radishgauge_net::HttpAnswer;
+use radishgauge_net::ListenLimits;
+use radishgauge_net::OperatorListener;
+use radishgauge_net::RequestProgress;
+use radishgauge_net::TargetBody;
+use radishgauge_net::TargetClient;
+use radishgauge_net::TargetFault;
+use radishgauge_net::TargetLimits;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::sync::mpsc;
+
+fn limits() -> ListenLimits {
+    ListenLimits {
+        body: 1 << 20,
+        threads: 2,
+        ..ListenLimits::default()
+    }
+}
+
+fn post(path: &str, body: TargetBody) -> Request<TargetBody> {
+    Request::post(path)
+        .header("host", "shop")
+        .body(body)
+        .unwrap()
+}
+
+fn stream(
+    pieces: Vec<Result<Bytes, BoxError>>,
+) -> impl futures_util::Stream<Item = Result<Bytes, BoxError>> + Send {
+    futures_util::stream::iter(pieces)
+}
+
+/// Guards against bodies that are held whole, lost or mixed up on the way
+/// through a listener and a client, and against connections that are not reused.
+#[tokio::test]
+async fn streams_both_ways() {
+    let listener = CallerListener::bind(common::loopback(), limits(), |request| async move {
+        let echo = request
+            .body
+            .into_stream()
+            .map(|data| data.map_err(BoxError::from));
+        HttpAnswer::new(AnswerBody::stream(echo))
+    })
+    .unwrap();
+    let client = TargetClient::new(listener.local_address(), TargetLimits::default());
+    for round in 0..3u8 {
+        let piece = Bytes::from(vec![round; 10_000]);
+        let pieces = (0..30).map(|_| Ok(piece.clone())).collect();
+        let answer = client
+            .send(post("/echo", TargetBody::stream(stream(pieces))))
+            .await
+            .unwrap();
+        assert_eq!(answer.status(), StatusCode::OK);
+        let body = answer.into_body().whole(1 << 20).await.unwrap();
+        assert!(body.len() == 300_000 && body.iter().all(|byte| *byte == round));
+        assert_eq!(client.idle(), 1);
+    }
+    drop(client);
+    listener.stop().await;
+}
+
+/// Guards against heads and bodies beyond the limit that reach the handler as
+/// if they were whole.
+#[tokio::test]
+async fn limits_are_enforced() {
+    let listener = CallerListener::bind(common::loopback(), limits(), |mut request| async move {
+        let fault = request.body.whole(u64::MAX).await.unwrap_err();
+        assert_eq!(fault, BodyFault::TooLarge { limit: 1 << 20 });
+        let mut answer = HttpAnswer::new(AnswerBody::whole("too large"));
+        *answer.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
+        answer
+    })
+    .unwrap();
+    let client = TargetClient::new(listener.local_address(), TargetLimits::default());
+    let mut request = post("/", TargetBody::whole(""));
+    request
+        .headers_mut()
+        .insert("x-long", "x".repeat(40_000).parse().unwrap());
+    let answer = client.send(request).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    assert_eq!(answer.headers()["x-radishgauge-verdict"], "not-run");
+
+    let mut raw = TcpStream::connect(listener.local_address()).await.unwrap();
+    raw.write_all(b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 2000000\r\n\r\n")
+        .await
+        .unwrap();
+    let mut text = String::new();
+    raw.read_to_string(&mut text).await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 413"), "{text}");
+
+    // The length is not declared, so the handler finds out while it reads.
+    let pieces = (0..17).map(|_| Ok(Bytes::from(vec![0; 65_536]))).collect();
+    let answer = client
+        .send(post("/", TargetBody::stream(stream(pieces))))
+        .await
+        .unwrap();
+    assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+}
+
+/// Guards against a part of an answer that a caller takes for the whole.
+#[tokio::test]
+async fn a_cut_answer_is_never_whole() {
+    let listener = CallerListener::bind(common::loopback(), limits(), |_| async {
+        HttpAnswer::new(AnswerBody::stream(stream(vec![
+            Ok(Bytes::from_static(b"part")),
+            Err("cut".into()),
+        ])))
+    })
+    .unwrap();
+    let client = TargetClient::new(listener.local_address(), TargetLimits::default());
+    let error = match client.send(post("/", TargetBody::whole(""))).await {
+        Ok(answer) => answer.into_body().whole(100).await.unwrap_err(),
+        Err(error) => error,
+    };
+    assert!(error.sent);
+    assert!(
+        matches!(error.fault, TargetFault::Cut(_) | TargetFault::Lost(_)),
+        "{error}"
+    );
+    assert_eq!(client.idle(), 0);
+}
+
+/// Guards against a stop that interrupts a request under way, and against a
+/// listener that takes new connections while it stops.
+#[tokio::test]
+async fn a_stop_finishes_what_runs() {
+    let (begun, mut seen) = mpsc::unbounded_channel();
+    let release = Arc::new(Notify::new());
+    let held = release.clone();
+    let listener = CallerListener::bind(common::loopback(), limits(), move |_| {
+        let (begun, held) = (begun.clone(), held.clone());
+        async move {
+            begun.send(()).unwrap();
+            held.notified().await;
+            HttpAnswer::new(AnswerBody::whole("done"))
+        }
+    })
+    .unwrap();
+    let address = listener.local_address();
+    let client = TargetClient::new(address, TargetLimits::default());
+    let running = tokio::spawn(async move {
+        let answer = client
+            .send(post("/", TargetBody::whole("x")))
+            .await
+            .unwrap();
+        assert_eq!(answer.headers()["connection"], "close");
+        answer.into_body().whole(100).await.unwrap()
+    });
+    seen.recv().await.unwrap();
+    assert_eq!(listener.running(), 1);
+    let mut stopping = tokio::spawn(listener.stop());
+    // Until the listening socket is gone, connections may still be queued.
+    while let Ok(late) = TcpStream::connect(address).await {
+        drop(late);
+        tokio::task::yield_now().await;
+    }
+    assert!(futures_util::poll!(&mut stopping).is_pending());
+    release.notify_one();
+    assert_eq!(running.await.unwrap(), "done");
+    stopping.await.unwrap();
+}
+
+/// Guards against work that goes on for a caller who is gone.
+#[tokio::test]
+async fn a_gone_caller_drops_the_handler() {
+    struct Dropped(mpsc::UnboundedSender<&'static str>);
+    impl Drop for Dropped {
+        fn drop(&mut self) {
+            let _ = self.0.send("dropped");
+        }
+    }
+    let (events, mut seen) = mpsc::unbounded_channel();
+    let listener = CallerListener::bind(common::loopback(), limits(), move |_| {
+        let events = events.clone();
+        async move {
+            events.send("begun").unwrap();
+            let _guard = Dropped(events);
+            std::future::pending::<HttpAnswer>().await
+        }
+    })
+    .unwrap();
+    let client = TargetClient::new(listener.local_address(), TargetLimits::default());
+    let progress = RequestProgress::default();
+    let request = client.send_tracked(post("/", TargetBody::whole("x")), &progress);
+    tokio::select! {
+        _ = request => panic!("the handler never answers"),
+        event = seen.recv() => assert_eq!(event, Some("begun")),
+    }
+    assert!(progress.seal());
+    assert_eq!(seen.recv().await, Some("dropped"));
+}
+
+/// Guards against a connect failure that is reported as "may have run".
+#[tokio::test]
+async fn a_connect_failure_is_not_sent() {
+    let address = TcpListener::bind(common::loopback())
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let client = TargetClient::new(address, TargetLimits::default());
+    let error = client
+        .send(post("/", TargetBody::whole("x")))
+        .await
+        .err()
+        .unwrap();
+    assert!(!error.sent);
+    assert!(matches!(error.fault, TargetFault::Connect(_)), "{error}");
+}
+
+/// Guards against a lost connection that is reported as "not run" although the
+/// target read the request.
+#[tokio::test]
+async fn a_reset_after_the_first_byte_may_have_run() {
+    let target = tokio::net::TcpListener::bind(common::loopback())
+        .await
+        .unwrap();
+    let client = TargetClient::new(target.local_addr().unwrap(), TargetLimits::default());
+    let reset = tokio::spawn(async move {
+        let (mut connection, _) = target.accept().await.unwrap();
+        assert_eq!(connection.read_u8().await.unwrap(), b'P');
+    });
+    let error = client
+        .send(post("/", TargetBody::whole("x")))
+        .await
+        .err()
+        .unwrap();
+    assert!(error.sent);
+    reset.await.unwrap();
+}
+
+/// Guards against a pool that opens more connections than the target accepts.
+#[tokio::test]
+async fn the_pool_is_bounded() {
+    let target = tokio::net::TcpListener::bind(common::loopback())
+        .await
+        .unwrap();
+    let limits = TargetLimits {
+        connections: 2,
+        ..TargetLimits::default()
+    };
+    let client = TargetClient::new(target.local_addr().unwrap(), limits);
+    let requests = (0..10).map(|_| {
+        let client = client.clone();
+        async move {
+            let answer = client
+                .send(post("/", TargetBody::whole("x")))
+                .await
+                .unwrap();
+            answer.into_body().whole(100).await.unwrap()
+        }
+    });
+    let requests = tokio::spawn(futures_util::future::join_all(requests.collect::<Vec<_>>()));
+    // Two connections serve all ten requests, five each or in other shares.
+    let mut connections = Vec::new();
+    for _ in 0..2 {
+        let (mut connection, _) = target.accept().await.unwrap();
+        connections.push(tokio::spawn(async move {
+            let mut text = Vec::new();
+            while connection.read_buf(&mut text).await.unwrap() > 0 {
+                if text.ends_with(b"\r\n\r\nx") {
+                    text.clear();
+                    connection
+                        .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
+                        .await
+                        .unwrap();
+                }
+            }
+        }));
+    }
+    let answers = requests.await.unwrap();
+    assert!(answers.len() == 10 && answers.iter().all(|answer| answer == "ok"));
+    assert_eq!(client.idle(), 2);
+    let none = futures_util::poll!(std::pin::pin!(target.accept()));
+    assert!(none.is_pending(), "a third connection was opened");
+    drop(client);
+    for connection in connections {
+        connection.await.unwrap();
+    }
+}
+
+/// Guards against an operator listener that shares none of the callers' limits.
+#[tokio::test]
+async fn operators_ask_over_their_own_address() {
+    let listener = OperatorListener::bind(common::loopback(), |request| async move {
+        HttpAnswer::new(AnswerBody::whole(request.head.uri.path().to_owned()))
+    })
+    .unwrap();
+    let client = TargetClient::new(listener.local_address(), TargetLimits::default());
+    let request = Request::get("/status")
+        .header("host", "a")
+        .body(TargetBody::whole(""))
+        .unwrap();
+    let answer = client.send(request).await.unwrap();
+    assert_eq!(answer.into_body().whole(100).await.unwrap(), "/status");
+    let taken = OperatorListener::bind(listener.local_address(), |_| async {
+        HttpAnswer::default()
+    });
+    assert_eq!(taken.err().unwrap().kind(), ErrorKind::AddrInUse);
+}
