--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,379 @@
+//! The platform's configuration service, with its faults.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use radishgauge_config::PartDigest;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::server::LoopbackServer;
+use crate::server::ServerResult;
+
+/// How many earlier values of a key are kept for answers out of order.
+const HISTORY: usize = 8;
+
+/// Serves `GET /v1/values/<key>` and `GET /v1/watch/<key>` on loopback.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_standin::PlatformStandIn;
+///
+/// # async fn example() -> std::io::Result<()> {
+/// let platform = PlatformStandIn::start().await?;
+/// platform.put("root", "first");
+/// platform.set_down(true);
+/// assert_eq!(platform.counts().reads, 0);
+/// # Ok(())
+/// # }
+/// ```
+pub struct PlatformStandIn {
+    server: LoopbackServer,
+    shared: Arc<PlatformShared>,
+}
+
+/// What the platform was asked since its start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlatformCounts {
+    /// Reads of a value.
+    pub reads: u64,
+    /// Watches, counted once when they begin.
+    pub watches: u64,
+    /// Watches that wait now.
+    pub waiting: u64,
+    /// Requests that a platform that is down did not answer.
+    pub unanswered: u64,
+    /// Bytes of the values sent.
+    pub bytes: u64,
+    /// The most requests that began within one second.
+    pub peak_rate: u64,
+}
+
+impl PlatformCounts {
+    /// All calls; a waiting watch is one.
+    pub fn calls(&self) -> u64 {
+        self.reads + self.watches
+    }
+}
+
+struct PlatformShared {
+    state: Mutex<PlatformState>,
+    changed: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct PlatformState {
+    values: IndexMap<String, VecDeque<Bytes>>,
+    frozen: Option<IndexMap<String, Bytes>>,
+    down: bool,
+    slow: Duration,
+    torn_every: u64,
+    reorder: bool,
+    answers: u64,
+    counts: PlatformCounts,
+    second: Option<(Instant, u64)>,
+}
+
+impl PlatformStandIn {
+    /// Starts without values.
+    ///
+    /// # Errors
+    ///
+    /// When no loopback port is free.
+    pub async fn start() -> io::Result<PlatformStandIn> {
+        let shared = Arc::new(PlatformShared {
+            state: Mutex::default(),
+            changed: watch::Sender::new(0),
+        });
+        let served = shared.clone();
+        let server = LoopbackServer::start(move |request| {
+            let shared = served.clone();
+            async move { shared.answer(request).await }
+        })
+        .await?;
+        Ok(PlatformStandIn { server, shared })
+    }
+
+    /// The address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// The base of the service's addresses, as the settings name it.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.server.address())
+    }
+
+    /// Sets one value.
+    pub fn put(&self, key: &str, value: impl Into<Bytes>) {
+        self.put_all([(key, value.into())]);
+    }
+
+    /// Sets several values at once.
+    pub fn put_all<K, I>(&self, values: I)
+    where
+        K: Into<String>,
+        I: IntoIterator<Item = (K, Bytes)>,
+    {
+        let mut state = self.shared.state();
+        for (key, value) in values {
+            let history = state.values.entry(key.into()).or_default();
+            history.push_back(value);
+            if history.len() > HISTORY {
+                history.pop_front();
+            }
+        }
+        drop(state);
+        self.shared.notify();
+    }
+
+    /// Removes a value.
+    pub fn remove(&self, key: &str) {
+        self.shared.state().values.shift_remove(key);
+        self.shared.notify();
+    }
+
+    /// Sets the values of all files below a directory; the paths are the keys.
+    ///
+    /// # Errors
+    ///
+    /// When a file cannot be read.
+    pub fn put_directory(&self, root: &Path) -> io::Result<()> {
+        let mut values = Vec::new();
+        let mut folders = vec![root.to_owned()];
+        while let Some(folder) = folders.pop() {
+            for entry in std::fs::read_dir(folder)? {
+                let path = entry?.path();
+                if path.is_dir() {
+                    folders.push(path);
+                } else if let Ok(key) = path.strip_prefix(root) {
+                    values.push((
+                        key.to_string_lossy().into_owned(),
+                        Bytes::from(std::fs::read(&path)?),
+                    ));
+                }
+            }
+        }
+        self.put_all(values);
+        Ok(())
+    }
+
+    /// Answers nothing while set; open watches are broken.
+    pub fn set_down(&self, down: bool) {
+        self.shared.state().down = down;
+        self.shared.notify();
+    }
+
+    /// Serves the present values while set, whatever is put later.
+    pub fn set_stale(&self, stale: bool) {
+        let mut state = self.shared.state();
+        state.frozen = stale.then(|| {
+            let newest = |history: &VecDeque<Bytes>| history.back().cloned().unwrap_or_default();
+            state
+                .values
+                .iter()
+                .map(|(key, history)| (key.clone(), newest(history)))
+                .collect()
+        });
+        drop(state);
+        self.shared.notify();
+    }
+
+    /// Delays each answer.
+    pub fn set_slow(&self, delay: Duration) {
+        self.shared.state().slow = delay;
+    }
+
+    /// Mixes the bytes of two versions in every n-th value; 0 for none.
+    pub fn set_torn(&self, every: u64) {
+        self.shared.state().torn_every = every;
+    }
+
+    /// Answers every other watch with the version before the newest.
+    pub fn set_out_of_order(&self, reorder: bool) {
+        self.shared.state().reorder = reorder;
+        self.shared.notify();
+    }
+
+    /// What was asked since the start.
+    pub fn counts(&self) -> PlatformCounts {
+        self.shared.state().counts
+    }
+}
+
+impl PlatformShared {
+    fn state(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn notify(&self) {
+        self.changed.send_modify(|change| *change += 1);
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> ServerResult {
+        let path = request.uri().path();
+        if let Some(key) = path.strip_prefix("/v1/values/") {
+            let slow = self.state().begin(false)?;
+            tokio::time::sleep(slow).await;
+            let mut state = self.state();
+            let value = state.newest(key);
+            return Ok(state.respond(key, value));
+        }
+        let Some(key) = path.strip_prefix("/v1/watch/") else {
+            return Ok(empty(StatusCode::NOT_FOUND));
+        };
+        let query = request.uri().query().unwrap_or_default();
+        let field = |name: &str| {
+            query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|pair| pair.0 == name)
+        };
+        let known = field("known").and_then(|pair| pair.1.parse::<PartDigest>().ok());
+        let wait = field("wait_s")
+            .and_then(|pair| pair.1.parse().ok())
+            .unwrap_or(0);
+        let slow = self.state().begin(true)?;
+        tokio::time::sleep(slow).await;
+        let _waiting = WaitingWatch::begin(&self);
+        self.watch(key, known, Duration::from_secs(wait)).await
+    }
+
+    async fn watch(&self, key: &str, known: Option<PartDigest>, wait: Duration) -> ServerResult {
+        let mut changes = self.changed.subscribe();
+        let end = Instant::now() + wait;
+        loop {
+            {
+                let mut state = self.state();
+                if state.down {
+                    state.counts.unanswered += 1;
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
+                let value = state.watched(key);
+                if value
+                    .as_ref()
+                    .is_some_and(|value| known != Some(PartDigest::of(value)))
+                {
+                    return Ok(state.respond(key, value));
+                }
+            }
+            // The sender lives as long as the server, so a change is the only reason to wake early.
+            let changed = tokio::time::timeout_at(end, changes.changed()).await;
+            if changed.is_err() {
+                return Ok(empty(StatusCode::NOT_MODIFIED));
+            }
+        }
+    }
+}
+
+impl PlatformState {
+    /// Counts one request; returns how long its answer is delayed.
+    fn begin(&mut self, watch: bool) -> io::Result<Duration> {
+        let now = Instant::now();
+        let (start, count) = self.second.get_or_insert((now, 0));
+        if now.duration_since(*start) >= Duration::from_secs(1) {
+            (*start, *count) = (now, 0);
+        }
+        *count += 1;
+        self.counts.peak_rate = self.counts.peak_rate.max(*count);
+        if watch {
+            self.counts.watches += 1;
+        } else {
+            self.counts.reads += 1;
+        }
+        if self.down {
+            self.counts.unanswered += 1;
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(self.slow)
+    }
+
+    fn newest(&self, key: &str) -> Option<Bytes> {
+        match &self.frozen {
+            Some(frozen) => frozen.get(key).cloned(),
+            None => self.values.get(key)?.back().cloned(),
+        }
+    }
+
+    fn watched(&self, key: &str) -> Option<Bytes> {
+        let history = self.values.get(key)?;
+        if self.reorder && self.frozen.is_none() && self.answers % 2 == 1 && history.len() > 1 {
+            return history.get(history.len() - 2).cloned();
+        }
+        self.newest(key)
+    }
+
+    fn respond(&mut self, key: &str, value: Option<Bytes>) -> Response<Full<Bytes>> {
+        let Some(mut value) = value else {
+            return empty(StatusCode::NOT_FOUND);
+        };
+        self.answers += 1;
+        if self.torn_every > 0 && self.answers.is_multiple_of(self.torn_every) {
+            value = self.tear(key, &value);
+        }
+        self.counts.bytes += value.len() as u64;
+        let tag = format!("\"{}\"", PartDigest::of(&value));
+        let mut response = Response::new(Full::new(value));
+        if let Ok(tag) = tag.parse() {
+            response.headers_mut().insert(header::ETAG, tag);
+        }
+        response
+    }
+
+    /// Joins the first half of a value with the second half of the version
+    /// before, or of another value when there is none.
+    fn tear(&self, key: &str, value: &Bytes) -> Bytes {
+        let before = self
+            .values
+            .get(key)
+            .and_then(|history| history.iter().rev().find(|other| *other != value));
+        let other = || {
+            self.values
+                .values()
+                .filter_map(VecDeque::back)
+                .find(|other| *other != value)
+        };
+        let second = before.or_else(other).cloned().unwrap_or_default();
+        let mut torn = value[..value.len() / 2].to_vec();
+        torn.extend_from_slice(&second[second.len() / 2..]);
+        torn.into()
+    }
+}
+
+/// Counts a watch while it waits.
+struct WaitingWatch<'a>(&'a PlatformShared);
+
+impl WaitingWatch<'_> {
+    fn begin(shared: &PlatformShared) -> WaitingWatch<'_> {
+        shared.state().counts.waiting += 1;
+        WaitingWatch(shared)
+    }
+}
+
+impl Drop for WaitingWatch<'_> {
+    fn drop(&mut self) {
+        self.0.state().counts.waiting -= 1;
+    }
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/standin/tests/standins.rs
@@ -0,0 +1,247 @@
+//! The stand-ins' own behaviour, which other tests and benchmarks rely on.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use opentelemetry_proto::tonic::collector::trace::v1::ExportTraceServiceRequest;
+use opentelemetry_proto::tonic::trace::v1::ResourceSpans;
+use opentelemetry_proto::tonic::trace::v1::ScopeSpans;
+use opentelemetry_proto::tonic::trace::v1::Span;
+use prost::Message;
+use radishgauge_standin::ColdStart;
+use radishgauge_standin::CollectorStandIn;
+use radishgauge_standin::LinkConfig;
+use radishgauge_standin::LinkStandIn;
+use radishgauge_standin::NextCall;
+use radishgauge_standin::StatsdStandIn;
+use radishgauge_standin::TargetConfig;
+use radishgauge_standin::TargetStandIn;
+use radishgauge_standin::target::CRASH_HEADER;
+use tokio::net::UdpSocket;
+
+type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+fn client() -> HttpClient {
+    Client::builder(TokioExecutor::new()).build_http()
+}
+
+fn get(address: SocketAddr, header: &str, value: &str) -> Request<Full<Bytes>> {
+    Request::get(format!("http://{address}/work"))
+        .header(header, value)
+        .body(Full::default())
+        .unwrap()
+}
+
+async fn text(response: Response<hyper::body::Incoming>) -> Bytes {
+    response.into_body().collect().await.unwrap().to_bytes()
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Guards against a worker that counts a crashed request as finished, or is
+/// still reachable after its crash.
+#[tokio::test]
+async fn a_crash_breaks_the_worker_until_its_restart() {
+    let target = TargetStandIn::start(TargetConfig::default()).await.unwrap();
+    let client = client();
+    let good = client
+        .request(get(target.address(), "idempotency-key", "k"))
+        .await
+        .unwrap();
+    assert_eq!(good.status(), StatusCode::OK);
+    assert!(
+        client
+            .request(get(target.address(), CRASH_HEADER, "1"))
+            .await
+            .is_err()
+    );
+    assert!(
+        client
+            .request(get(target.address(), "x-request-id", "r"))
+            .await
+            .is_err()
+    );
+    target.restart().await.unwrap();
+    client
+        .request(get(target.address(), "idempotency-key", "k"))
+        .await
+        .unwrap();
+    let counts = target.counts();
+    assert_eq!((counts.started, counts.finished, counts.crashes), (3, 2, 1));
+    assert_eq!(target.runs_of_key("k"), 2);
+    assert_eq!(target.repeated_keys(), ["k"]);
+    assert_eq!(target.runs_of_request("r"), 0);
+}
+
+/// Guards against a cold worker that bears its full load, or never warms up.
+#[tokio::test]
+async fn a_cold_worker_collapses_under_full_load() {
+    let config = TargetConfig {
+        cold_start: Some(ColdStart {
+            slots: 1,
+            warm_after: 4,
+        }),
+        // Long against the arrival of eight requests on a busy machine.
+        service_time: Duration::from_millis(100),
+        slots: 8,
+        ..TargetConfig::default()
+    };
+    let target = TargetStandIn::start(config).await.unwrap();
+    let client = client();
+    let burst = |count: usize| {
+        let requests =
+            (0..count).map(|_| client.request(get(target.address(), "x-request-id", "r")));
+        join_all(requests.collect::<Vec<_>>())
+    };
+    let failed = burst(8)
+        .await
+        .into_iter()
+        .filter(|answer| answer.as_ref().unwrap().status().is_server_error());
+    assert!(failed.count() > 0);
+    assert!(target.counts().collapsed > 0);
+    // One, two and four slots take four good answers each.
+    target.set_service_time(Duration::ZERO);
+    for _ in 0..12 {
+        assert_eq!(burst(1).await.remove(0).unwrap().status(), StatusCode::OK);
+    }
+    let warm = burst(8).await;
+    assert!(
+        warm.iter()
+            .all(|answer| answer.as_ref().unwrap().status() == StatusCode::OK)
+    );
+}
+
+/// Guards against further calls that lose the context or the trace, and against
+/// call counts that miss a hop.
+#[tokio::test]
+async fn further_calls_pass_the_context_on() {
+    let last = TargetStandIn::start(TargetConfig::default()).await.unwrap();
+    let first = TargetStandIn::start(TargetConfig {
+        daemon: Some(last.address()),
+        calls: vec![
+            NextCall {
+                method: http::Method::GET,
+                path: "/next".to_owned()
+            };
+            2
+        ],
+        ..TargetConfig::default()
+    })
+    .await
+    .unwrap();
+    let answer = client()
+        .request(get(first.address(), "traceparent", "00-a-b-01"))
+        .await
+        .unwrap();
+    assert_eq!(answer.headers()["x-radishgauge-calls"], "3");
+    let served = last.served();
+    assert!(
+        served
+            .iter()
+            .all(|request| request.traceparent == "00-a-b-01" && request.path == "/next")
+    );
+    assert_eq!(served.len(), 2);
+    first.set_draining(true);
+    let refused = client()
+        .request(get(first.address(), "traceparent", "x"))
+        .await
+        .unwrap();
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(text(refused).await, "no new work");
+    assert_eq!(first.counts().refused, 1);
+}
+
+/// Guards against a link that loses or counts datagrams wrongly.
+#[tokio::test]
+async fn a_link_relays_both_ways_until_it_is_cut() {
+    let far = UdpSocket::bind(loopback()).await.unwrap();
+    let near = UdpSocket::bind(loopback()).await.unwrap();
+    let link = LinkStandIn::open(far.local_addr().unwrap(), LinkConfig::default())
+        .await
+        .unwrap();
+    let mut buffer = [0; 100];
+    near.send_to(b"there", link.address()).await.unwrap();
+    let (length, path) = far.recv_from(&mut buffer).await.unwrap();
+    assert_eq!(&buffer[..length], b"there");
+    far.send_to(b"and back", path).await.unwrap();
+    let (length, from) = near.recv_from(&mut buffer).await.unwrap();
+    assert_eq!(
+        (&buffer[..length], from),
+        (&b"and back"[..], link.address())
+    );
+    link.set_cut(true);
+    far.send_to(b"lost", path).await.unwrap();
+    near.send_to(b"lost", link.address()).await.unwrap();
+    while link.stats().dropped < 2 {
+        tokio::task::yield_now().await;
+    }
+    link.set_cut(false);
+    near.send_to(b"again", link.address()).await.unwrap();
+    let length = far.recv(&mut buffer).await.unwrap();
+    assert_eq!(&buffer[..length], b"again");
+    let stats = link.stats();
+    assert_eq!((stats.forward_bytes, stats.forward_datagrams), (10, 2));
+    assert_eq!((stats.backward_bytes, stats.backward_datagrams), (8, 1));
+}
+
+/// Guards against telemetry that is received but not decoded.
+#[tokio::test]
+async fn telemetry_is_decoded() {
+    let statsd = StatsdStandIn::start().await.unwrap();
+    let socket = UdpSocket::bind(loopback()).await.unwrap();
+    socket
+        .send_to(
+            b"rg.calls:2|c\nrg.calls:3|c|#route:a\nnoise",
+            statsd.address(),
+        )
+        .await
+        .unwrap();
+    let totals = statsd.wait_for("rg.calls").await;
+    assert_eq!((totals.samples, totals.sum, totals.last), (2, 5.0, 3.0));
+    assert_eq!(statsd.names(), ["rg.calls"]);
+
+    let collector = CollectorStandIn::start().await.unwrap();
+    let span = Span {
+        name: "hop".to_owned(),
+        ..Span::default()
+    };
+    let scope = ScopeSpans {
+        spans: vec![span.clone()],
+        ..ScopeSpans::default()
+    };
+    let resource = ResourceSpans {
+        scope_spans: vec![scope],
+        ..ResourceSpans::default()
+    };
+    let export = ExportTraceServiceRequest {
+        resource_spans: vec![resource],
+    };
+    let send = |body: Vec<u8>| {
+        client().request(
+            Request::post(collector.url())
+                .body(Full::new(body.into()))
+                .unwrap(),
+        )
+    };
+    assert_eq!(
+        send(b"no message".to_vec()).await.unwrap().status(),
+        StatusCode::BAD_REQUEST
+    );
+    assert_eq!(
+        send(export.encode_to_vec()).await.unwrap().status(),
+        StatusCode::OK
+    );
+    assert_eq!(collector.wait_for(1).await, [span]);
+}
