--- a/crates/net/tests/calls.rs
+++ b/crates/net/tests/calls.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use radishgauge_net::InboundStream;
+use radishgauge_net::KeyAuthority;
+use radishgauge_net::PeerEndpoint;
 use radishgauge_net::PeerFault;
 use radishgauge_schema::peer::AnswerHead;
 use radishgauge_schema::peer::CallHead;
@@ -15,6 +17,8 @@
 use radishgauge_schema::peer::Received;
 use radishgauge_schema::peer::peer_reply::Reply;
 use radishgauge_schema::peer::peer_request::Request;
+use radishgauge_standin::LinkConfig;
+use radishgauge_standin::LinkStandIn;
 use tokio::sync::mpsc;
 
 const LONG: Duration = Duration::from_secs(60);
@@ -143,3 +147,61 @@
     let (call, body) = seen.recv().await.unwrap();
     assert_eq!((call, body), (2, Ok(None)));
 }
+
+/// Guards against a session that went silent and is taken for a slow one: the
+/// ping fails while the link is cut, and the same session works afterwards.
+#[tokio::test]
+async fn a_cut_link_is_silent_until_it_returns() {
+    let authority = KeyAuthority::generate().unwrap();
+    let near = common::endpoint(&authority, "near");
+    let far = common::endpoint(&authority, "far");
+    let link = LinkStandIn::open(far.local_address().unwrap(), LinkConfig::default())
+        .await
+        .unwrap();
+    let (session, accepted) = tokio::join!(near.dial(link.address()), far.accept());
+    let (session, accepted) = (session.unwrap(), accepted.unwrap().unwrap());
+    tokio::spawn(async move { accepted.serve(|_| async {}).await });
+    session.ping(LONG).await.unwrap();
+    link.set_cut(true);
+    let error = session.ping(Duration::from_millis(1)).await.unwrap_err();
+    assert_eq!((error.fault, error.sent), (PeerFault::Timeout, true));
+    link.set_cut(false);
+    session.ping(LONG).await.unwrap();
+    assert!(link.stats().forward_bytes > 0 && link.stats().backward_bytes > 0);
+}
+
+/// Guards against sessions of a crashed life that hang until their idle time:
+/// the restarted daemon resets them at the first packet.
+#[test]
+fn a_restarted_peer_resets_its_old_sessions() {
+    let authority = KeyAuthority::generate().unwrap();
+    let mut config = common::config(
+        authority.issue("far", "addis-bole").unwrap(),
+        "far",
+        "addis-bole",
+    );
+    let life = || tokio::runtime::Runtime::new().unwrap();
+    let (first, near) = (life(), life());
+    let far = first.block_on(async { PeerEndpoint::bind(config.clone()).unwrap() });
+    config.listen = far.local_address().unwrap();
+    let session = near.block_on(async {
+        let near = common::endpoint(&authority, "near");
+        near.dial(config.listen).await.unwrap()
+    });
+    // The crash: the tasks of the first life end without a farewell.
+    first.shutdown_background();
+    drop(far);
+    near.block_on(async {
+        let second = loop {
+            // The socket is free once the last task of the first life is gone.
+            match PeerEndpoint::bind(config.clone()) {
+                Ok(endpoint) => break endpoint,
+                Err(_) => tokio::task::yield_now().await,
+            }
+        };
+        let error = session.ping(LONG).await.unwrap_err();
+        assert!(error.sent);
+        assert_eq!(error.fault, PeerFault::Closed("reset by peer".to_owned()));
+        drop(second);
+    });
+}
--- a/crates/net/tests/common/mod.rs
+++ b/crates/net/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod raw;
+
 use std::net::SocketAddr;
 
 use radishgauge_net::KeyAuthority;
--- /dev/null
+++ b/crates/net/tests/identity.rs
@@ -0,0 +1,120 @@
+//! Peers that must not get a session.
+
+mod common;
+
+use common::raw;
+use radishgauge_net::KeyAuthority;
+use radishgauge_net::PeerEndpoint;
+use radishgauge_net::PeerFault;
+use radishgauge_schema::peer::Hello;
+use radishgauge_schema::peer::PeerReply;
+use radishgauge_schema::peer::peer_reply::Reply;
+
+/// Guards against a daemon of another fleet on either end of a session.
+#[tokio::test]
+async fn another_authority_is_refused_by_both_ends() {
+    let ours = KeyAuthority::generate().unwrap();
+    let theirs = KeyAuthority::generate().unwrap();
+    let far = common::endpoint(&ours, "far");
+    let address = far.local_address().unwrap();
+    let stranger = common::endpoint(&theirs, "near");
+    let (dialled, accepted) = tokio::join!(stranger.dial(address), far.accept());
+    let error = dialled.err().unwrap();
+    assert!(matches!(error.fault, PeerFault::Tls(_)), "{error}");
+    assert!(!error.sent);
+    let refused = accepted.unwrap().err().unwrap();
+    assert!(
+        matches!(refused.error.fault, PeerFault::Tls(_)),
+        "{refused}"
+    );
+
+    // A stranger who trusts our authority is refused by the accepting end.
+    let keys = theirs.issue("near", "addis-bole").unwrap();
+    let connection = raw::connect(address, ours.certificate(), Some(&keys)).await;
+    let (greeted, accepted) =
+        tokio::join!(raw::greet(&connection, "near", "addis-bole"), far.accept());
+    greeted.unwrap_err();
+    let refused = accepted.unwrap().err().unwrap();
+    assert!(
+        matches!(refused.error.fault, PeerFault::Tls(_)),
+        "{refused}"
+    );
+}
+
+/// Guards against a peer that proves no identity at all.
+#[tokio::test]
+async fn a_missing_client_key_is_refused() {
+    let authority = KeyAuthority::generate().unwrap();
+    let far = common::endpoint(&authority, "far");
+    let address = far.local_address().unwrap();
+    let connection = raw::connect(address, authority.certificate(), None).await;
+    let (greeted, accepted) =
+        tokio::join!(raw::greet(&connection, "near", "addis-bole"), far.accept());
+    greeted.unwrap_err();
+    let refused = accepted.unwrap().err().unwrap();
+    assert!(
+        matches!(refused.error.fault, PeerFault::Tls(_)),
+        "{refused}"
+    );
+}
+
+/// Guards against a host that speaks for another host or failure domain.
+#[tokio::test]
+async fn a_hello_must_agree_with_the_certificate() {
+    let authority = KeyAuthority::generate().unwrap();
+    let far = common::endpoint(&authority, "far");
+    let address = far.local_address().unwrap();
+    let keys = authority.issue("near", "addis-bole").unwrap();
+    for (host, domain) in [("near", "addis-kality"), ("other", "addis-bole")] {
+        let connection = raw::connect(address, authority.certificate(), Some(&keys)).await;
+        let (greeted, accepted) = tokio::join!(raw::greet(&connection, host, domain), far.accept());
+        let reason = greeted.unwrap_err();
+        assert!(
+            reason.contains("the certificate names near.addis-bole"),
+            "{reason}"
+        );
+        let expected = PeerFault::Identity {
+            claimed: format!("{host}.{domain}"),
+            certified: "near.addis-bole".to_owned(),
+        };
+        assert_eq!(accepted.unwrap().err().unwrap().error.fault, expected);
+    }
+    let connection = raw::connect(address, authority.certificate(), Some(&keys)).await;
+    let (greeted, accepted) =
+        tokio::join!(raw::greet(&connection, "near", "addis-bole"), far.accept());
+    let Ok(PeerReply {
+        reply: Some(Reply::Hello(Hello { host, .. })),
+    }) = greeted
+    else {
+        panic!("the hello agrees: {greeted:?}");
+    };
+    assert_eq!(host, "far");
+    assert_eq!(accepted.unwrap().unwrap().peer().host, "near");
+}
+
+/// Guards against a daemon that starts with the keys of another host, and
+/// against keys that stay in use after a failed change.
+#[tokio::test]
+async fn own_keys_must_name_the_host() {
+    let authority = KeyAuthority::generate().unwrap();
+    let other = authority.issue("other", "addis-bole").unwrap();
+    let error = PeerEndpoint::bind(common::config(other.clone(), "near", "addis-bole"))
+        .err()
+        .unwrap();
+    assert!(matches!(error.fault, PeerFault::Identity { .. }), "{error}");
+
+    let endpoint = common::endpoint(&authority, "near");
+    assert!(endpoint.set_identity(&other).is_err());
+    let theirs = KeyAuthority::generate().unwrap();
+    let far = common::endpoint(&theirs, "far");
+    let address = far.local_address().unwrap();
+    assert!(endpoint.dial(address).await.is_err());
+    endpoint
+        .set_identity(&theirs.issue("near", "addis-bole").unwrap())
+        .unwrap();
+    endpoint.set_revision(9);
+    assert_eq!(endpoint.dial(address).await.unwrap().peer().host, "far");
+    // The refused dial comes first.
+    assert!(far.accept().await.unwrap().is_err());
+    assert_eq!(far.accept().await.unwrap().unwrap().peer().revision, 9);
+}
--- a/crates/net/tests/platform.rs
+++ b/crates/net/tests/platform.rs
@@ -1,10 +1,11 @@
-//! Platform values from a directory.
+//! Platform values from a directory and over HTTP, with the platform's faults.
 
 use std::time::Duration;
 
 use radishgauge_config::PartDigest;
 use radishgauge_net::PlatformClient;
 use radishgauge_net::PlatformError;
+use radishgauge_standin::PlatformStandIn;
 
 /// Long enough that a test which needs the wait to pass fails by its timeout.
 const LONG: Duration = Duration::from_secs(600);
@@ -71,3 +72,73 @@
     }
     assert!(PlatformClient::http("http://10.0.0.1:80/").is_ok());
 }
+
+/// Guards against a watch over HTTP that misses a change or returns what is known.
+#[tokio::test]
+async fn a_watch_returns_on_change() {
+    let platform = PlatformStandIn::start().await.unwrap();
+    let client = PlatformClient::http(&platform.url()).unwrap();
+    assert_eq!(client.read("root").await, Ok(None));
+    platform.put("root", "one");
+    let first = client.watch("root", None, LONG).await.unwrap().unwrap();
+    assert_eq!(first, "one");
+    let known = Some(PartDigest::of(&first));
+    assert_eq!(client.watch("root", known, Duration::ZERO).await, Ok(None));
+    let watch = client.watch("root", known, LONG);
+    let (changed, ()) = tokio::join!(watch, async {
+        while platform.counts().waiting == 0 {
+            tokio::task::yield_now().await;
+        }
+        platform.put("other", "noise");
+        platform.put("root", "two");
+    });
+    assert_eq!(changed.unwrap().unwrap(), "two");
+    let counts = platform.counts();
+    assert_eq!((counts.reads, counts.watches, counts.waiting), (1, 3, 0));
+}
+
+/// Guards against torn, stale and reordered values that a digest would not tell,
+/// and against a platform that is down and looks like one without values.
+#[tokio::test]
+async fn faults_of_the_platform_are_told_by_digests_and_errors() {
+    let platform = PlatformStandIn::start().await.unwrap();
+    let client = PlatformClient::http(&platform.url()).unwrap();
+    let versions = ["first version of it", "second version now"];
+    let digests = versions.map(|version| PartDigest::of(version.as_bytes()));
+    platform.put("root", versions[0]);
+    platform.set_stale(true);
+    platform.put("root", versions[1]);
+    assert_eq!(client.read("root").await.unwrap().unwrap(), versions[0]);
+    platform.set_stale(false);
+    assert_eq!(client.read("root").await.unwrap().unwrap(), versions[1]);
+
+    platform.set_torn(1);
+    let torn = client.read("root").await.unwrap().unwrap();
+    assert!(!digests.contains(&PartDigest::of(&torn)), "{torn:?}");
+    platform.set_torn(0);
+
+    platform.set_out_of_order(true);
+    let mut seen = Vec::new();
+    for _ in 0..4 {
+        let known = seen
+            .last()
+            .map(|value: &bytes::Bytes| PartDigest::of(value));
+        seen.extend(client.watch("root", known, LONG).await.unwrap());
+    }
+    assert!(
+        seen.windows(2)
+            .any(|pair| pair[0] == versions[1] && pair[1] == versions[0]),
+        "{seen:?}"
+    );
+    platform.set_out_of_order(false);
+
+    platform.set_down(true);
+    assert!(matches!(
+        client.read("root").await,
+        Err(PlatformError::Unreachable(_))
+    ));
+    platform.set_down(false);
+    platform.put("large", vec![0; 1024 * 1024 + 1]);
+    assert_eq!(client.read("large").await, Err(PlatformError::TooLarge));
+    assert_eq!(client.read("root").await.unwrap().unwrap(), versions[1]);
+}
