Begin sessions with room for few streams

Cause: the transport reserves memory for each stream that a peer may open, and every session allowed 4096 from its start. Change: a session begins with 32 and doubles while more than half are open.

--- a/crates/net/src/frame.rs
+++ b/crates/net/src/frame.rs
@@ -25,6 +25,7 @@
 use crate::error::CODE_MALFORMED;
 use crate::error::CODE_OVERSIZE;
 use crate::error::PeerFault;
+use crate::room::OpenStream;
 
 /// The greatest control message in bytes: a platform value of 1 MB and its envelope.
 pub const CONTROL_LIMIT: usize = 1024 * 1024 + 4096;
@@ -214,6 +215,7 @@
     usage: StreamUse,
     ended: bool,
     sent: bool,
+    open: Option<OpenStream>,
 }
 
 impl FrameWriter {
@@ -224,6 +226,7 @@
             usage,
             ended: false,
             sent: false,
+            open: None,
         }
     }
 
@@ -231,6 +234,11 @@
         self.usage = usage;
     }
 
+    /// Counts the stream as one that the peer has open while the writer lives.
+    pub(crate) fn set_open(&mut self, open: OpenStream) {
+        self.open = Some(open);
+    }
+
     /// Whether any byte was handed to the session.
     pub(crate) fn sent(&self) -> bool {
         self.sent
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod listener;
 pub mod peer;
 pub mod platform;
+mod room;
 pub mod session;
 pub mod target;
 
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -49,6 +49,7 @@
 use crate::keys::PeerName;
 use crate::keys::TlsPair;
 use crate::keys::tls_pair;
+use crate::room::FIRST_STREAMS;
 use crate::session::PeerSession;
 
 /// The TLS name of every daemon; certificates are compared with hellos instead.
@@ -83,7 +84,8 @@
     pub handshake: Duration,
     /// After how long without any packet a session is dropped.
     pub idle: Duration,
-    /// How many streams a peer may have open on one session.
+    /// How many streams a peer may have open on one session; a session begins
+    /// with room for fewer and grows with use.
     pub streams: u32,
     /// How many inbound handshakes may be under way; more are refused.
     pub handshakes: usize,
@@ -287,7 +289,13 @@
             return Err(refuse(&connection, PeerFault::Unexpected("a hello")));
         };
         agree(&peer, certified(&connection)).map_err(|fault| refuse(&connection, fault))?;
-        Ok(PeerSession::new(connection, peer, true, meter))
+        Ok(PeerSession::new(
+            connection,
+            peer,
+            true,
+            meter,
+            self.limits.streams,
+        ))
     }
 
     async fn greet(&self, incoming: Incoming) -> Result<PeerSession, PeerFault> {
@@ -312,7 +320,13 @@
             .write(&mut [frame::encode(&reply, frame::HEAD_LIMIT)?])
             .await?;
         writer.finish()?;
-        Ok(PeerSession::new(connection, peer, false, meter))
+        Ok(PeerSession::new(
+            connection,
+            peer,
+            false,
+            meter,
+            self.limits.streams,
+        ))
     }
 }
 
@@ -404,7 +418,7 @@
     let mut transport = TransportConfig::default();
     transport
         .max_idle_timeout(Some(idle))
-        .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams))
+        .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams.min(FIRST_STREAMS)))
         .max_concurrent_uni_streams(VarInt::from_u32(0))
         .datagram_receive_buffer_size(None);
     Ok(Arc::new(transport))
--- a/crates/net/src/session.rs
+++ b/crates/net/src/session.rs
@@ -37,6 +37,8 @@
 use crate::frame::FrameReader;
 use crate::frame::FrameWriter;
 use crate::frame::StreamUse;
+use crate::room::OpenStream;
+use crate::room::StreamRoom;
 
 /// An authenticated session; clones share it.
 #[derive(Clone)]
@@ -49,6 +51,7 @@
     peer: Hello,
     dialled: bool,
     meter: Arc<FrameMeter>,
+    room: Arc<StreamRoom>,
 }
 
 /// Bytes and packets of one session since its start.
@@ -78,6 +81,7 @@
         peer: Hello,
         dialled: bool,
         meter: Arc<FrameMeter>,
+        streams: u32,
     ) -> PeerSession {
         PeerSession {
             shared: Arc::new(SessionShared {
@@ -85,6 +89,7 @@
                 peer,
                 dialled,
                 meter,
+                room: Arc::new(StreamRoom::new(streams)),
             }),
         }
     }
@@ -228,9 +233,11 @@
     pub async fn accept(&self) -> Result<PeerStream, PeerError> {
         let opened = self.shared.connection.accept_bi().await;
         let (send, receive) = opened.map_err(|error| PeerError::unsent(error.into()))?;
+        let open = OpenStream::begin(&self.shared.room, &self.shared.connection);
         Ok(PeerStream {
             send,
             receive,
+            open,
             meter: self.shared.meter.clone(),
         })
     }
@@ -315,6 +322,7 @@
 pub struct PeerStream {
     send: SendStream,
     receive: RecvStream,
+    open: OpenStream,
     meter: Arc<FrameMeter>,
 }
 
@@ -328,6 +336,7 @@
     pub async fn open(self) -> Result<InboundStream, PeerError> {
         let mut reader = FrameReader::new(self.receive, self.meter.clone(), StreamUse::Control);
         let mut writer = FrameWriter::new(self.send, self.meter, StreamUse::Control);
+        writer.set_open(self.open);
         let (request, length) = reader
             .message::<PeerRequest>(frame::CONTROL_LIMIT)
             .await
