Carry the sessions of a daemon on one thread in the hop example

Cause: with two threads, a packet that arrives wakes one for the socket and the other for its stream. Change: one thread for each daemon's endpoint.

--- a/crates/net/examples/hop.rs
+++ b/crates/net/examples/hop.rs
@@ -52,6 +52,9 @@
 const SLICE: Duration = Duration::from_millis(250);
 /// Turns of each arm at each rate; the first of each is not counted.
 const TURNS: usize = 9;
+/// The threads that carry one daemon's sessions. With two, each packet wakes the
+/// other thread on its way from the socket to its stream.
+const PEER_THREADS: usize = 1;
 /// The whole budget of both daemons at the 99th percentile.
 const BUDGET_US: f64 = 480.0;
 
@@ -197,7 +200,11 @@
 
 impl Bench {
     fn open() -> anyhow::Result<Bench> {
-        let (load, near, far) = (runtime("load", 2)?, runtime("near", 2)?, runtime("far", 2)?);
+        let (load, near, far) = (
+            runtime("load", 2)?,
+            runtime("near", PEER_THREADS)?,
+            runtime("far", PEER_THREADS)?,
+        );
         let targets = runtime("target", 1)?;
         let target = targets.block_on(TargetStandIn::start(TargetConfig {
             slots: 10_000,
