Ask for 2 MB socket buffers, and count lost packets

Cause: the default receive buffer holds under a hundred small datagrams, and 1000 concurrent calls overflow it. Change: the endpoint asks for 2 MB; the system grants what it allows.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -19,6 +19,7 @@
 mod room;
 pub mod session;
 pub mod target;
+mod transport;
 
 pub use authority::KeyAuthority;
 pub use call::AnswerSender;
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -14,17 +14,8 @@
 
 use arc_swap::ArcSwap;
 use quinn::Connection;
-use quinn::ConnectionId;
-use quinn::ConnectionIdGenerator;
 use quinn::Endpoint;
-use quinn::EndpointConfig;
 use quinn::Incoming;
-use quinn::TransportConfig;
-use quinn::VarInt;
-use quinn::crypto::CryptoError;
-use quinn::crypto::HmacKey;
-use quinn::crypto::rustls::QuicClientConfig;
-use quinn::crypto::rustls::QuicServerConfig;
 use radishgauge_schema::peer::Hello;
 use radishgauge_schema::peer::PeerReply;
 use radishgauge_schema::peer::PeerRequest;
@@ -47,10 +38,12 @@
 use crate::frame::StreamUse;
 use crate::keys::PeerIdentity;
 use crate::keys::PeerName;
-use crate::keys::TlsPair;
 use crate::keys::tls_pair;
-use crate::room::FIRST_STREAMS;
 use crate::session::PeerSession;
+use crate::transport::client_config;
+use crate::transport::endpoint_config;
+use crate::transport::grow_buffers;
+use crate::transport::server_config;
 
 /// The TLS name of every daemon; certificates are compared with hellos instead.
 const TLS_NAME: &str = "peer.radishgauge.internal";
@@ -154,12 +147,9 @@
         let pair = tls_pair(&config.identity)?;
         let bind = |error: std::io::Error| PeerFault::Bind(format!("{}: {error}", config.listen));
         let socket = UdpSocket::bind(config.listen).map_err(bind)?;
+        grow_buffers(&socket);
 
-        // Identifiers and reset tokens follow from the daemon's key, so that a
-        // restarted daemon ends the sessions of its former life at the first
-        // packet instead of leaving the peers to find out by silence.
-        let mut settings = EndpointConfig::new(Arc::new(ResetKey(pair.secret)));
-        settings.cid_generator(|| Box::new(RandomIds));
+        let settings = endpoint_config(&pair);
         let server = server_config(&pair, &config.limits)?;
         let endpoint = Endpoint::new(
             settings,
@@ -393,84 +383,3 @@
     connection.close(CODE_REFUSED, fault.to_string().as_bytes());
     fault
 }
-
-fn server_config(pair: &TlsPair, limits: &PeerLimits) -> Result<quinn::ServerConfig, PeerFault> {
-    let tls = QuicServerConfig::try_from(pair.server.clone())
-        .map_err(|error| PeerFault::Keys(error.to_string()))?;
-    let mut server = quinn::ServerConfig::with_crypto(Arc::new(tls));
-    server.transport_config(transport(limits)?);
-    Ok(server)
-}
-
-fn client_config(pair: &TlsPair, limits: &PeerLimits) -> Result<quinn::ClientConfig, PeerFault> {
-    let tls = QuicClientConfig::try_from(pair.client.clone())
-        .map_err(|error| PeerFault::Keys(error.to_string()))?;
-    let mut client = quinn::ClientConfig::new(Arc::new(tls));
-    client.transport_config(transport(limits)?);
-    Ok(client)
-}
-
-fn transport(limits: &PeerLimits) -> Result<Arc<TransportConfig>, PeerFault> {
-    let idle = limits
-        .idle
-        .try_into()
-        .map_err(|_| PeerFault::Keys("the idle time is too long".to_owned()))?;
-    let mut transport = TransportConfig::default();
-    transport
-        .max_idle_timeout(Some(idle))
-        .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams.min(FIRST_STREAMS)))
-        .max_concurrent_uni_streams(VarInt::from_u32(0))
-        .datagram_receive_buffer_size(None)
-        // Probes for larger datagrams cost each session 5.7 KB in each direction at
-        // its start, most of a second of its control budget; datagrams of 1200 bytes
-        // pass every path, and large bodies need about a fifth more of them.
-        .mtu_discovery_config(None);
-    Ok(Arc::new(transport))
-}
-
-/// Signs reset tokens with a key that outlives the process.
-struct ResetKey([u8; 32]);
-
-impl HmacKey for ResetKey {
-    fn sign(&self, data: &[u8], signature_out: &mut [u8]) {
-        signature_out.copy_from_slice(blake3::keyed_hash(&self.0, data).as_bytes());
-    }
-
-    fn signature_len(&self) -> usize {
-        blake3::OUT_LEN
-    }
-
-    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
-        // The comparison of the hash type takes constant time.
-        let signature: [u8; blake3::OUT_LEN] = signature.try_into().map_err(|_| CryptoError)?;
-        if blake3::keyed_hash(&self.0, data) == signature {
-            Ok(())
-        } else {
-            Err(CryptoError)
-        }
-    }
-}
-
-/// Random connection identifiers. They carry no check value of this process,
-/// so that a restarted daemon answers the packets of its former life with a
-/// reset instead of dropping them.
-struct RandomIds;
-
-impl RandomIds {
-    /// Eight bytes: collisions among thousands of sessions are out of reach.
-    const LEN: usize = 8;
-}
-
-impl ConnectionIdGenerator for RandomIds {
-    fn generate_cid(&mut self) -> ConnectionId {
-        ConnectionId::new(&rand::random::<[u8; RandomIds::LEN]>())
-    }
-
-    fn cid_len(&self) -> usize {
-        RandomIds::LEN
-    }
-
-    fn cid_lifetime(&self) -> Option<Duration> {
-        None
-    }
-}
--- a/crates/net/src/session.rs
+++ b/crates/net/src/session.rs
@@ -73,6 +73,8 @@
     pub datagrams_sent: u64,
     /// UDP datagrams received.
     pub datagrams_received: u64,
+    /// Packets sent from here that were lost on the way.
+    pub packets_lost: u64,
 }
 
 impl PeerSession {
@@ -307,6 +309,7 @@
             datagram_bytes_received: quic.udp_rx.bytes,
             datagrams_sent: quic.udp_tx.datagrams,
             datagrams_received: quic.udp_rx.datagrams,
+            packets_lost: quic.path.lost_packets,
         }
     }
 }
--- /dev/null
+++ b/crates/net/src/transport.rs
@@ -0,0 +1,135 @@
+//! Parameters of the QUIC transport.
+//!
+//! Each differs from the library's default for a measured reason, or because a
+//! daemon must recognise the sessions of its former life.
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use quinn::ConnectionId;
+use quinn::ConnectionIdGenerator;
+use quinn::EndpointConfig;
+use quinn::TransportConfig;
+use quinn::VarInt;
+use quinn::crypto::CryptoError;
+use quinn::crypto::HmacKey;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::crypto::rustls::QuicServerConfig;
+use socket2::SockRef;
+
+use crate::error::PeerFault;
+use crate::keys::TlsPair;
+use crate::peer::PeerLimits;
+use crate::room::FIRST_STREAMS;
+
+/// The buffers of the UDP socket. The usual default of 208 KiB holds under a
+/// hundred small datagrams; a pause of some milliseconds then loses packets,
+/// whose repetition takes tens of milliseconds.
+const SOCKET_BUFFER: usize = 2 * 1024 * 1024;
+
+/// Asks for larger socket buffers; the system grants what its settings allow,
+/// and a smaller grant only makes losses under bursts more likely.
+pub(crate) fn grow_buffers(socket: &UdpSocket) {
+    let socket = SockRef::from(socket);
+    let _ = socket.set_recv_buffer_size(SOCKET_BUFFER);
+    let _ = socket.set_send_buffer_size(SOCKET_BUFFER);
+}
+
+/// The endpoint's own parameters. Reset tokens follow from the daemon's key, so
+/// that a restarted daemon ends the sessions of its former life at the first
+/// packet instead of leaving the peers to find out by silence.
+pub(crate) fn endpoint_config(pair: &TlsPair) -> EndpointConfig {
+    let mut config = EndpointConfig::new(Arc::new(ResetKey(pair.secret)));
+    config.cid_generator(|| Box::new(RandomIds));
+    config
+}
+
+/// What the endpoint needs to be dialled.
+pub(crate) fn server_config(
+    pair: &TlsPair,
+    limits: &PeerLimits,
+) -> Result<quinn::ServerConfig, PeerFault> {
+    let tls = QuicServerConfig::try_from(pair.server.clone())
+        .map_err(|error| PeerFault::Keys(error.to_string()))?;
+    let mut server = quinn::ServerConfig::with_crypto(Arc::new(tls));
+    server.transport_config(transport(limits)?);
+    Ok(server)
+}
+
+/// What the endpoint needs to dial.
+pub(crate) fn client_config(
+    pair: &TlsPair,
+    limits: &PeerLimits,
+) -> Result<quinn::ClientConfig, PeerFault> {
+    let tls = QuicClientConfig::try_from(pair.client.clone())
+        .map_err(|error| PeerFault::Keys(error.to_string()))?;
+    let mut client = quinn::ClientConfig::new(Arc::new(tls));
+    client.transport_config(transport(limits)?);
+    Ok(client)
+}
+
+fn transport(limits: &PeerLimits) -> Result<Arc<TransportConfig>, PeerFault> {
+    let idle = limits
+        .idle
+        .try_into()
+        .map_err(|_| PeerFault::Keys("the idle time is too long".to_owned()))?;
+    let mut transport = TransportConfig::default();
+    transport
+        .max_idle_timeout(Some(idle))
+        .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams.min(FIRST_STREAMS)))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .datagram_receive_buffer_size(None)
+        // Probes for larger datagrams cost each session 5.7 KB in each direction at
+        // its start, most of a second of its control budget; datagrams of 1200 bytes
+        // pass every path, and large bodies need about a fifth more of them.
+        .mtu_discovery_config(None);
+    Ok(Arc::new(transport))
+}
+
+/// Signs reset tokens with a key that outlives the process.
+struct ResetKey([u8; 32]);
+
+impl HmacKey for ResetKey {
+    fn sign(&self, data: &[u8], signature_out: &mut [u8]) {
+        signature_out.copy_from_slice(blake3::keyed_hash(&self.0, data).as_bytes());
+    }
+
+    fn signature_len(&self) -> usize {
+        blake3::OUT_LEN
+    }
+
+    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
+        // The comparison of the hash type takes constant time.
+        let signature: [u8; blake3::OUT_LEN] = signature.try_into().map_err(|_| CryptoError)?;
+        if blake3::keyed_hash(&self.0, data) == signature {
+            Ok(())
+        } else {
+            Err(CryptoError)
+        }
+    }
+}
+
+/// Random connection identifiers. They carry no check value of this process,
+/// so that a restarted daemon answers the packets of its former life with a
+/// reset instead of dropping them.
+struct RandomIds;
+
+impl RandomIds {
+    /// Eight bytes: collisions among thousands of sessions are out of reach.
+    const LEN: usize = 8;
+}
+
+impl ConnectionIdGenerator for RandomIds {
+    fn generate_cid(&mut self) -> ConnectionId {
+        ConnectionId::new(&rand::random::<[u8; RandomIds::LEN]>())
+    }
+
+    fn cid_len(&self) -> usize {
+        RandomIds::LEN
+    }
+
+    fn cid_lifetime(&self) -> Option<Duration> {
+        None
+    }
+}
