--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,7 +7,9 @@
 
 pub mod authority;
 pub mod call;
+mod connection;
 pub mod error;
+pub mod exchange;
 pub mod frame;
 mod gate;
 pub mod keys;
@@ -16,6 +18,8 @@
 pub mod platform;
 pub mod session;
 pub mod target;
+mod room;
+mod transport;
 
 pub use authority::KeyAuthority;
 pub use call::AnswerSender;
@@ -25,6 +29,12 @@
 pub use call::Responder;
 pub use error::PeerError;
 pub use error::PeerFault;
+pub use exchange::AnswerBody;
+pub use exchange::BodyFault;
+pub use exchange::BoxError;
+pub use exchange::HttpAnswer;
+pub use exchange::HttpBody;
+pub use exchange::HttpRequest;
 pub use keys::PeerIdentity;
 pub use keys::PeerName;
 pub use listener::AnswerBody;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -9,7 +9,10 @@
 use std::net::TcpListener;
 use std::pin::Pin;
 use std::sync::Arc;
+<<<<<<< HEAD
 use std::sync::atomic::AtomicBool;
+=======
+>>>>>>> net
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -17,8 +20,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+<<<<<<< HEAD
 use futures_util::Stream;
 use futures_util::StreamExt;
+=======
+>>>>>>> net
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -26,13 +32,21 @@
 use http::header;
 use http::request::Parts;
 use tokio::sync::oneshot;
+<<<<<<< HEAD
 use xitca_web::HttpServer;
 use xitca_web::body::Body;
 use xitca_web::body::BodyExt;
+=======
+use xitca_http::HttpServiceBuilder;
+use xitca_http::config::HttpServiceConfig;
+use xitca_io::net::TcpStream;
+use xitca_web::body::Body;
+>>>>>>> net
 use xitca_web::body::Frame;
 use xitca_web::body::RequestBody;
 use xitca_web::body::ResponseBody;
 use xitca_web::body::SizeHint;
+<<<<<<< HEAD
 use xitca_web::body::StreamBody;
 use xitca_web::http::RequestExt;
 use xitca_web::service::fn_service;
@@ -42,6 +56,22 @@
 
 /// An answer to a caller or an operator.
 pub type HttpAnswer = Response<AnswerBody>;
+=======
+use xitca_web::http::RequestExt;
+use xitca_web::service::ServiceExt;
+use xitca_web::service::fn_service;
+
+use crate::connection;
+use crate::connection::ConnectionGuard;
+use crate::connection::StopSignal;
+use crate::connection::StoppableListener;
+use crate::exchange::AnswerKind;
+use crate::exchange::BoxError;
+use crate::exchange::HttpAnswer;
+use crate::exchange::HttpBody;
+use crate::exchange::HttpRequest;
+use crate::exchange::PieceStream;
+>>>>>>> net
 
 /// The greatest number of header fields in a request.
 const HEADER_FIELDS: usize = 128;
@@ -65,6 +95,11 @@
     pub threads: usize,
     /// The requests under way; more are refused with status 503 before they run.
     pub requests: usize,
+<<<<<<< HEAD
+=======
+    /// How long a stop waits for the requests under way.
+    pub stop: Duration,
+>>>>>>> net
 }
 
 impl Default for ListenLimits {
@@ -74,10 +109,15 @@
             body: 64 * 1024 * 1024,
             threads: 4,
             requests: 4096,
+<<<<<<< HEAD
+=======
+            stop: Duration::from_secs(30),
+>>>>>>> net
         }
     }
 }
 
+<<<<<<< HEAD
 /// A request whose body is still to be read.
 pub struct HttpRequest {
     /// Method, target, version and headers.
@@ -190,6 +230,8 @@
     }
 }
 
+=======
+>>>>>>> net
 /// A running listener for callers; HTTP/1.1 on a TCP address.
 pub struct CallerListener(RunningListener);
 
@@ -225,7 +267,11 @@
     }
 
     /// Accepts no more connections, lets the requests under way finish, and
+<<<<<<< HEAD
     /// ends. Dropping the future leaves the listener stopping.
+=======
+    /// ends. Dropping the listener does the same without waiting.
+>>>>>>> net
     pub async fn stop(self) {
         self.0.stop().await;
     }
@@ -275,7 +321,11 @@
 
 #[derive(Default)]
 struct ListenState {
+<<<<<<< HEAD
     stopping: AtomicBool,
+=======
+    stop: StopSignal,
+>>>>>>> net
     running: AtomicUsize,
 }
 
@@ -298,16 +348,42 @@
             let handler = handler.clone();
             async move { Ok::<_, Infallible>(answer(request, limits, &state, handler).await) }
         });
+<<<<<<< HEAD
         let mut server = HttpServer::serve(service)
             .worker_threads(limits.threads.max(1))
             .disable_signal()
+=======
+        let config = HttpServiceConfig::new()
+>>>>>>> net
             .keep_alive_timeout(KEEP_ALIVE)
             .request_head_timeout(HEAD_TIME)
             .max_read_buf_size::<READ_BUFFER>()
             .max_write_buf_size::<WRITE_BUFFER>()
+<<<<<<< HEAD
             .max_request_headers::<HEADER_FIELDS>()
             .listen(listener)?
             .run();
+=======
+            .max_request_headers::<HEADER_FIELDS>();
+        let watched = state.clone();
+        let service = service
+            .enclosed(HttpServiceBuilder::h1().config(config))
+            .enclosed_fn(
+                async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
+                    connection::serve(service, stream, remote, &watched.stop).await
+                },
+            );
+        let mut server = xitca_server::Builder::new()
+            .worker_threads(limits.threads.max(1))
+            .shutdown_timeout(limits.stop.as_secs().max(1))
+            .disable_signal()
+            .listen(
+                "listener",
+                StoppableListener::new(listener, state.stop.clone()),
+                service,
+            )
+            .build();
+>>>>>>> net
         let handle = server.handle()?;
         let (end, ended) = oneshot::channel();
         std::thread::Builder::new()
@@ -325,6 +401,7 @@
         })
     }
 
+<<<<<<< HEAD
     async fn stop(self) {
         self.state.stopping.store(true, Ordering::Release);
         (self.stop)();
@@ -335,18 +412,55 @@
 
 /// Counts one request under way until it is dropped.
 struct RunningRequest(Arc<ListenState>);
+=======
+    async fn stop(mut self) {
+        self.begin_stop();
+        // The sender is dropped only together with the server's thread.
+        let _ = (&mut self.ended).await;
+    }
+
+    fn begin_stop(&self) {
+        self.state.stop.send();
+        (self.stop)();
+    }
+}
+
+impl Drop for RunningListener {
+    fn drop(&mut self) {
+        self.begin_stop();
+    }
+}
+
+/// Counts one request under way, at the listener and at its connection, until
+/// it is dropped.
+struct RunningRequest {
+    state: Arc<ListenState>,
+    _connection: ConnectionGuard,
+}
+>>>>>>> net
 
 impl RunningRequest {
     fn begin(state: &Arc<ListenState>, limit: usize) -> Option<RunningRequest> {
         let before = state.running.fetch_add(1, Ordering::AcqRel);
+<<<<<<< HEAD
         let request = RunningRequest(state.clone());
+=======
+        let request = RunningRequest {
+            state: state.clone(),
+            _connection: ConnectionGuard::begin(),
+        };
+>>>>>>> net
         (before < limit).then_some(request)
     }
 }
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
+<<<<<<< HEAD
         self.0.running.fetch_sub(1, Ordering::AcqRel);
+=======
+        self.state.running.fetch_sub(1, Ordering::AcqRel);
+>>>>>>> net
     }
 }
 
@@ -382,6 +496,7 @@
     let request = HttpRequest {
         head,
         remote,
+<<<<<<< HEAD
         body: HttpBody {
             inner,
             limit: limits.body,
@@ -397,6 +512,19 @@
         AnswerKind::Whole(bytes) => ResponseBody::bytes(bytes),
         AnswerKind::Stream(stream) => ResponseBody::boxed(CountedBody {
             inner: stream,
+=======
+        body: HttpBody::new(inner, limits.body),
+    };
+    let (mut head, body) = handler(request).await.into_parts();
+    if state.stop.is_sent() {
+        head.headers
+            .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    let body = match body.into_kind() {
+        AnswerKind::Whole(bytes) => ResponseBody::bytes(bytes),
+        AnswerKind::Stream(stream) => ResponseBody::boxed(CountedBody {
+            pieces: stream,
+>>>>>>> net
             _running: running,
         }),
     };
@@ -404,8 +532,16 @@
 }
 
 /// A streamed answer that counts as a request under way until its end.
+<<<<<<< HEAD
 struct CountedBody {
     inner: ResponseBody,
+=======
+///
+/// The library's own adapter takes the number of pieces that a stream expects
+/// for the length of the body and cuts the answer there; this one states none.
+struct CountedBody {
+    pieces: PieceStream,
+>>>>>>> net
     _running: RunningRequest,
 }
 
@@ -417,6 +553,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+<<<<<<< HEAD
         Pin::new(&mut self.inner).poll_frame(cx)
     }
 
@@ -426,6 +563,16 @@
 
     fn size_hint(&self) -> SizeHint {
         self.inner.size_hint()
+=======
+        self.pieces
+            .as_mut()
+            .poll_next(cx)
+            .map(|piece| piece.map(|data| data.map(Frame::Data)))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::Unknown
+>>>>>>> net
     }
 }
 
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -14,17 +14,8 @@
 
 use arc_swap::ArcSwap;
 use quinn::Connection;
-use quinn::ConnectionId;
-use quinn::ConnectionIdGenerator;
 use quinn::Endpoint;
-use quinn::EndpointConfig;
 use quinn::Incoming;
-use quinn::TransportConfig;
-use quinn::VarInt;
-use quinn::crypto::CryptoError;
-use quinn::crypto::HmacKey;
-use quinn::crypto::rustls::QuicClientConfig;
-use quinn::crypto::rustls::QuicServerConfig;
 use radishgauge_schema::peer::Hello;
 use radishgauge_schema::peer::PeerReply;
 use radishgauge_schema::peer::PeerRequest;
@@ -47,9 +38,12 @@
 use crate::frame::StreamUse;
 use crate::keys::PeerIdentity;
 use crate::keys::PeerName;
-use crate::keys::TlsPair;
 use crate::keys::tls_pair;
 use crate::session::PeerSession;
+use crate::transport::client_config;
+use crate::transport::endpoint_config;
+use crate::transport::grow_buffers;
+use crate::transport::server_config;
 
 /// The TLS name of every daemon; certificates are compared with hellos instead.
 const TLS_NAME: &str = "peer.radishgauge.internal";
@@ -83,7 +77,8 @@
     pub handshake: Duration,
     /// After how long without any packet a session is dropped.
     pub idle: Duration,
-    /// How many streams a peer may have open on one session.
+    /// How many streams a peer may have open on one session; a session begins
+    /// with room for fewer and grows with use.
     pub streams: u32,
     /// How many inbound handshakes may be under way; more are refused.
     pub handshakes: usize,
@@ -152,12 +147,9 @@
         let pair = tls_pair(&config.identity)?;
         let bind = |error: std::io::Error| PeerFault::Bind(format!("{}: {error}", config.listen));
         let socket = UdpSocket::bind(config.listen).map_err(bind)?;
+        grow_buffers(&socket);
 
-        // Identifiers and reset tokens follow from the daemon's key, so that a
-        // restarted daemon ends the sessions of its former life at the first
-        // packet instead of leaving the peers to find out by silence.
-        let mut settings = EndpointConfig::new(Arc::new(ResetKey(pair.secret)));
-        settings.cid_generator(|| Box::new(RandomIds));
+        let settings = endpoint_config(&pair);
         let server = server_config(&pair, &config.limits)?;
         let endpoint = Endpoint::new(
             settings,
@@ -287,7 +279,13 @@
             return Err(refuse(&connection, PeerFault::Unexpected("a hello")));
         };
         agree(&peer, certified(&connection)).map_err(|fault| refuse(&connection, fault))?;
-        Ok(PeerSession::new(connection, peer, true, meter))
+        Ok(PeerSession::new(
+            connection,
+            peer,
+            true,
+            meter,
+            self.limits.streams,
+        ))
     }
 
     async fn greet(&self, incoming: Incoming) -> Result<PeerSession, PeerFault> {
@@ -312,7 +310,13 @@
             .write(&mut [frame::encode(&reply, frame::HEAD_LIMIT)?])
             .await?;
         writer.finish()?;
-        Ok(PeerSession::new(connection, peer, false, meter))
+        Ok(PeerSession::new(
+            connection,
+            peer,
+            false,
+            meter,
+            self.limits.streams,
+        ))
     }
 }
 
@@ -379,80 +383,3 @@
     connection.close(CODE_REFUSED, fault.to_string().as_bytes());
     fault
 }
-
-fn server_config(pair: &TlsPair, limits: &PeerLimits) -> Result<quinn::ServerConfig, PeerFault> {
-    let tls = QuicServerConfig::try_from(pair.server.clone())
-        .map_err(|error| PeerFault::Keys(error.to_string()))?;
-    let mut server = quinn::ServerConfig::with_crypto(Arc::new(tls));
-    server.transport_config(transport(limits)?);
-    Ok(server)
-}
-
-fn client_config(pair: &TlsPair, limits: &PeerLimits) -> Result<quinn::ClientConfig, PeerFault> {
-    let tls = QuicClientConfig::try_from(pair.client.clone())
-        .map_err(|error| PeerFault::Keys(error.to_string()))?;
-    let mut client = quinn::ClientConfig::new(Arc::new(tls));
-    client.transport_config(transport(limits)?);
-    Ok(client)
-}
-
-fn transport(limits: &PeerLimits) -> Result<Arc<TransportConfig>, PeerFault> {
-    let idle = limits
-        .idle
-        .try_into()
-        .map_err(|_| PeerFault::Keys("the idle time is too long".to_owned()))?;
-    let mut transport = TransportConfig::default();
-    transport
-        .max_idle_timeout(Some(idle))
-        .max_concurrent_bidi_streams(VarInt::from_u32(limits.streams))
-        .max_concurrent_uni_streams(VarInt::from_u32(0))
-        .datagram_receive_buffer_size(None);
-    Ok(Arc::new(transport))
-}
-
-/// Signs reset tokens with a key that outlives the process.
-struct ResetKey([u8; 32]);
-
-impl HmacKey for ResetKey {
-    fn sign(&self, data: &[u8], signature_out: &mut [u8]) {
-        signature_out.copy_from_slice(blake3::keyed_hash(&self.0, data).as_bytes());
-    }
-
-    fn signature_len(&self) -> usize {
-        blake3::OUT_LEN
-    }
-
-    fn verify(&self, data: &[u8], signature: &[u8]) -> Result<(), CryptoError> {
-        // The comparison of the hash type takes constant time.
-        let signature: [u8; blake3::OUT_LEN] = signature.try_into().map_err(|_| CryptoError)?;
-        if blake3::keyed_hash(&self.0, data) == signature {
-            Ok(())
-        } else {
-            Err(CryptoError)
-        }
-    }
-}
-
-/// Random connection identifiers. They carry no check value of this process,
-/// so that a restarted daemon answers the packets of its former life with a
-/// reset instead of dropping them.
-struct RandomIds;
-
-impl RandomIds {
-    /// Eight bytes: collisions among thousands of sessions are out of reach.
-    const LEN: usize = 8;
-}
-
-impl ConnectionIdGenerator for RandomIds {
-    fn generate_cid(&mut self) -> ConnectionId {
-        ConnectionId::new(&rand::random::<[u8; RandomIds::LEN]>())
-    }
-
-    fn cid_len(&self) -> usize {
-        RandomIds::LEN
-    }
-
-    fn cid_lifetime(&self) -> Option<Duration> {
-        None
-    }
-}
