Tell expensive requests from a cold start and from overload

Cause: three successive responses over 4 times the average restarted the ramp, and the limit compared means of 20 responses with an average that sank to the luckiest windows. A service in which one request in twenty takes 21 times as long was ramped and limited all the time.

Change: 14 of the last 16 responses must be slow; a window holds five responses for each request of the limit; the average falls five times as fast as it rises, not fifty times; a limit grows only on windows without a rise.

A silent cold start is noticed later, which is for the next change.

--- a/crates/traffic/src/limit.rs
+++ b/crates/traffic/src/limit.rs
@@ -17,16 +17,26 @@
 /// Part of each window's proposal that is applied.
 const BLEND: f64 = 0.3;
 
+/// Requests that a good window proposes to add. With [`BLEND`], a limit grows by
+/// about one request each window.
+const GROWTH: f64 = 3.0;
+
 /// Responses in a window, at least; fewer do not give a stable mean.
 const WINDOW: u32 = 10;
 
-/// Weight of a window above the long-term average. At 50 windows a second the
-/// average follows a lasting change of the service within about ten seconds.
+/// Responses in a window for each request of the limit. The mean of one
+/// response for each varies by half in a service of cheap and expensive
+/// requests.
+const ROUNDS: u32 = 5;
+
+/// Weight of a window above the long-term average. At ten windows a second the
+/// average follows a lasting change of the service within about a minute.
 const RISE: f64 = 0.002;
 
-/// Weight of a window below the long-term average: a faster response is proof
-/// that the target can be that fast.
-const FALL: f64 = 0.1;
+/// Weight of a window below the long-term average. Greater, since a faster
+/// window shows what the target can do; not much, or the average would sink to
+/// the luckiest windows.
+const FALL: f64 = 0.01;
 
 /// The adaptive limit on the requests that one target runs at once.
 #[derive(Debug, Clone)]
@@ -79,7 +89,7 @@
         self.sum += took.as_secs_f64();
         self.samples += 1;
         self.busiest = self.busiest.max(running);
-        if self.samples >= WINDOW.max(self.limit()) {
+        if self.samples >= WINDOW.max(self.limit() * ROUNDS) {
             self.close_window();
         }
     }
@@ -102,7 +112,7 @@
         let gradient = (TOLERANCE * average / mean.max(1e-9)).clamp(LOWEST_GRADIENT, 1.0);
         // A limit that was not reached says nothing about a greater one.
         let used = f64::from(self.busiest) >= self.limit * 0.5;
-        let step = if used { 1.0 } else { 0.0 };
+        let step = if used && gradient >= 1.0 { GROWTH } else { 0.0 };
         let proposal = self.limit * gradient + step;
         self.limit =
             (self.limit + (proposal - self.limit) * BLEND).clamp(1.0, f64::from(self.declared));
--- a/crates/traffic/src/ramp.rs
+++ b/crates/traffic/src/ramp.rs
@@ -11,9 +11,11 @@
 /// sign of a cold start.
 pub const COLD_FACTOR: f64 = 4.0;
 
-/// Successive slow responses that restart the ramp. One alone is often an
-/// expensive request.
-pub const COLD_STREAK: u32 = 3;
+/// Slow responses among the last 16 that restart the ramp. At most a quarter of
+/// the responses can take over 4 times the average, so 14 of 16 are slow by
+/// chance less than once in 5 million responses, and a service of cheap and
+/// expensive requests is not taken for cold.
+pub const COLD_RESPONSES: u32 = 14;
 
 /// A step is good while at most one in so many of its responses is bad. A warm
 /// target at full rate has some expensive requests in each step, so that a step
@@ -37,7 +39,8 @@
     /// `None` when the target is warm.
     ramping: Option<RampStep>,
     average: Option<f64>,
-    streak: u32,
+    /// Whether each of the last 16 responses was slow, the newest in bit 0.
+    slow: u16,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -57,7 +60,7 @@
             step,
             ramping: None,
             average: None,
-            streak: 0,
+            slow: 0,
         };
         ramp.restart(now);
         ramp
@@ -72,7 +75,7 @@
 
     /// Starts again at the cold limit.
     pub fn restart(&mut self, now: Duration) {
-        self.streak = 0;
+        self.slow = 0;
         self.ramping = Some(RampStep {
             limit: self.cold_slots,
             until: now + self.step,
@@ -124,7 +127,7 @@
         let took = took.as_secs_f64();
         let average = *self.average.get_or_insert(took);
         let slow = took > average * COLD_FACTOR;
-        let weight = if self.ramping.is_some() || slow {
+        let weight = if self.ramping.is_some() {
             COLD_WEIGHT
         } else {
             WARM_WEIGHT
@@ -139,8 +142,8 @@
             self.advance(now);
             return false;
         }
-        self.streak = if slow { self.streak + 1 } else { 0 };
-        if self.streak >= COLD_STREAK {
+        self.slow = self.slow << 1 | u16::from(slow);
+        if self.slow.count_ones() >= COLD_RESPONSES {
             self.restart(now);
             return true;
         }
