Notice a cold start by the lack of responses

Cause: a target that falls into cold start without warning keeps its requests for long, so the 14 slow responses that restart the ramp come after its slots are full.

Change: a target that runs at least four requests and ends none for 4 times its average is cold. Two numbers, no clock of its own; a pause of the daemon is told apart by the time since the last look.

--- a/crates/traffic/src/admit.rs
+++ b/crates/traffic/src/admit.rs
@@ -184,6 +184,8 @@
             return Admit::Refuse(Refusal::new(RefusalReason::Deadline));
         }
         state.ramp.advance(now);
+        let running = state.running;
+        state.ramp.check_progress(running, now);
         let limit = state.limit();
         let suspect_waits = request.suspect && state.suspect_running;
         if state.running < limit && !suspect_waits {
@@ -249,9 +251,9 @@
             }
             RunOutcome::Overloaded => {
                 state.limit.record_overload();
-                state.ramp.record_failure();
+                state.ramp.record_failure(now);
             }
-            RunOutcome::Failed => state.ramp.record_failure(),
+            RunOutcome::Failed => state.ramp.record_failure(now),
             RunOutcome::Crashed => state.ramp.restart(now),
             RunOutcome::Cancelled => {}
         }
--- a/crates/traffic/src/ramp.rs
+++ b/crates/traffic/src/ramp.rs
@@ -17,6 +17,11 @@
 /// expensive requests is not taken for cold.
 pub const COLD_RESPONSES: u32 = 14;
 
+/// Running requests from which on a time without any response is a sign of a
+/// cold start. A warm target that runs four answers 16 in the time of
+/// [`COLD_FACTOR`], and none of them by chance once in millions of times.
+pub const STALL_RUNNING: u32 = 4;
+
 /// A step is good while at most one in so many of its responses is bad. A warm
 /// target at full rate has some expensive requests in each step, so that a step
 /// without any bad response never comes.
@@ -41,6 +46,10 @@
     average: Option<f64>,
     /// Whether each of the last 16 responses was slow, the newest in bit 0.
     slow: u16,
+    /// When a request last ended, or the target ran too few to tell.
+    progress: Duration,
+    /// When the progress was last looked at.
+    seen: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -61,6 +70,8 @@
             ramping: None,
             average: None,
             slow: 0,
+            progress: now,
+            seen: now,
         };
         ramp.restart(now);
         ramp
@@ -124,6 +135,7 @@
 
     /// Records a response of the target. Returns whether it restarted the ramp.
     pub fn record(&mut self, took: Duration, now: Duration) -> bool {
+        self.progress = now;
         let took = took.as_secs_f64();
         let average = *self.average.get_or_insert(took);
         let slow = took > average * COLD_FACTOR;
@@ -150,8 +162,32 @@
         false
     }
 
-    /// Records that the target failed to answer, while it is ramped.
-    pub fn record_failure(&mut self) {
+    /// Looks at a target that runs so many requests, before one is added.
+    /// Returns whether it has answered none for so long that the ramp was
+    /// restarted: responses of a cold target come late, and until then it would
+    /// be filled up to its limit.
+    pub fn check_progress(&mut self, running: u32, now: Duration) -> bool {
+        let Some(average) = self.average else {
+            return false;
+        };
+        let stall = Duration::from_secs_f64(average * COLD_FACTOR);
+        // After a pause of this process, responses may wait unread.
+        let paused = now.saturating_sub(self.seen) > stall;
+        self.seen = now;
+        if running < STALL_RUNNING || paused {
+            self.progress = now;
+        }
+        let stalled = now.saturating_sub(self.progress) > stall;
+        if stalled && self.ramping.is_none() {
+            self.restart(now);
+            return true;
+        }
+        false
+    }
+
+    /// Records that the target failed to answer.
+    pub fn record_failure(&mut self, now: Duration) {
+        self.progress = now;
         if let Some(step) = &mut self.ramping {
             step.bad += 1;
         }
--- a/crates/traffic/tests/traffic/admission.rs
+++ b/crates/traffic/tests/traffic/admission.rs
@@ -187,6 +187,35 @@
     }
 }
 
+/// Guards invariant I4 when a cold target keeps its first requests so long that
+/// no response tells of it, and against a pause of the daemon that looks alike.
+#[test]
+fn target_without_progress_is_cold() {
+    for paused in [false, true] {
+        let admission = admission(20, 2);
+        warm(&admission);
+        let _first: Vec<_> = (0..6).map(|_| run(&admission, 30_000)).collect();
+        let mut held = Vec::new();
+        let times: &[u64] = if paused {
+            &[30_900]
+        } else {
+            &[30_015, 30_030, 30_040]
+        };
+        for now in times.iter().copied() {
+            held.push(run(&admission, now));
+            assert!(!admission.is_cold());
+        }
+        if !paused {
+            let request = request(Criticality::Critical, ms(31_000));
+            assert!(matches!(
+                admission.admit(&request, ms(30_041)),
+                Admit::Wait(_)
+            ));
+        }
+        assert_eq!(admission.is_cold(), !paused);
+    }
+}
+
 /// Guards against expensive requests being taken for a cold start. Four in a
 /// row of each 24 are slow; by a rule of three in a row, a service with one
 /// expensive request in twenty answered 39% of its requests in the driver.
--- a/crates/traffic/tests/traffic/limits.rs
+++ b/crates/traffic/tests/traffic/limits.rs
@@ -83,7 +83,7 @@
     for _ in 0..100 {
         now += 100;
         ramp.record(ms(10), ms(now));
-        ramp.record_failure();
+        ramp.record_failure(ms(now));
     }
     assert_eq!(ramp.limit(), 2);
 }
