Compare a cold target with itself while it is ramped

Cause: a response over 4 times the warm average held the ramp, and a cold target with empty caches is that slow also under a load that it bears. Ramps began to rise only when the target was warm already. Steps also passed while a crashed target was down.

Change: within a ramp a step is compared with the best step of that ramp; 1.5 times its mean halves the limit, else it doubles. The first step begins with the first response.

A target that warms at half of the declared pace gets excess load for one step of each two; policy.ramp_step_ms is to be set to its pace.

--- a/crates/traffic/src/ramp.rs
+++ b/crates/traffic/src/ramp.rs
@@ -27,6 +27,11 @@
 /// without any bad response never comes.
 const BAD_SHARE: u32 = 10;
 
+/// A step whose mean response time is over that of the best step by this factor
+/// shows that the target does not bear the limit yet. Twice the load that it
+/// bears would take twice the time.
+const STEP_RISE: f64 = 1.5;
+
 /// Weight of one response in the long-term average of a warm target.
 const WARM_WEIGHT: f64 = 1.0 / 256.0;
 
@@ -58,6 +63,10 @@
     until: Duration,
     good: u32,
     bad: u32,
+    /// The sum of the response times.
+    sum: f64,
+    /// The least mean of a step of this ramp.
+    best: Option<f64>,
 }
 
 impl TargetRamp {
@@ -92,6 +101,8 @@
             until: now + self.step,
             good: 0,
             bad: 0,
+            sum: 0.0,
+            best: None,
         });
     }
 
@@ -113,7 +124,8 @@
         self.average.map(Duration::from_secs_f64)
     }
 
-    /// Doubles the limit when a step is over and its responses were good.
+    /// Ends a step whose time is over: doubles the limit when its responses were
+    /// good, and halves it when they took longer than in an earlier step.
     pub fn advance(&mut self, now: Duration) {
         let Some(step) = &mut self.ramping else {
             return;
@@ -123,11 +135,19 @@
         }
         // Without a response the target has not shown that it bears more.
         if step.good > 0 && step.bad.saturating_mul(BAD_SHARE) <= step.good {
-            step.limit = step.limit.saturating_mul(2);
+            let mean = step.sum / f64::from(step.good);
+            let best = step.best.map_or(mean, |best| best.min(mean));
+            step.best = Some(best);
+            step.limit = if mean > best * STEP_RISE {
+                (step.limit / 2).max(self.cold_slots)
+            } else {
+                step.limit.saturating_mul(2)
+            };
         }
         step.until = now + self.step;
         step.good = 0;
         step.bad = 0;
+        step.sum = 0.0;
         if step.limit >= self.declared {
             self.ramping = None;
         }
@@ -146,10 +166,21 @@
         };
         self.average = Some(average + (took - average) * weight);
         if let Some(step) = &mut self.ramping {
-            if slow {
+            // The first step begins with the first response: a target that
+            // crashed is down for a time, and is as cold as ever when it is back.
+            if step.best.is_none() && step.good + step.bad == 0 {
+                step.until = now + self.step;
+            }
+            // A cold target is slower than a warm one also with a load that it
+            // bears, so that within the ramp it is compared with itself.
+            if step
+                .best
+                .is_some_and(|best| took > average.max(best) * COLD_FACTOR)
+            {
                 step.bad += 1;
             } else {
                 step.good += 1;
+                step.sum += took;
             }
             self.advance(now);
             return false;
--- a/crates/traffic/tests/traffic/limits.rs
+++ b/crates/traffic/tests/traffic/limits.rs
@@ -88,6 +88,39 @@
     assert_eq!(ramp.limit(), 2);
 }
 
+/// Guards against a ramp that waits for warm response times while the target is
+/// slower for its empty caches only, and against one that goes on doubling when
+/// responses show that the target does not bear it.
+#[test]
+fn ramp_compares_a_cold_target_with_itself() {
+    let mut ramp = TargetRamp::new(2, 20, ms(2000), ms(0));
+    let mut now = 0;
+    let mut run = |ramp: &mut TargetRamp, took: u64, responses: u64| {
+        for _ in 0..responses {
+            now += 10;
+            ramp.record(ms(took), ms(now));
+        }
+        ramp.limit()
+    };
+    assert_eq!(run(&mut ramp, 20, 1000), 20);
+    ramp.restart(ms(10_000));
+    assert_eq!(run(&mut ramp, 100, 202), 4);
+    assert_eq!(run(&mut ramp, 200, 200), 2);
+    assert_eq!(run(&mut ramp, 100, 200), 4);
+    assert_eq!(run(&mut ramp, 100, 600), 20);
+}
+
+/// Guards against a ramp whose steps pass while the target is down.
+#[test]
+fn ramp_begins_with_the_first_response() {
+    let mut ramp = TargetRamp::new(2, 20, ms(2000), ms(0));
+    ramp.record(ms(20), ms(5000));
+    ramp.record(ms(20), ms(6900));
+    assert_eq!(ramp.limit(), 2);
+    ramp.record(ms(20), ms(7000));
+    assert_eq!(ramp.limit(), 4);
+}
+
 /// Guards against a ramp that never ends at full rate, where each step has some
 /// expensive requests.
 #[test]
