Report the limit of a target instead of its free slots

Cause: senders divide by the reported capacity. Free slots change with each request and are out of date on arrival; a slow target that has just ended some looks as strong as its neighbours.

Change: the capacity reported with a response is the current limit, 0 when the target takes no work. The schema's comment on AnswerHead.capacity still says free concurrency.

--- a/crates/traffic/examples/overload/main.rs
+++ b/crates/traffic/examples/overload/main.rs
@@ -70,7 +70,11 @@
 }
 
 fn warm(handling: Handling, targets: usize, seed: u64) -> World {
-    let mut world = World::new(handling, targets, SENDERS, seed);
+    warm_with(handling, targets, SENDERS, seed)
+}
+
+fn warm_with(handling: Handling, targets: usize, senders: usize, seed: u64) -> World {
+    let mut world = World::new(handling, targets, senders, seed);
     world.run(capacity(targets) * 0.6, WARM_UP);
     world.reset();
     world
@@ -112,19 +116,19 @@
 
 /// Both rules below capacity, with even targets and with one that is slow.
 fn pick(seed: u64) {
-    println!("handling targets slow load good% p99ms p99.9ms");
-    for targets in [6, 40] {
+    println!("handling targets senders slow load good% p99ms p99.9ms");
+    for (targets, senders) in [(6, SENDERS), (40, SENDERS), (40, 400), (40, 3000)] {
         for slow in [false, true] {
             for load in [0.7, 0.9] {
                 for handling in [Handling::Naive, MESH, LEAST] {
-                    let mut world = warm(handling, targets, seed);
+                    let mut world = warm_with(handling, targets, senders, seed);
                     if slow {
                         world.workers[0].sustained = SLOTS / 4;
                     }
                     world.run(capacity(targets) * load, WARM_UP + Duration::from_secs(10));
                     let tally = &world.tally;
                     println!(
-                        "{handling:?} {targets} {slow} {load} {:.2} {:.1} {:.1}",
+                        "{handling:?} {targets} {senders} {slow} {load} {:.2} {:.1} {:.1}",
                         tally.good as f64 * 100.0 / tally.first as f64,
                         tally.quantile(0.99),
                         tally.quantile(0.999),
--- a/crates/traffic/src/admit.rs
+++ b/crates/traffic/src/admit.rs
@@ -280,13 +280,15 @@
         self.lock().ramp.is_cold()
     }
 
-    /// Returns the capacity to report with a response.
+    /// Returns the capacity to report with a response: the requests that may run
+    /// at once. Free slots would be out of date when the report arrives, and
+    /// senders that divide by them leave a slow target too late.
     pub fn reported_capacity(&self) -> u32 {
         let state = self.lock();
         if state.closed().is_some() {
             return 0;
         }
-        state.limit().saturating_sub(state.running)
+        state.limit()
     }
 
     /// A panic while the lock was held leaves counters that are still usable.
