Count server errors against a target instead of their response time

Cause: a target that answers each request at once with an error had the best response time and the fewest calls under way, so both rules sent it most calls.

Change: CallOutcome::Failed records no response time and doubles the target's score, up to six times; a good answer or a second without an error halves it.

--- a/crates/traffic/examples/overload/main.rs
+++ b/crates/traffic/examples/overload/main.rs
@@ -2,7 +2,7 @@
 //! baseline: round robin, three blind retries, no limits, no ramp.
 //!
 //! `cargo run --release -p radishgauge-traffic --example overload [-- PART [SEED]]`
-//! with `load`, `pick`, `recovery`, `cold`, `mixed`, `degraded`, `depth`, `cost` or `all`.
+//! with `load`, `pick`, `recovery`, `cold`, `mixed`, `broken`, `degraded`, `depth`, `cost` or `all`.
 
 mod chain;
 mod cost;
@@ -39,12 +39,13 @@
         eprintln!("SEED: accepted: a whole number");
         std::process::exit(2);
     };
-    let parts: [(&str, Part); 8] = [
+    let parts: [(&str, Part); 9] = [
         ("load", load),
         ("pick", pick),
         ("recovery", recovery),
         ("cold", cold),
         ("mixed", mixed),
+        ("broken", broken),
         ("degraded", degraded),
         ("depth", chain::depth),
         ("cost", cost::cost),
@@ -55,7 +56,7 @@
         .collect();
     if chosen.is_empty() {
         eprintln!(
-            "PART `{part}`: accepted: load, pick, recovery, cold, mixed, degraded, depth, cost, all"
+            "PART `{part}`: accepted: load, pick, recovery, cold, mixed, broken, degraded, depth, cost, all"
         );
         std::process::exit(2);
     }
@@ -224,6 +225,22 @@
     }
 }
 
+/// One target answers each request at once with an error, which is not sent
+/// again: the share of requests that it takes.
+fn broken(seed: u64) {
+    println!("handling senders good%");
+    for senders in [SENDERS, 400] {
+        for handling in [Handling::Naive, MESH, LEAST] {
+            let mut world = warm_with(handling, TARGETS, senders, seed);
+            world.workers[0].broken = true;
+            world.run(capacity(TARGETS) * 0.6, WARM_UP + Duration::from_secs(10));
+            let tally = &world.tally;
+            let good = tally.good as f64 * 100.0 / tally.first as f64;
+            println!("{handling:?} {senders} {good:.2}");
+        }
+    }
+}
+
 /// All targets bear a quarter of their slots for 20 s, at 0.6 of the capacity.
 fn degraded(seed: u64) {
     println!("handling goodput%_of_degraded p99ms p99.9ms limits");
--- a/crates/traffic/examples/overload/worker.rs
+++ b/crates/traffic/examples/overload/worker.rs
@@ -38,6 +38,8 @@
     /// What a degraded worker bears.
     pub sustained: u32,
     debt: Duration,
+    /// Whether the worker answers at once with an error.
+    pub broken: bool,
     /// Whether one request in twenty takes 21 times as long as the others.
     pub mixed: bool,
     /// A cold worker's strength doubles each step.
@@ -71,6 +73,7 @@
             life: 0,
             sustained: SLOTS,
             debt: Duration::ZERO,
+            broken: false,
             mixed: false,
             warm_step: Duration::from_secs(2),
             crash_factor: 4,
@@ -145,6 +148,9 @@
     }
 
     fn service_time(&mut self, now: Duration) -> Duration {
+        if self.broken {
+            return Duration::from_millis(1);
+        }
         let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
         let base = match self.mixed {
             false => SERVICE.mul_f64(0.5 - 0.5 * uniform.ln()),
--- a/crates/traffic/examples/overload/world.rs
+++ b/crates/traffic/examples/overload/world.rs
@@ -63,6 +63,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Reply {
     Answer(u32),
+    Failed(u32),
     Refused(usize),
     Broken,
 }
@@ -356,10 +357,19 @@
         }
         let admission = Arc::clone(&self.admissions[target]);
         let mut wakes = Vec::new();
+        let broken = self.workers[target].broken;
         if let Some(running) = self.calls[call].running.take() {
-            wakes = admission.finish(running, RunOutcome::Answered, self.now);
+            let outcome = match broken {
+                true => RunOutcome::Failed,
+                false => RunOutcome::Answered,
+            };
+            wakes = admission.finish(running, outcome, self.now);
         }
-        let reply = Reply::Answer(admission.reported_capacity());
+        let capacity = admission.reported_capacity();
+        let reply = match broken {
+            true => Reply::Failed(capacity),
+            false => Reply::Answer(capacity),
+        };
         self.push(self.delay(call), Event::Reply(call, reply));
         self.wake(target, wakes);
     }
@@ -383,6 +393,7 @@
         if let Some(picked) = call.picked.take() {
             let outcome = match reply {
                 Reply::Answer(capacity) => CallOutcome::Answered { capacity },
+                Reply::Failed(capacity) => CallOutcome::Failed { capacity },
                 Reply::Refused(place) => CallOutcome::Refused {
                     reason: RefusalReason::ALL[place],
                 },
@@ -396,6 +407,10 @@
                 .answer(took, took <= self.deadline, critical, now);
             return;
         }
+        if let Reply::Failed(_) = reply {
+            self.tally.fail(now);
+            return;
+        }
         let failed = match reply {
             Reply::Refused(place) => (CallVerdict::NotRun, Some(RefusalReason::ALL[place])),
             _ => (CallVerdict::MayHaveRun, None),
--- a/crates/traffic/src/pick.rs
+++ b/crates/traffic/src/pick.rs
@@ -93,6 +93,11 @@
         /// The reported capacity.
         capacity: u32,
     },
+    /// The target answered with a server error.
+    Failed {
+        /// The reported capacity.
+        capacity: u32,
+    },
     /// The target's daemon refused the call.
     Refused {
         /// The reason that it gave.
@@ -131,6 +136,10 @@
                 self.stats.record_response(now.saturating_sub(self.started));
                 self.stats.record_capacity(capacity);
             }
+            CallOutcome::Failed { capacity } => {
+                self.stats.record_failure(now);
+                self.stats.record_capacity(capacity);
+            }
             CallOutcome::Refused { reason } if reason.overloaded() => {
                 self.stats.record_full(now + FULL_PAUSE);
             }
@@ -266,7 +275,10 @@
         let around = tier[first..].iter().chain(&tier[..first]);
         let mut allowed = around.filter(|target| self.allows(target, with_full));
         match self.rule {
-            PickRule::LeastLoaded => allowed.min_by_key(|target| score(target)),
+            PickRule::LeastLoaded => {
+                let now = self.now;
+                allowed.min_by_key(|target| score(target, now))
+            }
             PickRule::TwoChoices => {
                 let one = allowed.next()?;
                 // A second random place, not the next one: neighbours in the
@@ -277,7 +289,7 @@
                     .filter(|target| target.key != one.key)
                     .find(|target| self.allows(target, with_full));
                 Some(match two {
-                    Some(two) if score(two) < score(one) => two,
+                    Some(two) if score(two, self.now) < score(one, self.now) => two,
                     _ => one,
                 })
             }
@@ -306,9 +318,10 @@
 }
 
 /// Returns the expected wait at a target: less is better.
-fn score(target: &TargetEntry) -> u64 {
+fn score(target: &TargetEntry, now: Duration) -> u64 {
     let outstanding = u64::from(target.stats.outstanding()) + 1;
     let response = target.stats.response_time().as_micros() as u64;
     // Scaled, so that small response times do not all divide to zero.
-    outstanding * response * 1024 / u64::from(target.stats.capacity().max(1))
+    let wait = outstanding * response * 1024 / u64::from(target.stats.capacity().max(1));
+    wait << target.stats.failures(now)
 }
--- a/crates/traffic/src/stats.rs
+++ b/crates/traffic/src/stats.rs
@@ -17,6 +17,13 @@
 /// Low, so that a fresh target is tried and measured.
 const INITIAL_RESPONSE_US: u32 = 1_000;
 
+/// The most failures that count against a target: its score is doubled for each.
+const MAX_FAILURES: u32 = 6;
+
+/// A failure is forgotten after this time without another, so that a target
+/// that is passed over is tried again.
+const FORGET_FAILURE: Duration = Duration::from_secs(1);
+
 /// What this daemon has seen of one target.
 #[derive(Debug)]
 pub struct TargetStats {
@@ -24,6 +31,8 @@
     response_us: AtomicU32,
     capacity: AtomicU32,
     full_until_us: AtomicU64,
+    failures: AtomicU32,
+    failed_at_us: AtomicU64,
 }
 
 impl TargetStats {
@@ -34,6 +43,8 @@
             response_us: AtomicU32::new(INITIAL_RESPONSE_US),
             capacity: AtomicU32::new(capacity.max(1)),
             full_until_us: AtomicU64::new(0),
+            failures: AtomicU32::new(0),
+            failed_at_us: AtomicU64::new(0),
         }
     }
 
@@ -52,6 +63,18 @@
         self.capacity.load(Ordering::Relaxed)
     }
 
+    /// Returns the server errors that count against the target: recent ones
+    /// less the good answers since, at most 6.
+    pub fn failures(&self, now: Duration) -> u32 {
+        let failures = self.failures.load(Ordering::Relaxed);
+        if failures == 0 {
+            return 0;
+        }
+        let failed_at = self.failed_at_us.load(Ordering::Relaxed);
+        let age = micros(now).saturating_sub(failed_at) / micros(FORGET_FAILURE);
+        failures.saturating_sub(u32::try_from(age).unwrap_or(u32::MAX))
+    }
+
     /// Whether the target recently said that it has no room.
     pub fn is_full(&self, now: Duration) -> bool {
         self.full_until_us.load(Ordering::Relaxed) > micros(now)
@@ -65,7 +88,19 @@
         self.outstanding.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Records a server error. Its time is not recorded: a target that fails at
+    /// once would look like the fastest and draw the most requests.
+    pub(crate) fn record_failure(&self, now: Duration) {
+        let failures = (self.failures(now) + 1).min(MAX_FAILURES);
+        self.failures.store(failures, Ordering::Relaxed);
+        self.failed_at_us.store(micros(now), Ordering::Relaxed);
+    }
+
     pub(crate) fn record_response(&self, took: Duration) {
+        let failures = self.failures.load(Ordering::Relaxed);
+        if failures > 0 {
+            self.failures.store(failures - 1, Ordering::Relaxed);
+        }
         let sample = u32::try_from(took.as_micros()).unwrap_or(u32::MAX).max(1);
         let old = self.response_us.load(Ordering::Relaxed);
         let step = (i64::from(sample) - i64::from(old)) >> SMOOTHING_SHIFT;
--- a/crates/traffic/tests/traffic/picking.rs
+++ b/crates/traffic/tests/traffic/picking.rs
@@ -131,6 +131,47 @@
     assert_eq!(asked, 3);
 }
 
+/// Guards against a target that fails at once and so looks like the fastest,
+/// and against one that is never tried again after it was repaired.
+#[test]
+fn failing_target_draws_few_calls_and_is_tried_again() {
+    for rule in [PickRule::TwoChoices, PickRule::LeastLoaded] {
+        let snapshot = snapshot(&fleet([5, 0, 0, 0, 0, 0]));
+        let picker = TargetPicker::with_rule(rule, 9, 0);
+        let run = |from: u64, broken: bool| {
+            let mut count = 0;
+            let mut held: Vec<(u64, Picked)> = Vec::new();
+            for now in from..from + 5000 {
+                let due = held.iter().position(|(until, _)| *until == now);
+                if let Some(index) = due {
+                    let (_, picked) = held.swap_remove(index);
+                    picked.finish(CallOutcome::Answered { capacity: 20 }, ms(now));
+                }
+                let picked = pick(&picker, &snapshot, &TriedTargets::default(), now).unwrap();
+                if picked.host != "addis-bole-3" || !broken {
+                    count += u64::from(picked.host == "addis-bole-3");
+                    held.push((now + 20, picked));
+                    continue;
+                }
+                count += 1;
+                picked.finish(CallOutcome::Failed { capacity: 20 }, ms(now));
+            }
+            count
+        };
+        run(0, false);
+        let failed = run(10_000, true);
+        assert!(
+            failed <= 250,
+            "{rule:?} sent {failed} of 5000 calls to the failing target"
+        );
+        let repaired = run(20_000, false);
+        assert!(
+            repaired >= 750,
+            "{rule:?} sent {repaired} of 5000 calls after the repair"
+        );
+    }
+}
+
 /// Guards against counting a call as under way for ever when its task is
 /// dropped, as on cancellation.
 #[test]
