Pick the least loaded target of the subset by default

Cause: a daemon makes about 300 calls a second to several services, so it has few calls under way at each target, and two random targets often look alike while a better one is idle.

Change: the default rule looks at all targets of the subset; two random choices stay as an option.

--- a/crates/traffic/src/pick.rs
+++ b/crates/traffic/src/pick.rs
@@ -1,8 +1,10 @@
 //! Which target a call is sent to.
 //!
-//! A sender sees only its own calls and what targets report, late. Power of
-//! two choices needs no more than that and does not send all senders to the
-//! one target that last reported the best value.
+//! A sender sees only its own calls and what targets report, late. It weighs
+//! its own calls under way at each target, which are exact, with the smoothed
+//! response time and the reported capacity, and it looks at its own random
+//! subset only, so senders do not all choose the one target that last looked
+//! best.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,9 +45,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum PickRule {
     /// The better of two random targets.
-    #[default]
     TwoChoices,
-    /// The best of all targets of the subset.
+    /// The best of all targets of the subset; of equals, a random one. A sender
+    /// has few calls under way at each target, so that two random ones often
+    /// tell it nothing, and the subset is small enough to look at all.
+    #[default]
     LeastLoaded,
 }
 
@@ -180,8 +184,8 @@
 }
 
 impl TargetPicker {
-    /// Returns a picker with two random choices, whose random numbers follow
-    /// from the seed.
+    /// Returns a picker with the default rule, whose random numbers follow from
+    /// the seed.
     pub fn new(seed: u64, link_budget_kbit: u64) -> TargetPicker {
         TargetPicker::with_rule(PickRule::default(), seed, link_budget_kbit)
     }
