--- a/crates/traffic/examples/overload/main.rs
+++ b/crates/traffic/examples/overload/main.rs
@@ -118,7 +118,14 @@
 /// Both rules below capacity, with even targets and with one that is slow.
 fn pick(seed: u64) {
     println!("handling targets senders slow load good% p99ms p99.9ms");
-    for (targets, senders) in [(6, SENDERS), (40, SENDERS), (40, 400), (40, 3000), (120, 60), (120, 400)] {
+    for (targets, senders) in [
+        (6, SENDERS),
+        (40, SENDERS),
+        (40, 400),
+        (40, 3000),
+        (120, 60),
+        (120, 400),
+    ] {
         for slow in [false, true] {
             for load in [0.7, 0.9] {
                 for handling in [Handling::Naive, MESH, LEAST] {
