--- a/crates/traffic/examples/overload/cost.rs
+++ b/crates/traffic/examples/overload/cost.rs
@@ -56,6 +56,15 @@
         picked.finish(CallOutcome::Answered { capacity: 20 }, now);
     };
     println!("pick_admit_finish {} ns", median(all));
+    let threads = 4;
+    let start = Instant::now();
+    std::thread::scope(|scope| {
+        for _ in 0..threads {
+            scope.spawn(|| (0..CALLS).for_each(all));
+        }
+    });
+    let spent = start.elapsed().as_nanos() / u128::from(CALLS * threads);
+    println!("pick_admit_finish with {threads} threads {spent} ns of all for each call");
     let route = |_| {
         let key = snapshot.routes().find("GET", "/orders/7/photos/1");
         let _ = black_box(key);
@@ -72,6 +81,7 @@
         black_box(snapshot.rebuild(&model, &Default::default(), 2, Duration::ZERO));
     }
     println!("rebuild_40_targets {} ns", start.elapsed().as_nanos() / 100);
+    memory();
     println!(
         "bytes: service {} target {} statistics {} admission {}",
         size_of::<ServiceEntry>(),
@@ -81,18 +91,50 @@
     );
 }
 
+/// Prints the resident memory of a snapshot with its statistics, by target.
+fn memory() {
+    const TARGETS: usize = 200_000;
+    let model = fleet::model(TARGETS);
+    let before = resident();
+    let snapshot = fleet::snapshot(&model, "caller", 0);
+    if let (Some(before), Some(after)) = (before, resident()) {
+        let bytes = after.saturating_sub(before) / TARGETS as u64;
+        println!("resident bytes for each target {bytes}");
+    }
+    drop(black_box(snapshot));
+}
+
+/// Returns the resident memory of this process in bytes, on Linux.
+fn resident() -> Option<u64> {
+    let status = std::fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib * 1024)
+}
+
 fn run_one(admission: &TargetAdmission, now: Duration) {
     let request = AdmitRequest {
         criticality: Criticality::Normal,
         deadline: now + Duration::from_secs(1),
         suspect: false,
     };
-    let Admit::Run(ticket) = admission.admit(&request, now) else {
-        panic!("one request alone runs");
+    // With several threads and a cold target, some requests wait or are refused.
+    let ticket = match admission.admit(&request, now) {
+        Admit::Run(ticket) => ticket,
+        Admit::Wait(waiter) => {
+            admission.give_up(&waiter);
+            return;
+        }
+        Admit::Refuse(_) => return,
     };
     let ticket = ticket.hand_over(now);
     let done = now + Duration::from_millis(10);
-    black_box(admission.finish(ticket, RunOutcome::Answered, done));
+    let mut wakes = admission.finish(ticket, RunOutcome::Answered, done);
+    while let Some(wake) = wakes.pop() {
+        if let Ok(ticket) = wake.decision {
+            wakes.extend(admission.cancel(ticket, done));
+        }
+    }
 }
 
 fn median<F>(mut step: F) -> u128
--- a/crates/traffic/src/admit.rs
+++ b/crates/traffic/src/admit.rs
@@ -117,6 +117,8 @@
 struct AdmissionState {
     domain_out: bool,
     leaving: bool,
+    /// Set by this daemon itself, which knows better than any list.
+    stopping: bool,
     running: u32,
     suspect_running: bool,
     limit: ConcurrencyLimit,
@@ -132,6 +134,7 @@
             state: Mutex::new(AdmissionState {
                 domain_out: false,
                 leaving: false,
+                stopping: false,
                 running: 0,
                 suspect_running: false,
                 limit: ConcurrencyLimit::new(service.slots),
@@ -169,9 +172,10 @@
         state.leaving = leaving;
     }
 
-    /// Stops taking new requests, before a graceful stop of the daemon.
+    /// Stops taking new requests for good, before a graceful stop of the daemon.
+    /// No later configuration lifts this.
     pub fn leave(&self) {
-        self.lock().leaving = true;
+        self.lock().stopping = true;
     }
 
     /// Decides on a request.
@@ -309,7 +313,7 @@
 
 impl AdmissionState {
     fn closed(&self) -> Option<RefusalReason> {
-        if self.leaving {
+        if self.leaving || self.stopping {
             Some(RefusalReason::Leaving)
         } else if self.domain_out {
             Some(RefusalReason::DomainOut)
--- a/crates/traffic/src/limit.rs
+++ b/crates/traffic/src/limit.rs
@@ -79,11 +79,6 @@
         }
     }
 
-    /// Returns the long-term average of the response time.
-    pub fn average(&self) -> Option<Duration> {
-        self.average.map(Duration::from_secs_f64)
-    }
-
     /// Records a good response and how many requests ran when it came.
     pub fn record(&mut self, took: Duration, running: u32) {
         self.sum += took.as_secs_f64();
--- a/crates/traffic/src/ramp.rs
+++ b/crates/traffic/src/ramp.rs
@@ -119,11 +119,6 @@
         }
     }
 
-    /// Returns the long-term average of the response time.
-    pub fn average(&self) -> Option<Duration> {
-        self.average.map(Duration::from_secs_f64)
-    }
-
     /// Ends a step whose time is over: doubles the limit when its responses were
     /// good, and halves it when they took longer than in an earlier step.
     pub fn advance(&mut self, now: Duration) {
--- a/crates/traffic/tests/traffic/admission.rs
+++ b/crates/traffic/tests/traffic/admission.rs
@@ -146,6 +146,18 @@
     }
 }
 
+/// Guards invariant I10 against a snapshot that was built from a host list
+/// which does not say yet that this host leaves.
+#[test]
+fn stopping_daemon_is_not_reopened_by_a_snapshot() {
+    let admission = admission(20, 2);
+    admission.leave();
+    let policy = PolicyModel::default();
+    admission.configure(&service(20, 2), &policy, false, false, ms(10));
+    let refused = admission.admit(&request(Criticality::Critical, ms(1000)), ms(20));
+    assert!(matches!(refused, Admit::Refuse(refusal) if refusal.reason == RefusalReason::Leaving));
+}
+
 /// Guards against a domain that returns with full load on cold targets.
 #[test]
 fn returning_domain_is_cold() {
