Know of each target for which criticality it is full

Cause: a target that refused cheap work was passed over for all, so critical work left its failure domain, and would have left the region, while the near targets had room for it.

Change: a refusal for lack of room marks the target for requests of that criticality and below. PickRequest names the criticality.

--- a/crates/traffic/examples/overload/cost.rs
+++ b/crates/traffic/examples/overload/cost.rs
@@ -32,6 +32,7 @@
     let admission = snapshot.hosted("desk").expect("hosted");
     let request = PickRequest {
         home: HomeRule::ANYWHERE,
+        criticality: Criticality::Normal,
         bytes: 1000,
     };
     let tried = TriedTargets::default();
--- a/crates/traffic/examples/overload/main.rs
+++ b/crates/traffic/examples/overload/main.rs
@@ -83,7 +83,7 @@
 
 fn load(seed: u64) {
     println!(
-        "handling deadline_ms load goodput% p99ms p99.9ms attempts/first critical% limits refused"
+        "handling deadline_ms load goodput% p99ms p99.9ms attempts/first critical% critical_spilled% limits refused"
     );
     let loads = [
         (250, 0.5),
@@ -102,12 +102,13 @@
             let tally = &world.tally;
             let possible = capacity(TARGETS) * span.as_secs_f64();
             println!(
-                "{handling:?} {deadline} {load} {:.1} {:.1} {:.1} {:.3} {:.1} {:?} {:?}",
+                "{handling:?} {deadline} {load} {:.1} {:.1} {:.1} {:.3} {:.1} {:.1} {:?} {:?}",
                 tally.good as f64 * 100.0 / possible,
                 tally.quantile(0.99),
                 tally.quantile(0.999),
                 world.amplification(),
                 tally.critical_good as f64 * 100.0 / tally.critical as f64,
+                tally.critical_spilled as f64 * 100.0 / tally.critical_attempts.max(1) as f64,
                 world.limits(),
                 tally.refused,
             );
--- a/crates/traffic/examples/overload/report.rs
+++ b/crates/traffic/examples/overload/report.rs
@@ -16,6 +16,9 @@
     pub crashes: u64,
     pub critical: u64,
     pub critical_good: u64,
+    /// Attempts of critical requests, and those that left the failure domain.
+    pub critical_attempts: u64,
+    pub critical_spilled: u64,
     times: Histogram<u64>,
     /// Good answers and failures in windows of 100 ms.
     pub windows: Vec<(u32, u32)>,
@@ -32,6 +35,8 @@
             crashes: 0,
             critical: 0,
             critical_good: 0,
+            critical_attempts: 0,
+            critical_spilled: 0,
             times: Histogram::new(3).expect("three digits are valid"),
             windows: Vec::new(),
         }
--- a/crates/traffic/examples/overload/world.rs
+++ b/crates/traffic/examples/overload/world.rs
@@ -242,6 +242,7 @@
         } else {
             let request = PickRequest {
                 home: HomeRule::ANYWHERE,
+                criticality: call.critical,
                 bytes: 0,
             };
             let service = sender.snapshot.service_key("desk").expect("configured");
@@ -253,6 +254,10 @@
                 return;
             };
             call.target = self.hosts[&picked.host];
+            if call.critical == Criticality::Critical {
+                self.tally.critical_attempts += 1;
+                self.tally.critical_spilled += u64::from(picked.distance != Distance::Near);
+            }
             call.tried.insert(picked.target);
             call.picked = Some(picked);
         }
--- a/crates/traffic/src/pick.rs
+++ b/crates/traffic/src/pick.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use radishgauge_config::model::Criticality;
 use rand::Rng;
 use rand_pcg::Pcg32;
 use smol_str::SmolStr;
@@ -58,6 +59,9 @@
 pub struct PickRequest {
     /// Where the request may be handled.
     pub home: HomeRule,
+    /// The order in which requests are shed: a target that is full for cheap
+    /// work may have room for critical work.
+    pub criticality: Criticality,
     /// The bytes that the request sends, counted against the link budget when
     /// the target is in another region.
     pub bytes: u64,
@@ -128,6 +132,7 @@
     pub region: RegionKey,
     /// How far the target is.
     pub distance: Distance,
+    criticality: Criticality,
     stats: Arc<TargetStats>,
     started: Duration,
 }
@@ -145,7 +150,7 @@
                 self.stats.record_capacity(capacity);
             }
             CallOutcome::Refused { reason } if reason.overloaded() => {
-                self.stats.record_full(now + FULL_PAUSE);
+                self.stats.record_full(self.criticality, now + FULL_PAUSE);
             }
             CallOutcome::Refused {
                 reason:
@@ -153,11 +158,15 @@
                     | RefusalReason::Leaving
                     | RefusalReason::NotHosted
                     | RefusalReason::Stale,
-            } => self.stats.record_full(now + CLOSED_PAUSE),
+            } => self
+                .stats
+                .record_full(Criticality::Critical, now + CLOSED_PAUSE),
             CallOutcome::Broken
             | CallOutcome::Refused {
                 reason: RefusalReason::TargetDown,
-            } => self.stats.record_full(now + BROKEN_PAUSE),
+            } => self
+                .stats
+                .record_full(Criticality::Critical, now + BROKEN_PAUSE),
             CallOutcome::Refused { .. } | CallOutcome::Cancelled => {}
         }
     }
@@ -251,6 +260,7 @@
                     daemon: target.daemon,
                     region: target.region,
                     distance,
+                    criticality: request.criticality,
                     stats: Arc::clone(&target.stats),
                     started: now,
                 });
@@ -303,7 +313,7 @@
     fn allows(&self, target: &TargetEntry, with_full: bool) -> bool {
         self.request.home.allows_target(target.region)
             && !self.tried.contains(target.key)
-            && (with_full || !target.stats.is_full(self.now))
+            && (with_full || !target.stats.is_full(self.request.criticality, self.now))
     }
 
     fn refusal(&self, link_full: bool) -> Refusal {
--- a/crates/traffic/src/stats.rs
+++ b/crates/traffic/src/stats.rs
@@ -9,6 +9,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use radishgauge_config::model::Criticality;
+
 /// Weight of one response in the smoothed response time: an eighth follows a
 /// change within about ten responses and still damps single outliers.
 const SMOOTHING_SHIFT: u32 = 3;
@@ -30,7 +32,9 @@
     outstanding: AtomicU32,
     response_us: AtomicU32,
     capacity: AtomicU32,
-    full_until_us: AtomicU64,
+    /// Until when the target is passed over, by criticality: sheddable, normal
+    /// and critical.
+    full_until_us: [AtomicU64; 3],
     failures: AtomicU32,
     failed_at_us: AtomicU64,
 }
@@ -42,7 +46,7 @@
             outstanding: AtomicU32::new(0),
             response_us: AtomicU32::new(INITIAL_RESPONSE_US),
             capacity: AtomicU32::new(capacity.max(1)),
-            full_until_us: AtomicU64::new(0),
+            full_until_us: Default::default(),
             failures: AtomicU32::new(0),
             failed_at_us: AtomicU64::new(0),
         }
@@ -75,9 +79,10 @@
         failures.saturating_sub(u32::try_from(age).unwrap_or(u32::MAX))
     }
 
-    /// Whether the target recently said that it has no room.
-    pub fn is_full(&self, now: Duration) -> bool {
-        self.full_until_us.load(Ordering::Relaxed) > micros(now)
+    /// Whether the target recently said that it has no room for requests of the
+    /// criticality.
+    pub fn is_full(&self, criticality: Criticality, now: Duration) -> bool {
+        self.full_until_us[class(criticality)].load(Ordering::Relaxed) > micros(now)
     }
 
     pub(crate) fn begin(&self) {
@@ -112,9 +117,20 @@
         self.capacity.store(capacity, Ordering::Relaxed);
     }
 
-    pub(crate) fn record_full(&self, until: Duration) {
-        self.full_until_us
-            .fetch_max(micros(until), Ordering::Relaxed);
+    /// Records that the target refused a request of the criticality. It would
+    /// refuse less critical ones too, and may still accept more critical ones.
+    pub(crate) fn record_full(&self, criticality: Criticality, until: Duration) {
+        for full_until in &self.full_until_us[..=class(criticality)] {
+            full_until.fetch_max(micros(until), Ordering::Relaxed);
+        }
+    }
+}
+
+fn class(criticality: Criticality) -> usize {
+    match criticality {
+        Criticality::Sheddable => 0,
+        Criticality::Normal | Criticality::Unspecified => 1,
+        Criticality::Critical => 2,
     }
 }
 
--- a/crates/traffic/tests/traffic/picking.rs
+++ b/crates/traffic/tests/traffic/picking.rs
@@ -6,6 +6,7 @@
 use proptest::prelude::prop;
 use proptest::prop_assert;
 use proptest::proptest;
+use radishgauge_config::model::Criticality;
 use radishgauge_traffic::CallOutcome;
 use radishgauge_traffic::HomeRule;
 use radishgauge_traffic::LinkBudget;
@@ -26,6 +27,7 @@
 
 const ANYWHERE: PickRequest = PickRequest {
     home: HomeRule::ANYWHERE,
+    criticality: Criticality::Normal,
     bytes: 1000,
 };
 
@@ -72,6 +74,29 @@
     assert_eq!(picked.distance, Near);
 }
 
+/// Guards against critical work that leaves its failure domain because cheaper
+/// work was refused there.
+#[test]
+fn target_that_is_full_for_cheap_work_gets_critical_work() {
+    let snapshot = snapshot(&fleet([1, 1, 0, 0, 0, 0]));
+    let service = snapshot.service_key("desk").unwrap();
+    let picker = TargetPicker::new(1, 0);
+    let pick = |criticality| {
+        let request = PickRequest {
+            criticality,
+            ..ANYWHERE
+        };
+        let tried = TriedTargets::default();
+        picker
+            .pick(&snapshot, service, &request, &tried, ms(0))
+            .unwrap()
+    };
+    refuse(pick(Criticality::Normal), RefusalReason::QueueFull, 0);
+    assert_eq!(pick(Criticality::Sheddable).distance, Distance::Region);
+    assert_eq!(pick(Criticality::Normal).distance, Distance::Region);
+    assert_eq!(pick(Criticality::Critical).distance, Distance::Near);
+}
+
 /// Guards against refusals that hide why no target was left.
 #[test]
 fn refusals_name_what_is_missing() {
@@ -223,7 +248,7 @@
             return Ok(());
         };
         let picker = TargetPicker::new(seed, 100);
-        let request = PickRequest { home, bytes: 500 };
+        let request = PickRequest { home, criticality: Criticality::Normal, bytes: 500 };
         let mut now = 0;
         let mut tried = TriedTargets::default();
         for (retry, outcome, pause) in events {
--- a/crates/traffic/tests/traffic/snapshots.rs
+++ b/crates/traffic/tests/traffic/snapshots.rs
@@ -1,5 +1,6 @@
 //! Routes, home rules and what a new snapshot keeps.
 
+use radishgauge_config::model::Criticality;
 use radishgauge_config::model::DomainState;
 use radishgauge_traffic::CallOutcome;
 use radishgauge_traffic::HomeRule;
@@ -98,6 +99,7 @@
     let picker = TargetPicker::new(7, 0);
     let request = PickRequest {
         home: HomeRule::ANYWHERE,
+        criticality: Criticality::Normal,
         bytes: 0,
     };
     let service = old.service_key("desk").unwrap();
