Refuse at the sender when all targets are full for the criticality

Cause: with all targets marked full, a call was sent all the same, and refusing it took time of the targets.

Change: such a call is refused with 'all-targets-full' and 'not run'. A broken path or a closed target is another mark, which gives way when there is no other target.

--- a/crates/traffic/src/pick.rs
+++ b/crates/traffic/src/pick.rs
@@ -158,15 +158,11 @@
                     | RefusalReason::Leaving
                     | RefusalReason::NotHosted
                     | RefusalReason::Stale,
-            } => self
-                .stats
-                .record_full(Criticality::Critical, now + CLOSED_PAUSE),
+            } => self.stats.record_pause(now + CLOSED_PAUSE),
             CallOutcome::Broken
             | CallOutcome::Refused {
                 reason: RefusalReason::TargetDown,
-            } => self
-                .stats
-                .record_full(Criticality::Critical, now + BROKEN_PAUSE),
+            } => self.stats.record_pause(now + BROKEN_PAUSE),
             CallOutcome::Refused { .. } | CallOutcome::Cancelled => {}
         }
     }
@@ -218,7 +214,9 @@
     ///
     /// Near targets come first, then those in other failure domains of the
     /// region. Other regions are used when no target of this region has room
-    /// and the link budget does.
+    /// and the link budget does. A target whose path broke is used when there is
+    /// no other. One that is full is not: it would refuse again, which costs it
+    /// time that it lacks.
     ///
     /// # Errors
     ///
@@ -244,9 +242,9 @@
             random: Pcg32::new(self.seed, draw),
         };
         let mut link_full = false;
-        for with_full in [false, true] {
+        for with_paused in [false, true] {
             for distance in Distance::ALL {
-                let Some(target) = search.find(distance, with_full) else {
+                let Some(target) = search.find(distance, with_paused) else {
                     continue;
                 };
                 if distance == Distance::Far && !self.link.take(request.bytes, now) {
@@ -280,14 +278,14 @@
 }
 
 impl<'a> TargetSearch<'a> {
-    fn find(&mut self, distance: Distance, with_full: bool) -> Option<&'a TargetEntry> {
+    fn find(&mut self, distance: Distance, with_paused: bool) -> Option<&'a TargetEntry> {
         let tier = self.service.tier(distance);
         if tier.is_empty() {
             return None;
         }
         let first = self.random.random_range(0..tier.len());
         let around = tier[first..].iter().chain(&tier[..first]);
-        let mut allowed = around.filter(|target| self.allows(target, with_full));
+        let mut allowed = around.filter(|target| self.allows(target, with_paused));
         match self.rule {
             PickRule::LeastLoaded => {
                 let now = self.now;
@@ -301,7 +299,7 @@
                 let others = tier[offset..].iter().chain(&tier[..offset]);
                 let two = others
                     .filter(|target| target.key != one.key)
-                    .find(|target| self.allows(target, with_full));
+                    .find(|target| self.allows(target, with_paused));
                 Some(match two {
                     Some(two) if score(two, self.now) < score(one, self.now) => two,
                     _ => one,
@@ -310,23 +308,27 @@
         }
     }
 
-    fn allows(&self, target: &TargetEntry, with_full: bool) -> bool {
+    fn allows(&self, target: &TargetEntry, with_paused: bool) -> bool {
         self.request.home.allows_target(target.region)
             && !self.tried.contains(target.key)
-            && (with_full || !target.stats.is_full(self.request.criticality, self.now))
+            && !target.stats.is_full(self.request.criticality, self.now)
+            && (with_paused || !target.stats.is_paused(self.now))
     }
 
     fn refusal(&self, link_full: bool) -> Refusal {
-        let mut targets = Distance::ALL
+        let targets = Distance::ALL
             .into_iter()
             .flat_map(|distance| self.service.tier(distance));
-        let reason = if link_full {
-            RefusalReason::LinkBudget
-        } else if targets.any(|target| self.request.home.allows_target(target.region)) {
-            RefusalReason::AllTried
-        } else {
-            RefusalReason::NoTarget
-        };
+        let mut reason = RefusalReason::NoTarget;
+        for target in targets.filter(|target| self.request.home.allows_target(target.region)) {
+            if link_full {
+                return Refusal::new(RefusalReason::LinkBudget);
+            }
+            if !self.tried.contains(target.key) {
+                return Refusal::new(RefusalReason::AllFull).after(FULL_PAUSE);
+            }
+            reason = RefusalReason::AllTried;
+        }
         Refusal::new(reason)
     }
 }
--- a/crates/traffic/src/refusal.rs
+++ b/crates/traffic/src/refusal.rs
@@ -24,6 +24,9 @@
     NoTarget,
     /// Each target that may receive the request was tried.
     AllTried,
+    /// Each target that may receive the request said just now that it has no
+    /// room for requests of this criticality.
+    AllFull,
     /// Only targets in other regions are left, and the link budget is used up.
     LinkBudget,
     /// The daemon hosts no target of the service.
@@ -64,6 +67,7 @@
             RefusalReason::HomeRegion => "home-region",
             RefusalReason::NoTarget => "no-target",
             RefusalReason::AllTried => "all-targets-tried",
+            RefusalReason::AllFull => "all-targets-full",
             RefusalReason::LinkBudget => "link-budget",
             RefusalReason::NotHosted => "not-hosted",
             RefusalReason::DomainOut => "domain-out",
@@ -89,13 +93,14 @@
     }
 
     /// All reasons.
-    pub const ALL: [RefusalReason; 20] = [
+    pub const ALL: [RefusalReason; 21] = [
         RefusalReason::NoRoute,
         RefusalReason::MethodNotAllowed,
         RefusalReason::UnknownTenant,
         RefusalReason::HomeRegion,
         RefusalReason::NoTarget,
         RefusalReason::AllTried,
+        RefusalReason::AllFull,
         RefusalReason::LinkBudget,
         RefusalReason::NotHosted,
         RefusalReason::DomainOut,
--- a/crates/traffic/src/stats.rs
+++ b/crates/traffic/src/stats.rs
@@ -32,7 +32,9 @@
     outstanding: AtomicU32,
     response_us: AtomicU32,
     capacity: AtomicU32,
-    /// Until when the target is passed over, by criticality: sheddable, normal
+    /// Until when the target is passed over if there are others.
+    paused_until_us: AtomicU64,
+    /// Until when the target counts as full, by criticality: sheddable, normal
     /// and critical.
     full_until_us: [AtomicU64; 3],
     failures: AtomicU32,
@@ -46,6 +48,7 @@
             outstanding: AtomicU32::new(0),
             response_us: AtomicU32::new(INITIAL_RESPONSE_US),
             capacity: AtomicU32::new(capacity.max(1)),
+            paused_until_us: AtomicU64::new(0),
             full_until_us: Default::default(),
             failures: AtomicU32::new(0),
             failed_at_us: AtomicU64::new(0),
@@ -79,6 +82,12 @@
         failures.saturating_sub(u32::try_from(age).unwrap_or(u32::MAX))
     }
 
+    /// Whether the path to the target broke recently, or the target said that it
+    /// takes no work.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        self.paused_until_us.load(Ordering::Relaxed) > micros(now)
+    }
+
     /// Whether the target recently said that it has no room for requests of the
     /// criticality.
     pub fn is_full(&self, criticality: Criticality, now: Duration) -> bool {
@@ -117,6 +126,11 @@
         self.capacity.store(capacity, Ordering::Relaxed);
     }
 
+    pub(crate) fn record_pause(&self, until: Duration) {
+        self.paused_until_us
+            .fetch_max(micros(until), Ordering::Relaxed);
+    }
+
     /// Records that the target refused a request of the criticality. It would
     /// refuse less critical ones too, and may still accept more critical ones.
     pub(crate) fn record_full(&self, criticality: Criticality, until: Duration) {
