Take waiting requests of a class in order of arrival again

Senders steer by smoothed response times and do not see the load, so queues stay long at targets beside idle ones.

Change: oldest first always.

--- a/crates/traffic/src/admit.rs
+++ b/crates/traffic/src/admit.rs
@@ -344,7 +344,7 @@
         let closed = self.closed();
         while closed.is_some() || self.running < self.limit() {
             let allowed = closed.is_some() || !self.suspect_running;
-            let Some(waiting) = self.queue.pop(allowed, self.limit()) else {
+            let Some(waiting) = self.queue.pop(allowed) else {
                 break;
             };
             let decision = match closed {
--- a/crates/traffic/src/queue.rs
+++ b/crates/traffic/src/queue.rs
@@ -63,19 +63,13 @@
         self.length += 1;
     }
 
-    /// Takes the next request: the most critical first. A suspect is taken only
-    /// when none runs.
-    ///
-    /// Of a class, the oldest comes first while the queue is short, and the
-    /// newest while it is over half full: then not all can be served in time,
-    /// and the oldest would leave their slots to the next ones that are late.
-    pub(crate) fn pop(&mut self, suspect_allowed: bool, limit: u32) -> Option<Waiting> {
+    /// Takes the next request: the most critical first, the oldest of a class
+    /// first. A suspect is taken only when none runs.
+    pub(crate) fn pop(&mut self, suspect_allowed: bool) -> Option<Waiting> {
         let open = if suspect_allowed { 4 } else { SUSPECT };
-        let take = match self.length > limit as usize * QUEUE_FACTOR as usize / 2 {
-            true => VecDeque::pop_back,
-            false => VecDeque::pop_front,
-        };
-        let waiting = self.classes[..open].iter_mut().find_map(take)?;
+        let waiting = self.classes[..open]
+            .iter_mut()
+            .find_map(VecDeque::pop_front)?;
         self.length -= 1;
         Some(waiting)
     }
