--- a/crates/traffic/src/admit.rs
+++ b/crates/traffic/src/admit.rs
@@ -117,6 +117,8 @@
 struct AdmissionState {
     domain_out: bool,
     leaving: bool,
+    /// Set by this daemon itself, which knows better than any list.
+    stopping: bool,
     running: u32,
     suspect_running: bool,
     limit: ConcurrencyLimit,
@@ -132,6 +134,7 @@
             state: Mutex::new(AdmissionState {
                 domain_out: false,
                 leaving: false,
+                stopping: false,
                 running: 0,
                 suspect_running: false,
                 limit: ConcurrencyLimit::new(service.slots),
@@ -169,9 +172,10 @@
         state.leaving = leaving;
     }
 
-    /// Stops taking new requests, before a graceful stop of the daemon.
+    /// Stops taking new requests for good, before a graceful stop of the daemon.
+    /// No later configuration lifts this.
     pub fn leave(&self) {
-        self.lock().leaving = true;
+        self.lock().stopping = true;
     }
 
     /// Decides on a request.
@@ -184,6 +188,8 @@
             return Admit::Refuse(Refusal::new(RefusalReason::Deadline));
         }
         state.ramp.advance(now);
+        let running = state.running;
+        state.ramp.check_progress(running, now);
         let limit = state.limit();
         let suspect_waits = request.suspect && state.suspect_running;
         if state.running < limit && !suspect_waits {
@@ -249,9 +255,9 @@
             }
             RunOutcome::Overloaded => {
                 state.limit.record_overload();
-                state.ramp.record_failure();
+                state.ramp.record_failure(now);
             }
-            RunOutcome::Failed => state.ramp.record_failure(),
+            RunOutcome::Failed => state.ramp.record_failure(now),
             RunOutcome::Crashed => state.ramp.restart(now),
             RunOutcome::Cancelled => {}
         }
@@ -278,13 +284,15 @@
         self.lock().ramp.is_cold()
     }
 
-    /// Returns the capacity to report with a response.
+    /// Returns the capacity to report with a response: the requests that may run
+    /// at once. Free slots would be out of date when the report arrives, and
+    /// senders that divide by them leave a slow target too late.
     pub fn reported_capacity(&self) -> u32 {
         let state = self.lock();
         if state.closed().is_some() {
             return 0;
         }
-        state.limit().saturating_sub(state.running)
+        state.limit()
     }
 
     /// A panic while the lock was held leaves counters that are still usable.
@@ -305,7 +313,7 @@
 
 impl AdmissionState {
     fn closed(&self) -> Option<RefusalReason> {
-        if self.leaving {
+        if self.leaving || self.stopping {
             Some(RefusalReason::Leaving)
         } else if self.domain_out {
             Some(RefusalReason::DomainOut)
--- a/crates/traffic/src/pick.rs
+++ b/crates/traffic/src/pick.rs
@@ -1,8 +1,10 @@
 //! Which target a call is sent to.
 //!
-//! A sender sees only its own calls and what targets report, late. Power of
-//! two choices needs no more than that and does not send all senders to the
-//! one target that last reported the best value.
+//! A sender sees only its own calls and what targets report, late. It weighs
+//! its own calls under way at each target, which are exact, with the smoothed
+//! response time and the reported capacity, and it looks at its own random
+//! subset only, so senders do not all choose the one target that last looked
+//! best.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use radishgauge_config::model::Criticality;
 use rand::Rng;
 use rand_pcg::Pcg32;
 use smol_str::SmolStr;
@@ -43,9 +46,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum PickRule {
     /// The better of two random targets.
-    #[default]
     TwoChoices,
-    /// The best of all targets of the subset.
+    /// The best of all targets of the subset; of equals, a random one. A sender
+    /// has few calls under way at each target, so that two random ones often
+    /// tell it nothing, and the subset is small enough to look at all.
+    #[default]
     LeastLoaded,
 }
 
@@ -54,6 +59,9 @@
 pub struct PickRequest {
     /// Where the request may be handled.
     pub home: HomeRule,
+    /// The order in which requests are shed: a target that is full for cheap
+    /// work may have room for critical work.
+    pub criticality: Criticality,
     /// The bytes that the request sends, counted against the link budget when
     /// the target is in another region.
     pub bytes: u64,
@@ -93,6 +101,11 @@
         /// The reported capacity.
         capacity: u32,
     },
+    /// The target answered with a server error.
+    Failed {
+        /// The reported capacity.
+        capacity: u32,
+    },
     /// The target's daemon refused the call.
     Refused {
         /// The reason that it gave.
@@ -119,6 +132,7 @@
     pub region: RegionKey,
     /// How far the target is.
     pub distance: Distance,
+    criticality: Criticality,
     stats: Arc<TargetStats>,
     started: Duration,
 }
@@ -131,8 +145,12 @@
                 self.stats.record_response(now.saturating_sub(self.started));
                 self.stats.record_capacity(capacity);
             }
+            CallOutcome::Failed { capacity } => {
+                self.stats.record_failure(now);
+                self.stats.record_capacity(capacity);
+            }
             CallOutcome::Refused { reason } if reason.overloaded() => {
-                self.stats.record_full(now + FULL_PAUSE);
+                self.stats.record_full(self.criticality, now + FULL_PAUSE);
             }
             CallOutcome::Refused {
                 reason:
@@ -140,11 +158,11 @@
                     | RefusalReason::Leaving
                     | RefusalReason::NotHosted
                     | RefusalReason::Stale,
-            } => self.stats.record_full(now + CLOSED_PAUSE),
+            } => self.stats.record_pause(now + CLOSED_PAUSE),
             CallOutcome::Broken
             | CallOutcome::Refused {
                 reason: RefusalReason::TargetDown,
-            } => self.stats.record_full(now + BROKEN_PAUSE),
+            } => self.stats.record_pause(now + BROKEN_PAUSE),
             CallOutcome::Refused { .. } | CallOutcome::Cancelled => {}
         }
     }
@@ -171,8 +189,8 @@
 }
 
 impl TargetPicker {
-    /// Returns a picker with two random choices, whose random numbers follow
-    /// from the seed.
+    /// Returns a picker with the default rule, whose random numbers follow from
+    /// the seed.
     pub fn new(seed: u64, link_budget_kbit: u64) -> TargetPicker {
         TargetPicker::with_rule(PickRule::default(), seed, link_budget_kbit)
     }
@@ -196,7 +214,9 @@
     ///
     /// Near targets come first, then those in other failure domains of the
     /// region. Other regions are used when no target of this region has room
-    /// and the link budget does.
+    /// and the link budget does. A target whose path broke is used when there is
+    /// no other. One that is full is not: it would refuse again, which costs it
+    /// time that it lacks.
     ///
     /// # Errors
     ///
@@ -222,9 +242,9 @@
             random: Pcg32::new(self.seed, draw),
         };
         let mut link_full = false;
-        for with_full in [false, true] {
+        for with_paused in [false, true] {
             for distance in Distance::ALL {
-                let Some(target) = search.find(distance, with_full) else {
+                let Some(target) = search.find(distance, with_paused) else {
                     continue;
                 };
                 if distance == Distance::Far && !self.link.take(request.bytes, now) {
@@ -238,6 +258,7 @@
                     daemon: target.daemon,
                     region: target.region,
                     distance,
+                    criticality: request.criticality,
                     stats: Arc::clone(&target.stats),
                     started: now,
                 });
@@ -257,16 +278,19 @@
 }
 
 impl<'a> TargetSearch<'a> {
-    fn find(&mut self, distance: Distance, with_full: bool) -> Option<&'a TargetEntry> {
+    fn find(&mut self, distance: Distance, with_paused: bool) -> Option<&'a TargetEntry> {
         let tier = self.service.tier(distance);
         if tier.is_empty() {
             return None;
         }
         let first = self.random.random_range(0..tier.len());
         let around = tier[first..].iter().chain(&tier[..first]);
-        let mut allowed = around.filter(|target| self.allows(target, with_full));
+        let mut allowed = around.filter(|target| self.allows(target, with_paused));
         match self.rule {
-            PickRule::LeastLoaded => allowed.min_by_key(|target| score(target)),
+            PickRule::LeastLoaded => {
+                let now = self.now;
+                allowed.min_by_key(|target| score(target, now))
+            }
             PickRule::TwoChoices => {
                 let one = allowed.next()?;
                 // A second random place, not the next one: neighbours in the
@@ -275,40 +299,45 @@
                 let others = tier[offset..].iter().chain(&tier[..offset]);
                 let two = others
                     .filter(|target| target.key != one.key)
-                    .find(|target| self.allows(target, with_full));
+                    .find(|target| self.allows(target, with_paused));
                 Some(match two {
-                    Some(two) if score(two) < score(one) => two,
+                    Some(two) if score(two, self.now) < score(one, self.now) => two,
                     _ => one,
                 })
             }
         }
     }
 
-    fn allows(&self, target: &TargetEntry, with_full: bool) -> bool {
+    fn allows(&self, target: &TargetEntry, with_paused: bool) -> bool {
         self.request.home.allows_target(target.region)
             && !self.tried.contains(target.key)
-            && (with_full || !target.stats.is_full(self.now))
+            && !target.stats.is_full(self.request.criticality, self.now)
+            && (with_paused || !target.stats.is_paused(self.now))
     }
 
     fn refusal(&self, link_full: bool) -> Refusal {
-        let mut targets = Distance::ALL
+        let targets = Distance::ALL
             .into_iter()
             .flat_map(|distance| self.service.tier(distance));
-        let reason = if link_full {
-            RefusalReason::LinkBudget
-        } else if targets.any(|target| self.request.home.allows_target(target.region)) {
-            RefusalReason::AllTried
-        } else {
-            RefusalReason::NoTarget
-        };
+        let mut reason = RefusalReason::NoTarget;
+        for target in targets.filter(|target| self.request.home.allows_target(target.region)) {
+            if link_full {
+                return Refusal::new(RefusalReason::LinkBudget);
+            }
+            if !self.tried.contains(target.key) {
+                return Refusal::new(RefusalReason::AllFull).after(FULL_PAUSE);
+            }
+            reason = RefusalReason::AllTried;
+        }
         Refusal::new(reason)
     }
 }
 
 /// Returns the expected wait at a target: less is better.
-fn score(target: &TargetEntry) -> u64 {
+fn score(target: &TargetEntry, now: Duration) -> u64 {
     let outstanding = u64::from(target.stats.outstanding()) + 1;
     let response = target.stats.response_time().as_micros() as u64;
     // Scaled, so that small response times do not all divide to zero.
-    outstanding * response * 1024 / u64::from(target.stats.capacity().max(1))
+    let wait = outstanding * response * 1024 / u64::from(target.stats.capacity().max(1));
+    wait << target.stats.failures(now)
 }
--- a/crates/traffic/src/ramp.rs
+++ b/crates/traffic/src/ramp.rs
@@ -11,15 +11,27 @@
 /// sign of a cold start.
 pub const COLD_FACTOR: f64 = 4.0;
 
-/// Successive slow responses that restart the ramp. One alone is often an
-/// expensive request.
-pub const COLD_STREAK: u32 = 3;
+/// Slow responses among the last 16 that restart the ramp. At most a quarter of
+/// the responses can take over 4 times the average, so 14 of 16 are slow by
+/// chance less than once in 5 million responses, and a service of cheap and
+/// expensive requests is not taken for cold.
+pub const COLD_RESPONSES: u32 = 14;
+
+/// Running requests from which on a time without any response is a sign of a
+/// cold start. A warm target that runs four answers 16 in the time of
+/// [`COLD_FACTOR`], and none of them by chance once in millions of times.
+pub const STALL_RUNNING: u32 = 4;
 
 /// A step is good while at most one in so many of its responses is bad. A warm
 /// target at full rate has some expensive requests in each step, so that a step
 /// without any bad response never comes.
 const BAD_SHARE: u32 = 10;
 
+/// A step whose mean response time is over that of the best step by this factor
+/// shows that the target does not bear the limit yet. Twice the load that it
+/// bears would take twice the time.
+const STEP_RISE: f64 = 1.5;
+
 /// Weight of one response in the long-term average of a warm target.
 const WARM_WEIGHT: f64 = 1.0 / 256.0;
 
@@ -37,7 +49,12 @@
     /// `None` when the target is warm.
     ramping: Option<RampStep>,
     average: Option<f64>,
-    streak: u32,
+    /// Whether each of the last 16 responses was slow, the newest in bit 0.
+    slow: u16,
+    /// When a request last ended, or the target ran too few to tell.
+    progress: Duration,
+    /// When the progress was last looked at.
+    seen: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -46,6 +63,10 @@
     until: Duration,
     good: u32,
     bad: u32,
+    /// The sum of the response times.
+    sum: f64,
+    /// The least mean of a step of this ramp.
+    best: Option<f64>,
 }
 
 impl TargetRamp {
@@ -57,7 +78,9 @@
             step,
             ramping: None,
             average: None,
-            streak: 0,
+            slow: 0,
+            progress: now,
+            seen: now,
         };
         ramp.restart(now);
         ramp
@@ -72,12 +95,14 @@
 
     /// Starts again at the cold limit.
     pub fn restart(&mut self, now: Duration) {
-        self.streak = 0;
+        self.slow = 0;
         self.ramping = Some(RampStep {
             limit: self.cold_slots,
             until: now + self.step,
             good: 0,
             bad: 0,
+            sum: 0.0,
+            best: None,
         });
     }
 
@@ -94,12 +119,8 @@
         }
     }
 
-    /// Returns the long-term average of the response time.
-    pub fn average(&self) -> Option<Duration> {
-        self.average.map(Duration::from_secs_f64)
-    }
-
-    /// Doubles the limit when a step is over and its responses were good.
+    /// Ends a step whose time is over: doubles the limit when its responses were
+    /// good, and halves it when they took longer than in an earlier step.
     pub fn advance(&mut self, now: Duration) {
         let Some(step) = &mut self.ramping else {
             return;
@@ -109,11 +130,19 @@
         }
         // Without a response the target has not shown that it bears more.
         if step.good > 0 && step.bad.saturating_mul(BAD_SHARE) <= step.good {
-            step.limit = step.limit.saturating_mul(2);
+            let mean = step.sum / f64::from(step.good);
+            let best = step.best.map_or(mean, |best| best.min(mean));
+            step.best = Some(best);
+            step.limit = if mean > best * STEP_RISE {
+                (step.limit / 2).max(self.cold_slots)
+            } else {
+                step.limit.saturating_mul(2)
+            };
         }
         step.until = now + self.step;
         step.good = 0;
         step.bad = 0;
+        step.sum = 0.0;
         if step.limit >= self.declared {
             self.ramping = None;
         }
@@ -121,34 +150,70 @@
 
     /// Records a response of the target. Returns whether it restarted the ramp.
     pub fn record(&mut self, took: Duration, now: Duration) -> bool {
+        self.progress = now;
         let took = took.as_secs_f64();
         let average = *self.average.get_or_insert(took);
         let slow = took > average * COLD_FACTOR;
-        let weight = if self.ramping.is_some() || slow {
+        let weight = if self.ramping.is_some() {
             COLD_WEIGHT
         } else {
             WARM_WEIGHT
         };
         self.average = Some(average + (took - average) * weight);
         if let Some(step) = &mut self.ramping {
-            if slow {
+            // The first step begins with the first response: a target that
+            // crashed is down for a time, and is as cold as ever when it is back.
+            if step.best.is_none() && step.good + step.bad == 0 {
+                step.until = now + self.step;
+            }
+            // A cold target is slower than a warm one also with a load that it
+            // bears, so that within the ramp it is compared with itself.
+            if step
+                .best
+                .is_some_and(|best| took > average.max(best) * COLD_FACTOR)
+            {
                 step.bad += 1;
             } else {
                 step.good += 1;
+                step.sum += took;
             }
             self.advance(now);
             return false;
         }
-        self.streak = if slow { self.streak + 1 } else { 0 };
-        if self.streak >= COLD_STREAK {
+        self.slow = self.slow << 1 | u16::from(slow);
+        if self.slow.count_ones() >= COLD_RESPONSES {
+            self.restart(now);
+            return true;
+        }
+        false
+    }
+
+    /// Looks at a target that runs so many requests, before one is added.
+    /// Returns whether it has answered none for so long that the ramp was
+    /// restarted: responses of a cold target come late, and until then it would
+    /// be filled up to its limit.
+    pub fn check_progress(&mut self, running: u32, now: Duration) -> bool {
+        let Some(average) = self.average else {
+            return false;
+        };
+        let stall = Duration::from_secs_f64(average * COLD_FACTOR);
+        // After a pause of this process, responses may wait unread.
+        let paused = now.saturating_sub(self.seen) > stall;
+        self.seen = now;
+        if running < STALL_RUNNING || paused {
+            self.progress = now;
+        }
+        let stalled = now.saturating_sub(self.progress) > stall;
+        if stalled && self.ramping.is_none() {
             self.restart(now);
             return true;
         }
         false
     }
 
-    /// Records that the target failed to answer, while it is ramped.
-    pub fn record_failure(&mut self) {
+    /// Records that the target failed to answer.
+    pub fn record_failure(&mut self, now: Duration) {
+        self.progress = now;
         if let Some(step) = &mut self.ramping {
             step.bad += 1;
         }
--- a/crates/traffic/src/stats.rs
+++ b/crates/traffic/src/stats.rs
@@ -9,6 +9,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use radishgauge_config::model::Criticality;
+
 /// Weight of one response in the smoothed response time: an eighth follows a
 /// change within about ten responses and still damps single outliers.
 const SMOOTHING_SHIFT: u32 = 3;
@@ -17,13 +19,26 @@
 /// Low, so that a fresh target is tried and measured.
 const INITIAL_RESPONSE_US: u32 = 1_000;
 
+/// The most failures that count against a target: its score is doubled for each.
+const MAX_FAILURES: u32 = 6;
+
+/// A failure is forgotten after this time without another, so that a target
+/// that is passed over is tried again.
+const FORGET_FAILURE: Duration = Duration::from_secs(1);
+
 /// What this daemon has seen of one target.
 #[derive(Debug)]
 pub struct TargetStats {
     outstanding: AtomicU32,
     response_us: AtomicU32,
     capacity: AtomicU32,
-    full_until_us: AtomicU64,
+    /// Until when the target is passed over if there are others.
+    paused_until_us: AtomicU64,
+    /// Until when the target counts as full, by criticality: sheddable, normal
+    /// and critical.
+    full_until_us: [AtomicU64; 3],
+    failures: AtomicU32,
+    failed_at_us: AtomicU64,
 }
 
 impl TargetStats {
@@ -33,7 +48,10 @@
             outstanding: AtomicU32::new(0),
             response_us: AtomicU32::new(INITIAL_RESPONSE_US),
             capacity: AtomicU32::new(capacity.max(1)),
-            full_until_us: AtomicU64::new(0),
+            paused_until_us: AtomicU64::new(0),
+            full_until_us: Default::default(),
+            failures: AtomicU32::new(0),
+            failed_at_us: AtomicU64::new(0),
         }
     }
 
@@ -52,9 +70,28 @@
         self.capacity.load(Ordering::Relaxed)
     }
 
-    /// Whether the target recently said that it has no room.
-    pub fn is_full(&self, now: Duration) -> bool {
-        self.full_until_us.load(Ordering::Relaxed) > micros(now)
+    /// Returns the server errors that count against the target: recent ones
+    /// less the good answers since, at most 6.
+    pub fn failures(&self, now: Duration) -> u32 {
+        let failures = self.failures.load(Ordering::Relaxed);
+        if failures == 0 {
+            return 0;
+        }
+        let failed_at = self.failed_at_us.load(Ordering::Relaxed);
+        let age = micros(now).saturating_sub(failed_at) / micros(FORGET_FAILURE);
+        failures.saturating_sub(u32::try_from(age).unwrap_or(u32::MAX))
+    }
+
+    /// Whether the path to the target broke recently, or the target said that it
+    /// takes no work.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        self.paused_until_us.load(Ordering::Relaxed) > micros(now)
+    }
+
+    /// Whether the target recently said that it has no room for requests of the
+    /// criticality.
+    pub fn is_full(&self, criticality: Criticality, now: Duration) -> bool {
+        self.full_until_us[class(criticality)].load(Ordering::Relaxed) > micros(now)
     }
 
     pub(crate) fn begin(&self) {
@@ -65,7 +102,19 @@
         self.outstanding.fetch_sub(1, Ordering::Relaxed);
     }
 
+    /// Records a server error. Its time is not recorded: a target that fails at
+    /// once would look like the fastest and draw the most requests.
+    pub(crate) fn record_failure(&self, now: Duration) {
+        let failures = (self.failures(now) + 1).min(MAX_FAILURES);
+        self.failures.store(failures, Ordering::Relaxed);
+        self.failed_at_us.store(micros(now), Ordering::Relaxed);
+    }
+
     pub(crate) fn record_response(&self, took: Duration) {
+        let failures = self.failures.load(Ordering::Relaxed);
+        if failures > 0 {
+            self.failures.store(failures - 1, Ordering::Relaxed);
+        }
         let sample = u32::try_from(took.as_micros()).unwrap_or(u32::MAX).max(1);
         let old = self.response_us.load(Ordering::Relaxed);
         let step = (i64::from(sample) - i64::from(old)) >> SMOOTHING_SHIFT;
@@ -77,10 +126,26 @@
         self.capacity.store(capacity, Ordering::Relaxed);
     }
 
-    pub(crate) fn record_full(&self, until: Duration) {
-        self.full_until_us
+    pub(crate) fn record_pause(&self, until: Duration) {
+        self.paused_until_us
             .fetch_max(micros(until), Ordering::Relaxed);
     }
+
+    /// Records that the target refused a request of the criticality. It would
+    /// refuse less critical ones too, and may still accept more critical ones.
+    pub(crate) fn record_full(&self, criticality: Criticality, until: Duration) {
+        for full_until in &self.full_until_us[..=class(criticality)] {
+            full_until.fetch_max(micros(until), Ordering::Relaxed);
+        }
+    }
+}
+
+fn class(criticality: Criticality) -> usize {
+    match criticality {
+        Criticality::Sheddable => 0,
+        Criticality::Normal | Criticality::Unspecified => 1,
+        Criticality::Critical => 2,
+    }
 }
 
 fn micros(time: Duration) -> u64 {
