Drive many control machines on a virtual clock, and test each failure

Found by the tests: a read of a revision without changed pages never ended; a reader that died with its relays was replaced only when the next host list came, because the next hosts in line had no sessions with the relays. The next hosts in line now keep sessions with the relays before them.

--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -245,6 +245,11 @@
         &self.scope
     }
 
+    /// Returns whether parts of the share are still being fetched.
+    pub fn fetching(&self) -> bool {
+        !self.gaps.is_empty()
+    }
+
     /// Returns the number of open sessions.
     pub fn session_count(&self) -> usize {
         self.peers.len()
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -1,11 +1,11 @@
 //! The open sessions and what each peer last said.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use radishgauge_schema::peer::Hello;
-use slotmap::SecondaryMap;
 use smol_str::SmolStr;
 
 use crate::event::PeerKey;
@@ -61,7 +61,9 @@
 /// All open sessions, by key and by host.
 #[derive(Debug, Clone, Default)]
 pub struct PeerTable {
-    peers: SecondaryMap<PeerKey, PeerInfo>,
+    // Not a `SecondaryMap`: a daemon may reuse a slot before this table hears
+    // that its earlier session ended.
+    peers: HashMap<PeerKey, PeerInfo>,
     hosts: IndexMap<SmolStr, PeerKey>,
 }
 
@@ -72,7 +74,7 @@
     pub fn insert(&mut self, own: &str, key: PeerKey, info: PeerInfo) -> Option<PeerKey> {
         let mut dropped = None;
         if let Some(&held) = self.hosts.get(&info.host) {
-            let earlier = &self.peers[held];
+            let earlier = &self.peers[&held];
             let by_smaller = match info.link {
                 PeerLink::Outbound(_) => own < info.host.as_str(),
                 PeerLink::Inbound => info.host.as_str() < own,
@@ -84,7 +86,7 @@
             {
                 return Some(key);
             }
-            self.peers.remove(held);
+            self.peers.remove(&held);
             dropped = Some(held);
         }
         self.hosts.insert(info.host.clone(), key);
@@ -94,7 +96,7 @@
 
     /// Removes a session.
     pub fn remove(&mut self, key: PeerKey) -> Option<PeerInfo> {
-        let info = self.peers.remove(key)?;
+        let info = self.peers.remove(&key)?;
         if self.hosts.get(&info.host) == Some(&key) {
             self.hosts.swap_remove(&info.host);
         }
@@ -103,12 +105,12 @@
 
     /// Returns a session.
     pub fn get(&self, key: PeerKey) -> Option<&PeerInfo> {
-        self.peers.get(key)
+        self.peers.get(&key)
     }
 
     /// Returns a session for changes.
     pub fn get_mut(&mut self, key: PeerKey) -> Option<&mut PeerInfo> {
-        self.peers.get_mut(key)
+        self.peers.get_mut(&key)
     }
 
     /// Returns the session with a host.
@@ -118,7 +120,7 @@
 
     /// Iterates over all sessions, in a stable order.
     pub fn iter(&self) -> impl Iterator<Item = (PeerKey, &PeerInfo)> {
-        self.hosts.values().map(|key| (*key, &self.peers[*key]))
+        self.hosts.values().map(|key| (*key, &self.peers[key]))
     }
 
     /// Returns the number of sessions.
--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -49,6 +49,9 @@
     queue: VecDeque<PlatformKey>,
     calls: BTreeMap<RequestId, (PlatformKey, Duration)>,
     failures: usize,
+    // Whether the index has yet to be moved; a new revision may have no changed
+    // page at all.
+    moves: bool,
 }
 
 impl ControlMachine {
@@ -105,14 +108,15 @@
         known: Option<PartDigest>,
         mode: FollowMode,
     ) -> Option<RequestId> {
-        if mode == FollowMode::Poll {
-            return self.read_platform(key);
-        }
         if !self.budget.take(self.now) {
             return None;
         }
         let id = self.id();
-        let wait = self.config.policy.watch;
+        // A poll is a watch that does not wait: an unchanged value costs no copy.
+        let wait = match mode {
+            FollowMode::Watch => self.config.policy.watch,
+            FollowMode::Poll | FollowMode::Off => Duration::ZERO,
+        };
         self.out.push(ControlAction::WatchPlatform {
             id,
             key,
@@ -298,6 +302,7 @@
             queue,
             calls: BTreeMap::new(),
             failures: 0,
+            moves: true,
         });
         self.pump_read();
     }
@@ -314,6 +319,7 @@
             queue: VecDeque::new(),
             calls: BTreeMap::new(),
             failures: 0,
+            moves: false,
         });
         self.pump_read();
     }
@@ -372,7 +378,7 @@
             return;
         };
         let mark = read.mark;
-        if !read.pages.is_empty() {
+        if std::mem::take(&mut read.moves) {
             let pages: Vec<_> = std::mem::take(&mut read.pages)
                 .into_iter()
                 .filter_map(|(page, (_, value))| Some((page, value?)))
@@ -403,8 +409,9 @@
                 queue.extend(digests.into_iter().map(PlatformKey::Part));
             }
         }
-        if let Work::Read(read) = &mut self.work {
-            read.queue = queue;
+        match &mut self.work {
+            Work::Read(read) if !queue.is_empty() => read.queue = queue,
+            _ => self.end_read(),
         }
     }
 
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -65,6 +65,13 @@
         for host in neighbour::neighbours(&own, &live, self.config.policy.neighbours) {
             wanted.insert(host, domain.clone());
         }
+        // The next hosts in line watch the relays, so that they notice when the
+        // role falls to them; the host list lags too much for that.
+        let candidates = rank::best(&domain, &live, 2 * self.config.policy.relays);
+        if candidates.contains(&own) {
+            let better = candidates.iter().take_while(|host| **host != own);
+            wanted.extend(better.map(|host| (host.clone(), domain.clone())));
+        }
         let mut rank = None;
         let mut readers = Vec::new();
         if relay {
--- /dev/null
+++ b/crates/control/tests/faults.rs
@@ -0,0 +1,567 @@
+//! The fleet under each failure of the design page, on a virtual clock.
+//!
+//! The virtual fleet checks after every published share that no revision goes
+//! back, that no route lacks its service and that no refused version appears.
+
+use std::collections::HashSet;
+use std::time::Duration;
+
+use radishgauge_control::ControlEvent;
+use radishgauge_control::ControlLog;
+use radishgauge_control::fresh::Freshness;
+use radishgauge_control::member::HostPhase;
+use radishgauge_schema::config::HostState;
+use radishgauge_standin::virtual_fleet::LinkFaults;
+use radishgauge_standin::virtual_fleet::VirtualFleet;
+use radishgauge_standin::virtual_fleet::content::FleetContent;
+use radishgauge_standin::virtual_fleet::content::FleetSpec;
+use radishgauge_standin::virtual_fleet::content::REFUSED_CONNECTIONS;
+use radishgauge_standin::virtual_fleet::content::worker_of;
+use radishgauge_standin::virtual_fleet::platform::PlatformState;
+
+/// An accepted change must be in force everywhere within this time.
+const BOUND: Duration = Duration::from_secs(15);
+
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
+
+fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+fn spec() -> FleetSpec {
+    FleetSpec {
+        regions: 3,
+        domains: 2,
+        hosts: 10,
+        services: 12,
+        seeds: 3,
+    }
+}
+
+/// A fleet of 60 hosts with revision 1 in force, whose roles have settled.
+fn settled(seed: u64) -> (VirtualFleet, FleetContent) {
+    settled_as(spec(), seed)
+}
+
+fn settled_as(spec: FleetSpec, seed: u64) -> (VirtualFleet, FleetContent) {
+    let content = FleetContent::new(&spec);
+    let mut fleet = VirtualFleet::new(spec, seed);
+    fleet.keep_logs = true;
+    fleet.publish(&content);
+    fleet.start_all(Duration::from_millis(500));
+    let took = fleet.run_until(content.mark(), secs(60));
+    assert!(
+        took.is_some(),
+        "seed {seed}: {:?} lack revision 1",
+        fleet.behind(content.mark())
+    );
+    fleet.run_for(secs(40));
+    (fleet, content)
+}
+
+fn change(fleet: &mut VirtualFleet, content: &mut FleetContent, service: usize) {
+    content.change_slots(service);
+    fleet.publish(content);
+}
+
+#[track_caller]
+fn converge(fleet: &mut VirtualFleet, content: &FleetContent, within: Duration) -> Duration {
+    let took = fleet.run_until(content.mark(), within);
+    let behind = fleet.behind(content.mark());
+    took.unwrap_or_else(|| panic!("{behind:?} lack revision {}", content.mark().revision))
+}
+
+fn ranked(fleet: &VirtualFleet, rank: usize) -> Vec<usize> {
+    let count = fleet.spec.host_count();
+    let rank_of = |host: &usize| {
+        fleet
+            .host(*host)
+            .machine()
+            .and_then(|machine| machine.roles().rank)
+    };
+    (0..count)
+        .filter(|host| rank_of(host).is_some_and(|held| held < rank))
+        .collect()
+}
+
+fn payload(fleet: &VirtualFleet, hosts: std::ops::Range<usize>) -> u64 {
+    hosts.map(|host| fleet.host(host).payload).sum()
+}
+
+// A change that is lost on the ordinary path would show in every other test too.
+#[test]
+fn change_reaches_all_hosts() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        for service in 0..8 {
+            change(&mut fleet, &mut content, service);
+            converge(&mut fleet, &content, BOUND);
+        }
+    }
+}
+
+// The daemons that read the platform die together just before a change.
+#[test]
+fn readers_die_in_herds() {
+    for seed in SEEDS {
+        for herd in [1, 2, 5] {
+            let (mut fleet, mut content) = settled(seed);
+            for host in ranked(&fleet, herd) {
+                fleet.crash(host);
+            }
+            change(&mut fleet, &mut content, 3);
+            converge(&mut fleet, &content, BOUND);
+        }
+    }
+}
+
+// All relays of every failure domain die: no surviving host holds all parts.
+#[test]
+fn all_relays_die() {
+    let (mut fleet, mut content) = settled(5);
+    let relays: Vec<_> = (0..60)
+        .filter(|host| {
+            fleet
+                .host(*host)
+                .machine()
+                .is_some_and(|machine| machine.roles().relay)
+        })
+        .collect();
+    assert_eq!(relays.len(), 30);
+    for host in relays {
+        fleet.crash(host);
+    }
+    fleet.run_for(secs(60));
+    change(&mut fleet, &mut content, 3);
+    converge(&mut fleet, &content, secs(60));
+}
+
+// A paused first reader resumes with an old root and must not bring it back.
+#[test]
+fn reader_pauses_and_resumes() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        let readers = ranked(&fleet, 1);
+        change(&mut fleet, &mut content, 1);
+        fleet.run_for(Duration::from_millis(3));
+        for host in &readers {
+            fleet.pause(*host, secs(40));
+        }
+        for service in 2..5 {
+            change(&mut fleet, &mut content, service);
+            fleet.run_for(secs(10));
+            let behind: HashSet<_> = fleet.behind(content.mark()).into_iter().collect();
+            assert_eq!(behind, readers.iter().copied().collect());
+        }
+        fleet.run_for(secs(11));
+        converge(&mut fleet, &content, BOUND);
+        let share = fleet.host(readers[0]).share.clone().unwrap();
+        assert_eq!(share.freshness, Freshness::Fresh);
+        let paused = |log: &ControlLog| matches!(log, ControlLog::PausedFor { .. });
+        assert!(fleet.host(readers[0]).logs.iter().any(paused));
+    }
+}
+
+// A resumed daemon that cannot reach anybody must say so instead of waiting.
+#[test]
+fn pause_in_isolation_is_reported() {
+    let (mut fleet, _) = settled(6);
+    fleet.partition(&[1, 0, 0, 0, 0, 0, 0]);
+    for host in 0..10 {
+        fleet.pause(host, secs(5));
+    }
+    fleet.run_for(Duration::from_millis(5700));
+    // All neighbours were paused too; the ones that answer end the check.
+    let states: Vec<_> = (0..10)
+        .map(|host| fleet.host(host).share.clone().unwrap().freshness)
+        .collect();
+    assert!(!states.contains(&Freshness::Checking), "{states:?}");
+}
+
+// The list names hosts that are long dead and does not name others.
+#[test]
+fn host_list_is_wrong() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        for domain in 0..6 {
+            for host in [2, 5, 7] {
+                fleet.crash(domain * 10 + host);
+            }
+            let spec = fleet.spec.clone();
+            fleet
+                .platform
+                .list_host(&spec, domain * 10 + 8, 9_999_999, HostState::Gone);
+        }
+        fleet.publish_lists();
+        fleet.run_for(secs(10));
+        change(&mut fleet, &mut content, 4);
+        converge(&mut fleet, &content, BOUND);
+    }
+}
+
+// A domain that cannot reach the platform gets versions from the others.
+#[test]
+fn domain_loses_the_platform() {
+    for seed in SEEDS {
+        for domain in 0..6 {
+            let (mut fleet, mut content) = settled(seed);
+            fleet.cut_platform(&[domain]);
+            for service in 0..3 {
+                change(&mut fleet, &mut content, service);
+                converge(&mut fleet, &content, BOUND);
+            }
+        }
+    }
+}
+
+// A whole region that cannot reach the platform gets versions from another.
+#[test]
+fn region_loses_the_platform() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.cut_platform(&[2, 3]);
+        for service in 0..3 {
+            change(&mut fleet, &mut content, service);
+            converge(&mut fleet, &content, BOUND);
+        }
+    }
+}
+
+// An isolated domain keeps its version and takes the delta only on return.
+#[test]
+fn domain_rejoins_with_the_delta() {
+    for seed in SEEDS {
+        let spec = FleetSpec {
+            services: 240,
+            ..spec()
+        };
+        let (mut fleet, mut content) = settled_as(spec, seed);
+        fleet.partition(&[0, 0, 0, 1, 0, 0, 0]);
+        let old = content.mark();
+        for service in 0..6 {
+            change(&mut fleet, &mut content, service);
+            fleet.run_for(secs(10));
+        }
+        let behind: HashSet<_> = fleet.behind(content.mark()).into_iter().collect();
+        assert_eq!(behind, (30..40).collect());
+        let share = fleet.host(30).share.clone().unwrap();
+        assert_eq!(share.revision, old.revision);
+        fleet.heal();
+        let before = payload(&fleet, 30..40);
+        converge(&mut fleet, &content, secs(90));
+        let bytes = payload(&fleet, 30..40) - before;
+        // Each host needs at most 6 index entries of 60 bytes and 6 parts of
+        // 200; one copy has over 240 of each. Twice that covers the framing.
+        assert!(bytes <= 2 * 10 * 6 * 260, "{bytes} bytes on return");
+        assert!(content.copy_bytes() as u64 > bytes);
+    }
+}
+
+// A restarted domain takes its version from other domains' relays or the
+// platform, and does not need to wait for an operator.
+#[test]
+fn domain_restarts() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        for host in 20..30 {
+            fleet.restart(host, secs(2));
+        }
+        converge_after_restart(&mut fleet, &content);
+        change(&mut fleet, &mut content, 2);
+        converge(&mut fleet, &content, BOUND);
+    }
+}
+
+fn converge_after_restart(fleet: &mut VirtualFleet, content: &FleetContent) {
+    fleet.run_for(secs(3));
+    fleet.publish_lists();
+    converge(fleet, content, secs(120));
+}
+
+// No daemon has any state and none has a peer that does.
+#[test]
+fn all_domains_restart() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        for host in 0..60 {
+            fleet.restart(host, secs(2));
+        }
+        converge_after_restart(&mut fleet, &content);
+        assert!(fleet.platform.calls.iter().all(|calls| *calls < 2000));
+        change(&mut fleet, &mut content, 2);
+        converge(&mut fleet, &content, BOUND);
+    }
+}
+
+// All daemons restart while the platform is down, and it comes back in an hour.
+#[test]
+fn platform_returns_after_an_hour() {
+    for seed in [1, 2] {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.set_platform(PlatformState::Down);
+        fleet.run_for(secs(1800));
+        assert!(fleet.behind(content.mark()).is_empty());
+        for host in 0..10 {
+            fleet.restart(host, secs(1));
+        }
+        fleet.run_for(secs(1800));
+        assert!(fleet.behind(content.mark()).is_empty());
+        content.change_slots(1);
+        fleet.set_platform(PlatformState::Up);
+        fleet.publish(&content);
+        // Failed watches are repeated after at most 30 s.
+        converge(&mut fleet, &content, secs(30) + BOUND);
+    }
+}
+
+// The platform shows an old version to a host that restarted alone.
+#[test]
+fn lone_host_meets_a_stale_platform() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.set_platform(PlatformState::Stale);
+        let stale = content.mark();
+        // The others get newer versions before; the platform then serves old ones.
+        fleet.set_platform(PlatformState::Up);
+        change(&mut fleet, &mut content, 1);
+        converge(&mut fleet, &content, BOUND);
+        fleet.set_platform_stale_at(&stale);
+        fleet.restart(33, secs(1));
+        fleet.run_for(secs(4));
+        converge(&mut fleet, &content, BOUND);
+        let share = fleet.host(33).share.clone().unwrap();
+        assert!(!share.unconfirmed);
+    }
+}
+
+// A host that starts cut off from all peers takes what the platform has, says
+// that nobody confirmed it, and goes forward when peers appear.
+#[test]
+fn lone_host_takes_the_platform_unconfirmed() {
+    let (mut fleet, mut content) = settled(7);
+    let stale = content.mark();
+    change(&mut fleet, &mut content, 1);
+    converge(&mut fleet, &content, BOUND);
+    fleet.set_platform_stale_at(&stale);
+    // Only the restarted daemons of the domain and the platform see each other.
+    for host in 10..20 {
+        fleet.crash(host);
+    }
+    fleet.partition(&[0, 1, 0, 0, 0, 0, 1]);
+    fleet.restart(13, secs(1));
+    fleet.run_for(secs(200));
+    let share = fleet
+        .host(13)
+        .share
+        .clone()
+        .expect("a version after the wait");
+    assert_eq!((share.revision, share.unconfirmed), (stale.revision, true));
+    fleet.heal();
+    for host in 10..20 {
+        fleet.restart(host, secs(1));
+    }
+    fleet.publish_lists();
+    converge(&mut fleet, &content, secs(120));
+}
+
+// Links lose, repeat, delay and reorder messages while versions change.
+#[test]
+fn messages_are_crossed_and_repeated() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.faults = LinkFaults {
+            lost: 50,
+            doubled: 200,
+            delay: Duration::from_millis(1500),
+        };
+        for service in 0..10 {
+            change(&mut fleet, &mut content, service);
+            fleet.run_for(secs(2));
+        }
+        fleet.faults = LinkFaults::default();
+        converge(&mut fleet, &content, secs(30));
+    }
+}
+
+// Torn values must be discarded, and a whole one taken when it comes.
+#[test]
+fn platform_tears_values() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.set_platform(PlatformState::Torn);
+        for service in 0..4 {
+            change(&mut fleet, &mut content, service);
+            fleet.run_for(secs(6));
+        }
+        converge(&mut fleet, &content, secs(60));
+    }
+}
+
+// A refused version comes into force nowhere, and all daemons learn why.
+#[test]
+fn refused_version_is_not_published() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        let good = content.mark();
+        content.set_connections(5, REFUSED_CONNECTIONS);
+        fleet.forbid(content.mark());
+        fleet.publish(&content);
+        fleet.run_for(secs(30));
+        assert!(fleet.behind(good).is_empty());
+        for host in 0..60 {
+            let status = fleet.host(host).machine().unwrap().status();
+            assert_eq!(
+                status.refused_revision,
+                content.mark().revision,
+                "host {host}"
+            );
+            assert!(!status.refused_reasons.is_empty());
+        }
+        content.set_connections(5, 110);
+        fleet.publish(&content);
+        converge(&mut fleet, &content, BOUND);
+    }
+}
+
+// Two operators publish different content under one revision: no daemon
+// changes its content, the conflict is reported, and the next revision heals.
+#[test]
+fn conflicting_revisions() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        let mut other = content.clone();
+        content.change_slots(1);
+        other.change_slots(2);
+        fleet.publish(&content);
+        fleet.run_for(Duration::from_millis(8));
+        fleet.publish(&other);
+        fleet.run_for(secs(20));
+        let conflict = |log: &ControlLog| matches!(log, ControlLog::ConflictingRevision { .. });
+        assert!((0..60).any(|host| fleet.host(host).logs.iter().any(conflict)));
+        other.change_slots(3);
+        fleet.publish(&other);
+        converge(&mut fleet, &other, BOUND);
+    }
+}
+
+// A host becomes a target of a service that it never heard of.
+#[test]
+fn new_target_learns_its_service() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        let spec = fleet.spec.clone();
+        let host = 17;
+        let service = (worker_of(host, &spec) + 6) % spec.services;
+        content.add_target(service, &spec, host);
+        fleet.publish(&content);
+        converge(&mut fleet, &content, BOUND);
+        fleet.run_for(secs(10));
+        let share = fleet.host(host).share.clone().unwrap();
+        let name = format!("service-{service:03}");
+        assert!(
+            share.model.services.contains_key(name.as_str()),
+            "{:?}",
+            share.model.services.keys()
+        );
+    }
+}
+
+// A call through a daemon brings a service into its share.
+#[test]
+fn wanted_service_is_loaded() {
+    let (mut fleet, _) = settled(8);
+    let name = "service-009";
+    assert!(
+        !fleet
+            .host(0)
+            .share
+            .as_ref()
+            .unwrap()
+            .model
+            .services
+            .contains_key(name)
+    );
+    let service = name.into();
+    fleet.inject(0, ControlEvent::ServiceWanted { service });
+    fleet.run_for(secs(1));
+    let share = fleet.host(0).share.clone().unwrap();
+    assert!(share.model.services.contains_key(name));
+    fleet.run_for(secs(700));
+    assert!(
+        !fleet
+            .host(0)
+            .share
+            .as_ref()
+            .unwrap()
+            .model
+            .services
+            .contains_key(name)
+    );
+}
+
+// A host that stops must be known as leaving wherever it is a target.
+#[test]
+fn leaving_host_is_known_within_5_s() {
+    for seed in SEEDS {
+        let (mut fleet, _) = settled(seed);
+        let host = 14;
+        let name = fleet.spec.host_name(host);
+        fleet.inject(host, ControlEvent::Stop);
+        fleet.run_for(secs(5));
+        for other in (0..60).filter(|other| *other != host) {
+            let share = fleet.host(other).share.clone().unwrap();
+            if let Some(standing) = share.hosts.get(&name) {
+                assert_eq!(standing.phase, HostPhase::Leaving, "at host {other}");
+            }
+        }
+    }
+}
+
+// Everything at once, at random: whatever happens, no invariant breaks and the
+// fleet converges when it ends.
+#[test]
+fn random_faults() {
+    use rand::Rng;
+    use rand::SeedableRng;
+    for seed in 100..112 {
+        let (mut fleet, mut content) = settled(seed);
+        let mut rng = rand_pcg::Pcg32::seed_from_u64(seed);
+        for _ in 0..40 {
+            let host = rng.random_range(0..60);
+            match rng.random_range(0..10) {
+                0 => fleet.restart(host, secs(rng.random_range(1..20))),
+                1 => fleet.pause(host, secs(rng.random_range(1..20))),
+                2 => fleet.partition(&std::array::from_fn::<_, 7, _>(|_| rng.random_range(0..2))),
+                3 => fleet.heal(),
+                4 => fleet.set_platform(PlatformState::Down),
+                5 => fleet.set_platform(PlatformState::Torn),
+                6 => fleet.set_platform(PlatformState::Stale),
+                7 => {
+                    fleet.faults = LinkFaults {
+                        lost: rng.random_range(0..100),
+                        doubled: rng.random_range(0..100),
+                        delay: Duration::from_millis(rng.random_range(0..500)),
+                    };
+                }
+                8 => fleet.publish_lists(),
+                _ => {
+                    content.change_slots(rng.random_range(0..12));
+                    fleet.publish(&content);
+                }
+            }
+            fleet.run_for(secs(rng.random_range(0..8)));
+        }
+        fleet.heal();
+        fleet.faults = LinkFaults::default();
+        fleet.set_platform(PlatformState::Up);
+        fleet.run_for(secs(20));
+        fleet.publish_lists();
+        change(&mut fleet, &mut content, 0);
+        let took = fleet.run_until(content.mark(), secs(180));
+        assert!(
+            took.is_some(),
+            "seed {seed}: {:?}",
+            fleet.behind(content.mark())
+        );
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod virtual_fleet;
--- /dev/null
+++ b/crates/standin/src/virtual_fleet/content.rs
@@ -0,0 +1,367 @@
+//! Configurations of any size for the virtual fleet, packed as the platform
+//! holds them, and an acceptance rule that tests can make refuse.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use radishgauge_config::DigestIndex;
+use radishgauge_config::FleetModel;
+use radishgauge_config::PartDigest;
+use radishgauge_config::model::DomainModel;
+use radishgauge_config::model::RouteModel;
+use radishgauge_config::model::ServiceModel;
+use radishgauge_config::model::TargetModel;
+use radishgauge_control::accept::AcceptRule;
+use radishgauge_control::accept::NamedPart;
+use radishgauge_control::event::PlatformKey;
+use radishgauge_control::ledger::VersionMark;
+use radishgauge_schema::config::ConfigPart;
+use radishgauge_schema::config::FailureDomain;
+use radishgauge_schema::config::FleetPart;
+use radishgauge_schema::config::IndexRoot;
+use radishgauge_schema::config::Region;
+use radishgauge_schema::config::Route;
+use radishgauge_schema::config::Service;
+use radishgauge_schema::config::Target;
+use radishgauge_schema::config::config_part::Part;
+use radishgauge_schema::peer::PartReply;
+use radishgauge_schema::peer::PartValue;
+use smol_str::SmolStr;
+
+/// The number of connections that marks a service as one to be refused.
+pub const REFUSED_CONNECTIONS: u32 = 1;
+
+/// The size of a virtual fleet.
+#[derive(Debug, Clone)]
+pub struct FleetSpec {
+    /// The regions.
+    pub regions: usize,
+    /// The failure domains of each region.
+    pub domains: usize,
+    /// The hosts of each failure domain.
+    pub hosts: usize,
+    /// The services; hosts run one worker each.
+    pub services: usize,
+    /// The seeds that settings name, in each failure domain.
+    pub seeds: usize,
+}
+
+impl FleetSpec {
+    /// Returns the number of hosts of the fleet.
+    pub fn host_count(&self) -> usize {
+        self.regions * self.domains * self.hosts
+    }
+
+    /// Returns the position of a host's failure domain.
+    pub fn domain_of(&self, host: usize) -> usize {
+        host / self.hosts
+    }
+
+    /// Returns the position of a failure domain's region.
+    pub fn region_of(&self, domain: usize) -> usize {
+        domain / self.domains
+    }
+
+    /// Returns the name of a host.
+    pub fn host_name(&self, host: usize) -> SmolStr {
+        smol_str::format_smolstr!("host-{host:04}")
+    }
+
+    /// Returns the name of a failure domain.
+    pub fn domain_name(&self, domain: usize) -> SmolStr {
+        smol_str::format_smolstr!("zone-{domain}")
+    }
+
+    /// Returns the name of a region.
+    pub fn region_name(&self, region: usize) -> SmolStr {
+        smol_str::format_smolstr!("region-{region}")
+    }
+
+    /// Returns the peer address of a host.
+    pub fn address(&self, host: usize) -> SocketAddr {
+        let [_, a, b, c] = (host as u32 + 1).to_be_bytes();
+        SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, a, b, c)), 7000)
+    }
+}
+
+/// A packed configuration that can be changed part by part.
+#[derive(Debug, Clone)]
+pub struct FleetContent {
+    index: DigestIndex,
+    parts: BTreeMap<SmolStr, Bytes>,
+    services: Vec<Service>,
+}
+
+impl FleetContent {
+    /// Makes revision 1 of a fleet: every host runs a worker of one service, and
+    /// the workers of each service call the two next services.
+    pub fn new(spec: &FleetSpec) -> FleetContent {
+        let mut content = FleetContent {
+            index: DigestIndex::new(1),
+            parts: BTreeMap::new(),
+            services: Vec::new(),
+        };
+        let domains = 0..spec.regions * spec.domains;
+        let fleet = FleetPart {
+            regions: (0..spec.regions)
+                .map(|region| Region {
+                    name: spec.region_name(region).into(),
+                })
+                .collect(),
+            failure_domains: domains
+                .map(|domain| FailureDomain {
+                    name: spec.domain_name(domain).into(),
+                    region: spec.region_name(spec.region_of(domain)).into(),
+                    state: 0,
+                })
+                .collect(),
+            tenants: Vec::new(),
+            policy: None,
+        };
+        content.put("fleet".into(), Part::Fleet(fleet));
+        let name = |service: usize| format!("service-{:03}", service % spec.services);
+        for number in 0..spec.services {
+            let hosts = (0..spec.host_count()).filter(|host| worker_of(*host, spec) == number);
+            let service = Service {
+                name: name(number),
+                slots: 20,
+                connections: 110,
+                cold_start_slots: 2,
+                targets: hosts.map(|host| target(spec, host)).collect(),
+                owner_epoch: 0,
+            };
+            let route = Route {
+                name: format!("route-{number:03}"),
+                path_prefix: format!("/api/{number:03}"),
+                methods: Vec::new(),
+                service: name(number),
+                criticality: 0,
+                repeatable: false,
+                timeout_ms: 2000,
+                home_regions: Vec::new(),
+                calls: vec![name(number + 1), name(number + 2)],
+            };
+            content.put(
+                smol_str::format_smolstr!("route/{}", route.name),
+                Part::Route(route),
+            );
+            content.services.push(service);
+            content.set_service(number);
+        }
+        content
+    }
+
+    /// Changes the slots of one service and gives the next revision.
+    pub fn change_slots(&mut self, service: usize) {
+        let value = &mut self.services[service];
+        value.slots = value.slots % 1000 + 1;
+        self.set_service(service);
+        self.next_revision();
+    }
+
+    /// Makes a host a target of one more service and gives the next revision.
+    pub fn add_target(&mut self, service: usize, spec: &FleetSpec, host: usize) {
+        self.services[service].targets.push(target(spec, host));
+        self.set_service(service);
+        self.next_revision();
+    }
+
+    /// Sets the connections of one service and gives the next revision; see
+    /// [`REFUSED_CONNECTIONS`].
+    pub fn set_connections(&mut self, service: usize, connections: u32) {
+        self.services[service].connections = connections;
+        self.set_service(service);
+        self.next_revision();
+    }
+
+    /// Gives the next revision.
+    pub fn next_revision(&mut self) {
+        self.index.set_revision(self.index.revision() + 1);
+    }
+
+    /// Returns the name of the version.
+    pub fn mark(&self) -> VersionMark {
+        VersionMark {
+            revision: self.index.revision(),
+            root: self.index.root_digest(),
+        }
+    }
+
+    /// Returns the index.
+    pub fn index(&self) -> &DigestIndex {
+        &self.index
+    }
+
+    /// Returns the total length of all parts and pages: one full copy.
+    pub fn copy_bytes(&self) -> usize {
+        let pages =
+            (0..radishgauge_config::index::PAGES).map(|page| self.index.page(page).encoded_len());
+        self.parts.values().map(Bytes::len).sum::<usize>() + pages.sum::<usize>()
+    }
+
+    /// Returns the platform values of this version that differ from those of an
+    /// earlier one.
+    pub fn values(&self, earlier: Option<&FleetContent>) -> Vec<(PlatformKey, Bytes)> {
+        let mut values = Vec::new();
+        let held = |key: &str| earlier.and_then(|earlier| earlier.index.get(key));
+        let mut pages = vec![false; radishgauge_config::index::PAGES];
+        for (key, digest) in self.index.iter() {
+            if held(key) != Some(digest) {
+                pages[DigestIndex::page_of(key)] = true;
+                values.push((PlatformKey::Part(digest), self.parts[key].clone()));
+            }
+        }
+        for (page, changed) in pages.into_iter().enumerate() {
+            if !changed && earlier.is_some() {
+                continue;
+            }
+            let value = self.index.page(page);
+            let digest = self.index.page_digest(page);
+            let parts = value.entries.iter().map(|entry| PartValue {
+                digest: entry.digest.clone(),
+                value: self.parts[entry.key.as_str()].clone(),
+                compressed: false,
+            });
+            let bundle = PartReply {
+                parts: parts.collect(),
+                busy_ms: 0,
+            };
+            values.push((PlatformKey::Page(digest), value.encode_to_vec().into()));
+            values.push((PlatformKey::Bundle(digest), bundle.encode_to_vec().into()));
+        }
+        values.push((PlatformKey::Root, self.index.root().encode_to_vec().into()));
+        values
+    }
+
+    fn set_service(&mut self, number: usize) {
+        let service = self.services[number].clone();
+        let key = smol_str::format_smolstr!("service/{}", service.name);
+        self.put(key, Part::Service(service));
+    }
+
+    fn put(&mut self, key: SmolStr, part: Part) {
+        let value: Bytes = ConfigPart { part: Some(part) }.encode_to_vec().into();
+        self.index.insert(key.clone(), PartDigest::of(&value));
+        self.parts.insert(key, value);
+    }
+}
+
+/// Returns the service whose worker a host runs; the workers of a service are
+/// spread over the failure domains.
+pub fn worker_of(host: usize, spec: &FleetSpec) -> usize {
+    let domains = spec.regions * spec.domains;
+    ((host % spec.hosts) * domains + spec.domain_of(host)) % spec.services
+}
+
+fn target(spec: &FleetSpec, host: usize) -> Target {
+    let mut address = spec.address(host);
+    let daemon = address.to_string();
+    address.set_port(8000);
+    Target {
+        host: spec.host_name(host).into(),
+        address: address.to_string(),
+        daemon,
+        failure_domain: spec.domain_name(spec.domain_of(host)).into(),
+    }
+}
+
+/// Accepts versions whose routes all have their service, and refuses services
+/// with [`REFUSED_CONNECTIONS`].
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PlainRule;
+
+impl AcceptRule for PlainRule {
+    fn accept(&self, _root: &IndexRoot, parts: &[NamedPart]) -> Result<(), Vec<String>> {
+        let mut reasons = Vec::new();
+        let model = self.model(parts)?;
+        for (name, service) in &model.services {
+            if service.connections == REFUSED_CONNECTIONS {
+                reasons.push(format!(
+                    "service {name} has {REFUSED_CONNECTIONS} connection"
+                ));
+            }
+        }
+        for (name, route) in &model.routes {
+            if !model.services.contains_key(&route.service) {
+                reasons.push(format!("route {name} has no service {}", route.service));
+            }
+        }
+        if reasons.is_empty() {
+            Ok(())
+        } else {
+            Err(reasons)
+        }
+    }
+
+    fn model(&self, parts: &[NamedPart]) -> Result<FleetModel, Vec<String>> {
+        let mut model = FleetModel::default();
+        for (key, value) in parts {
+            let part = ConfigPart::decode(value.as_ref())
+                .map_err(|error| vec![format!("{key}: {error}")])?;
+            match part.part {
+                Some(Part::Fleet(fleet)) => {
+                    model.regions = fleet
+                        .regions
+                        .iter()
+                        .map(|region| SmolStr::new(&region.name))
+                        .collect();
+                    for domain in &fleet.failure_domains {
+                        let value = DomainModel {
+                            region: SmolStr::new(&domain.region),
+                            state: domain.state(),
+                        };
+                        model.domains.insert(SmolStr::new(&domain.name), value);
+                    }
+                }
+                Some(Part::Service(service)) => {
+                    model
+                        .services
+                        .insert(SmolStr::new(&service.name), service_model(&service));
+                }
+                Some(Part::Route(route)) => {
+                    model
+                        .routes
+                        .insert(SmolStr::new(&route.name), route_model(&route));
+                }
+                None => return Err(vec![format!("{key} is empty")]),
+            }
+        }
+        Ok(model)
+    }
+}
+
+fn service_model(service: &Service) -> ServiceModel {
+    let targets = service.targets.iter().filter_map(|target| {
+        let value = TargetModel {
+            address: target.address.parse().ok()?,
+            daemon: target.daemon.parse().ok()?,
+            failure_domain: SmolStr::new(&target.failure_domain),
+        };
+        Some((SmolStr::new(&target.host), value))
+    });
+    ServiceModel {
+        slots: service.slots,
+        connections: service.connections,
+        cold_start_slots: service.cold_start_slots,
+        owner_epoch: service.owner_epoch,
+        targets: targets.collect(),
+    }
+}
+
+fn route_model(route: &Route) -> RouteModel {
+    RouteModel {
+        path_prefix: SmolStr::new(&route.path_prefix),
+        methods: route.methods.iter().map(SmolStr::new).collect(),
+        service: SmolStr::new(&route.service),
+        criticality: route.criticality(),
+        repeatable: route.repeatable,
+        timeout: Duration::from_millis(route.timeout_ms),
+        home_regions: route.home_regions.iter().map(SmolStr::new).collect(),
+        calls: route.calls.iter().map(SmolStr::new).collect(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/virtual_fleet/platform.rs
@@ -0,0 +1,155 @@
+//! The platform's configuration service of a virtual fleet.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use radishgauge_config::PartDigest;
+use radishgauge_control::event::PlatformAnswer;
+use radishgauge_control::event::PlatformFailure;
+use radishgauge_control::event::PlatformKey;
+use radishgauge_control::ledger::VersionMark;
+use radishgauge_schema::config::HostEntry;
+use radishgauge_schema::config::HostList;
+use radishgauge_schema::config::HostState;
+
+use crate::virtual_fleet::content::FleetContent;
+use crate::virtual_fleet::content::FleetSpec;
+
+/// How the platform answers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum PlatformState {
+    /// As it should.
+    #[default]
+    Up,
+    /// With a failure.
+    Down,
+    /// With the values that it had when it became stale.
+    Stale,
+    /// With the first half of each value, every other time.
+    Torn,
+}
+
+/// A waiting watch: who asked, what for, and until when.
+#[derive(Debug, Clone)]
+pub(crate) struct Watch {
+    pub(crate) caller: (usize, u32),
+    pub(crate) id: radishgauge_control::RequestId,
+    pub(crate) key: PlatformKey,
+    pub(crate) known: Option<PartDigest>,
+    pub(crate) until: Duration,
+}
+
+/// The values, their state, and the calls of each second.
+#[derive(Debug, Default)]
+pub struct VirtualPlatform {
+    values: HashMap<PlatformKey, Bytes>,
+    stale: HashMap<PlatformKey, Bytes>,
+    roots: HashMap<VersionMark, Bytes>,
+    state: PlatformState,
+    torn: bool,
+    pub(crate) watches: Vec<Watch>,
+    /// The calls that arrived in each second.
+    pub calls: Vec<u32>,
+    content: Option<FleetContent>,
+    lists: HashMap<usize, (u64, Vec<HostEntry>)>,
+}
+
+impl VirtualPlatform {
+    /// Changes how the platform answers.
+    pub fn set_state(&mut self, state: PlatformState) {
+        if state == PlatformState::Stale && self.state != state {
+            self.stale = self.values.clone();
+        }
+        self.state = state;
+    }
+
+    /// Makes the platform stale with the root of an earlier version.
+    pub(crate) fn set_stale_at(&mut self, mark: &VersionMark) {
+        self.stale = self.values.clone();
+        if let Some(root) = self.roots.get(mark) {
+            self.stale.insert(PlatformKey::Root, root.clone());
+        }
+        self.state = PlatformState::Stale;
+    }
+
+    /// Publishes a version.
+    pub fn publish(&mut self, content: &FleetContent) {
+        let values = content.values(self.content.as_ref());
+        self.values.extend(values);
+        let root = self.values[&PlatformKey::Root].clone();
+        self.roots.insert(content.mark(), root);
+        self.content = Some(content.clone());
+    }
+
+    /// Publishes a host's entry in the list of its failure domain.
+    pub fn list_host(&mut self, spec: &FleetSpec, host: usize, incarnation: u64, state: HostState) {
+        let domain = spec.domain_of(host);
+        let (revision, entries) = self.lists.entry(domain).or_default();
+        let entry = HostEntry {
+            host: spec.host_name(host).into(),
+            failure_domain: spec.domain_name(domain).into(),
+            daemon: spec.address(host).to_string(),
+            incarnation,
+            state: state.into(),
+        };
+        match entries.iter_mut().find(|held| held.host == entry.host) {
+            Some(held) => *held = entry,
+            None => entries.push(entry),
+        }
+        entries.retain(|entry| entry.state() != HostState::Gone);
+        *revision += 1;
+    }
+
+    /// Makes the host lists readable that [`VirtualPlatform::list_host`] changed.
+    pub fn publish_lists(&mut self, spec: &FleetSpec) {
+        for (domain, (revision, hosts)) in &self.lists {
+            let list = HostList {
+                failure_domain: spec.domain_name(*domain).into(),
+                revision: *revision,
+                hosts: hosts.clone(),
+            };
+            let key = PlatformKey::Hosts(spec.domain_name(*domain));
+            self.values.insert(key, list.encode_to_vec().into());
+        }
+    }
+
+    /// Counts a call in its second.
+    pub(crate) fn count(&mut self, now: Duration) {
+        let second = now.as_secs() as usize;
+        if self.calls.len() <= second {
+            self.calls.resize(second + 1, 0);
+        }
+        self.calls[second] += 1;
+    }
+
+    /// Answers a read.
+    pub(crate) fn read(&mut self, key: &PlatformKey) -> Result<PlatformAnswer, PlatformFailure> {
+        let values = match self.state {
+            PlatformState::Down => return Err(PlatformFailure("down".into())),
+            PlatformState::Stale => &self.stale,
+            PlatformState::Up | PlatformState::Torn => &self.values,
+        };
+        let Some(value) = values.get(key) else {
+            return Ok(PlatformAnswer::Missing);
+        };
+        self.torn = !self.torn;
+        let whole = self.state != PlatformState::Torn || self.torn;
+        let length = if whole { value.len() } else { value.len() / 2 };
+        Ok(PlatformAnswer::Value(value.slice(..length)))
+    }
+
+    /// Answers a watch, or `None` while the value is the known one.
+    pub(crate) fn watch(
+        &mut self,
+        key: &PlatformKey,
+        known: Option<PartDigest>,
+    ) -> Option<Result<PlatformAnswer, PlatformFailure>> {
+        match self.read(key) {
+            Ok(PlatformAnswer::Value(value)) if Some(PartDigest::of(&value)) == known => None,
+            Ok(PlatformAnswer::Missing) => None,
+            other => Some(other),
+        }
+    }
+}
