--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,10 +5,47 @@
 //! content alone whether a version is accepted, so that every daemon comes to
 //! the same verdict on the same bytes.
 
+pub mod accept;
+pub mod check;
+pub mod compare;
 pub mod digest;
+pub mod fault;
 pub mod index;
+pub mod load;
 pub mod model;
+pub mod pack;
+mod read;
+pub mod reference;
+mod rules;
+mod tree;
 
+pub use accept::AcceptVerdict;
+pub use accept::RefuseReason;
+pub use accept::accept;
+pub use check::FieldPath;
+pub use check::SetFault;
+pub use check::check_closure;
+pub use check::check_services;
+pub use check::check_set;
+pub use compare::ChangeKind;
+pub use compare::SetChange;
+pub use compare::SetDiff;
+pub use compare::TargetDrop;
+pub use compare::compare;
 pub use digest::PartDigest;
+pub use fault::Fault;
+pub use fault::FaultList;
 pub use index::DigestIndex;
+pub use index::open_root;
+pub use load::load_set;
+pub use load::load_settings;
 pub use model::FleetModel;
+pub use model::ModelError;
+pub use pack::PackedError;
+pub use pack::PackedSet;
+pub use pack::WriteReport;
+pub use pack::open_value;
+pub use pack::pack;
+pub use pack::read_packed;
+pub use pack::read_root;
+pub use rules::is_name;
--- /dev/null
+++ b/crates/daemon/src/control_loop.rs
@@ -0,0 +1,430 @@
+//! The control thread: one thread that owns all control state.
+//!
+//! It drives the control machine of `radishgauge-control` and turns its actions
+//! into I/O. Results come back through one queue, so the machine sees events in
+//! one order and needs no lock.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use radishgauge_config::PartDigest;
+use radishgauge_control::ControlAction;
+use radishgauge_control::ControlConfig;
+use radishgauge_control::ControlEvent;
+use radishgauge_control::ControlMachine;
+use radishgauge_control::PeerKey;
+use radishgauge_control::PeerLink;
+use radishgauge_control::PlatformAnswer;
+use radishgauge_control::PlatformKey;
+use radishgauge_control::RequestId;
+use radishgauge_control::event::PeerFailure;
+use radishgauge_control::event::PlatformFailure;
+use radishgauge_net::PeerEndpoint;
+use radishgauge_net::PeerError;
+use radishgauge_net::PeerFault;
+use radishgauge_net::PeerSession;
+use radishgauge_net::PlatformClient;
+use radishgauge_net::Responder;
+use radishgauge_schema::peer::PeerReply;
+use radishgauge_schema::peer::PeerRequest;
+use radishgauge_schema::peer::StatusReply;
+use slotmap::SlotMap;
+use smol_str::SmolStr;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::clock::ProcessClock;
+use crate::control_log;
+use crate::events;
+use crate::meters::CallMeters;
+use crate::meters::MeterSender;
+use crate::meters::count;
+use crate::node::DaemonNode;
+use crate::publish::Publisher;
+use crate::sessions::is_refused;
+
+/// How long a peer may take to answer a control request. Covers a round trip
+/// between regions and a full transfer; a silent peer is found after it.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// How long a read of the platform may take, beyond the time of a watch.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What reaches the control thread from other threads.
+pub enum ControlInput {
+    /// A session was dialled for the control machine.
+    Dialled {
+        /// The address dialled.
+        address: SocketAddr,
+        /// The session, or why there is none.
+        result: Result<PeerSession, PeerError>,
+    },
+    /// A peer sent a control request on a session that it dialled.
+    Request {
+        /// The session.
+        session: PeerSession,
+        /// The request.
+        request: PeerRequest,
+        /// Sends the reply.
+        responder: Responder,
+    },
+    /// A session ended.
+    Closed {
+        /// The number of the session.
+        session: usize,
+        /// Why it ended.
+        reason: PeerFault,
+    },
+    /// An event that needs no translation.
+    Event(ControlEvent),
+    /// Asks what the control machine says of itself.
+    Status(oneshot::Sender<StatusReply>),
+    /// Ends the control thread.
+    End,
+}
+
+/// Sends inputs to the control thread.
+#[derive(Clone)]
+pub struct ControlHandle {
+    inputs: mpsc::UnboundedSender<ControlInput>,
+}
+
+impl ControlHandle {
+    /// Returns a handle and the queue that it feeds.
+    pub fn queue() -> (ControlHandle, mpsc::UnboundedReceiver<ControlInput>) {
+        let (inputs, queue) = mpsc::unbounded_channel();
+        (ControlHandle { inputs }, queue)
+    }
+
+    /// Sends an input; nothing happens after the control thread has ended.
+    pub fn send(&self, input: ControlInput) {
+        let _ = self.inputs.send(input);
+    }
+
+    /// Asks for a service that a call needs and the share lacks.
+    pub fn want_service(&self, service: SmolStr) {
+        self.send(ControlInput::Event(ControlEvent::ServiceWanted { service }));
+    }
+}
+
+/// What the control thread works with.
+pub struct ControlParts {
+    /// The settings of the control machine.
+    pub config: ControlConfig,
+    /// The seed of its jitter and choices.
+    pub seed: u64,
+    /// The process clock.
+    pub clock: Arc<dyn ProcessClock>,
+    /// The endpoint that sessions are dialled from.
+    pub endpoint: PeerEndpoint,
+    /// The platform's configuration service.
+    pub platform: PlatformClient,
+    /// Where shares are published.
+    pub publisher: Publisher,
+    /// What the traffic threads share.
+    pub node: Arc<DaemonNode>,
+    /// The counters of the daemon.
+    pub meters: Arc<CallMeters>,
+    /// Sends the counters, if a receiver is set.
+    pub sender: Option<MeterSender>,
+    /// The runtime of the traffic threads, which carries all I/O.
+    pub runtime: Handle,
+}
+
+/// Starts the control thread.
+///
+/// # Errors
+///
+/// When the thread cannot be started.
+pub fn spawn(
+    parts: ControlParts,
+    handle: ControlHandle,
+    queue: mpsc::UnboundedReceiver<ControlInput>,
+) -> Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_time()
+                .build()
+                .expect("a runtime without I/O needs no system resource");
+            runtime.block_on(ControlLoop::new(parts, handle).run(queue));
+        })
+        .context("start the control thread")
+}
+
+struct ControlLoop {
+    machine: ControlMachine,
+    parts: ControlParts,
+    handle: ControlHandle,
+    peers: SlotMap<PeerKey, PeerSession>,
+    keys: HashMap<usize, PeerKey>,
+    responders: HashMap<(PeerKey, RequestId), Responder>,
+    next_request: u64,
+    next_meter: Duration,
+    telemetry_failing: bool,
+}
+
+impl ControlLoop {
+    fn new(parts: ControlParts, handle: ControlHandle) -> ControlLoop {
+        ControlLoop {
+            machine: ControlMachine::new(parts.config.clone(), parts.seed),
+            parts,
+            handle,
+            peers: SlotMap::with_key(),
+            keys: HashMap::new(),
+            responders: HashMap::new(),
+            next_request: 0,
+            next_meter: Duration::ZERO,
+            telemetry_failing: false,
+        }
+    }
+
+    async fn run(mut self, mut queue: mpsc::UnboundedReceiver<ControlInput>) {
+        self.step(ControlEvent::Tick);
+        loop {
+            let wait = self
+                .machine
+                .next_tick()
+                .saturating_sub(self.parts.clock.now());
+            tokio::select! {
+                input = queue.recv() => match input {
+                    None | Some(ControlInput::End) => return,
+                    Some(input) => self.take(input),
+                },
+                () = tokio::time::sleep(wait) => self.step(ControlEvent::Tick),
+            }
+            self.parts.publisher.confirm(self.parts.clock.now());
+            self.send_meters();
+        }
+    }
+
+    fn take(&mut self, input: ControlInput) {
+        match input {
+            ControlInput::Event(event) => self.step(event),
+            ControlInput::Dialled { address, result } => match result {
+                Ok(session) => {
+                    self.add_peer(session, PeerLink::Outbound(address));
+                }
+                Err(error) => {
+                    if is_refused(&error.fault) {
+                        events::PEER_REFUSED.emit(format_args!(
+                            "address={address} reason={:?}",
+                            error.to_string()
+                        ));
+                    }
+                    self.step(ControlEvent::DialFailed { address });
+                }
+            },
+            ControlInput::Request {
+                session,
+                request,
+                responder,
+            } => {
+                let peer = match self.keys.get(&session.id()) {
+                    Some(peer) => *peer,
+                    None => self.add_peer(session, PeerLink::Inbound),
+                };
+                self.next_request += 1;
+                let id = RequestId(self.next_request);
+                self.responders.insert((peer, id), responder);
+                self.step(ControlEvent::Request { peer, id, request });
+            }
+            ControlInput::Closed { session, reason } => {
+                if let Some(peer) = self.keys.remove(&session) {
+                    if let Some(session) = self.peers.remove(peer) {
+                        let host = &session.peer().host;
+                        events::PEER_DOWN.emit(format_args!("host={host} reason={reason:?}"));
+                    }
+                    self.responders.retain(|(owner, _), _| *owner != peer);
+                    self.step(ControlEvent::PeerDown { peer });
+                }
+            }
+            ControlInput::Status(sender) => {
+                // An operator that went away needs no answer.
+                let _ = sender.send(self.machine.status());
+            }
+            ControlInput::End => {}
+        }
+    }
+
+    fn add_peer(&mut self, session: PeerSession, link: PeerLink) -> PeerKey {
+        let hello = session.peer().clone();
+        events::PEER_UP.emit(format_args!(
+            "host={} failure_domain={} address={}",
+            hello.host,
+            hello.failure_domain,
+            session.address()
+        ));
+        let peer = self.peers.insert(session.clone());
+        self.keys.insert(session.id(), peer);
+        let handle = self.handle.clone();
+        self.parts.runtime.spawn(async move {
+            let reason = session.closed().await;
+            handle.send(ControlInput::Closed {
+                session: session.id(),
+                reason,
+            });
+        });
+        self.step(ControlEvent::PeerUp { peer, hello, link });
+        peer
+    }
+
+    fn step(&mut self, event: ControlEvent) {
+        let now = self.parts.clock.now();
+        for action in self.machine.handle(event, now) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: ControlAction) {
+        match action {
+            ControlAction::ReadPlatform { id, key } => self.read(id, key, None),
+            ControlAction::WatchPlatform {
+                id,
+                key,
+                known,
+                wait,
+            } => {
+                self.read(id, key, Some((known, wait)));
+            }
+            ControlAction::Dial { address } => self.dial(address),
+            ControlAction::Drop { peer } => {
+                if let Some(session) = self.peers.remove(peer) {
+                    self.keys.remove(&session.id());
+                    self.responders.retain(|(owner, _), _| *owner != peer);
+                    session.close("no longer needed");
+                }
+            }
+            ControlAction::Send { peer, id, request } => self.send(peer, id, request),
+            ControlAction::Reply { peer, id, reply } => {
+                if let Some(responder) = self.responders.remove(&(peer, id)) {
+                    self.parts.runtime.spawn(async move {
+                        // A requester that is gone asks again on another session.
+                        let _ = responder.reply(reply).await;
+                    });
+                }
+            }
+            ControlAction::Publish(share) => {
+                self.parts.endpoint.set_revision(share.revision);
+                let now = self.parts.clock.now();
+                if self.parts.publisher.publish(share, now) {
+                    count(&self.parts.meters.versions);
+                }
+                if let Some(version) = self.parts.node.state.current() {
+                    self.parts.node.configure(&version);
+                }
+            }
+            ControlAction::Log(log) => control_log::emit(&log),
+        }
+    }
+
+    fn read(
+        &mut self,
+        id: RequestId,
+        key: PlatformKey,
+        watch: Option<(Option<PartDigest>, Duration)>,
+    ) {
+        count(&self.parts.meters.platform_calls);
+        let platform = self.parts.platform.clone();
+        let handle = self.handle.clone();
+        self.parts.runtime.spawn(async move {
+            let name = key.to_string();
+            let limit = PLATFORM_TIMEOUT + watch.map_or(Duration::ZERO, |(_, wait)| wait);
+            let work = async {
+                match watch {
+                    None => platform.read(&name).await.map(|value| match value {
+                        Some(value) => PlatformAnswer::Value(value),
+                        None => PlatformAnswer::Missing,
+                    }),
+                    Some((known, wait)) => {
+                        platform
+                            .watch(&name, known, wait)
+                            .await
+                            .map(|value| match value {
+                                Some(value) => PlatformAnswer::Value(value),
+                                None => PlatformAnswer::Unchanged,
+                            })
+                    }
+                }
+            };
+            let result = match tokio::time::timeout(limit, work).await {
+                Ok(result) => {
+                    result.map_err(|error| PlatformFailure(SmolStr::new(error.to_string())))
+                }
+                Err(_) => Err(PlatformFailure(SmolStr::new_static("no answer in time"))),
+            };
+            handle.send(ControlInput::Event(ControlEvent::PlatformValue {
+                id,
+                result,
+            }));
+        });
+    }
+
+    fn dial(&self, address: SocketAddr) {
+        let endpoint = self.parts.endpoint.clone();
+        let handle = self.handle.clone();
+        self.parts.runtime.spawn(async move {
+            let result = endpoint.dial(address).await;
+            handle.send(ControlInput::Dialled { address, result });
+        });
+    }
+
+    fn send(&self, peer: PeerKey, id: RequestId, request: PeerRequest) {
+        let Some(session) = self.peers.get(peer).cloned() else {
+            let result = Err(PeerFailure::Closed);
+            self.handle
+                .send(ControlInput::Event(ControlEvent::Reply { id, result }));
+            return;
+        };
+        let handle = self.handle.clone();
+        self.parts.runtime.spawn(async move {
+            let result = session.request(request, REPLY_TIMEOUT).await;
+            let result: Result<PeerReply, PeerFailure> =
+                result.map_err(|error| match error.fault {
+                    PeerFault::Timeout => PeerFailure::Silent,
+                    PeerFault::Malformed(_)
+                    | PeerFault::Oversize { .. }
+                    | PeerFault::Unexpected(_) => {
+                        events::MESSAGE_REJECTED.emit(format_args!(
+                            "host={} reason={:?}",
+                            session.peer().host,
+                            error.to_string()
+                        ));
+                        PeerFailure::Malformed
+                    }
+                    _ => PeerFailure::Closed,
+                });
+            handle.send(ControlInput::Event(ControlEvent::Reply { id, result }));
+        });
+    }
+
+    fn send_meters(&mut self) {
+        let now = self.parts.clock.now();
+        let Some(sender) = &mut self.parts.sender else {
+            return;
+        };
+        if now < self.next_meter {
+            return;
+        }
+        self.next_meter = now + MeterSender::INTERVAL;
+        let revision = self.parts.publisher.revision();
+        let sent = sender.send(&self.parts.meters, revision);
+        if let Err(error) = &sent
+            && !self.telemetry_failing
+        {
+            events::TELEMETRY_FAILED.emit(format_args!(
+                "receiver=statsd error={:?}",
+                error.to_string()
+            ));
+        }
+        self.telemetry_failing = sent.is_err();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/sessions.rs
@@ -0,0 +1,225 @@
+//! The sessions that carry calls to other daemons.
+//!
+//! Calls have sessions of their own, apart from those of the control thread,
+//! which closes its sessions by its own rules. A session is dialled on first
+//! use, shared by all calls to that daemon, and probed only while calls wait.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use radishgauge_net::PeerEndpoint;
+use radishgauge_net::PeerError;
+use radishgauge_net::PeerFault;
+use radishgauge_net::PeerSession;
+use radishgauge_traffic::session::PING_TIMEOUT;
+use radishgauge_traffic::session::ProbeAction;
+use radishgauge_traffic::session::SessionProbe;
+use tokio::sync::Notify;
+
+use crate::clock::ProcessClock;
+use crate::events;
+
+/// A session of the pool, with its probe.
+pub struct CallSession {
+    session: PeerSession,
+    probe: Mutex<SessionProbe>,
+    waiting: Notify,
+    clock: Arc<dyn ProcessClock>,
+}
+
+impl CallSession {
+    /// Returns the session.
+    pub fn session(&self) -> &PeerSession {
+        &self.session
+    }
+
+    /// Counts a call as waiting for its answer until the value is dropped.
+    pub fn wait(self: &Arc<Self>) -> WaitingCall {
+        self.with_probe(|probe, now| probe.call_sent(now));
+        self.waiting.notify_one();
+        WaitingCall {
+            session: Arc::clone(self),
+        }
+    }
+
+    /// Makes sure that an idle session still carries messages before a call
+    /// that must not be sent twice uses it.
+    ///
+    /// # Errors
+    ///
+    /// When the session does not answer; nothing was sent then.
+    pub async fn confirm(&self, repeatable: bool) -> Result<(), PeerError> {
+        if !self.with_probe(|probe, now| probe.needs_ping(repeatable, now)) {
+            return Ok(());
+        }
+        match self.session.ping(PING_TIMEOUT).await {
+            Ok(()) => {
+                self.with_probe(SessionProbe::received);
+                Ok(())
+            }
+            Err(error) => {
+                self.session.close("silent");
+                Err(PeerError::unsent(error.fault))
+            }
+        }
+    }
+
+    fn with_probe<F, R>(&self, action: F) -> R
+    where
+        F: FnOnce(&mut SessionProbe, Duration) -> R,
+    {
+        let now = self.clock.now();
+        action(
+            &mut self.probe.lock().unwrap_or_else(PoisonError::into_inner),
+            now,
+        )
+    }
+
+    /// Pings while calls wait; ends when the session is closed or silent.
+    async fn watch(self: Arc<Self>) {
+        while !self.session.is_closed() {
+            match self.with_probe(SessionProbe::tick) {
+                ProbeAction::Wait(None) => tokio::select! {
+                    () = self.waiting.notified() => {}
+                    _ = self.session.closed() => return,
+                },
+                ProbeAction::Wait(Some(until)) => {
+                    tokio::time::sleep(until.saturating_sub(self.clock.now())).await;
+                }
+                ProbeAction::Ping => {
+                    let asked = Arc::clone(&self);
+                    tokio::spawn(async move {
+                        if asked.session.ping(2 * PING_TIMEOUT).await.is_ok() {
+                            asked.with_probe(SessionProbe::received);
+                        }
+                    });
+                }
+                ProbeAction::Silent => {
+                    events::PEER_SILENT.emit(format_args!("host={}", self.session.peer().host));
+                    self.session.close("silent");
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// A call that waits for its answer.
+pub struct WaitingCall {
+    session: Arc<CallSession>,
+}
+
+impl WaitingCall {
+    /// Records that something of the answer came.
+    pub fn received(&self) {
+        self.session.with_probe(SessionProbe::received);
+    }
+}
+
+impl Drop for WaitingCall {
+    fn drop(&mut self) {
+        self.session.with_probe(|probe, _| probe.call_ended());
+    }
+}
+
+#[derive(Default)]
+struct PoolSlot {
+    current: ArcSwapOption<CallSession>,
+    dialling: tokio::sync::Mutex<()>,
+}
+
+/// The sessions that carry calls, by peer address.
+pub struct SessionPool {
+    endpoint: PeerEndpoint,
+    clock: Arc<dyn ProcessClock>,
+    slots: RwLock<HashMap<SocketAddr, Arc<PoolSlot>>>,
+}
+
+impl SessionPool {
+    /// Returns an empty pool.
+    pub fn new(endpoint: PeerEndpoint, clock: Arc<dyn ProcessClock>) -> SessionPool {
+        let slots = RwLock::default();
+        SessionPool {
+            endpoint,
+            clock,
+            slots,
+        }
+    }
+
+    /// Returns the session to an address; the first caller dials and others
+    /// wait for it.
+    ///
+    /// # Errors
+    ///
+    /// When the peer cannot be reached; nothing was sent then.
+    pub async fn get(&self, address: SocketAddr) -> Result<Arc<CallSession>, PeerError> {
+        let slot = self.slot(address);
+        if let Some(session) = open_session(&slot) {
+            return Ok(session);
+        }
+        let _dialling = slot.dialling.lock().await;
+        if let Some(session) = open_session(&slot) {
+            return Ok(session);
+        }
+        let session = self.endpoint.dial(address).await?;
+        let opened = Arc::new(CallSession {
+            session,
+            probe: Mutex::new(SessionProbe::new(self.clock.now())),
+            waiting: Notify::new(),
+            clock: Arc::clone(&self.clock),
+        });
+        tokio::spawn(Arc::clone(&opened).watch());
+        slot.current.store(Some(Arc::clone(&opened)));
+        Ok(opened)
+    }
+
+    /// Closes sessions to daemons that no target needs any more.
+    pub fn retain<F>(&self, needed: F)
+    where
+        F: Fn(&SocketAddr) -> bool,
+    {
+        let mut slots = self.slots.write().unwrap_or_else(PoisonError::into_inner);
+        slots.retain(|address, slot| {
+            let busy = slot
+                .current
+                .load()
+                .as_ref()
+                .is_some_and(|held| held.with_probe(|probe, _| probe.is_waiting()));
+            let keep = busy || needed(address);
+            if !keep && let Some(held) = slot.current.swap(None) {
+                held.session.close("no longer needed");
+            }
+            keep
+        });
+    }
+
+    fn slot(&self, address: SocketAddr) -> Arc<PoolSlot> {
+        let slots = self.slots.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = slots.get(&address) {
+            return Arc::clone(slot);
+        }
+        drop(slots);
+        let mut slots = self.slots.write().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(slots.entry(address).or_default())
+    }
+}
+
+fn open_session(slot: &PoolSlot) -> Option<Arc<CallSession>> {
+    let session = slot.current.load_full()?;
+    (!session.session.is_closed()).then_some(session)
+}
+
+/// Returns whether a failed dial or request says that the peer was refused,
+/// which an operator must hear of.
+pub fn is_refused(fault: &PeerFault) -> bool {
+    matches!(
+        fault,
+        PeerFault::Tls(_) | PeerFault::Identity { .. } | PeerFault::Refused(_)
+    )
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,55 @@
-//! Placeholder.
+//! Thin adapters between the state machines and the network.
+//!
+//! Daemons talk to each other over QUIC with mutual TLS, one stream per request
+//! or call, so that a late answer can never reach another caller. The crate
+//! decides nothing about routes or versions: it moves bytes, enforces size
+//! limits, and reports exactly whether a request may have left the process.
+
+pub mod authority;
+pub mod call;
+pub mod error;
+pub mod frame;
+mod gate;
+pub mod keys;
+pub mod listener;
+pub mod peer;
+pub mod platform;
+pub mod session;
+pub mod target;
+
+pub use authority::KeyAuthority;
+pub use call::AnswerSender;
+pub use call::BodyReceiver;
+pub use call::CallReceiver;
+pub use call::CallSender;
+pub use call::Responder;
+pub use error::PeerError;
+pub use error::PeerFault;
+pub use keys::PeerIdentity;
+pub use keys::PeerName;
+pub use listener::AnswerBody;
+pub use listener::BodyFault;
+pub use listener::BoxError;
+pub use listener::CallerListener;
+pub use listener::HttpAnswer;
+pub use listener::HttpBody;
+pub use listener::HttpRequest;
+pub use listener::ListenLimits;
+pub use listener::OperatorListener;
+pub use peer::PeerConfig;
+pub use peer::PeerEndpoint;
+pub use peer::PeerLimits;
+pub use peer::RefusedPeer;
+pub use platform::PlatformClient;
+pub use platform::PlatformError;
+pub use session::InboundStream;
+pub use session::PeerSession;
+pub use session::PeerStream;
+pub use session::SessionStats;
+pub use target::RequestProgress;
+pub use target::TargetAnswer;
+pub use target::TargetBody;
+pub use target::TargetClient;
+pub use target::TargetError;
+pub use target::TargetFault;
+pub use target::TargetLimits;
