--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod view;
 
 mod apply;
+mod follow;
 mod hosting;
 mod pull;
 mod read;
--- a/crates/control/src/read.rs
+++ b/crates/control/src/read.rs
@@ -7,14 +7,10 @@
 use bytes::Bytes;
 use prost::Message;
 use radishgauge_config::PartDigest;
-use radishgauge_config::open_root;
 use radishgauge_schema::config::IndexPage;
 use radishgauge_schema::peer::PartReply;
 use smol_str::SmolStr;
 
-use crate::event::ControlAction;
-use crate::event::PlatformAnswer;
-use crate::event::PlatformFailure;
 use crate::event::PlatformKey;
 use crate::event::RequestId;
 use crate::ledger::HeadVerdict;
@@ -22,7 +18,6 @@
 use crate::log::ControlLog;
 use crate::machine::ControlMachine;
 use crate::machine::Work;
-use crate::platform::FollowMode;
 use crate::share;
 
 /// The reads of one daemon that wait at the platform at the same time.
@@ -36,10 +31,10 @@
 const FAILURES: usize = 3;
 
 /// The wait after a read that was given up.
-const RETRY: Duration = Duration::from_secs(2);
+pub(crate) const RETRY: Duration = Duration::from_secs(2);
 
 /// How long a call may stay unanswered.
-const CALL_TIME: Duration = Duration::from_secs(10);
+pub(crate) const CALL_TIME: Duration = Duration::from_secs(10);
 
 /// A transfer from the platform.
 #[derive(Debug, Clone)]
@@ -55,203 +50,6 @@
 }
 
 impl ControlMachine {
-    fn follow_mode(&self) -> (FollowMode, FollowMode) {
-        let may = self.ledger.record().is_some()
-            || self
-                .start
-                .as_ref()
-                .is_some_and(|start| start.may_read(self.now));
-        let root = if may { self.roles.rank } else { None };
-        (
-            FollowMode::of_rank(root),
-            FollowMode::of_rank(self.relay_rank()),
-        )
-    }
-
-    /// Makes the platform calls that are due.
-    pub(crate) fn follow_platform(&mut self) {
-        let (root, hosts) = self.follow_mode();
-        let now = self.now;
-        if self.plan.root.due(root, now, &mut self.rng) {
-            let known = self.plan.root.known;
-            if let Some(id) = self.follow(PlatformKey::Root, known, root) {
-                self.plan
-                    .root
-                    .called(id, now + self.config.policy.watch + CALL_TIME);
-            }
-        }
-        if self.plan.hosts.due(hosts, now, &mut self.rng) {
-            let known = self.plan.hosts.known;
-            let key = PlatformKey::Hosts(self.config.domain.clone());
-            if let Some(id) = self.follow(key, known, hosts) {
-                self.plan
-                    .hosts
-                    .called(id, now + self.config.policy.watch + CALL_TIME);
-            }
-        }
-        if self.lists.revision(&self.config.domain) == 0
-            && self
-                .start
-                .as_mut()
-                .is_some_and(|start| start.list_due(now, &mut self.rng))
-        {
-            let key = PlatformKey::Hosts(self.config.domain.clone());
-            self.read_other(key);
-        }
-        self.read_foreign_lists();
-        self.try_lone_read();
-    }
-
-    fn follow(
-        &mut self,
-        key: PlatformKey,
-        known: Option<PartDigest>,
-        mode: FollowMode,
-    ) -> Option<RequestId> {
-        if !self.budget.take(self.now) {
-            return None;
-        }
-        let id = self.id();
-        // A poll is a watch that does not wait: an unchanged value costs no copy.
-        let wait = match mode {
-            FollowMode::Watch => self.config.policy.watch,
-            FollowMode::Poll | FollowMode::Off => Duration::ZERO,
-        };
-        self.out.push(ControlAction::WatchPlatform {
-            id,
-            key,
-            known,
-            wait,
-        });
-        Some(id)
-    }
-
-    pub(crate) fn read_other(&mut self, key: PlatformKey) {
-        if let Some(id) = self.read_platform(key.clone()) {
-            self.other_reads.insert(id, (key, self.now + CALL_TIME));
-        }
-    }
-
-    fn heard_version(&self) -> bool {
-        self.peers.iter().any(|(_, info)| info.revision > 0)
-    }
-
-    // A daemon that no peer helps reads the whole version by itself.
-    fn try_lone_read(&mut self) {
-        if self.ledger.record().is_some()
-            || self.roles.relay
-            || self.plan.seen.is_some()
-            || self.heard_version()
-        {
-            return;
-        }
-        let now = self.now;
-        if !matches!(self.work, Work::Idle) || now < self.plan.retry_at {
-            return;
-        }
-        if self
-            .start
-            .as_mut()
-            .is_some_and(|start| start.lone_due(now, &mut self.rng))
-        {
-            self.plan.retry_at = now + RETRY;
-            self.read_other(PlatformKey::Root);
-        }
-    }
-
-    pub(crate) fn platform_value(
-        &mut self,
-        id: RequestId,
-        result: Result<PlatformAnswer, PlatformFailure>,
-    ) {
-        let now = self.now;
-        match &result {
-            Ok(_) => self.plan.contact = Some(now),
-            Err(failure) if !self.plan.root.failing() => {
-                let reason = failure.0.clone();
-                self.log(ControlLog::PlatformUnavailable { reason });
-            }
-            Err(_) => {}
-        }
-        let value = match &result {
-            Ok(PlatformAnswer::Value(value)) => Some(value.clone()),
-            Ok(PlatformAnswer::Unchanged | PlatformAnswer::Missing) | Err(_) => None,
-        };
-        let ok = result.is_ok();
-        let (root, hosts) = self.follow_mode();
-        if self.plan.root.ended(id, ok, root, now, &mut self.rng) {
-            if let Some(value) = value {
-                self.plan.root.known = Some(PartDigest::of(&value));
-                self.see_root(&value);
-            }
-        } else if self.plan.hosts.ended(id, ok, hosts, now, &mut self.rng) {
-            if let Some(value) = value {
-                self.plan.hosts.known = Some(PartDigest::of(&value));
-                self.see_hosts(&value);
-            }
-        } else if let Some((key, _)) = self.other_reads.remove(&id) {
-            match (key, value) {
-                (PlatformKey::Root, Some(value)) => {
-                    self.lone = !self.roles.relay;
-                    self.see_root(&value);
-                }
-                (PlatformKey::Root, None) => {
-                    if let Some(start) = &mut self.start {
-                        start.lone_failed(now, &mut self.rng);
-                    }
-                }
-                (PlatformKey::Hosts(_), Some(value)) => self.see_hosts(&value),
-                _ => {}
-            }
-        } else {
-            self.take_read(id, value);
-        }
-        self.advance();
-    }
-
-    fn see_root(&mut self, value: &Bytes) {
-        let mark = open_root(value.as_ref()).ok().map(|root| {
-            let revision = root.revision;
-            let digest = PartDigest::of(value);
-            (
-                root,
-                VersionMark {
-                    revision,
-                    root: digest,
-                },
-            )
-        });
-        let Some((root, mark)) = mark.filter(|(_, mark)| mark.revision > 0) else {
-            self.discard(&PlatformKey::Root);
-            return;
-        };
-        let (verdict, first) = self.ledger.hear(mark, self.now);
-        if verdict == HeadVerdict::Conflict && first {
-            let held = self.ledger.mark().map(|mark| mark.root).unwrap_or_default();
-            self.log(ControlLog::ConflictingRevision {
-                revision: mark.revision,
-                held,
-                refused: mark.root,
-            });
-        }
-        if verdict != HeadVerdict::Newer {
-            return;
-        }
-        if self.view.differing(&root).is_err() {
-            let reasons = vec![format!(
-                "schema {} is not known, or pages are missing",
-                root.schema
-            )];
-            if self.ledger.refuse(mark, reasons.clone()) {
-                let revision = mark.revision;
-                self.log(ControlLog::VersionRefused { revision, reasons });
-                self.push_heads(u64::MAX);
-            }
-            return;
-        }
-        self.plan.seen = Some((root, mark, self.now));
-    }
-
     /// Begins to read the root that was seen, when it is this daemon's turn.
     pub(crate) fn try_read(&mut self) {
         let Some((root, mark, _)) = &self.plan.seen else {
@@ -428,7 +226,7 @@
         }
     }
 
-    fn take_read(&mut self, id: RequestId, value: Option<Bytes>) {
+    pub(crate) fn take_read(&mut self, id: RequestId, value: Option<Bytes>) {
         let Work::Read(read) = &mut self.work else {
             return;
         };
--- /dev/null
+++ b/crates/standin/src/virtual_fleet/check.rs
@@ -0,0 +1,69 @@
+//! The invariants that hold after every published share.
+
+use std::sync::Arc;
+
+use radishgauge_control::FleetShare;
+use radishgauge_control::ledger::VersionMark;
+
+use crate::virtual_fleet::VirtualFleet;
+
+impl VirtualFleet {
+    // The invariants of the design page, on each published share.
+    pub(super) fn check(&mut self, host: usize, share: Arc<FleetShare>) {
+        let held = &self.hosts[host];
+        let name = self.spec.host_name(host);
+        let earlier = held
+            .share
+            .as_ref()
+            .map(|share| (share.revision, share.root));
+        if let Some((revision, root)) = earlier {
+            assert!(
+                share.revision >= revision,
+                "{name} went back from {revision} to {}",
+                share.revision
+            );
+            assert!(
+                share.revision > revision || share.root == root,
+                "{name} changed the content of revision {revision}"
+            );
+        }
+        let mark = VersionMark {
+            revision: share.revision,
+            root: share.root,
+        };
+        assert!(
+            !self.refused.contains(&mark),
+            "{name} published a refused version"
+        );
+        for (route, model) in &share.model.routes {
+            assert!(
+                share.model.services.contains_key(&model.service),
+                "{name}: {route} has no service"
+            );
+        }
+        if let Some(machine) = &held.machine
+            && machine.view().root_digest() == share.root
+        {
+            let index = machine.view().index();
+            let missing = machine.scope().needed().iter().find(|service| {
+                let key = format!("service/{service}");
+                share.model.services.contains_key(*service) != index.get(&key).is_some()
+            });
+            // A service that was just asked for is fetched after the version.
+            assert!(
+                missing.is_none() || machine.fetching(),
+                "{name} lacks {missing:?} of its share"
+            );
+        }
+        let from = earlier.map_or(0, |(revision, _)| revision);
+        for (revision, at) in self.published.iter().rev() {
+            if *revision <= from {
+                break;
+            }
+            if *revision <= share.revision && earlier.is_some() {
+                self.delays.push((*revision, self.now - *at));
+            }
+        }
+        self.hosts[host].share = Some(share);
+    }
+}
--- a/crates/standin/src/virtual_fleet/content.rs
+++ b/crates/standin/src/virtual_fleet/content.rs
@@ -5,17 +5,13 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use bytes::Bytes;
 use prost::Message;
+use radishgauge_config::AcceptVerdict;
 use radishgauge_config::DigestIndex;
 use radishgauge_config::FleetModel;
 use radishgauge_config::PartDigest;
-use radishgauge_config::model::DomainModel;
-use radishgauge_config::model::RouteModel;
-use radishgauge_config::model::ServiceModel;
-use radishgauge_config::model::TargetModel;
 use radishgauge_control::accept::AcceptRule;
 use radishgauge_control::accept::NamedPart;
 use radishgauge_control::event::PlatformKey;
@@ -33,8 +29,9 @@
 use radishgauge_schema::peer::PartValue;
 use smol_str::SmolStr;
 
-/// The number of connections that marks a service as one to be refused.
-pub const REFUSED_CONNECTIONS: u32 = 1;
+/// A number of connections outside the schema's range, for which a version is
+/// refused.
+pub const REFUSED_CONNECTIONS: u32 = 1_000_000;
 
 /// The size of a virtual fleet.
 #[derive(Debug, Clone)]
@@ -132,7 +129,7 @@
                 slots: 20,
                 connections: 110,
                 cold_start_slots: 2,
-                targets: hosts.map(|host| target(spec, host)).collect(),
+                targets: hosts.map(|host| target(spec, host, 8000)).collect(),
                 owner_epoch: 0,
             };
             let route = Route {
@@ -166,7 +163,11 @@
 
     /// Makes a host a target of one more service and gives the next revision.
     pub fn add_target(&mut self, service: usize, spec: &FleetSpec, host: usize) {
-        self.services[service].targets.push(target(spec, host));
+        // A host's workers of different services have different ports.
+        let port = 8001 + service as u16;
+        self.services[service]
+            .targets
+            .push(target(spec, host, port));
         self.set_service(service);
         self.next_revision();
     }
@@ -258,10 +259,10 @@
     ((host % spec.hosts) * domains + spec.domain_of(host)) % spec.services
 }
 
-fn target(spec: &FleetSpec, host: usize) -> Target {
+fn target(spec: &FleetSpec, host: usize, port: u16) -> Target {
     let mut address = spec.address(host);
     let daemon = address.to_string();
-    address.set_port(8000);
+    address.set_port(port);
     Target {
         host: spec.host_name(host).into(),
         address: address.to_string(),
@@ -270,98 +271,21 @@
     }
 }
 
-/// Accepts versions whose routes all have their service, and refuses services
-/// with [`REFUSED_CONNECTIONS`].
+/// The acceptance rule of `radishgauge-config`.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct PlainRule;
 
 impl AcceptRule for PlainRule {
-    fn accept(&self, _root: &IndexRoot, parts: &[NamedPart]) -> Result<(), Vec<String>> {
-        let mut reasons = Vec::new();
-        let model = self.model(parts)?;
-        for (name, service) in &model.services {
-            if service.connections == REFUSED_CONNECTIONS {
-                reasons.push(format!(
-                    "service {name} has {REFUSED_CONNECTIONS} connection"
-                ));
-            }
-        }
-        for (name, route) in &model.routes {
-            if !model.services.contains_key(&route.service) {
-                reasons.push(format!("route {name} has no service {}", route.service));
-            }
-        }
-        if reasons.is_empty() {
-            Ok(())
-        } else {
-            Err(reasons)
+    fn accept(&self, root: &IndexRoot, parts: &[NamedPart]) -> Result<(), Vec<String>> {
+        let parts = parts.iter().map(|(key, value)| (key, value));
+        match radishgauge_config::accept(root, parts) {
+            AcceptVerdict::Accepted => Ok(()),
+            refused => Err(refused.reasons()),
         }
     }
 
     fn model(&self, parts: &[NamedPart]) -> Result<FleetModel, Vec<String>> {
-        let mut model = FleetModel::default();
-        for (key, value) in parts {
-            let part = ConfigPart::decode(value.as_ref())
-                .map_err(|error| vec![format!("{key}: {error}")])?;
-            match part.part {
-                Some(Part::Fleet(fleet)) => {
-                    model.regions = fleet
-                        .regions
-                        .iter()
-                        .map(|region| SmolStr::new(&region.name))
-                        .collect();
-                    for domain in &fleet.failure_domains {
-                        let value = DomainModel {
-                            region: SmolStr::new(&domain.region),
-                            state: domain.state(),
-                        };
-                        model.domains.insert(SmolStr::new(&domain.name), value);
-                    }
-                }
-                Some(Part::Service(service)) => {
-                    model
-                        .services
-                        .insert(SmolStr::new(&service.name), service_model(&service));
-                }
-                Some(Part::Route(route)) => {
-                    model
-                        .routes
-                        .insert(SmolStr::new(&route.name), route_model(&route));
-                }
-                None => return Err(vec![format!("{key} is empty")]),
-            }
-        }
-        Ok(model)
-    }
-}
-
-fn service_model(service: &Service) -> ServiceModel {
-    let targets = service.targets.iter().filter_map(|target| {
-        let value = TargetModel {
-            address: target.address.parse().ok()?,
-            daemon: target.daemon.parse().ok()?,
-            failure_domain: SmolStr::new(&target.failure_domain),
-        };
-        Some((SmolStr::new(&target.host), value))
-    });
-    ServiceModel {
-        slots: service.slots,
-        connections: service.connections,
-        cold_start_slots: service.cold_start_slots,
-        owner_epoch: service.owner_epoch,
-        targets: targets.collect(),
-    }
-}
-
-fn route_model(route: &Route) -> RouteModel {
-    RouteModel {
-        path_prefix: SmolStr::new(&route.path_prefix),
-        methods: route.methods.iter().map(SmolStr::new).collect(),
-        service: SmolStr::new(&route.service),
-        criticality: route.criticality(),
-        repeatable: route.repeatable,
-        timeout: Duration::from_millis(route.timeout_ms),
-        home_regions: route.home_regions.iter().map(SmolStr::new).collect(),
-        calls: route.calls.iter().map(SmolStr::new).collect(),
+        let parts = parts.iter().map(|(key, value)| (key, value));
+        FleetModel::from_parts(parts).map_err(|error| vec![error.to_string()])
     }
 }
