Count the requests of one host within a second as one transfer

Cause: a fresh daemon needs a host list and several batches of parts, and each counted as a full transfer, so relays turned daemons away in mid-fetch. Change: the requests of a host within 1 s share one lease.

--- a/crates/control/src/transfer.rs
+++ b/crates/control/src/transfer.rs
@@ -7,6 +7,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use smol_str::SmolStr;
+
 use crate::rank;
 
 /// How long a granted transfer counts; a reply of 1 MB takes this at 8 Mbit/s.
@@ -16,10 +18,13 @@
 const SPREAD_MS: u64 = 2000;
 
 /// Counts the transfers under way.
+///
+/// The requests of one host within [`TRANSFER_TIME`] are one transfer, since a
+/// fresh daemon needs several of them.
 #[derive(Debug, Clone)]
 pub struct TransferAdmission {
     limit: usize,
-    ends: VecDeque<Duration>,
+    ends: VecDeque<(Duration, SmolStr)>,
 }
 
 impl TransferAdmission {
@@ -35,14 +40,18 @@
     ///
     /// The time to wait in ms, never 0.
     pub fn admit(&mut self, host: &str, now: Duration) -> Result<(), u64> {
-        while self.ends.front().is_some_and(|end| *end <= now) {
+        while self.ends.front().is_some_and(|(end, _)| *end <= now) {
             self.ends.pop_front();
         }
+        if self.ends.iter().any(|(_, held)| held == host) {
+            return Ok(());
+        }
         if self.ends.len() < self.limit {
-            self.ends.push_back(now + TRANSFER_TIME);
+            self.ends
+                .push_back((now + TRANSFER_TIME, SmolStr::new(host)));
             return Ok(());
         }
-        let wait = self.ends[0].saturating_sub(now).as_millis() as u64;
+        let wait = self.ends[0].0.saturating_sub(now).as_millis() as u64;
         Err(wait + 1 + rank::weight("transfer", host) % SPREAD_MS)
     }
 }
