Judge whole versions only

A lone daemon that received the platform's root while it fetched a version from a peer judged the parts of its share as the whole version, refused it and kept refusing it.

--- a/crates/control/src/apply.rs
+++ b/crates/control/src/apply.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    fn holds_version(&self) -> bool {
+        let mut entries = self.view.index().iter();
+        entries.all(|(_, digest)| self.parts.contains(digest))
+    }
+
     /// Computes the missing parts anew.
     pub(crate) fn rescan_gaps(&mut self) {
         let all = self.holds_all();
@@ -112,6 +117,14 @@
         if !self.gaps.is_empty() || self.view.root_digest() != mark.root {
             return false;
         }
+        // The rule judges whole versions only: a verdict on some of the parts
+        // would refuse a good version for as long as this daemon runs.
+        let whole = judged && !self.holds_all();
+        if !whole && self.ledger.mark() != Some(mark) && !self.holds_version() {
+            self.lone |= !self.roles.relay;
+            self.rescan_gaps();
+            return false;
+        }
         self.work = Work::Idle;
         if self.ledger.mark() == Some(mark) {
             self.rebuild_model();
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -157,9 +157,11 @@
             }
         } else if let Some((key, _)) = self.other_reads.remove(&id) {
             match (key, value) {
+                // A peer may have come forward since the call.
+                (PlatformKey::Root, Some(_)) if !matches!(self.work, Work::Idle) => {}
                 (PlatformKey::Root, Some(value)) => {
-                    self.lone = !self.roles.relay;
                     self.see_root(&value);
+                    self.lone = !self.roles.relay && self.plan.seen.is_some();
                 }
                 (PlatformKey::Root, None) => {
                     if let Some(start) = &mut self.start {
--- a/crates/control/src/pull.rs
+++ b/crates/control/src/pull.rs
@@ -191,6 +191,10 @@
     }
 
     fn begin_pull(&mut self, mark: VersionMark, source: PeerKey, source_host: SmolStr) {
+        if std::mem::take(&mut self.lone) {
+            self.plan.seen = None;
+            self.rescan_gaps();
+        }
         let mut pull = Pull {
             mark,
             source,
