Cut control bytes of relays and of the paid links

Cause: every push and every reply carried the revision of each host list; each relay exchanged heads with two first readers every 2 s; all five relays of a domain read its whole host list when it changed; a poll brought the root even when peers had announced it. Change: pushes carry the version alone; a reply repeats the list revisions only when they differ; first readers are asked in turn; the first relay watches the host list and the second polls it; a poll names the root in force. The two watchers of a remote region each receive the root of 0.6 KB, so small deltas cost about two copies.

Hosts that no list, target or session names are forgotten after 10 min.

--- a/crates/control/src/apply.rs
+++ b/crates/control/src/apply.rs
@@ -281,7 +281,7 @@
     /// Pushes the head to the peers that are not known to have the revision.
     pub(crate) fn push_heads(&mut self, revision: u64) {
         for peer in exchange::behind(&self.peers, revision) {
-            self.ask_head(peer);
+            self.push_head(peer);
         }
     }
 
--- a/crates/control/src/follow.rs
+++ b/crates/control/src/follow.rs
@@ -30,7 +30,7 @@
         let root = if may { self.roles.rank } else { None };
         (
             FollowMode::of_rank(root),
-            FollowMode::of_rank(self.relay_rank()),
+            FollowMode::of_list_rank(self.relay_rank()),
         )
     }
 
@@ -39,7 +39,14 @@
         let (root, hosts) = self.follow_mode();
         let now = self.now;
         if self.plan.root.due(root, now, &mut self.rng) {
-            let known = self.plan.root.known;
+            // A poll with the root in force brings the value only when it
+            // differs. A watch would return at once, over and over, while the
+            // platform is stale, so it names the value last seen.
+            let in_force = self.ledger.mark().map(|mark| mark.root);
+            let known = match root {
+                FollowMode::Poll => in_force.or(self.plan.root.known),
+                FollowMode::Watch | FollowMode::Off => self.plan.root.known,
+            };
             if let Some(id) = self.follow(PlatformKey::Root, known, root) {
                 self.plan
                     .root
--- a/crates/control/src/hosts.rs
+++ b/crates/control/src/hosts.rs
@@ -88,6 +88,13 @@
             .flat_map(|list| &list.hosts)
     }
 
+    /// Returns whether any list names a host.
+    pub fn names(&self, host: &str) -> bool {
+        self.lists
+            .values()
+            .any(|list| list.hosts.contains_key(host))
+    }
+
     /// Returns whether the domain's list is held whole.
     pub fn whole(&self, domain: &str) -> bool {
         self.lists.get(domain).is_some_and(|list| list.whole)
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -138,6 +138,7 @@
     pub(crate) model_scope: BTreeSet<SmolStr>,
     pub(crate) foreign: HashSet<SmolStr>,
     pub(crate) audit_at: Option<Duration>,
+    pub(crate) prune_at: Duration,
     pub(crate) roles_dirty: bool,
     pub(crate) share_dirty: bool,
     pub(crate) leaving: bool,
@@ -179,6 +180,7 @@
             model_scope: BTreeSet::new(),
             foreign: HashSet::new(),
             audit_at: None,
+            prune_at: Duration::ZERO,
             roles_dirty: false,
             share_dirty: false,
             leaving: false,
@@ -306,6 +308,7 @@
             self.ask_first_readers(peer);
         }
         self.audit();
+        self.prune_hosts();
         let now = self.now;
         self.other_reads.retain(|_, (_, until)| *until > now);
         self.follow_platform();
@@ -369,7 +372,20 @@
     }
 
     pub(crate) fn ask_head(&mut self, peer: PeerKey) {
-        let head = self.head();
+        self.send_head(peer, self.head());
+    }
+
+    /// Sends the version alone; the host list revisions go with the periodic
+    /// exchange, since a push goes to every peer and they double its length.
+    pub(crate) fn push_head(&mut self, peer: PeerKey) {
+        let head = VersionHead {
+            hosts: Vec::new(),
+            ..self.head()
+        };
+        self.send_head(peer, head);
+    }
+
+    fn send_head(&mut self, peer: PeerKey, head: VersionHead) {
         if let Some(info) = self.peers.get_mut(peer) {
             info.revision = info.revision.max(head.revision);
         }
--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -74,6 +74,17 @@
 }
 
 impl FollowMode {
+    /// Returns how a relay follows the host list of its failure domain: a list
+    /// is 60 KB at 1,000 hosts, so only the first relay watches, and the second
+    /// polls in case the first has lost the platform.
+    pub fn of_list_rank(rank: Option<usize>) -> FollowMode {
+        match rank {
+            Some(0) => FollowMode::Watch,
+            Some(1) => FollowMode::Poll,
+            Some(_) | None => FollowMode::Off,
+        }
+    }
+
     /// Returns the mode of a rank; `None` has no rank.
     pub fn of_rank(rank: Option<usize>) -> FollowMode {
         match rank {
--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -1,5 +1,6 @@
 //! Host lists: who asks whom for them, and what they change.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,29 @@
 use crate::machine::Ask;
 use crate::machine::ControlMachine;
 
+/// How often hosts that nothing names any more are forgotten. A late message of
+/// a host that is gone is ignored for at least this long.
+const PRUNE: Duration = Duration::from_secs(600);
+
 impl ControlMachine {
+    /// Forgets hosts that no list, target or session names, since replaced hosts
+    /// have new names and would add up.
+    pub(crate) fn prune_hosts(&mut self) {
+        if self.now < self.prune_at {
+            return;
+        }
+        self.prune_at = self.now + PRUNE;
+        let services = self.model.services.values();
+        let mut keep: HashSet<_> = services
+            .flat_map(|service| service.targets.keys())
+            .cloned()
+            .collect();
+        keep.extend(self.peers.iter().map(|(_, info)| info.host.clone()));
+        let lists = &self.lists;
+        self.book
+            .retain(|host| keep.contains(host) || lists.names(host));
+    }
+
     // Relays get other domains' lists from each other; the first relay of a
     // domain reads what none of them has, and the next ones wait for it.
     pub(crate) fn read_foreign_lists(&mut self) {
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -51,7 +51,11 @@
         let reply = match request.request {
             Some(Request::Head(head)) => {
                 self.hear_head(peer, &head);
-                let head = self.head();
+                let asked = head.hosts;
+                let mut head = self.head();
+                if asked.is_empty() || asked == head.hosts {
+                    head.hosts.clear();
+                }
                 if let Some(info) = self.peers.get_mut(peer) {
                     info.revision = info.revision.max(head.revision);
                 }
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -51,6 +51,7 @@
     failed_seeds: IndexMap<SocketAddr, Duration>,
     relays: Vec<SmolStr>,
     readers: Vec<SmolStr>,
+    turn: usize,
 }
 
 impl ControlMachine {
@@ -278,18 +279,13 @@
         }
     }
 
-    /// Exchanges heads with the first readers of the region, beside the peer
-    /// that the timer chose.
+    /// Exchanges heads with the first readers of the region in turn, beside the
+    /// peer that the timer chose.
     pub(crate) fn ask_first_readers(&mut self, chosen: PeerKey) {
-        let readers: Vec<_> = self
-            .sessions
-            .readers
-            .iter()
-            .take(WATCHED_READERS)
-            .filter_map(|host| self.peers.by_host(host))
-            .filter(|key| *key != chosen)
-            .collect();
-        for peer in readers {
+        self.sessions.turn = (self.sessions.turn + 1) % WATCHED_READERS;
+        let reader = self.sessions.readers.get(self.sessions.turn);
+        let peer = reader.and_then(|host| self.peers.by_host(host));
+        if let Some(peer) = peer.filter(|key| *key != chosen) {
             self.ask_head(peer);
         }
     }
