--- a/crates/control/src/event.rs
+++ b/crates/control/src/event.rs
@@ -145,6 +145,13 @@
         /// The name of the service.
         service: SmolStr,
     },
+    /// A call or its refusal named the revision in force at another daemon.
+    RevisionSeen {
+        /// The host of the other daemon.
+        host: SmolStr,
+        /// Its revision.
+        revision: u64,
+    },
     /// The daemon was asked to stop gracefully.
     Stop,
 }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -209,6 +209,7 @@
             ControlEvent::Request { peer, id, request } => self.request(peer, id, request),
             ControlEvent::Reply { id, result } => self.reply(id, result),
             ControlEvent::ServiceWanted { service } => self.service_wanted(service),
+            ControlEvent::RevisionSeen { host, revision } => self.revision_seen(&host, revision),
             ControlEvent::Stop => self.stop(),
         }
         self.publish_if_due();
@@ -277,11 +278,26 @@
             late_ms: late.as_millis() as u64,
         });
         self.share_dirty = true;
-        if !self.peers.is_empty() {
-            let position = self.rng.random_range(0..self.peers.len());
-            if let Some(peer) = self.peers.at(position) {
-                self.ask_head(peer);
-            }
+        if let Some(peer) = self.random_peer() {
+            self.ask_head(peer);
+        }
+    }
+
+    fn random_peer(&mut self) -> Option<PeerKey> {
+        if self.peers.is_empty() {
+            return None;
+        }
+        let position = self.rng.random_range(0..self.peers.len());
+        self.peers.at(position)
+    }
+
+    // A newer revision is asked for at once instead of at the next exchange.
+    fn revision_seen(&mut self, host: &str, revision: u64) {
+        if revision <= self.ledger.revision() {
+            return;
+        }
+        if let Some(peer) = self.peers.by_host(host).or_else(|| self.random_peer()) {
+            self.ask_head(peer);
         }
     }
 
--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -499,6 +499,40 @@
     );
 }
 
+// A refusal that names a newer revision must not wait for the next exchange.
+#[test]
+fn newer_revision_is_asked_for_at_once() {
+    let (mut fleet, mut content) = settled(9);
+    fleet.faults.lost = 1000;
+    change(&mut fleet, &mut content, 1);
+    fleet.run_for(Duration::from_millis(100));
+    fleet.faults.lost = 0;
+    let behind = fleet.behind(content.mark());
+    assert!(!behind.is_empty());
+    let ahead: Vec<_> = (0..60).filter(|host| !behind.contains(host)).collect();
+    let host = behind
+        .into_iter()
+        .find(|host| ahead.iter().any(|other| other / 10 == host / 10))
+        .expect("a domain with hosts on both sides");
+    let other = ahead
+        .iter()
+        .find(|other| *other / 10 == host / 10)
+        .expect("a host ahead");
+    let name = fleet.spec.host_name(*other);
+    fleet.inject(
+        host,
+        ControlEvent::RevisionSeen {
+            host: name,
+            revision: content.mark().revision,
+        },
+    );
+    let before = fleet.now();
+    while fleet.behind(content.mark()).contains(&host) {
+        fleet.run_for(Duration::from_millis(1));
+        assert!(fleet.now() < before + Duration::from_millis(50));
+    }
+}
+
 // A host that stops must be known as leaving wherever it is a target.
 #[test]
 fn leaving_host_is_known_within_5_s() {
--- a/crates/standin/src/virtual_fleet.rs
+++ b/crates/standin/src/virtual_fleet.rs
@@ -418,7 +418,11 @@
         }
         let domain = self.spec.domain_of(host);
         let first = domain * self.spec.hosts;
-        let incarnation = 1 + self.now.as_millis() as u64;
+        // The platform's lists name the first incarnation of each host as 1.
+        let incarnation = match self.hosts[host].life {
+            0 => 1,
+            _ => 1 + self.now.as_millis() as u64,
+        };
         let config = ControlConfig {
             host: self.spec.host_name(host),
             region: self.spec.region_name(self.spec.region_of(domain)),
--- a/crates/standin/src/virtual_fleet/platform.rs
+++ b/crates/standin/src/virtual_fleet/platform.rs
@@ -94,6 +94,9 @@
             incarnation,
             state: state.into(),
         };
+        if entries.contains(&entry) {
+            return;
+        }
         match entries.iter_mut().find(|held| held.host == entry.host) {
             Some(held) => *held = entry,
             None => entries.push(entry),
