--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -138,6 +138,7 @@
     pub(crate) model_scope: BTreeSet<SmolStr>,
     pub(crate) foreign: HashSet<SmolStr>,
     pub(crate) audit_at: Option<Duration>,
+    pub(crate) prune_at: Duration,
     pub(crate) roles_dirty: bool,
     pub(crate) share_dirty: bool,
     pub(crate) leaving: bool,
@@ -179,6 +180,7 @@
             model_scope: BTreeSet::new(),
             foreign: HashSet::new(),
             audit_at: None,
+            prune_at: Duration::ZERO,
             roles_dirty: false,
             share_dirty: false,
             leaving: false,
@@ -207,6 +209,7 @@
             ControlEvent::Request { peer, id, request } => self.request(peer, id, request),
             ControlEvent::Reply { id, result } => self.reply(id, result),
             ControlEvent::ServiceWanted { service } => self.service_wanted(service),
+            ControlEvent::RevisionSeen { host, revision } => self.revision_seen(&host, revision),
             ControlEvent::Stop => self.stop(),
         }
         self.publish_if_due();
@@ -245,6 +248,11 @@
         &self.scope
     }
 
+    /// Returns whether parts of the share are still being fetched.
+    pub fn fetching(&self) -> bool {
+        !self.gaps.is_empty()
+    }
+
     /// Returns the number of open sessions.
     pub fn session_count(&self) -> usize {
         self.peers.len()
@@ -270,11 +278,26 @@
             late_ms: late.as_millis() as u64,
         });
         self.share_dirty = true;
-        if !self.peers.is_empty() {
-            let position = self.rng.random_range(0..self.peers.len());
-            if let Some(peer) = self.peers.at(position) {
-                self.ask_head(peer);
-            }
+        if let Some(peer) = self.random_peer() {
+            self.ask_head(peer);
+        }
+    }
+
+    fn random_peer(&mut self) -> Option<PeerKey> {
+        if self.peers.is_empty() {
+            return None;
+        }
+        let position = self.rng.random_range(0..self.peers.len());
+        self.peers.at(position)
+    }
+
+    // A newer revision is asked for at once instead of at the next exchange.
+    fn revision_seen(&mut self, host: &str, revision: u64) {
+        if revision <= self.ledger.revision() {
+            return;
+        }
+        if let Some(peer) = self.peers.by_host(host).or_else(|| self.random_peer()) {
+            self.ask_head(peer);
         }
     }
 
@@ -301,6 +324,7 @@
             self.ask_first_readers(peer);
         }
         self.audit();
+        self.prune_hosts();
         let now = self.now;
         self.other_reads.retain(|_, (_, until)| *until > now);
         self.follow_platform();
@@ -364,7 +388,20 @@
     }
 
     pub(crate) fn ask_head(&mut self, peer: PeerKey) {
-        let head = self.head();
+        self.send_head(peer, self.head());
+    }
+
+    /// Sends the version alone; the host list revisions go with the periodic
+    /// exchange, since a push goes to every peer and they double its length.
+    pub(crate) fn push_head(&mut self, peer: PeerKey) {
+        let head = VersionHead {
+            hosts: Vec::new(),
+            ..self.head()
+        };
+        self.send_head(peer, head);
+    }
+
+    fn send_head(&mut self, peer: PeerKey, head: VersionHead) {
         if let Some(info) = self.peers.get_mut(peer) {
             info.revision = info.revision.max(head.revision);
         }
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -51,6 +51,7 @@
     failed_seeds: IndexMap<SocketAddr, Duration>,
     relays: Vec<SmolStr>,
     readers: Vec<SmolStr>,
+    turn: usize,
 }
 
 impl ControlMachine {
@@ -65,6 +66,13 @@
         for host in neighbour::neighbours(&own, &live, self.config.policy.neighbours) {
             wanted.insert(host, domain.clone());
         }
+        // The next hosts in line watch the relays, so that they notice when the
+        // role falls to them; the host list lags too much for that.
+        let candidates = rank::best(&domain, &live, 2 * self.config.policy.relays);
+        if candidates.contains(&own) {
+            let better = candidates.iter().take_while(|host| **host != own);
+            wanted.extend(better.map(|host| (host.clone(), domain.clone())));
+        }
         let mut rank = None;
         let mut readers = Vec::new();
         if relay {
@@ -271,18 +279,13 @@
         }
     }
 
-    /// Exchanges heads with the first readers of the region, beside the peer
-    /// that the timer chose.
+    /// Exchanges heads with the first readers of the region in turn, beside the
+    /// peer that the timer chose.
     pub(crate) fn ask_first_readers(&mut self, chosen: PeerKey) {
-        let readers: Vec<_> = self
-            .sessions
-            .readers
-            .iter()
-            .take(WATCHED_READERS)
-            .filter_map(|host| self.peers.by_host(host))
-            .filter(|key| *key != chosen)
-            .collect();
-        for peer in readers {
+        self.sessions.turn = (self.sessions.turn + 1) % WATCHED_READERS;
+        let reader = self.sessions.readers.get(self.sessions.turn);
+        let peer = reader.and_then(|host| self.peers.by_host(host));
+        if let Some(peer) = peer.filter(|key| *key != chosen) {
             self.ask_head(peer);
         }
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,7 +11,6 @@
 mod server;
 pub mod statsd;
 pub mod target;
-
 pub use cold::ColdStart;
 pub use collector::CollectorStandIn;
 pub use link::LinkConfig;
@@ -26,3 +25,5 @@
 pub use target::TargetConfig;
 pub use target::TargetCounts;
 pub use target::TargetStandIn;
+//! Placeholder.
+pub mod virtual_fleet;
