Test at most once on a fleet that fails, and settle after a pause

The model found that a paused new owner may read a call that waited in its socket after the former owner's record expired.

--- a/crates/traffic/src/once.rs
+++ b/crates/traffic/src/once.rs
@@ -33,8 +33,8 @@
 pub use crate::once_decision::OnceRequest;
 pub use crate::once_decision::OnceTicket;
 
-/// The most that one event moves the ledger's time, as long as a pause that
-/// makes a daemon stale (design section 5).
+/// A longer time between two events is a pause, which makes a daemon stale
+/// (design section 5) and during which the ledger's time stands still.
 const LONGEST_STEP: Duration = Duration::from_secs(2);
 
 /// The queue may hold this many places of removed records before it is compacted.
@@ -43,9 +43,11 @@
 /// The records of the keys that a daemon owns.
 ///
 /// Times are since the start of the process. [`OnceLedger::expire_some`] is to
-/// be called each second, since no event moves the ledger's own time by more
-/// than 2 s: while the process is paused no time passes. Else a re-send that
+/// be called each second, since more than 2 s between two events count as a
+/// pause, during which no time passes for the ledger. Else a re-send that
 /// waited in the socket of a paused owner would be read after its record expired.
+/// After a pause, opaque keys are run only once [`OnceLedger::confirmed`] says
+/// that the configuration in force is current: another owner may have taken over.
 ///
 /// # Examples
 ///
@@ -75,8 +77,8 @@
 ///     panic!("a new key runs");
 /// };
 /// assert_eq!(ledger.begin(&request, now), OnceDecision::Attach(ticket));
-/// assert!(ledger.started(ticket));
-/// ledger.finish(ticket, OnceOutcome::MayHaveRun);
+/// assert!(ledger.started(ticket, now));
+/// ledger.finish(ticket, OnceOutcome::MayHaveRun, now);
 /// assert!(matches!(ledger.begin(&request, now), OnceDecision::Refuse { .. }));
 /// ```
 #[derive(Debug, Clone)]
@@ -92,6 +94,11 @@
     clock: Duration,
     /// The latest time seen.
     seen: Duration,
+    /// Counts the pauses. A run of an opaque key that began before the latest
+    /// hands nothing over.
+    pauses: u32,
+    /// Whether there was a pause since the configuration was last confirmed.
+    stale: bool,
     bytes: usize,
     /// Serials below it may have lost their record.
     serial_floor: u64,
@@ -114,6 +121,8 @@
             queue: VecDeque::new(),
             clock: Duration::ZERO,
             seen: Duration::ZERO,
+            pauses: 0,
+            stale: false,
             bytes: 0,
             serial_floor: 0,
             known_since: Duration::ZERO,
@@ -174,19 +183,29 @@
             name,
             fingerprint,
             regions: request.regions.into(),
-            state: EntryState::Running { handed_over: false },
+            state: EntryState::Running {
+                handed_over: false,
+                pauses: self.pauses,
+            },
             since: now,
         }))
     }
 
     /// Notes that the request is about to be handed over to a target's daemon.
     ///
-    /// Returns false when it must not be: the ticket is out of date, or an
-    /// earlier hand-over was not refused. Call it right before the first byte.
+    /// Returns false when it must not be: the ticket is out of date, an earlier
+    /// hand-over was not refused, or the process paused since the run began.
+    /// Call it right before the first byte.
     #[must_use = "the request may be handed over only when true"]
-    pub fn started(&mut self, ticket: OnceTicket) -> bool {
-        match self.entries.get_mut(ticket).map(|entry| &mut entry.state) {
-            Some(EntryState::Running { handed_over }) if !*handed_over => {
+    pub fn started(&mut self, ticket: OnceTicket, now: Duration) -> bool {
+        self.advance(now);
+        let latest = self.pauses;
+        let Some(entry) = self.entries.get_mut(ticket) else {
+            return false;
+        };
+        let current = entry.begun_at(latest);
+        match &mut entry.state {
+            EntryState::Running { handed_over, .. } if !*handed_over && current => {
                 *handed_over = true;
                 true
             }
@@ -198,7 +217,7 @@
     /// run"; it may be handed over again, or finished as [`OnceOutcome::NotRun`].
     pub fn refused(&mut self, ticket: OnceTicket) {
         let state = self.entries.get_mut(ticket).map(|entry| &mut entry.state);
-        if let Some(EntryState::Running { handed_over }) = state {
+        if let Some(EntryState::Running { handed_over, .. }) = state {
             *handed_over = false;
         }
     }
@@ -206,8 +225,16 @@
     /// Ends a run, and returns the verdict for it and all that attached to it.
     ///
     /// The verdict is weaker than the outcome claims when the ledger knows less:
-    /// a hand-over that was not refused may have run.
-    pub fn finish(&mut self, ticket: OnceTicket, outcome: OnceOutcome) -> CallVerdict {
+    /// a hand-over that was not refused may have run, and during a pause another
+    /// owner may have taken over and run the key.
+    pub fn finish(
+        &mut self,
+        ticket: OnceTicket,
+        outcome: OnceOutcome,
+        now: Duration,
+    ) -> CallVerdict {
+        self.advance(now);
+        let latest = self.pauses;
         let Some(entry) = self.entries.get_mut(ticket) else {
             return match outcome {
                 OnceOutcome::Ran(_) | OnceOutcome::RanUnkept => CallVerdict::Ran,
@@ -216,7 +243,12 @@
         };
         match (&entry.state, outcome) {
             (EntryState::Answered(_), _) => CallVerdict::Ran,
-            (EntryState::Running { handed_over: false }, OnceOutcome::NotRun) => {
+            (
+                EntryState::Running {
+                    handed_over: false, ..
+                },
+                OnceOutcome::NotRun,
+            ) if entry.begun_at(latest) => {
                 self.remove(ticket);
                 CallVerdict::NotRun
             }
@@ -253,6 +285,12 @@
         self.expire_some(now, usize::MAX);
     }
 
+    /// Notes that the configuration in force was compared with a neighbour's
+    /// since the latest pause, and that all newer owner sets were given here.
+    pub fn confirmed(&mut self) {
+        self.stale = false;
+    }
+
     /// Sets the repeat window of a new configuration.
     ///
     /// After an increase, records that the old window dropped are missing, so
@@ -265,7 +303,13 @@
 
     /// Moves the ledger's time and returns it.
     pub(crate) fn advance(&mut self, now: Duration) -> Duration {
-        self.clock += now.saturating_sub(self.seen).min(LONGEST_STEP);
+        let step = now.saturating_sub(self.seen);
+        if step > LONGEST_STEP {
+            self.pauses += 1;
+            self.stale = true;
+        } else {
+            self.clock += step;
+        }
         self.seen = self.seen.max(now);
         self.clock
     }
@@ -341,6 +385,9 @@
                     Some(owner) if owner.host == *self.host() => {}
                     owner => return unknown(OnceReason::NotOwner(owner.map(|owner| owner.host))),
                 }
+                if self.stale {
+                    return unknown(OnceReason::Paused);
+                }
                 if self.unknown_for() > Duration::ZERO {
                     return unknown(OnceReason::RecentStart);
                 }
--- a/crates/traffic/src/once_decision.rs
+++ b/crates/traffic/src/once_decision.rs
@@ -114,6 +114,8 @@
     ServiceUnknown,
     /// This daemon has run for less than the repeat window.
     RecentStart,
+    /// This daemon was paused and has not compared its configuration since.
+    Paused,
     /// A former owner of the key has not handed over its records.
     FormerOwner(SmolStr),
 }
@@ -133,6 +135,7 @@
             OnceReason::OutsideHome => f.write_str("the owner is outside the home regions"),
             OnceReason::ServiceUnknown => f.write_str("the owner has no target of the service"),
             OnceReason::RecentStart => f.write_str("the owner started within the repeat window"),
+            OnceReason::Paused => f.write_str("the owner was paused"),
             OnceReason::FormerOwner(host) => {
                 write!(f, "the former owner {host} has not handed over")
             }
--- a/crates/traffic/src/once_record.rs
+++ b/crates/traffic/src/once_record.rs
@@ -40,12 +40,24 @@
 
 #[derive(Debug, Clone)]
 pub(crate) enum EntryState {
-    Running { handed_over: bool },
+    Running {
+        handed_over: bool,
+        /// The pauses of the process before the run began.
+        pauses: u32,
+    },
     Unknown,
     Answered(Option<Arc<OnceAnswer>>),
 }
 
 impl OnceEntry {
+    /// Says whether no other owner can have taken over since the run began.
+    pub(crate) fn begun_at(&self, latest: u32) -> bool {
+        match (&self.name.key, &self.state) {
+            (IdempotencyKey::Opaque(_), EntryState::Running { pauses, .. }) => *pauses == latest,
+            _ => true,
+        }
+    }
+
     /// Returns the memory of the record and its response.
     pub(crate) fn bytes(&self) -> usize {
         let answer = match &self.state {
--- a/crates/traffic/tests/once/cover.rs
+++ b/crates/traffic/tests/once/cover.rs
@@ -47,8 +47,8 @@
     let key = moving();
     let mut a = ledger("a", 1, &["a"], &[]);
     let ticket = run(&mut a, &key, COVERED);
-    assert!(a.started(ticket));
-    a.finish(ticket, OnceOutcome::Ran(answer(9)));
+    assert!(a.started(ticket, COVERED));
+    a.finish(ticket, OnceOutcome::Ran(answer(9)), COVERED);
     let mut b = ledger("b", 2, &["a", "b"], &[(2, &["a"])]);
     let now = COVERED;
     let waits = refuse(CallVerdict::MayHaveRun, OnceReason::FormerOwner("a".into()));
@@ -131,7 +131,10 @@
     let piece = a.export(&ask("b", 2), 2, 1 << 20, COVERED).unwrap();
     b.import(piece, COVERED);
     let ticket = run(&mut b, &key, COVERED);
-    assert_eq!(b.finish(ticket, OnceOutcome::NotRun), CallVerdict::NotRun);
+    assert_eq!(
+        b.finish(ticket, OnceOutcome::NotRun, COVERED),
+        CallVerdict::NotRun
+    );
     // The keys went back to `a` with revision 3, which `b` never saw.
     change(&mut b, 4, &["a", "b"], &[(4, &["a"])]);
     let waits = refuse(CallVerdict::MayHaveRun, OnceReason::FormerOwner("a".into()));
@@ -145,7 +148,7 @@
     for number in 0..400 {
         let key = opaque(&format!("p{number}"));
         let ticket = run(&mut a, &key, COVERED);
-        assert!(a.started(ticket));
+        assert!(a.started(ticket, COVERED));
     }
     change(&mut a, 2, &["b"], &[]);
     let mut b = ledger("b", 2, &["b"], &[(2, &["a"])]);
@@ -233,3 +236,23 @@
         }
     ));
 }
+
+/// Guards against a paused owner that another replaced: what it reads after the
+/// pause, before it knows, and what it was about to hand over.
+#[test]
+fn a_paused_owner_runs_opaque_keys_only_once_confirmed() {
+    let mut a = ledger("a", 1, &["a"], &[]);
+    let begun = opaque("begun");
+    let ticket = run(&mut a, &begun, COVERED);
+    let woken = COVERED + Duration::from_millis(2001);
+    assert!(!a.started(ticket, woken));
+    let paused = refuse(CallVerdict::MayHaveRun, OnceReason::Paused);
+    assert_eq!(a.begin(&request(&opaque("k")), woken), paused);
+    let issued = IdempotencyKey::Issued(a.issue());
+    run(&mut a, &issued, woken);
+    a.confirmed();
+    run(&mut a, &opaque("k"), woken);
+    assert!(!a.started(ticket, woken), "another owner may have run it");
+    let verdict = a.finish(ticket, OnceOutcome::NotRun, woken);
+    assert_eq!(verdict, CallVerdict::MayHaveRun);
+}
--- /dev/null
+++ b/crates/traffic/tests/once/fleet.rs
@@ -0,0 +1,382 @@
+//! What the daemons of `world` do on each event.
+
+use std::time::Duration;
+
+use radishgauge_traffic::CallVerdict;
+use radishgauge_traffic::key::IdempotencyKey;
+use radishgauge_traffic::once::OnceAnswer;
+use radishgauge_traffic::once::OnceDecision;
+use radishgauge_traffic::once::OnceOutcome;
+use radishgauge_traffic::once::OnceReason;
+use radishgauge_traffic::once::OnceRequest;
+use radishgauge_traffic::once::OnceTicket;
+use radishgauge_traffic::once_entry::KeyedAttempt;
+use radishgauge_traffic::once_owner::KeyOwner;
+use radishgauge_traffic::once_transfer::TransferRequest;
+use radishgauge_traffic::once_transfer::TransferStep;
+use rand::Rng;
+use smol_str::SmolStr;
+
+use crate::support::SERVICE;
+use crate::support::TENANT;
+use crate::world::DAEMONS;
+use crate::world::DEADLINE;
+use crate::world::Event;
+use crate::world::Message;
+use crate::world::Run;
+use crate::world::World;
+use crate::world::host;
+use crate::world::ledger;
+use crate::world::number;
+
+impl World {
+    pub(crate) fn handle(&mut self, daemon: usize, id: u64, event: Event) {
+        let state = &mut self.daemons[daemon];
+        let incarnation = id >> 48;
+        match event {
+            Event::Crash(back) if state.up => {
+                (state.up, state.dead) = (false, back.is_none());
+                state.incarnation += 1;
+                state.paused_until = 0;
+                if let Some(back) = back {
+                    self.push(self.now + back, daemon, Event::Restart);
+                }
+            }
+            Event::Restart => {
+                state.ledger = ledger(daemon, state.incarnation, self.plan.records);
+                (state.up, state.started) = (true, self.now);
+                state.runs.clear();
+                state.attempts.clear();
+                let revision = state.revision;
+                self.configure(daemon, revision);
+                self.push(self.now, daemon, Event::Tick);
+            }
+            _ if !state.up || incarnation != 0 && incarnation != state.incarnation => {}
+            Event::Pause(length) => state.paused_until = state.paused_until.max(self.now + length),
+            _ if state.paused_until > self.now => {
+                let until = state.paused_until;
+                self.push(until, daemon, event);
+            }
+            Event::Attempt(attempt) => self.attempt(daemon, attempt),
+            Event::Deliver(message) => self.deliver(daemon, message),
+            Event::Tick => self.tick(daemon),
+            Event::HandOver(ticket) => self.hand_over(daemon, ticket),
+            Event::RunTimeout(ticket) => self.finish(daemon, ticket, OnceOutcome::MayHaveRun),
+            Event::Resend(attempt) => self.call(daemon, attempt, None),
+            Event::Deadline(attempt) => {
+                if let Some(keyed) = self.daemons[daemon].attempts.remove(&attempt) {
+                    self.verdict(attempt, keyed.unanswered(), self.now);
+                }
+            }
+            Event::Publish(revision) => {
+                if self.daemons[daemon].revision < revision {
+                    self.configure(daemon, revision);
+                }
+            }
+            Event::Crash(_) => {}
+        }
+    }
+
+    fn tick(&mut self, daemon: usize) {
+        let now = self.local(daemon);
+        self.daemons[daemon].ledger.expire(now);
+        let peer = self.rng.random_range(0..DAEMONS);
+        if peer != daemon && self.reaches(daemon, peer) {
+            if self.daemons[peer].revision > self.daemons[daemon].revision {
+                self.configure(daemon, self.daemons[peer].revision);
+            }
+            self.daemons[daemon].ledger.confirmed();
+            self.read_host_list(daemon, now);
+        }
+        if self.rng.random_ratio(1, 5) {
+            let revision = self.daemons[daemon].revision as u64;
+            for former in self.daemons[daemon].ledger.wanted(&SERVICE, now) {
+                self.ask(daemon, number(&former), revision, None);
+            }
+        }
+        self.push(self.now + 1000, daemon, Event::Tick);
+    }
+
+    fn read_host_list(&mut self, daemon: usize, now: Duration) {
+        for other in 0..DAEMONS {
+            let state = &self.daemons[other];
+            let paused = state.paused_until > self.now && self.plan.split.is_none();
+            let gone = state.dead || paused;
+            let ledger = &mut self.daemons[daemon].ledger;
+            if other != daemon && gone {
+                ledger.host_gone(&host(other), now);
+            } else {
+                ledger.host_listed(&host(other));
+            }
+        }
+    }
+
+    fn ask(&mut self, daemon: usize, to: usize, revision: u64, after: Option<u64>) {
+        let request = TransferRequest {
+            service: SERVICE.clone(),
+            to: host(daemon),
+            revision,
+            after,
+        };
+        self.send(
+            daemon,
+            to,
+            Message::Ask {
+                request,
+                from: daemon,
+            },
+        );
+    }
+
+    /// A caller's attempt arrives at its entry daemon. Kinds of keys: 0 opaque,
+    /// 1 issued to the caller, 2 none, so the entry daemon issues one.
+    fn attempt(&mut self, entry: usize, attempt: usize) {
+        let key = self.plan.attempts[attempt].0;
+        let fresh = key % 3 == 2;
+        let slot = if fresh { usize::MAX - attempt } else { key };
+        let ledger = &mut self.daemons[entry].ledger;
+        self.keys.entry(slot).or_insert_with(|| match key % 3 {
+            0 => format!("key-{key}").parse().unwrap(),
+            _ => IdempotencyKey::Issued(ledger.issue()),
+        });
+        self.daemons[entry]
+            .attempts
+            .insert(attempt, KeyedAttempt::new(fresh));
+        self.push(self.now + DEADLINE / 3, entry, Event::Resend(attempt));
+        self.push(self.now + DEADLINE, entry, Event::Deadline(attempt));
+        self.call(entry, attempt, None);
+    }
+
+    fn key(&self, attempt: usize) -> IdempotencyKey {
+        let key = self.plan.attempts[attempt].0;
+        let slot = if key % 3 == 2 {
+            usize::MAX - attempt
+        } else {
+            key
+        };
+        self.keys[&slot].clone()
+    }
+
+    /// Names what must run at most once: the key, or the attempt without one.
+    fn once(&self, attempt: usize) -> usize {
+        let key = self.plan.attempts[attempt].0;
+        if key % 3 == 2 { 1000 + attempt } else { key }
+    }
+
+    fn call(&mut self, entry: usize, attempt: usize, owner: Option<SmolStr>) {
+        let owner = owner.or_else(|| match self.key(attempt) {
+            IdempotencyKey::Issued(key) => Some(key.host),
+            IdempotencyKey::Opaque(key) => {
+                let set = &self.configs[self.daemons[entry].revision].0;
+                KeyOwner::of(&SERVICE, &key, set, &[]).map(|owner| owner.host)
+            }
+        });
+        let late = self.now - self.plan.attempts[attempt].1 >= DEADLINE;
+        if let (Some(owner), false) = (owner, late)
+            && let Some(keyed) = self.daemons[entry].attempts.get_mut(&attempt)
+        {
+            keyed.sent();
+            let from = entry;
+            self.send(entry, number(&owner), Message::Call { attempt, from });
+        }
+    }
+
+    fn deliver(&mut self, daemon: usize, message: Message) {
+        match message {
+            Message::Call { attempt, from } => self.begin(daemon, from, attempt),
+            Message::Answer {
+                attempt,
+                verdict,
+                answer,
+                not_owner,
+            } => {
+                let Some(keyed) = self.daemons[daemon].attempts.get_mut(&attempt) else {
+                    return;
+                };
+                if let Some(owner) = not_owner {
+                    keyed.redirected();
+                    return self.call(daemon, attempt, Some(owner));
+                }
+                let verdict = keyed.answered(verdict);
+                self.daemons[daemon].attempts.remove(&attempt);
+                let at = self.decided.get(&attempt).copied().unwrap_or(self.now);
+                self.verdict(attempt, verdict, at);
+                if let Some(answer) = answer {
+                    let answers = self.outcome.answers.entry(self.once(attempt)).or_default();
+                    answers.push(answer);
+                }
+            }
+            Message::Execute {
+                ticket,
+                attempt,
+                from,
+            } => {
+                let answer = (!self.rng.random_ratio(1, 10)).then(|| {
+                    let id = self.outcome.executions.len();
+                    self.outcome
+                        .executions
+                        .push((self.once(attempt), attempt, self.now));
+                    OnceAnswer {
+                        status: 200,
+                        headers: vec![("x-run".into(), id.to_string().into_bytes().into())],
+                        // Every eighth body is too large to keep.
+                        body: vec![id as u8; id % 8 / 7 * 66_000 + 100].into(),
+                    }
+                });
+                self.send(daemon, from, Message::Executed { ticket, answer });
+            }
+            Message::Executed {
+                ticket,
+                answer: Some(answer),
+            } => {
+                self.finish(daemon, ticket, OnceOutcome::Ran(answer));
+            }
+            Message::Executed {
+                ticket,
+                answer: None,
+            } => {
+                self.daemons[daemon].ledger.refused(ticket);
+                if self.rng.random_bool(0.5) {
+                    self.push(self.now + 10, daemon, Event::HandOver(ticket));
+                } else {
+                    self.finish(daemon, ticket, OnceOutcome::NotRun);
+                }
+            }
+            Message::Ask { request, from } => {
+                let now = self.local(daemon);
+                let state = &mut self.daemons[daemon];
+                if let Some(piece) = state
+                    .ledger
+                    .export(&request, state.revision as u64, 300, now)
+                {
+                    self.send(daemon, from, Message::Piece(piece));
+                }
+            }
+            Message::Piece(piece) => {
+                let (now, from, revision) =
+                    (self.local(daemon), number(&piece.from), piece.revision);
+                let step = self.daemons[daemon].ledger.import(piece, now);
+                if let TransferStep::Ask(Some(after)) = step {
+                    self.ask(
+                        daemon,
+                        from,
+                        revision.min(self.daemons[daemon].revision as u64),
+                        Some(after),
+                    );
+                }
+            }
+        }
+    }
+
+    fn begin(&mut self, daemon: usize, from: usize, attempt: usize) {
+        let now = self.local(daemon);
+        let key = self.key(attempt);
+        let request = OnceRequest {
+            key: &key,
+            service: &SERVICE,
+            tenant: &TENANT,
+            regions: &[],
+            fingerprint: 1,
+        };
+        match self.daemons[daemon].ledger.begin(&request, now) {
+            OnceDecision::Run(ticket) => {
+                let waiters = vec![(from, attempt)];
+                self.daemons[daemon]
+                    .runs
+                    .insert(ticket, Run { attempt, waiters });
+                self.push(self.now + 5, daemon, Event::HandOver(ticket));
+            }
+            OnceDecision::Attach(ticket) => {
+                let run = self.daemons[daemon].runs.get_mut(&ticket).unwrap();
+                run.waiters.push((from, attempt));
+            }
+            OnceDecision::Replay(answer) => {
+                self.answer(
+                    daemon,
+                    from,
+                    attempt,
+                    CallVerdict::Ran,
+                    Some((*answer).clone()),
+                    None,
+                );
+            }
+            OnceDecision::Refuse { verdict, reason } => {
+                let name = format!("{reason:?}");
+                let name = name.split('(').next().unwrap().to_owned();
+                *self.outcome.reasons.entry(name).or_default() += 1;
+                let owner = match reason {
+                    OnceReason::NotOwner(owner) => owner,
+                    _ => None,
+                };
+                self.answer(daemon, from, attempt, verdict, None, owner);
+            }
+        }
+    }
+
+    fn hand_over(&mut self, daemon: usize, ticket: OnceTicket) {
+        let now = self.local(daemon);
+        let Some(attempt) = self.daemons[daemon]
+            .runs
+            .get(&ticket)
+            .map(|run| run.attempt)
+        else {
+            return;
+        };
+        if self.daemons[daemon].ledger.started(ticket, now) {
+            let target = self.rng.random_range(0..DAEMONS);
+            let from = daemon;
+            self.send(
+                daemon,
+                target,
+                Message::Execute {
+                    ticket,
+                    attempt,
+                    from,
+                },
+            );
+            self.push(self.now + 12_000, daemon, Event::RunTimeout(ticket));
+        } else {
+            self.finish(daemon, ticket, OnceOutcome::NotRun);
+        }
+    }
+
+    fn finish(&mut self, daemon: usize, ticket: OnceTicket, outcome: OnceOutcome) {
+        let now = self.local(daemon);
+        let answer = match &outcome {
+            OnceOutcome::Ran(answer) => Some(answer.clone()),
+            _ => None,
+        };
+        let verdict = self.daemons[daemon].ledger.finish(ticket, outcome, now);
+        if let Some(run) = self.daemons[daemon].runs.remove(&ticket) {
+            for (from, attempt) in run.waiters {
+                self.answer(daemon, from, attempt, verdict, answer.clone(), None);
+            }
+        }
+    }
+
+    fn answer(
+        &mut self,
+        daemon: usize,
+        to: usize,
+        attempt: usize,
+        verdict: CallVerdict,
+        answer: Option<OnceAnswer>,
+        not_owner: Option<SmolStr>,
+    ) {
+        if verdict == CallVerdict::NotRun {
+            self.decided.insert(attempt, self.now);
+        }
+        let message = Message::Answer {
+            attempt,
+            verdict,
+            answer,
+            not_owner,
+        };
+        self.send(daemon, to, message);
+    }
+
+    fn verdict(&mut self, attempt: usize, verdict: CallVerdict, at: u64) {
+        let once = self.once(attempt);
+        self.outcome.verdicts.push((once, attempt, verdict, at));
+    }
+}
--- a/crates/traffic/tests/once/ledger.rs
+++ b/crates/traffic/tests/once/ledger.rs
@@ -35,15 +35,15 @@
         ledger.begin(&request(&key), COVERED),
         OnceDecision::Attach(ticket)
     );
-    assert!(ledger.started(ticket));
+    assert!(ledger.started(ticket, COVERED));
     assert_eq!(
-        ledger.finish(ticket, OnceOutcome::Ran(answer(65536))),
+        ledger.finish(ticket, OnceOutcome::Ran(answer(65536)), COVERED),
         CallVerdict::Ran
     );
     let replay = OnceDecision::Replay(Arc::new(answer(65536)));
     assert_eq!(ledger.begin(&request(&key), COVERED), replay);
     assert_eq!(
-        ledger.finish(ticket, OnceOutcome::MayHaveRun),
+        ledger.finish(ticket, OnceOutcome::MayHaveRun, COVERED),
         CallVerdict::Ran
     );
     assert_eq!(ledger.begin(&request(&key), COVERED), replay);
@@ -55,8 +55,8 @@
     let mut ledger = ledger("a", 1, &["a"], &[]);
     let key = opaque("k");
     let ticket = run(&mut ledger, &key, COVERED);
-    assert!(ledger.started(ticket));
-    ledger.finish(ticket, OnceOutcome::Ran(answer(65537)));
+    assert!(ledger.started(ticket, COVERED));
+    ledger.finish(ticket, OnceOutcome::Ran(answer(65537)), COVERED);
     let kept = refuse(CallVerdict::Ran, OnceReason::AnswerNotKept);
     assert_eq!(ledger.begin(&request(&key), COVERED), kept);
 }
@@ -67,10 +67,10 @@
     let mut ledger = ledger("a", 1, &["a"], &[]);
     let lost = opaque("lost");
     let ticket = run(&mut ledger, &lost, COVERED);
-    assert!(ledger.started(ticket));
-    assert!(!ledger.started(ticket), "handed over twice");
+    assert!(ledger.started(ticket, COVERED));
+    assert!(!ledger.started(ticket, COVERED), "handed over twice");
     assert_eq!(
-        ledger.finish(ticket, OnceOutcome::NotRun),
+        ledger.finish(ticket, OnceOutcome::NotRun, COVERED),
         CallVerdict::MayHaveRun
     );
     let unknown = refuse(CallVerdict::MayHaveRun, OnceReason::OutcomeUnknown);
@@ -78,22 +78,25 @@
 
     let refused = opaque("refused");
     let ticket = run(&mut ledger, &refused, COVERED);
-    assert!(ledger.started(ticket));
+    assert!(ledger.started(ticket, COVERED));
     ledger.refused(ticket);
     assert!(
-        ledger.started(ticket),
+        ledger.started(ticket, COVERED),
         "a refused hand-over may be tried elsewhere"
     );
     ledger.refused(ticket);
     assert_eq!(
-        ledger.finish(ticket, OnceOutcome::NotRun),
+        ledger.finish(ticket, OnceOutcome::NotRun, COVERED),
         CallVerdict::NotRun
     );
     let again = run(&mut ledger, &refused, COVERED);
     assert_ne!(again, ticket);
-    assert!(!ledger.started(ticket), "a late hand-over of the ended run");
+    assert!(
+        !ledger.started(ticket, COVERED),
+        "a late hand-over of the ended run"
+    );
     assert_eq!(
-        ledger.finish(ticket, OnceOutcome::NotRun),
+        ledger.finish(ticket, OnceOutcome::NotRun, COVERED),
         CallVerdict::MayHaveRun
     );
     assert_eq!(
@@ -111,7 +114,7 @@
     let ticket = run(&mut ledger, &key, COVERED);
     let late = COVERED * 2;
     live(&mut ledger, late);
-    assert!(!ledger.started(ticket));
+    assert!(!ledger.started(ticket, COVERED));
     let unknown = refuse(CallVerdict::MayHaveRun, OnceReason::OutcomeUnknown);
     assert_eq!(ledger.begin(&request(&key), late), unknown);
     live(&mut ledger, COVERED * 3);
@@ -126,8 +129,8 @@
     let mut ledger = ledger("a", 1, &["a"], &[]);
     let key = opaque("k");
     let ticket = run(&mut ledger, &key, COVERED);
-    assert!(ledger.started(ticket));
-    ledger.finish(ticket, OnceOutcome::Ran(answer(3)));
+    assert!(ledger.started(ticket, COVERED));
+    ledger.finish(ticket, OnceOutcome::Ran(answer(3)), COVERED);
     let woken = COVERED * 20;
     ledger.expire(woken);
     let replay = OnceDecision::Replay(Arc::new(answer(3)));
@@ -140,8 +143,8 @@
     let mut ledger = ledger("a", 1, &["a"], &[]);
     let key = opaque("k");
     let ticket = run(&mut ledger, &key, COVERED);
-    assert!(ledger.started(ticket));
-    ledger.finish(ticket, OnceOutcome::Ran(answer(3)));
+    assert!(ledger.started(ticket, COVERED));
+    ledger.finish(ticket, OnceOutcome::Ran(answer(3)), COVERED);
     let other = OnceRequest {
         fingerprint: 2,
         ..request(&key)
@@ -180,8 +183,8 @@
     let keys: Vec<IdempotencyKey> = (0..4).map(|number| opaque(&format!("k{number}"))).collect();
     for key in &keys[..3] {
         let ticket = run(&mut ledger, key, COVERED);
-        assert!(ledger.started(ticket));
-        ledger.finish(ticket, OnceOutcome::MayHaveRun);
+        assert!(ledger.started(ticket, COVERED));
+        ledger.finish(ticket, OnceOutcome::MayHaveRun, COVERED);
     }
     let full = refuse(CallVerdict::NotRun, OnceReason::Full);
     assert_eq!(ledger.begin(&request(&keys[3]), COVERED), full);
@@ -204,8 +207,8 @@
     for number in 0..4 {
         let key = opaque(&format!("k{number}"));
         let ticket = run(&mut ledger, &key, COVERED);
-        assert!(ledger.started(ticket));
-        ledger.finish(ticket, OnceOutcome::Ran(answer(15_000)));
+        assert!(ledger.started(ticket, COVERED));
+        ledger.finish(ticket, OnceOutcome::Ran(answer(15_000)), COVERED);
         assert!(ledger.bytes() <= 40_000);
     }
     assert_eq!(ledger.len(), 4);
--- /dev/null
+++ b/crates/traffic/tests/once/world.rs
@@ -0,0 +1,321 @@
+//! A fleet in one process: entry daemons, owners, a lossy network and a target
+//! that counts what it runs.
+//!
+//! Assumed of the world, as in `model/README.md`: a call arrives within the
+//! delivery margin or never (issued keys need no such bound); a restarted daemon
+//! takes no older revision than it had; the host list drops a host that is dead,
+//! or that is paused while no partition hides the new configuration from it.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use radishgauge_traffic::CallVerdict;
+use radishgauge_traffic::key::IdempotencyKey;
+use radishgauge_traffic::key::KeyIssuer;
+use radishgauge_traffic::once::OnceAnswer;
+use radishgauge_traffic::once::OnceLedger;
+use radishgauge_traffic::once::OnceLimits;
+use radishgauge_traffic::once::OnceTicket;
+use radishgauge_traffic::once_cover::FormerOwners;
+use radishgauge_traffic::once_cover::OwnerChange;
+use radishgauge_traffic::once_entry::KeyedAttempt;
+use radishgauge_traffic::once_owner::OwnerSet;
+use radishgauge_traffic::once_owner::OwnerTarget;
+use radishgauge_traffic::once_transfer::OnceTransfer;
+use radishgauge_traffic::once_transfer::TransferRequest;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use smol_str::SmolStr;
+
+use crate::support::SERVICE;
+
+pub(crate) const DAEMONS: usize = 5;
+pub(crate) const WINDOW: u64 = 60_000;
+pub(crate) const MARGIN: u64 = 30_000;
+pub(crate) const DEADLINE: u64 = 20_000;
+pub(crate) const END: u64 = 900_000;
+
+/// What happens in one run.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    pub(crate) seed: u64,
+    pub(crate) loss_percent: u32,
+    pub(crate) doubled_percent: u32,
+    /// Daemon, time, and time until it returns; `None`: it never does.
+    pub(crate) crashes: Vec<(usize, u64, Option<u64>)>,
+    /// Daemon, time and length.
+    pub(crate) pauses: Vec<(usize, u64, u64)>,
+    /// The daemons cut off, from when, and for how long.
+    pub(crate) split: Option<(Vec<usize>, u64, u64)>,
+    /// When a configuration appears, and its targets.
+    pub(crate) changes: Vec<(u64, Vec<usize>)>,
+    /// Key (and its kind by the remainder of 3), time, entry daemon.
+    pub(crate) attempts: Vec<(usize, u64, usize)>,
+    /// The records that a ledger may hold.
+    pub(crate) records: usize,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum Message {
+    Call {
+        attempt: usize,
+        from: usize,
+    },
+    Answer {
+        attempt: usize,
+        verdict: CallVerdict,
+        answer: Option<OnceAnswer>,
+        not_owner: Option<SmolStr>,
+    },
+    Execute {
+        ticket: OnceTicket,
+        attempt: usize,
+        from: usize,
+    },
+    Executed {
+        ticket: OnceTicket,
+        answer: Option<OnceAnswer>,
+    },
+    Ask {
+        request: TransferRequest,
+        from: usize,
+    },
+    Piece(OnceTransfer),
+}
+
+#[derive(Debug, Clone)]
+pub(crate) enum Event {
+    Attempt(usize),
+    Deliver(Message),
+    Tick,
+    HandOver(OnceTicket),
+    RunTimeout(OnceTicket),
+    Resend(usize),
+    Deadline(usize),
+    Crash(Option<u64>),
+    Restart,
+    Pause(u64),
+    Publish(usize),
+}
+
+pub(crate) struct Run {
+    pub(crate) attempt: usize,
+    pub(crate) waiters: Vec<(usize, usize)>,
+}
+
+pub(crate) struct Daemon {
+    pub(crate) ledger: OnceLedger,
+    pub(crate) revision: usize,
+    pub(crate) incarnation: u64,
+    pub(crate) started: u64,
+    pub(crate) up: bool,
+    pub(crate) paused_until: u64,
+    pub(crate) dead: bool,
+    pub(crate) runs: HashMap<OnceTicket, Run>,
+    pub(crate) attempts: HashMap<usize, KeyedAttempt>,
+}
+
+/// What one run showed.
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    /// Each execution: key, attempt that caused it, time.
+    pub(crate) executions: Vec<(usize, usize, u64)>,
+    /// Each verdict for a caller: key, attempt, verdict, time of the decision.
+    pub(crate) verdicts: Vec<(usize, usize, CallVerdict, u64)>,
+    /// Each response that callers got, by key.
+    pub(crate) answers: BTreeMap<usize, Vec<OnceAnswer>>,
+    /// Why keys were refused, and how often.
+    pub(crate) reasons: BTreeMap<String, u32>,
+}
+
+pub(crate) struct World {
+    pub(crate) plan: Plan,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) now: u64,
+    pub(crate) queue: BinaryHeap<Reverse<(u64, u64, usize, u64)>>,
+    pub(crate) events: HashMap<u64, Event>,
+    pub(crate) sequence: u64,
+    pub(crate) daemons: Vec<Daemon>,
+    pub(crate) configs: Vec<(OwnerSet, Vec<FormerOwners>)>,
+    pub(crate) keys: HashMap<usize, IdempotencyKey>,
+    pub(crate) decided: HashMap<usize, u64>,
+    pub(crate) outcome: Outcome,
+}
+
+pub(crate) fn host(daemon: usize) -> SmolStr {
+    SmolStr::new(format!("h{daemon}"))
+}
+
+pub(crate) fn number(host: &str) -> usize {
+    host[1..].parse().unwrap()
+}
+
+pub(crate) fn ledger(daemon: usize, incarnation: u64, records: usize) -> OnceLedger {
+    let limits = OnceLimits {
+        records,
+        repeat_window: Duration::from_millis(WINDOW),
+        delivery_margin: Duration::from_millis(MARGIN),
+        ..OnceLimits::default()
+    };
+    let issuer = KeyIssuer::new(&host(daemon), incarnation, [incarnation as u8; 32]);
+    OnceLedger::new(issuer, "x", limits)
+}
+
+/// Runs a plan to its end.
+pub(crate) fn run(plan: &Plan) -> Outcome {
+    let mut world = World::new(plan.clone());
+    while let Some(Reverse((at, _, daemon, id))) = world.queue.pop() {
+        let event = world.events.remove(&(id & !INCARNATION_BITS)).unwrap();
+        world.now = at;
+        if at < END {
+            world.handle(daemon, id, event);
+        }
+    }
+    world.outcome
+}
+
+/// An event's number, with the incarnation it is for in the high bits.
+pub(crate) const INCARNATION_BITS: u64 = 0xffff << 48;
+
+impl World {
+    fn new(plan: Plan) -> World {
+        let targets = |daemons: &[usize]| {
+            let target = |&daemon: &usize| OwnerTarget {
+                host: host(daemon),
+                region: SmolStr::new(["x", "y"][daemon % 2]),
+            };
+            OwnerSet::new(0, daemons.iter().map(target))
+        };
+        let mut configs = vec![(targets(&[0, 1, 2]), Vec::new())];
+        for (index, (_, daemons)) in plan.changes.iter().enumerate() {
+            let (set, mut former) = configs[index].clone();
+            let left_at = index as u64 + 1;
+            former.push(FormerOwners { set, left_at });
+            configs.push((targets(daemons), former));
+        }
+        let daemon = |daemon| Daemon {
+            ledger: ledger(daemon, 1, plan.records),
+            revision: 0,
+            incarnation: 1,
+            started: 0,
+            up: true,
+            paused_until: 0,
+            dead: false,
+            runs: HashMap::new(),
+            attempts: HashMap::new(),
+        };
+        let mut world = World {
+            rng: Pcg64Mcg::seed_from_u64(plan.seed),
+            now: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            sequence: 0,
+            daemons: (0..DAEMONS).map(daemon).collect(),
+            configs,
+            keys: HashMap::new(),
+            decided: HashMap::new(),
+            outcome: Outcome::default(),
+            plan: plan.clone(),
+        };
+        for daemon in 0..DAEMONS {
+            world.configure(daemon, 0);
+            world.push(1000, daemon, Event::Tick);
+        }
+        for (index, &(_, at, entry)) in plan.attempts.iter().enumerate() {
+            world.push(at, entry, Event::Attempt(index));
+        }
+        for &(daemon, at, back) in &plan.crashes {
+            world.push(at, daemon, Event::Crash(back));
+        }
+        for &(daemon, at, length) in &plan.pauses {
+            world.push(at, daemon, Event::Pause(length));
+        }
+        for (index, (at, _)) in plan.changes.iter().enumerate() {
+            world.push(*at, 0, Event::Publish(index + 1));
+        }
+        world
+    }
+
+    pub(crate) fn push(&mut self, at: u64, daemon: usize, event: Event) {
+        // Events of the world happen to any incarnation, all others to one.
+        let world = matches!(
+            event,
+            Event::Attempt(_)
+                | Event::Crash(_)
+                | Event::Restart
+                | Event::Pause(_)
+                | Event::Publish(_)
+        );
+        let incarnation = if world {
+            0
+        } else {
+            self.daemons[daemon].incarnation
+        };
+        self.sequence += 1;
+        self.events.insert(self.sequence, event);
+        let id = incarnation << 48 | self.sequence;
+        self.queue.push(Reverse((at, self.sequence, daemon, id)));
+    }
+
+    pub(crate) fn cut(&self, one: usize, other: usize) -> bool {
+        self.plan
+            .split
+            .as_ref()
+            .is_some_and(|(side, from, length)| {
+                side.contains(&one) != side.contains(&other)
+                    && (*from..from + length).contains(&self.now)
+            })
+    }
+
+    pub(crate) fn reaches(&self, one: usize, other: usize) -> bool {
+        let daemon = &self.daemons[other];
+        daemon.up && daemon.paused_until <= self.now && !self.cut(one, other)
+    }
+
+    /// Sends a message; one that another partition or an end of the receiver
+    /// meets is lost. Only transfers are doubled: a call is one stream.
+    pub(crate) fn send(&mut self, from: usize, to: usize, message: Message) {
+        let double = matches!(message, Message::Ask { .. } | Message::Piece(_))
+            && self.rng.random_ratio(self.plan.doubled_percent, 100);
+        for _ in 0..1 + u32::from(double) {
+            let lost = from != to && self.rng.random_ratio(self.plan.loss_percent, 100);
+            if !self.daemons[to].up || self.cut(from, to) || lost {
+                continue;
+            }
+            let slow = matches!(&message, Message::Call { attempt, .. } if self.issued(*attempt))
+                && self.rng.random_ratio(10, 100);
+            let longest = if slow { 300_000 } else { 5000 };
+            let delay = if from == to {
+                0
+            } else {
+                self.rng.random_range(1..longest)
+            };
+            self.push(self.now + delay, to, Event::Deliver(message.clone()));
+        }
+    }
+
+    pub(crate) fn issued(&self, attempt: usize) -> bool {
+        !self.plan.attempts[attempt].0.is_multiple_of(3)
+    }
+
+    pub(crate) fn local(&self, daemon: usize) -> Duration {
+        Duration::from_millis(self.now - self.daemons[daemon].started)
+    }
+
+    pub(crate) fn configure(&mut self, daemon: usize, revision: usize) {
+        let now = self.local(daemon);
+        let (current, former) = self.configs[revision].clone();
+        self.daemons[daemon].revision = revision;
+        let change = OwnerChange {
+            service: SERVICE.clone(),
+            revision: revision as u64,
+            current,
+            former,
+        };
+        self.daemons[daemon].ledger.ownership_changed(change, now);
+    }
+}
