--- a/crates/traffic/examples/once_cost.rs
+++ b/crates/traffic/examples/once_cost.rs
@@ -18,9 +18,11 @@
 use radishgauge_traffic::once::OnceLimits;
 use radishgauge_traffic::once::OnceOutcome;
 use radishgauge_traffic::once::OnceRequest;
+use radishgauge_traffic::once_cover::FormerOwners;
 use radishgauge_traffic::once_cover::OwnerChange;
 use radishgauge_traffic::once_owner::OwnerSet;
 use radishgauge_traffic::once_owner::OwnerTarget;
+use radishgauge_traffic::once_transfer::OnceTransfer;
 use radishgauge_traffic::once_transfer::TransferRequest;
 use smol_str::SmolStr;
 
@@ -63,6 +65,48 @@
     ledger
 }
 
+/// Gives a ledger 32 former sets of 20 targets, all of which have handed over.
+fn add_former_sets(ledger: &mut OnceLedger, service: &SmolStr) {
+    let now = Duration::from_secs(KEEP);
+    let target = |number: u64| OwnerTarget {
+        host: SmolStr::new(format!("addis-kality-{number}")),
+        region: "addis".into(),
+    };
+    let former = (0..32).map(|set| FormerOwners {
+        set: OwnerSet::new(0, (set..set + 20).map(target)),
+        left_at: 2,
+    });
+    let change = OwnerChange {
+        service: service.clone(),
+        revision: 2,
+        current: OwnerSet::new(
+            0,
+            [OwnerTarget {
+                host: "addis-bole-1".into(),
+                region: "addis".into(),
+            }],
+        ),
+        former: former.collect(),
+    };
+    ledger.ownership_changed(change, now);
+    for from in ledger.wanted(service, now) {
+        ledger.import(
+            OnceTransfer {
+                service: service.clone(),
+                from,
+                incarnation: 1,
+                revision: 2,
+                after: None,
+                next: None,
+                withheld: false,
+                unknown_for: Duration::ZERO,
+                records: Vec::new(),
+            },
+            now,
+        );
+    }
+}
+
 fn answer(body: usize) -> OnceAnswer {
     OnceAnswer {
         status: 200,
@@ -72,7 +116,12 @@
 }
 
 /// Fills a ledger with one record a key, and prints the costs.
-fn measure(name: &str, body: usize, key: impl Fn(&mut OnceLedger, u64) -> IdempotencyKey) {
+fn measure(
+    name: &str,
+    body: usize,
+    former: bool,
+    key: impl Fn(&mut OnceLedger, u64) -> IdempotencyKey,
+) {
     let service = SmolStr::new("order-desk");
     let tenant = SmolStr::new("tenant-1");
     let records = RATE * KEEP;
@@ -80,6 +129,9 @@
     let mut memory = (0, 0);
     for _ in 0..ROUNDS {
         let mut ledger = covered_ledger(&service);
+        if former {
+            add_former_sets(&mut ledger, &service);
+        }
         let keys: Vec<IdempotencyKey> = (0..records)
             .map(|number| key(&mut ledger, number))
             .collect();
@@ -143,7 +195,8 @@
 fn main() {
     let opaque = |_: &mut OnceLedger, number: u64| format!("order-{number:012}").parse().unwrap();
     let issued = |ledger: &mut OnceLedger, _| IdempotencyKey::Issued(ledger.issue());
-    measure("opaque, no body", 0, opaque);
-    measure("issued, no body", 0, issued);
-    measure("opaque, 2 KB body", 2048, opaque);
+    measure("opaque, no body", 0, false, opaque);
+    measure("issued, no body", 0, false, issued);
+    measure("opaque, 2 KB body", 2048, false, opaque);
+    measure("opaque, 32 former sets", 0, true, opaque);
 }
