--- a/crates/traffic/src/once.rs
+++ b/crates/traffic/src/once.rs
@@ -304,6 +304,7 @@
         let held = self.advance(now).saturating_sub(self.limits.keep());
         self.known_since = self.known_since.max(held);
         self.limits.repeat_window = window;
+        self.update_clear();
     }
 
     /// Moves the ledger's time and returns it.
--- a/crates/traffic/src/once_cover.rs
+++ b/crates/traffic/src/once_cover.rs
@@ -58,6 +58,8 @@
     former: Vec<FormerSet>,
     pub(crate) handovers: IndexMap<SmolStr, Handover>,
     pub(crate) pending: IndexMap<SmolStr, PendingTransfer>,
+    /// From when on every host of every former set is resolved.
+    clear_at: Option<Duration>,
 }
 
 /// A transfer of which a part has arrived.
@@ -123,6 +125,7 @@
             former: Vec::new(),
             handovers: IndexMap::new(),
             pending: IndexMap::new(),
+            clear_at: Some(Duration::ZERO),
         });
         if revision < cover.revision {
             return;
@@ -135,6 +138,7 @@
         for former in change.former {
             cover.add_former(former.set, former.left_at);
         }
+        self.update_clear();
     }
 
     /// Notes that the platform's host list no longer has `host`.
@@ -142,13 +146,18 @@
     /// To be called also for each former owner that the first list lacks.
     pub fn host_gone(&mut self, host: &str, now: Duration) {
         let now = self.advance(now);
-        self.gone.entry(SmolStr::new(host)).or_insert(now);
+        if !self.gone.contains_key(host) {
+            self.gone.insert(SmolStr::new(host), now);
+            self.update_clear();
+        }
     }
 
     /// Notes that the host list has `host` again, or that the host itself was
     /// heard from: a host that lives may run the keys that it owned.
     pub fn host_listed(&mut self, host: &str) {
-        self.gone.swap_remove(host);
+        if self.gone.swap_remove(host).is_some() {
+            self.update_clear();
+        }
     }
 
     /// Returns the former owners whose records of `service` are still needed,
@@ -182,6 +191,9 @@
         now: Duration,
     ) -> Option<SmolStr> {
         let cover = self.covers.get(service)?;
+        if cover.clear_at.is_some_and(|at| at <= now) {
+            return None;
+        }
         for former in &cover.former {
             let pending = |host: &&SmolStr| !self.resolved(service, host, former.left_at, now);
             let found = if former.all {
@@ -205,18 +217,38 @@
     /// Says whether `host` can run no more key under a set that it left with
     /// revision `left_at`, and whether all it ran under it is known here.
     fn resolved(&self, service: &str, host: &SmolStr, left_at: u64, now: Duration) -> bool {
+        self.resolved_at(service, host, left_at)
+            .is_some_and(|at| at <= now)
+    }
+
+    fn resolved_at(&self, service: &str, host: &SmolStr, left_at: u64) -> Option<Duration> {
         if host == self.host() {
-            return true;
+            return Some(Duration::ZERO);
         }
-        let handover = self
-            .covers
-            .get(service)
-            .and_then(|cover| cover.handovers.get(host));
-        if handover.is_some_and(|handover| handover.revision >= left_at && handover.whole_at <= now)
-        {
-            return true;
+        let handovers = &self.covers.get(service)?.handovers;
+        let handover = handovers
+            .get(host)
+            .filter(|handover| handover.revision >= left_at);
+        let whole = handover.map(|handover| handover.whole_at);
+        let ended = self.gone.get(host).map(|&since| since + self.limits.keep());
+        whole.into_iter().chain(ended).min()
+    }
+
+    /// Computes anew from when on no former owner of any key is waited for.
+    ///
+    /// To be called after each change of what `resolved_at` reads: without it
+    /// each new key costs a rendezvous over all former sets.
+    pub(crate) fn update_clear(&mut self) {
+        for index in 0..self.covers.len() {
+            let Some((service, cover)) = self.covers.get_index(index) else {
+                return;
+            };
+            let mut times = cover.former.iter().flat_map(|former| {
+                let targets = former.set.targets().iter();
+                targets.map(|target| self.resolved_at(service, &target.host, former.left_at))
+            });
+            let clear = times.try_fold(Duration::ZERO, |latest, at| at.map(|at| latest.max(at)));
+            self.covers[index].clear_at = clear;
         }
-        let gone = self.gone.get(host);
-        gone.is_some_and(|&since| now.saturating_sub(since) >= self.limits.keep())
     }
 }
--- a/crates/traffic/src/once_transfer.rs
+++ b/crates/traffic/src/once_transfer.rs
@@ -217,6 +217,7 @@
         if handover.revision > known.revision || handover.whole_at < known.whole_at {
             *known = handover;
         }
+        self.update_clear();
         TransferStep::Done
     }
 
