--- a/crates/traffic/src/once_decision.rs
+++ b/crates/traffic/src/once_decision.rs
@@ -13,7 +13,7 @@
 /// The bounds of a ledger.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OnceLimits {
-    /// The greatest number of records. Default 100,000: 10 times the design
+    /// The greatest number of records. Default 100,000: 4.7 times the design
     /// size (`examples/once_cost.rs`), which leaves room for a burst.
     pub records: usize,
     /// The greatest size of all records, in bytes. Default 128 MiB.
