--- a/crates/traffic/src/once_record.rs
+++ b/crates/traffic/src/once_record.rs
@@ -40,12 +40,24 @@
 
 #[derive(Debug, Clone)]
 pub(crate) enum EntryState {
-    Running { handed_over: bool },
+    Running {
+        handed_over: bool,
+        /// The pauses of the process before the run began.
+        pauses: u32,
+    },
     Unknown,
     Answered(Option<Arc<OnceAnswer>>),
 }
 
 impl OnceEntry {
+    /// Says whether no other owner can have taken over since the run began.
+    pub(crate) fn begun_at(&self, latest: u32) -> bool {
+        match (&self.name.key, &self.state) {
+            (IdempotencyKey::Opaque(_), EntryState::Running { pauses, .. }) => *pauses == latest,
+            _ => true,
+        }
+    }
+
     /// Returns the memory of the record and its response.
     pub(crate) fn bytes(&self) -> usize {
         let answer = match &self.state {
@@ -75,8 +87,9 @@
     }
 }
 
-/// Hashes all that a re-send must have in common with the first request.
-pub(crate) fn mix(request: &OnceRequest<'_>) -> u64 {
+/// Hashes all that a re-send must have in common with the first request: the
+/// service, the tenant and the request's own hash.
+pub fn fingerprint(request: &OnceRequest<'_>) -> u64 {
     let mut hash = Xxh3::new();
     hash.update(request.service.as_bytes());
     hash.update(&[0]);
--- a/crates/traffic/tests/once/main.rs
+++ b/crates/traffic/tests/once/main.rs
@@ -1,5 +1,9 @@
 //! At most once (invariants I8 and I9).
 
+mod conformance;
 mod cover;
+mod fleet;
 mod ledger;
+mod runs;
 mod support;
+mod world;
