--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -6,12 +6,12 @@
 use futures_util::StreamExt;
 use http::Response;
 use http::StatusCode;
-use radishgauge_net::listener::AnswerBody as HttpAnswerBody;
-use radishgauge_net::listener::BodyFault as HttpBodyFault;
-use radishgauge_net::listener::BoxError;
-use radishgauge_net::listener::HttpAnswer;
-use radishgauge_net::listener::HttpBody;
-use radishgauge_net::listener::HttpRequest;
+use radishgauge_net::exchange::AnswerBody as HttpAnswerBody;
+use radishgauge_net::exchange::BodyFault as HttpBodyFault;
+use radishgauge_net::exchange::BoxError;
+use radishgauge_net::exchange::HttpAnswer;
+use radishgauge_net::exchange::HttpBody;
+use radishgauge_net::exchange::HttpRequest;
 use tokio::sync::mpsc;
 
 use crate::answer::CallAnswer;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -388,6 +388,7 @@
         body: limits.body_mib * 1024 * 1024,
         threads,
         requests: limits.calls as usize,
+        ..ListenLimits::default()
     };
     CallerListener::bind(address, bounds, move |request| {
         handler.clone().answer(request)
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -175,6 +175,7 @@
     ) -> Result<Picked, Refusal> {
         let request = PickRequest {
             home: self.home,
+            criticality: route.criticality,
             bytes: body.held.len() as u64,
         };
         let now = self.node.clock.now();
@@ -221,7 +222,10 @@
             .map_or(self.traceparent.as_str(), |span| span.traceparent());
         let head = self.head(&picked.host, context, traceparent);
         if let Some(ticket) = self.ticket
-            && !self.node.state.with_ledger(|ledger| ledger.started(ticket))
+            && !self
+                .node
+                .state
+                .with_ledger(|ledger| ledger.started(ticket, self.node.clock.now()))
         {
             return Attempt::Failed(CallAnswer::unanswered(
                 CallVerdict::MayHaveRun,
@@ -274,6 +278,9 @@
             self.node.state.with_ledger(|ledger| ledger.refused(ticket));
         }
         let outcome = match (verdict, answer.refusal_reason()) {
+            (CallVerdict::Ran, _) if answer.head.status >= 500 => CallOutcome::Failed {
+                capacity: answer.head.capacity,
+            },
             (CallVerdict::Ran, _) => CallOutcome::Answered {
                 capacity: answer.head.capacity,
             },
--- a/crates/daemon/src/hosted.rs
+++ b/crates/daemon/src/hosted.rs
@@ -253,8 +253,7 @@
 
     /// Returns the capacity to report with the answer.
     pub fn capacity(&self) -> u32 {
-        // The slot of this call is free for the sender again.
-        self.target.admission.reported_capacity() + 1
+        self.target.admission.reported_capacity()
     }
 
     /// Gives the slot back after an outcome.
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -288,7 +288,7 @@
         let verdict = self
             .node
             .state
-            .with_ledger(|ledger| ledger.finish(ticket, outcome));
+            .with_ledger(|ledger| ledger.finish(ticket, outcome, self.node.clock.now()));
         self.node.runs.end(ticket);
         verdict
     }
@@ -373,7 +373,11 @@
         return Ok(node.state.with_ledger(|ledger| ledger.issue()).to_string());
     }
     let mut tried = TriedTargets::default();
-    let request = PickRequest { home, bytes: 0 };
+    let request = PickRequest {
+        home,
+        criticality: route.criticality,
+        bytes: 0,
+    };
     loop {
         let now = node.clock.now();
         let picked = node
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -7,9 +7,9 @@
 use http::Method;
 use http::Response;
 use http::StatusCode;
-use radishgauge_net::listener::AnswerBody;
-use radishgauge_net::listener::HttpAnswer;
-use radishgauge_net::listener::HttpRequest;
+use radishgauge_net::exchange::AnswerBody;
+use radishgauge_net::exchange::HttpAnswer;
+use radishgauge_net::exchange::HttpRequest;
 use radishgauge_schema::peer::StatusReply;
 use radishgauge_traffic::snapshot::Distance;
 use serde_json::Value;
@@ -174,7 +174,7 @@
                     "outstanding": target.stats.outstanding(),
                     "response_us": target.stats.response_time().as_micros() as u64,
                     "capacity": target.stats.capacity(),
-                    "passed_over": target.stats.is_full(now),
+                    "passed_over": target.stats.is_full(entry.criticality, now),
                 })
             })
             .collect();
--- a/crates/daemon/src/publish.rs
+++ b/crates/daemon/src/publish.rs
@@ -105,11 +105,14 @@
 
     /// Tells the traffic threads that the control thread is on time.
     pub fn confirm(&self, now: Duration) {
-        let current = self.state.current();
-        let checking =
-            current.is_some_and(|current| current.share.freshness == fresh::Freshness::Checking);
-        if !checking {
-            self.state.gate.confirm(now);
+        match self.state.current().map(|current| current.share.freshness) {
+            Some(fresh::Freshness::Checking) => {}
+            Some(fresh::Freshness::Fresh) => {
+                // A neighbour confirmed the version after the last pause.
+                self.state.with_ledger(OnceLedger::confirmed);
+                self.state.gate.confirm(now);
+            }
+            Some(fresh::Freshness::Isolated) | None => self.state.gate.confirm(now),
         }
     }
 
--- a/crates/daemon/src/receive.rs
+++ b/crates/daemon/src/receive.rs
@@ -14,9 +14,9 @@
 use http::header::HOST;
 use opentelemetry::trace::SpanKind;
 use radishgauge_config::model::Criticality;
+use radishgauge_net::RequestProgress;
+use radishgauge_net::TargetAnswer;
 use radishgauge_net::TargetBody;
-use radishgauge_net::target::RequestProgress;
-use radishgauge_net::target::TargetAnswer;
 use radishgauge_schema::peer::AnswerHead;
 use radishgauge_schema::peer::CallHead;
 use radishgauge_schema::peer::Verdict;
@@ -225,7 +225,7 @@
         let body = match body.as_whole() {
             Some(bytes) => TargetBody::whole(bytes.clone()),
             None => TargetBody::stream(body.take().map(|piece| {
-                piece.map_err(|fault| radishgauge_net::BoxError::from(fault.to_string()))
+                piece.map_err(|fault| radishgauge_net::exchange::BoxError::from(fault.to_string()))
             })),
         };
         let mut request = Request::builder()
--- a/crates/daemon/src/targets.rs
+++ b/crates/daemon/src/targets.rs
@@ -5,8 +5,8 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use radishgauge_net::target::TargetClient;
-use radishgauge_net::target::TargetLimits;
+use radishgauge_net::TargetClient;
+use radishgauge_net::TargetLimits;
 
 /// The clients of the targets of this host.
 #[derive(Default)]
--- a/crates/daemon/src/transfer.rs
+++ b/crates/daemon/src/transfer.rs
@@ -32,8 +32,12 @@
 /// How long a former owner may take to answer.
 const TIMEOUT: Duration = Duration::from_secs(3);
 
-/// How often missing records are asked for.
-pub const INTERVAL: Duration = Duration::from_secs(2);
+/// The records dropped in one go, so that the ledger is never held for long.
+const EXPIRED_AT_ONCE: usize = 1000;
+
+/// How often missing records are asked for and old ones dropped. The ledger
+/// takes a gap of more than 2 s for a pause of the process.
+pub const INTERVAL: Duration = Duration::from_secs(1);
 
 /// Answers a new owner's request.
 pub fn export(node: &DaemonNode, request: OwnerTransferRequest) -> OwnerTransferReply {
@@ -65,6 +69,9 @@
         if node.is_stopped() {
             return;
         }
+        let now = node.clock.now();
+        node.state
+            .with_ledger(|ledger| ledger.expire_some(now, EXPIRED_AT_ONCE));
         let Some(current) = node.state.current() else {
             continue;
         };
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -9,10 +9,6 @@
 use std::net::TcpListener;
 use std::pin::Pin;
 use std::sync::Arc;
-<<<<<<< HEAD
-use std::sync::atomic::AtomicBool;
-=======
->>>>>>> net
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
@@ -20,11 +16,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-<<<<<<< HEAD
-use futures_util::Stream;
-use futures_util::StreamExt;
-=======
->>>>>>> net
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -32,31 +23,14 @@
 use http::header;
 use http::request::Parts;
 use tokio::sync::oneshot;
-<<<<<<< HEAD
-use xitca_web::HttpServer;
-use xitca_web::body::Body;
-use xitca_web::body::BodyExt;
-=======
 use xitca_http::HttpServiceBuilder;
 use xitca_http::config::HttpServiceConfig;
 use xitca_io::net::TcpStream;
 use xitca_web::body::Body;
->>>>>>> net
 use xitca_web::body::Frame;
 use xitca_web::body::RequestBody;
 use xitca_web::body::ResponseBody;
 use xitca_web::body::SizeHint;
-<<<<<<< HEAD
-use xitca_web::body::StreamBody;
-use xitca_web::http::RequestExt;
-use xitca_web::service::fn_service;
-
-/// An error of any kind, as bodies report it.
-pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
-
-/// An answer to a caller or an operator.
-pub type HttpAnswer = Response<AnswerBody>;
-=======
 use xitca_web::http::RequestExt;
 use xitca_web::service::ServiceExt;
 use xitca_web::service::fn_service;
@@ -71,7 +45,6 @@
 use crate::exchange::HttpBody;
 use crate::exchange::HttpRequest;
 use crate::exchange::PieceStream;
->>>>>>> net
 
 /// The greatest number of header fields in a request.
 const HEADER_FIELDS: usize = 128;
@@ -95,11 +68,8 @@
     pub threads: usize,
     /// The requests under way; more are refused with status 503 before they run.
     pub requests: usize,
-<<<<<<< HEAD
-=======
     /// How long a stop waits for the requests under way.
     pub stop: Duration,
->>>>>>> net
 }
 
 impl Default for ListenLimits {
@@ -109,129 +79,11 @@
             body: 64 * 1024 * 1024,
             threads: 4,
             requests: 4096,
-<<<<<<< HEAD
-=======
             stop: Duration::from_secs(30),
->>>>>>> net
         }
     }
 }
 
-<<<<<<< HEAD
-/// A request whose body is still to be read.
-pub struct HttpRequest {
-    /// Method, target, version and headers.
-    pub head: Parts,
-    /// The address of the caller.
-    pub remote: SocketAddr,
-    /// The body.
-    pub body: HttpBody,
-}
-
-/// Why a body could not be read to its end.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum BodyFault {
-    /// The body is longer than the limit.
-    #[error("the body exceeds the limit of {limit} bytes")]
-    TooLarge {
-        /// The limit.
-        limit: u64,
-    },
-    /// The caller's connection ended before the body did.
-    #[error("the body was cut off: {0}")]
-    Cut(String),
-}
-
-/// The body of a request, read in pieces.
-pub struct HttpBody {
-    inner: RequestBody,
-    limit: u64,
-    seen: u64,
-}
-
-impl HttpBody {
-    /// Returns the next piece, or `None` after the whole body.
-    ///
-    /// # Errors
-    ///
-    /// When the body is cut off or exceeds the limit.
-    pub async fn data(&mut self) -> Result<Option<Bytes>, BodyFault> {
-        loop {
-            match self.inner.frame().await {
-                None => return Ok(None),
-                Some(Err(error)) => return Err(BodyFault::Cut(error.to_string())),
-                Some(Ok(Frame::Trailers(_))) => {}
-                Some(Ok(Frame::Data(data))) => {
-                    self.seen += data.len() as u64;
-                    if self.seen > self.limit {
-                        return Err(BodyFault::TooLarge { limit: self.limit });
-                    }
-                    return Ok(Some(data));
-                }
-            }
-        }
-    }
-
-    /// Receives the whole body.
-    ///
-    /// # Errors
-    ///
-    /// As [`HttpBody::data`], and when the body is longer than `limit` bytes.
-    pub async fn whole(&mut self, limit: u64) -> Result<Bytes, BodyFault> {
-        let mut pieces = Vec::new();
-        self.limit = self.limit.min(limit);
-        while let Some(data) = self.data().await? {
-            pieces.push(data);
-        }
-        match <[Bytes; 1]>::try_from(pieces) {
-            Ok([single]) => Ok(single),
-            Err(pieces) => Ok(pieces.concat().into()),
-        }
-    }
-
-    /// Returns the pieces as a stream; it stays on the listener's thread.
-    pub fn into_stream(self) -> impl Stream<Item = Result<Bytes, BodyFault>> + 'static {
-        futures_util::stream::try_unfold(self, |mut body| async move {
-            Ok(body.data().await?.map(|data| (data, body)))
-        })
-    }
-}
-
-/// The body of an answer.
-pub struct AnswerBody(AnswerKind);
-
-enum AnswerKind {
-    Whole(Bytes),
-    Stream(ResponseBody),
-}
-
-impl AnswerBody {
-    /// A body that is at hand.
-    pub fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
-        AnswerBody(AnswerKind::Whole(bytes.into()))
-    }
-
-    /// A body that is sent as it arrives. An error of the stream ends the
-    /// caller's connection abnormally, so that a part is never taken for the whole.
-    pub fn stream<S>(stream: S) -> AnswerBody
-    where
-        S: Stream<Item = Result<Bytes, BoxError>> + 'static,
-    {
-        let frames = Box::pin(stream.map(|data| data.map(Frame::Data)));
-        AnswerBody(AnswerKind::Stream(ResponseBody::boxed(StreamBody::new(
-            frames,
-        ))))
-    }
-}
-
-impl Default for AnswerBody {
-    fn default() -> AnswerBody {
-        AnswerBody::whole(Bytes::new())
-    }
-}
-
-=======
->>>>>>> net
 /// A running listener for callers; HTTP/1.1 on a TCP address.
 pub struct CallerListener(RunningListener);
 
@@ -267,11 +119,7 @@
     }
 
     /// Accepts no more connections, lets the requests under way finish, and
-<<<<<<< HEAD
-    /// ends. Dropping the future leaves the listener stopping.
-=======
     /// ends. Dropping the listener does the same without waiting.
->>>>>>> net
     pub async fn stop(self) {
         self.0.stop().await;
     }
@@ -321,11 +169,7 @@
 
 #[derive(Default)]
 struct ListenState {
-<<<<<<< HEAD
-    stopping: AtomicBool,
-=======
     stop: StopSignal,
->>>>>>> net
     running: AtomicUsize,
 }
 
@@ -348,22 +192,11 @@
             let handler = handler.clone();
             async move { Ok::<_, Infallible>(answer(request, limits, &state, handler).await) }
         });
-<<<<<<< HEAD
-        let mut server = HttpServer::serve(service)
-            .worker_threads(limits.threads.max(1))
-            .disable_signal()
-=======
         let config = HttpServiceConfig::new()
->>>>>>> net
             .keep_alive_timeout(KEEP_ALIVE)
             .request_head_timeout(HEAD_TIME)
             .max_read_buf_size::<READ_BUFFER>()
             .max_write_buf_size::<WRITE_BUFFER>()
-<<<<<<< HEAD
-            .max_request_headers::<HEADER_FIELDS>()
-            .listen(listener)?
-            .run();
-=======
             .max_request_headers::<HEADER_FIELDS>();
         let watched = state.clone();
         let service = service
@@ -383,7 +216,6 @@
                 service,
             )
             .build();
->>>>>>> net
         let handle = server.handle()?;
         let (end, ended) = oneshot::channel();
         std::thread::Builder::new()
@@ -401,18 +233,6 @@
         })
     }
 
-<<<<<<< HEAD
-    async fn stop(self) {
-        self.state.stopping.store(true, Ordering::Release);
-        (self.stop)();
-        // The sender is dropped only together with the server's thread.
-        let _ = self.ended.await;
-    }
-}
-
-/// Counts one request under way until it is dropped.
-struct RunningRequest(Arc<ListenState>);
-=======
     async fn stop(mut self) {
         self.begin_stop();
         // The sender is dropped only together with the server's thread.
@@ -437,30 +257,21 @@
     state: Arc<ListenState>,
     _connection: ConnectionGuard,
 }
->>>>>>> net
 
 impl RunningRequest {
     fn begin(state: &Arc<ListenState>, limit: usize) -> Option<RunningRequest> {
         let before = state.running.fetch_add(1, Ordering::AcqRel);
-<<<<<<< HEAD
-        let request = RunningRequest(state.clone());
-=======
         let request = RunningRequest {
             state: state.clone(),
             _connection: ConnectionGuard::begin(),
         };
->>>>>>> net
         (before < limit).then_some(request)
     }
 }
 
 impl Drop for RunningRequest {
     fn drop(&mut self) {
-<<<<<<< HEAD
-        self.0.running.fetch_sub(1, Ordering::AcqRel);
-=======
         self.state.running.fetch_sub(1, Ordering::AcqRel);
->>>>>>> net
     }
 }
 
@@ -496,23 +307,6 @@
     let request = HttpRequest {
         head,
         remote,
-<<<<<<< HEAD
-        body: HttpBody {
-            inner,
-            limit: limits.body,
-            seen: 0,
-        },
-    };
-    let (mut head, body) = handler(request).await.into_parts();
-    if state.stopping.load(Ordering::Acquire) {
-        head.headers
-            .insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    let body = match body.0 {
-        AnswerKind::Whole(bytes) => ResponseBody::bytes(bytes),
-        AnswerKind::Stream(stream) => ResponseBody::boxed(CountedBody {
-            inner: stream,
-=======
         body: HttpBody::new(inner, limits.body),
     };
     let (mut head, body) = handler(request).await.into_parts();
@@ -524,7 +318,6 @@
         AnswerKind::Whole(bytes) => ResponseBody::bytes(bytes),
         AnswerKind::Stream(stream) => ResponseBody::boxed(CountedBody {
             pieces: stream,
->>>>>>> net
             _running: running,
         }),
     };
@@ -532,16 +325,11 @@
 }
 
 /// A streamed answer that counts as a request under way until its end.
-<<<<<<< HEAD
-struct CountedBody {
-    inner: ResponseBody,
-=======
 ///
 /// The library's own adapter takes the number of pieces that a stream expects
 /// for the length of the body and cuts the answer there; this one states none.
 struct CountedBody {
     pieces: PieceStream,
->>>>>>> net
     _running: RunningRequest,
 }
 
@@ -553,17 +341,6 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-<<<<<<< HEAD
-        Pin::new(&mut self.inner).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-=======
         self.pieces
             .as_mut()
             .poll_next(cx)
@@ -572,7 +349,6 @@
 
     fn size_hint(&self) -> SizeHint {
         SizeHint::Unknown
->>>>>>> net
     }
 }
 
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -43,15 +43,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-<<<<<<< HEAD
-use crate::gate::GatedStream;
-use crate::gate::WriteGate;
-use crate::listener::BoxError;
-=======
 use crate::exchange::BoxError;
 use crate::gate::GatedStream;
 use crate::gate::WriteGate;
->>>>>>> net
 
 /// Bounds of the connections to one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,6 +11,8 @@
 mod server;
 pub mod statsd;
 pub mod target;
+pub mod virtual_fleet;
+
 pub use cold::ColdStart;
 pub use collector::CollectorStandIn;
 pub use link::LinkConfig;
@@ -25,5 +27,3 @@
 pub use target::TargetConfig;
 pub use target::TargetCounts;
 pub use target::TargetStandIn;
-//! Placeholder.
-pub mod virtual_fleet;
