Carry sessions on the runtime that their endpoint was bound in

Cause: a session's task ran where the session was dialled, and an entry daemon handed each call from the listener's thread to the sessions' thread and back. Change: the endpoint keeps its runtime, and a listener offers that of one of its threads, so that callers and sessions share a thread.

--- a/crates/net/examples/hop.rs
+++ b/crates/net/examples/hop.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -22,6 +23,7 @@
 use radishgauge_net::AnswerBody;
 use radishgauge_net::CallerListener;
 use radishgauge_net::HttpAnswer;
+use radishgauge_net::HttpRequest;
 use radishgauge_net::InboundStream;
 use radishgauge_net::KeyAuthority;
 use radishgauge_net::ListenLimits;
@@ -151,15 +153,12 @@
 
 /// The far daemon's part: the call goes to its target and the answer back.
 async fn serve(session: PeerSession, target: TargetClient) {
-    session
-        .serve(move |inbound| {
-            let target = target.clone();
-            async move {
-                // A failed call shows as an error at the near end.
-                let _ = answer(inbound, &target).await;
-            }
-        })
-        .await;
+    let served = session.serve(move |inbound| {
+        let target = target.clone();
+        // A failed call shows as an error at the near end.
+        async move { drop(answer(inbound, &target).await) }
+    });
+    served.await;
 }
 
 async fn answer(inbound: InboundStream, target: &TargetClient) -> anyhow::Result<()> {
@@ -197,7 +196,6 @@
         }))?;
         let authority = KeyAuthority::generate()?;
         let far_endpoint = far.block_on(async { endpoint(&authority, "far") })?;
-        let near_endpoint = near.block_on(async { endpoint(&authority, "near") })?;
         let address = far_endpoint.local_address()?;
         let client = TargetClient::new(target.address(), TargetLimits::default());
         let accepted = far_endpoint.clone();
@@ -206,16 +204,23 @@
                 tokio::spawn(serve(session, client.clone()));
             }
         });
-        let session = near.block_on(near_endpoint.dial(address))?;
-        let called = session.clone();
+        let opened = Arc::new(OnceLock::new());
+        let called: Arc<OnceLock<PeerSession>> = opened.clone();
         let limits = ListenLimits {
-            threads: 2,
+            threads: PEER_THREADS,
             ..ListenLimits::default()
         };
         let listener = CallerListener::bind(loopback(), limits, move |request| {
-            let session = called.clone();
-            async move { forward(request, &session).await }
+            let session = called.get().cloned();
+            async move { forward(request, session).await }
         })?;
+        // The near daemon serves callers and sessions on one thread.
+        let near_endpoint = {
+            let _entered = listener.runtime().enter();
+            endpoint(&authority, "near")?
+        };
+        let session = near.block_on(near_endpoint.dial(address))?;
+        opened.get_or_init(|| session.clone());
         Ok(Bench {
             load,
             near,
@@ -380,9 +385,7 @@
                                 .await?;
                         }
                     }
-                    if !pause.is_zero() {
-                        tokio::time::sleep(pause).await;
-                    }
+                    tokio::time::sleep(pause).await;
                 }
                 anyhow::Ok(())
             })?;
@@ -410,7 +413,7 @@
         let dialler = self
             .near
             .block_on(async { endpoint(&self.authority, "other") })?;
-        let warm = self.near.block_on(dialler.dial(address))?;
+        let _warm = self.near.block_on(dialler.dial(address))?;
         let (memory, cpu, start) = (resident_kib()?, cpu_time()?, Instant::now());
         let sessions = self.near.block_on(async {
             let mut sessions = Vec::new();
@@ -438,16 +441,16 @@
             "idle session: {:.1} KiB resident for each end",
             (resident_kib()? - memory) / count / 2.0
         );
-        drop((sessions, warm));
         Ok(())
     }
 }
 
 /// The near daemon's part: the caller's request becomes a call.
-async fn forward(mut request: radishgauge_net::HttpRequest, session: &PeerSession) -> HttpAnswer {
+async fn forward(mut request: HttpRequest, session: Option<PeerSession>) -> HttpAnswer {
     let result = async {
         let body = request.body.whole(1 << 20).await?;
-        hop(session, 1, body).await
+        let session = session.context("no session yet")?;
+        hop(&session, 1, body).await
     };
     let (status, body) = result.await.unwrap_or((502, Bytes::new()));
     let mut answer = HttpAnswer::new(AnswerBody::whole(body));
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -22,6 +22,7 @@
 use http::StatusCode;
 use http::header;
 use http::request::Parts;
+use tokio::runtime::Handle;
 use tokio::sync::oneshot;
 use xitca_http::HttpServiceBuilder;
 use xitca_http::config::HttpServiceConfig;
@@ -32,6 +33,7 @@
 use xitca_web::body::ResponseBody;
 use xitca_web::body::SizeHint;
 use xitca_web::http::RequestExt;
+use xitca_web::service::Service;
 use xitca_web::service::ServiceExt;
 use xitca_web::service::fn_service;
 
@@ -54,6 +56,8 @@
 const WRITE_BUFFER: usize = 256 * 1024;
 /// How long an idle connection of a caller is kept.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// How long the listener's threads may take to start.
+const START_TIME: Duration = Duration::from_secs(10);
 /// How long a caller may take to send a request head.
 const HEAD_TIME: Duration = Duration::from_secs(10);
 
@@ -113,6 +117,13 @@
         self.0.address
     }
 
+    /// The runtime of one of the listener's threads. An endpoint that is bound
+    /// in it hands a call's packets to the handler without waking another thread.
+    /// It ends with the listener.
+    pub fn runtime(&self) -> &Handle {
+        &self.0.runtime
+    }
+
     /// The requests under way.
     pub fn running(&self) -> usize {
         self.0.state.running.load(Ordering::Acquire)
@@ -165,6 +176,7 @@
     state: Arc<ListenState>,
     stop: Box<dyn Fn() + Send + Sync>,
     ended: oneshot::Receiver<()>,
+    runtime: Handle,
 }
 
 #[derive(Default)]
@@ -199,7 +211,9 @@
             .max_write_buf_size::<WRITE_BUFFER>()
             .max_request_headers::<HEADER_FIELDS>();
         let watched = state.clone();
+        let (started, runtimes) = std::sync::mpsc::channel();
         let service = service
+            .enclosed(RuntimeProbe(started))
             .enclosed(HttpServiceBuilder::h1().config(config))
             .enclosed_fn(
                 async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
@@ -217,6 +231,9 @@
             )
             .build();
         let handle = server.handle()?;
+        let runtime = runtimes
+            .recv_timeout(START_TIME)
+            .map_err(|_| std::io::Error::other("the listener's threads did not start"))?;
         let (end, ended) = oneshot::channel();
         std::thread::Builder::new()
             .name("listener".to_owned())
@@ -230,6 +247,7 @@
             state,
             stop: Box::new(move || handle.stop(true)),
             ended,
+            runtime,
         })
     }
 
@@ -251,6 +269,20 @@
     }
 }
 
+/// Reports the runtime of each thread as its service is built there.
+struct RuntimeProbe(std::sync::mpsc::Sender<Handle>);
+
+impl<S, E> Service<Result<S, E>> for RuntimeProbe {
+    type Response = S;
+    type Error = E;
+
+    async fn call(&self, built: Result<S, E>) -> Result<S, E> {
+        // Only the first report is read.
+        let _ = self.0.send(Handle::current());
+        built
+    }
+}
+
 /// Counts one request under way, at the listener and at its connection, until
 /// it is dropped.
 struct RunningRequest {
--- a/crates/net/src/peer.rs
+++ b/crates/net/src/peer.rs
@@ -23,6 +23,7 @@
 use radishgauge_schema::peer::peer_request::Request;
 use rustls_pki_types::CertificateDer;
 use smol_str::SmolStr;
+use tokio::runtime::Handle;
 use tokio::sync::Mutex;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
@@ -40,6 +41,7 @@
 use crate::keys::PeerName;
 use crate::keys::tls_pair;
 use crate::session::PeerSession;
+use crate::transport::EndpointRuntime;
 use crate::transport::client_config;
 use crate::transport::endpoint_config;
 use crate::transport::grow_buffers;
@@ -125,7 +127,10 @@
 
 impl PeerEndpoint {
     /// Binds the address and begins to accept sessions. Needs a tokio runtime,
-    /// which carries the packets of all sessions.
+    /// which carries the packets of all sessions, wherever they are dialled.
+    ///
+    /// One thread that serves both callers and sessions adds least to a call:
+    /// enter [`CallerListener::runtime`](crate::CallerListener::runtime) first.
     ///
     /// # Errors
     ///
@@ -155,7 +160,7 @@
             settings,
             Some(server),
             socket,
-            Arc::new(quinn::TokioRuntime),
+            Arc::new(EndpointRuntime(Handle::current())),
         )
         .map_err(bind)?;
 
--- a/crates/net/src/transport.rs
+++ b/crates/net/src/transport.rs
@@ -4,12 +4,18 @@
 //! daemon must recognise the sessions of its former life.
 
 use std::net::UdpSocket;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
+use quinn::AsyncTimer;
+use quinn::AsyncUdpSocket;
 use quinn::ConnectionId;
 use quinn::ConnectionIdGenerator;
 use quinn::EndpointConfig;
+use quinn::Runtime;
+use quinn::TokioRuntime;
 use quinn::TransportConfig;
 use quinn::VarInt;
 use quinn::crypto::CryptoError;
@@ -17,6 +23,7 @@
 use quinn::crypto::rustls::QuicClientConfig;
 use quinn::crypto::rustls::QuicServerConfig;
 use socket2::SockRef;
+use tokio::runtime::Handle;
 
 use crate::error::PeerFault;
 use crate::keys::TlsPair;
@@ -87,6 +94,28 @@
     Ok(Arc::new(transport))
 }
 
+/// Runs everything of an endpoint on the runtime that it was bound in. The
+/// library's own runtime would place a session's task where `dial` was called,
+/// and each packet would then cross threads.
+#[derive(Debug)]
+pub(crate) struct EndpointRuntime(pub(crate) Handle);
+
+impl Runtime for EndpointRuntime {
+    fn new_timer(&self, at: Instant) -> Pin<Box<dyn AsyncTimer>> {
+        let _entered = self.0.enter();
+        TokioRuntime.new_timer(at)
+    }
+
+    fn spawn(&self, future: Pin<Box<dyn Future<Output = ()> + Send>>) {
+        self.0.spawn(future);
+    }
+
+    fn wrap_udp_socket(&self, socket: UdpSocket) -> std::io::Result<Arc<dyn AsyncUdpSocket>> {
+        let _entered = self.0.enter();
+        TokioRuntime.wrap_udp_socket(socket)
+    }
+}
+
 /// Signs reset tokens with a key that outlives the process.
 struct ResetKey([u8; 32]);
 
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -5,6 +5,7 @@
 use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -15,6 +16,7 @@
 use radishgauge_net::BoxError;
 use radishgauge_net::CallerListener;
 use radishgauge_net::HttpAnswer;
+use radishgauge_net::KeyAuthority;
 use radishgauge_net::ListenLimits;
 use radishgauge_net::OperatorListener;
 use radishgauge_net::RequestProgress;
@@ -179,6 +181,41 @@
     stopping.await.unwrap();
 }
 
+/// Guards against sessions whose packets are carried by the thread that dialled
+/// instead of the endpoint's own runtime, and end with it.
+#[test]
+fn an_endpoint_lives_in_the_listeners_runtime() {
+    let listener = CallerListener::bind(common::loopback(), limits(), |_| async {
+        HttpAnswer::default()
+    })
+    .unwrap();
+    let authority = KeyAuthority::generate().unwrap();
+    let (near, far) = {
+        let _entered = listener.runtime().enter();
+        (
+            common::endpoint(&authority, "near"),
+            common::endpoint(&authority, "far"),
+        )
+    };
+    let life = || {
+        tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap()
+    };
+    let address = far.local_address().unwrap();
+    let dialling = life();
+    let session = dialling.block_on(near.dial(address)).unwrap();
+    drop(dialling);
+    let accepted = life().block_on(far.accept()).unwrap().unwrap();
+    listener
+        .runtime()
+        .spawn(async move { accepted.serve(|_| async {}).await });
+    life()
+        .block_on(session.ping(Duration::from_secs(60)))
+        .unwrap();
+}
+
 /// Guards against work that goes on for a caller who is gone.
 #[tokio::test]
 async fn a_gone_caller_drops_the_handler() {
