--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -76,8 +76,10 @@
         assert!(body.len() == 300_000 && body.iter().all(|byte| *byte == round));
         assert_eq!(client.idle(), 1);
     }
-    drop(client);
+    // The client keeps its idle connection, which the stop closes.
     listener.stop().await;
+    assert_eq!(client.idle(), 1);
+    drop(client);
 }
 
 /// Guards against heads and bodies beyond the limit that reach the handler as
