--- a/crates/net/src/session.rs
+++ b/crates/net/src/session.rs
@@ -150,6 +150,8 @@
     ) -> Result<PeerReply, PeerFault> {
         let frame = frame::encode(&request, frame::CONTROL_LIMIT)?;
         let (mut writer, mut reader) = self.open(StreamUse::Control).await?;
+        // The time may run out while the frame is written in part.
+        *sent = true;
         let written = writer.write(&mut [frame]).await;
         *sent = writer.sent();
         written?;
@@ -171,7 +173,8 @@
         self.request(request, timeout).await.map(drop)
     }
 
-    /// Begins a call whose body is streamed.
+    /// Begins a call whose body is streamed. When the future is dropped before
+    /// it completes, the head may have been handed over.
     ///
     /// # Errors
     ///
