--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -4,6 +4,7 @@
 
 use crate::Subcommand;
 use crate::check::CheckOptions;
+use crate::demo::DemoOptions;
 use crate::diff::DiffOptions;
 use crate::help::HelpOptions;
 use crate::keys::KeysOptions;
@@ -24,6 +25,9 @@
     /// Make the certificates of the daemons.
     #[options(help = "make the certificates of the daemons")]
     Keys(KeysOptions),
+    /// Run an example fleet in this process.
+    #[options(help = "run an example fleet in this process and measure it")]
+    Demo(DemoOptions),
     /// Explain a command.
     #[options(help = "explain a command")]
     Help(HelpOptions),
@@ -37,6 +41,7 @@
             Command::Diff(options) => options,
             Command::Pack(options) => options,
             Command::Keys(options) => options,
+            Command::Demo(options) => options,
             Command::Help(options) => options,
         }
     }
--- /dev/null
+++ b/crates/cli/src/demo_load.rs
@@ -0,0 +1,228 @@
+//! The callers of the demo: catalogue reads, orders and uploads.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http::Request;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::task::JoinHandle;
+
+/// The time between two calls of one kind.
+const INTERVAL: Duration = Duration::from_millis(10);
+
+/// The bytes of one upload.
+const UPLOAD_BYTES: usize = 100 * 1024;
+
+/// How often an order is sent again with its key.
+const RESENDS: u64 = 3;
+
+/// The kinds of calls.
+pub const KINDS: [&str; 3] = ["catalogue", "orders", "uploads"];
+
+/// What became of the calls of one kind in one phase.
+#[derive(Clone)]
+pub struct KindCounts {
+    /// Calls that were answered with success.
+    pub answered: u64,
+    /// Calls that were refused with "not run".
+    pub refused: u64,
+    /// Calls with any other end.
+    pub failed: u64,
+    /// Response times of answered calls in microseconds.
+    pub times: Histogram<u64>,
+}
+
+impl KindCounts {
+    fn new() -> KindCounts {
+        KindCounts {
+            answered: 0,
+            refused: 0,
+            failed: 0,
+            times: Histogram::new(3).expect("three digits are in range"),
+        }
+    }
+}
+
+struct LoadState {
+    client: Client<HttpConnector, Full<Bytes>>,
+    entries: Vec<SocketAddr>,
+    next: AtomicU64,
+    phase: AtomicUsize,
+    counts: Mutex<Vec<[KindCounts; 3]>>,
+    keys: Mutex<Vec<String>>,
+}
+
+/// Callers that send until they are stopped.
+pub struct DemoLoad {
+    state: Arc<LoadState>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl DemoLoad {
+    /// Starts the callers; each call enters at the next daemon in turn.
+    pub fn spawn(entries: Vec<SocketAddr>, phases: usize) -> DemoLoad {
+        let phase = || [KindCounts::new(), KindCounts::new(), KindCounts::new()];
+        let state = Arc::new(LoadState {
+            client: Client::builder(TokioExecutor::new()).build_http(),
+            entries,
+            next: AtomicU64::new(0),
+            phase: AtomicUsize::new(0),
+            counts: Mutex::new((0..phases).map(|_| phase()).collect()),
+            keys: Mutex::default(),
+        });
+        let tasks = (0..KINDS.len())
+            .map(|kind| tokio::spawn(send_all(Arc::clone(&state), kind)))
+            .collect();
+        DemoLoad { state, tasks }
+    }
+
+    /// Counts later calls under the next phase.
+    pub fn next_phase(&self) {
+        self.state.phase.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Stops the callers; returns the counts by phase and kind, and the keys of
+    /// the orders that were answered.
+    pub async fn stop(self) -> (Vec<[KindCounts; 3]>, Vec<String>) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        // Calls that are under way end on their own.
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let counts = lock(&self.state.counts).clone();
+        let keys = lock(&self.state.keys).clone();
+        (counts, keys)
+    }
+}
+
+async fn send_all(state: Arc<LoadState>, kind: usize) {
+    let mut ticks = tokio::time::interval(INTERVAL);
+    loop {
+        ticks.tick().await;
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let phase = state.phase.load(Ordering::Relaxed);
+            let begun = Instant::now();
+            let ended = match kind {
+                0 => {
+                    state
+                        .call("GET", "/motifs/laurel", None, Bytes::new())
+                        .await
+                }
+                1 => state.order().await,
+                _ => {
+                    let body = Bytes::from(vec![7; UPLOAD_BYTES]);
+                    state.call("PUT", "/art/monogram", None, body).await
+                }
+            };
+            state.count(phase, kind, &ended, begun.elapsed());
+        });
+    }
+}
+
+/// How one call ended.
+enum CallEnd {
+    Answered(String),
+    Refused,
+    Failed,
+}
+
+impl LoadState {
+    fn entry(&self) -> SocketAddr {
+        let turn = self.next.fetch_add(1, Ordering::Relaxed) as usize;
+        self.entries[turn % self.entries.len()]
+    }
+
+    async fn call(&self, method: &str, path: &str, key: Option<&str>, body: Bytes) -> CallEnd {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.entry()));
+        if let Some(key) = key {
+            request = request.header("idempotency-key", key);
+        }
+        let Ok(request) = request.body(Full::new(body)) else {
+            return CallEnd::Failed;
+        };
+        let Ok(response) = self.client.request(request).await else {
+            return CallEnd::Failed;
+        };
+        let verdict = response.headers().get("x-radishgauge-verdict").cloned();
+        let success = response.status().is_success();
+        let Ok(body) = response.into_body().collect().await else {
+            return CallEnd::Failed;
+        };
+        match verdict.as_ref().and_then(|verdict| verdict.to_str().ok()) {
+            _ if success => {
+                CallEnd::Answered(String::from_utf8_lossy(&body.to_bytes()).into_owned())
+            }
+            Some("not-run") => CallEnd::Refused,
+            _ => CallEnd::Failed,
+        }
+    }
+
+    /// Takes a key, and sends the order until it is answered. A re-send with
+    /// the same key is safe whatever became of the first.
+    async fn order(&self) -> CallEnd {
+        let issued = self
+            .call(
+                "POST",
+                "/.radishgauge/keys?path=/orders",
+                None,
+                Bytes::new(),
+            )
+            .await;
+        let CallEnd::Answered(key) = issued else {
+            return issued;
+        };
+        let key = key.trim();
+        let mut last = CallEnd::Failed;
+        for _ in 0..RESENDS {
+            last = self
+                .call(
+                    "POST",
+                    "/orders/carafe",
+                    Some(key),
+                    Bytes::from_static(b"one"),
+                )
+                .await;
+            if let CallEnd::Answered(_) = last {
+                lock(&self.keys).push(key.to_owned());
+                break;
+            }
+        }
+        last
+    }
+
+    fn count(&self, phase: usize, kind: usize, ended: &CallEnd, took: Duration) {
+        let mut counts = lock(&self.counts);
+        let Some(counts) = counts.get_mut(phase).map(|phase| &mut phase[kind]) else {
+            return;
+        };
+        match ended {
+            CallEnd::Answered(_) => {
+                counts.answered += 1;
+                // Larger than the histogram's range is impossible below hours.
+                let _ = counts.times.record(took.as_micros() as u64);
+            }
+            CallEnd::Refused => counts.refused += 1,
+            CallEnd::Failed => counts.failed += 1,
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -16,6 +16,9 @@
 
 pub mod check;
 pub mod command;
+pub mod demo;
+mod demo_fleet;
+mod demo_load;
 pub mod diff;
 pub mod help;
 pub mod keys;
--- a/crates/daemon/src/control_loop.rs
+++ b/crates/daemon/src/control_loop.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -55,6 +56,9 @@
 /// between regions and a full transfer; a silent peer is found after it.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// How often the bytes of control sessions are added up.
+const COUNT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// How long a read of the platform may take, beyond the time of a watch.
 const PLATFORM_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -170,6 +174,9 @@
     responders: HashMap<(PeerKey, RequestId), Responder>,
     next_request: u64,
     next_meter: Duration,
+    next_count: Duration,
+    /// Control bytes sent and received on sessions that have ended.
+    ended_bytes: (u64, u64),
     telemetry_failing: bool,
 }
 
@@ -184,6 +191,8 @@
             responders: HashMap::new(),
             next_request: 0,
             next_meter: Duration::ZERO,
+            next_count: Duration::ZERO,
+            ended_bytes: (0, 0),
             telemetry_failing: false,
         }
     }
@@ -244,6 +253,7 @@
             ControlInput::Closed { session, reason } => {
                 if let Some(peer) = self.keys.remove(&session) {
                     if let Some(session) = self.peers.remove(peer) {
+                        self.note_end(&session);
                         let host = &session.peer().host;
                         events::PEER_DOWN.emit(format_args!("host={host} reason={reason:?}"));
                     }
@@ -304,6 +314,7 @@
                 if let Some(session) = self.peers.remove(peer) {
                     self.keys.remove(&session.id());
                     self.responders.retain(|(owner, _), _| *owner != peer);
+                    self.note_end(&session);
                     session.close("no longer needed");
                 }
             }
@@ -410,8 +421,37 @@
         });
     }
 
+    /// Counts the bytes of control sessions, packet overhead included.
+    fn count_bytes(&mut self, now: Duration) {
+        if now < self.next_count {
+            return;
+        }
+        self.next_count = now + COUNT_INTERVAL;
+        let (mut sent, mut received) = self.ended_bytes;
+        for session in self.peers.values() {
+            let stats = session.stats();
+            sent += stats.datagram_bytes_sent;
+            received += stats.datagram_bytes_received;
+        }
+        self.parts
+            .meters
+            .control_sent
+            .store(sent, Ordering::Relaxed);
+        self.parts
+            .meters
+            .control_received
+            .store(received, Ordering::Relaxed);
+    }
+
+    fn note_end(&mut self, session: &PeerSession) {
+        let stats = session.stats();
+        self.ended_bytes.0 += stats.datagram_bytes_sent;
+        self.ended_bytes.1 += stats.datagram_bytes_received;
+    }
+
     fn send_meters(&mut self) {
         let now = self.parts.clock.now();
+        self.count_bytes(now);
         let Some(sender) = &mut self.parts.sender else {
             return;
         };
--- a/crates/daemon/src/meters.rs
+++ b/crates/daemon/src/meters.rs
@@ -44,8 +44,8 @@
     shed: "Attempts refused by admission.",
     cancelled: "Calls that their caller gave up.",
     replayed: "Answers repeated for an idempotency key.",
-    control_sent: "Bytes sent in control messages.",
-    control_received: "Bytes received in control messages.",
+    control_sent: "UDP payload bytes sent on control sessions.",
+    control_received: "UDP payload bytes received on control sessions.",
     platform_calls: "Calls to the platform, waiting watches included.",
     versions: "Configuration versions that came into force.",
 }
