Spread and bound the host lists that members take of other domains

Cause: after a start each member asked for the lists of five other failure domains, 300 KB together, and all members asked the first relay. Change: each host has its own order of relays; it asks for one list at a time; a relay gives a member such a list at most each 15 s (4 KB/s) and tells the others when to ask again. Leaving notices and own observation do not need it. A request that names the hosts would cost 1 KB in place of 60; it needs a field in HostsRequest.

--- a/crates/control/src/roster.rs
+++ b/crates/control/src/roster.rs
@@ -173,16 +173,18 @@
             .collect();
         domains.sort_unstable();
         domains.dedup();
-        if domains.is_empty() {
+        let waits = self
+            .peers
+            .get(peer)
+            .is_none_or(|info| info.lists_at > self.now);
+        let Some(domain) = domains.first().filter(|_| !waits) else {
             return;
-        }
-        let have = domains
-            .into_iter()
-            .map(|domain| HostListRevision {
-                failure_domain: domain.to_string(),
-                revision: 0,
-            })
-            .collect();
+        };
+        // One list at a time; the next audit asks for the next.
+        let have = vec![HostListRevision {
+            failure_domain: domain.to_string(),
+            revision: 0,
+        }];
         self.send(peer, Ask::Hosts, Request::Hosts(HostsRequest { have }));
     }
 }
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -1,5 +1,7 @@
 //! Answers to peers, and what their requests tell.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use prost::Message;
 use radishgauge_config::PartDigest;
@@ -32,6 +34,7 @@
 use crate::log::ControlLog;
 use crate::machine::Ask;
 use crate::machine::ControlMachine;
+use crate::rank;
 use crate::view;
 
 /// The bytes of parts in one reply; the rest is asked for again. A message may
@@ -41,6 +44,11 @@
 /// Requests for more digests than this count as a full transfer.
 const SMALL_REQUEST: usize = 32;
 
+/// A relay gives a member the whole list of another failure domain this often.
+/// A list has 60 KB at 1,000 hosts, so this is half of a daemon's 8 KB/s; members
+/// need only the targets' entries, and leaving notices reach them without it.
+const FAR_LIST: Duration = Duration::from_secs(15);
+
 impl ControlMachine {
     pub(crate) fn request(&mut self, peer: PeerKey, id: RequestId, request: PeerRequest) {
         let Some(info) = self.peers.get_mut(peer) else {
@@ -202,6 +210,15 @@
         for have in &request.have {
             match self.lists.answer(have) {
                 Some(ListAnswer::Delta(delta)) => reply.deltas.push(delta),
+                Some(ListAnswer::Whole(list)) if self.far_list(host, &list.failure_domain) => {
+                    if self.now < self.far_list_at {
+                        let wait = self.far_list_at - self.now + self.spread(host);
+                        reply.busy_ms = wait.as_millis() as u64;
+                    } else {
+                        self.far_list_at = self.now + FAR_LIST;
+                        reply.lists.push(list);
+                    }
+                }
                 Some(ListAnswer::Whole(list)) => match self.transfers.admit(host, self.now) {
                     Ok(()) => reply.lists.push(list),
                     Err(busy_ms) => reply.busy_ms = busy_ms,
@@ -212,6 +229,18 @@
         reply
     }
 
+    // Another failure domain's list, asked for by a member of the own domain.
+    fn far_list(&self, host: &str, domain: &str) -> bool {
+        let peer = self.peers.by_host(host).and_then(|key| self.peers.get(key));
+        let member =
+            peer.is_some_and(|info| info.domain == self.config.domain) && !self.is_relay(host);
+        member && domain != self.config.domain
+    }
+
+    fn spread(&self, host: &str) -> Duration {
+        FAR_LIST.mul_f64((rank::weight("far list", host) % 1000) as f64 / 100.0)
+    }
+
     fn hear_leaving(&mut self, from: PeerKey, notice: LeavingNotice) {
         let host = SmolStr::new(&notice.host);
         if host == self.config.host || !self.book.leave(&host, notice.incarnation, self.now) {
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -157,11 +157,11 @@
         self.sessions.relays.iter().any(|relay| relay == host)
     }
 
-    /// Returns an open session with a relay of the own failure domain.
+    /// Returns an open session with a relay of the own failure domain; each host
+    /// has an order of its own, so that askers spread over the relays.
     pub(crate) fn any_relay(&self) -> Option<PeerKey> {
         let now = self.now;
-        self.sessions
-            .relays
+        rank::best(&self.config.host, &self.sessions.relays, usize::MAX)
             .iter()
             .filter_map(|host| self.peers.by_host(host))
             .find(|key| {
