--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -271,6 +271,7 @@
 
     fn conclude(&self, picked: Picked, answer: CallAnswer) -> Attempt {
         let now = self.node.clock.now();
+        self.node.see_revision(&picked.host, answer.head.revision);
         let verdict = answer.verdict();
         if verdict == CallVerdict::NotRun
             && let Some(ticket) = self.ticket
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use opentelemetry::trace::SpanKind;
+use radishgauge_control::ControlEvent;
 use radishgauge_schema::settings::LimitSettings;
 use radishgauge_traffic::CallTree;
 use radishgauge_traffic::LocalHost;
@@ -18,10 +19,12 @@
 use radishgauge_traffic::SuspectTable;
 use radishgauge_traffic::TargetPicker;
 use radishgauge_traffic::gate::Freshness;
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 
 use crate::clock::ProcessClock;
 use crate::control_loop::ControlHandle;
+use crate::control_loop::ControlInput;
 use crate::hosted::HostedTargets;
 use crate::keyed::KeyRuns;
 use crate::meters::CallMeters;
@@ -217,6 +220,20 @@
             .ok_or(Refusal::new(RefusalReason::Stale))
     }
 
+    /// Notes the revision that another daemon names in a call or an answer; a
+    /// newer one is asked for at once.
+    pub fn see_revision(&self, host: &str, revision: u64) {
+        let known = self
+            .state
+            .current()
+            .map_or(0, |current| current.share.revision);
+        if revision > known {
+            let host = SmolStr::new(host);
+            let event = ControlEvent::RevisionSeen { host, revision };
+            self.control.send(ControlInput::Event(event));
+        }
+    }
+
     /// Takes over the policy of a version.
     pub fn configure(&self, version: &PublishedVersion) {
         let policy = version.snapshot.policy();
--- a/crates/daemon/src/serve.rs
+++ b/crates/daemon/src/serve.rs
@@ -65,6 +65,7 @@
                         take_request(&node, session, request, responder).await;
                     }
                     InboundStream::Call { head, body, answer } => {
+                        node.see_revision(&session.peer().host, head.revision);
                         take_call(&node, head, body, answer).await;
                     }
                 }
