--- a/crates/control/tests/faults.rs
+++ b/crates/control/tests/faults.rs
@@ -3,6 +3,8 @@
 //! The virtual fleet checks after every published share that no revision goes
 //! back, that no route lacks its service and that no refused version appears.
 
+mod support;
+
 use std::collections::HashSet;
 use std::time::Duration;
 
@@ -15,78 +17,19 @@
 use radishgauge_standin::virtual_fleet::VirtualFleet;
 use radishgauge_standin::virtual_fleet::content::FleetContent;
 use radishgauge_standin::virtual_fleet::content::FleetSpec;
-use radishgauge_standin::virtual_fleet::content::REFUSED_CONNECTIONS;
 use radishgauge_standin::virtual_fleet::content::worker_of;
 use radishgauge_standin::virtual_fleet::platform::PlatformState;
 
-/// An accepted change must be in force everywhere within this time.
-const BOUND: Duration = Duration::from_secs(15);
-
-const SEEDS: [u64; 4] = [1, 2, 3, 4];
-
-fn secs(secs: u64) -> Duration {
-    Duration::from_secs(secs)
-}
-
-fn spec() -> FleetSpec {
-    FleetSpec {
-        regions: 3,
-        domains: 2,
-        hosts: 10,
-        services: 12,
-        seeds: 3,
-    }
-}
-
-/// A fleet of 60 hosts with revision 1 in force, whose roles have settled.
-fn settled(seed: u64) -> (VirtualFleet, FleetContent) {
-    settled_as(spec(), seed)
-}
-
-fn settled_as(spec: FleetSpec, seed: u64) -> (VirtualFleet, FleetContent) {
-    let content = FleetContent::new(&spec);
-    let mut fleet = VirtualFleet::new(spec, seed);
-    fleet.keep_logs = true;
-    fleet.publish(&content);
-    fleet.start_all(Duration::from_millis(500));
-    let took = fleet.run_until(content.mark(), secs(60));
-    assert!(
-        took.is_some(),
-        "seed {seed}: {:?} lack revision 1",
-        fleet.behind(content.mark())
-    );
-    fleet.run_for(secs(40));
-    (fleet, content)
-}
-
-fn change(fleet: &mut VirtualFleet, content: &mut FleetContent, service: usize) {
-    content.change_slots(service);
-    fleet.publish(content);
-}
-
-#[track_caller]
-fn converge(fleet: &mut VirtualFleet, content: &FleetContent, within: Duration) -> Duration {
-    let took = fleet.run_until(content.mark(), within);
-    let behind = fleet.behind(content.mark());
-    took.unwrap_or_else(|| panic!("{behind:?} lack revision {}", content.mark().revision))
-}
-
-fn ranked(fleet: &VirtualFleet, rank: usize) -> Vec<usize> {
-    let count = fleet.spec.host_count();
-    let rank_of = |host: &usize| {
-        fleet
-            .host(*host)
-            .machine()
-            .and_then(|machine| machine.roles().rank)
-    };
-    (0..count)
-        .filter(|host| rank_of(host).is_some_and(|held| held < rank))
-        .collect()
-}
-
-fn payload(fleet: &VirtualFleet, hosts: std::ops::Range<usize>) -> u64 {
-    hosts.map(|host| fleet.host(host).payload).sum()
-}
+use support::BOUND;
+use support::SEEDS;
+use support::change;
+use support::converge;
+use support::payload;
+use support::ranked;
+use support::secs;
+use support::settled;
+use support::settled_as;
+use support::spec;
 
 // A change that is lost on the ordinary path would show in every other test too.
 #[test]
@@ -293,77 +236,6 @@
     }
 }
 
-// All daemons restart while the platform is down, and it comes back in an hour.
-#[test]
-fn platform_returns_after_an_hour() {
-    for seed in [1, 2] {
-        let (mut fleet, mut content) = settled(seed);
-        fleet.set_platform(PlatformState::Down);
-        fleet.run_for(secs(1800));
-        assert!(fleet.behind(content.mark()).is_empty());
-        for host in 0..10 {
-            fleet.restart(host, secs(1));
-        }
-        fleet.run_for(secs(1800));
-        assert!(fleet.behind(content.mark()).is_empty());
-        content.change_slots(1);
-        fleet.set_platform(PlatformState::Up);
-        fleet.publish(&content);
-        // Failed watches are repeated after at most 30 s.
-        converge(&mut fleet, &content, secs(30) + BOUND);
-    }
-}
-
-// The platform shows an old version to a host that restarted alone.
-#[test]
-fn lone_host_meets_a_stale_platform() {
-    for seed in SEEDS {
-        let (mut fleet, mut content) = settled(seed);
-        fleet.set_platform(PlatformState::Stale);
-        let stale = content.mark();
-        // The others get newer versions before; the platform then serves old ones.
-        fleet.set_platform(PlatformState::Up);
-        change(&mut fleet, &mut content, 1);
-        converge(&mut fleet, &content, BOUND);
-        fleet.set_platform_stale_at(&stale);
-        fleet.restart(33, secs(1));
-        fleet.run_for(secs(4));
-        converge(&mut fleet, &content, BOUND);
-        let share = fleet.host(33).share.clone().unwrap();
-        assert!(!share.unconfirmed);
-    }
-}
-
-// A host that starts cut off from all peers takes what the platform has, says
-// that nobody confirmed it, and goes forward when peers appear.
-#[test]
-fn lone_host_takes_the_platform_unconfirmed() {
-    let (mut fleet, mut content) = settled(7);
-    let stale = content.mark();
-    change(&mut fleet, &mut content, 1);
-    converge(&mut fleet, &content, BOUND);
-    fleet.set_platform_stale_at(&stale);
-    // Only the restarted daemons of the domain and the platform see each other.
-    for host in 10..20 {
-        fleet.crash(host);
-    }
-    fleet.partition(&[0, 1, 0, 0, 0, 0, 1]);
-    fleet.restart(13, secs(1));
-    fleet.run_for(secs(200));
-    let share = fleet
-        .host(13)
-        .share
-        .clone()
-        .expect("a version after the wait");
-    assert_eq!((share.revision, share.unconfirmed), (stale.revision, true));
-    fleet.heal();
-    for host in 10..20 {
-        fleet.restart(host, secs(1));
-    }
-    fleet.publish_lists();
-    converge(&mut fleet, &content, secs(120));
-}
-
 // Links lose, repeat, delay and reorder messages while versions change.
 #[test]
 fn messages_are_crossed_and_repeated() {
@@ -383,67 +255,6 @@
     }
 }
 
-// Torn values must be discarded, and a whole one taken when it comes.
-#[test]
-fn platform_tears_values() {
-    for seed in SEEDS {
-        let (mut fleet, mut content) = settled(seed);
-        fleet.set_platform(PlatformState::Torn);
-        for service in 0..4 {
-            change(&mut fleet, &mut content, service);
-            fleet.run_for(secs(6));
-        }
-        converge(&mut fleet, &content, secs(60));
-    }
-}
-
-// A refused version comes into force nowhere, and all daemons learn why.
-#[test]
-fn refused_version_is_not_published() {
-    for seed in SEEDS {
-        let (mut fleet, mut content) = settled(seed);
-        let good = content.mark();
-        content.set_connections(5, REFUSED_CONNECTIONS);
-        fleet.forbid(content.mark());
-        fleet.publish(&content);
-        fleet.run_for(secs(30));
-        assert!(fleet.behind(good).is_empty());
-        for host in 0..60 {
-            let status = fleet.host(host).machine().unwrap().status();
-            assert_eq!(
-                status.refused_revision,
-                content.mark().revision,
-                "host {host}"
-            );
-            assert!(!status.refused_reasons.is_empty());
-        }
-        content.set_connections(5, 110);
-        fleet.publish(&content);
-        converge(&mut fleet, &content, BOUND);
-    }
-}
-
-// Two operators publish different content under one revision: no daemon
-// changes its content, the conflict is reported, and the next revision heals.
-#[test]
-fn conflicting_revisions() {
-    for seed in SEEDS {
-        let (mut fleet, mut content) = settled(seed);
-        let mut other = content.clone();
-        content.change_slots(1);
-        other.change_slots(2);
-        fleet.publish(&content);
-        fleet.run_for(Duration::from_millis(8));
-        fleet.publish(&other);
-        fleet.run_for(secs(20));
-        let conflict = |log: &ControlLog| matches!(log, ControlLog::ConflictingRevision { .. });
-        assert!((0..60).any(|host| fleet.host(host).logs.iter().any(conflict)));
-        other.change_slots(3);
-        fleet.publish(&other);
-        converge(&mut fleet, &other, BOUND);
-    }
-}
-
 // A host becomes a target of a service that it never heard of.
 #[test]
 fn new_target_learns_its_service() {
--- /dev/null
+++ b/crates/control/tests/platform.rs
@@ -0,0 +1,149 @@
+//! The fleet while the platform is down, stale, torn, or holds versions that are
+//! refused or conflict.
+
+mod support;
+
+use std::time::Duration;
+
+use radishgauge_control::ControlLog;
+use radishgauge_standin::virtual_fleet::content::REFUSED_CONNECTIONS;
+use radishgauge_standin::virtual_fleet::platform::PlatformState;
+
+use support::BOUND;
+use support::SEEDS;
+use support::change;
+use support::converge;
+use support::secs;
+use support::settled;
+
+// All daemons restart while the platform is down, and it comes back in an hour.
+#[test]
+fn platform_returns_after_an_hour() {
+    for seed in [1, 2] {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.set_platform(PlatformState::Down);
+        fleet.run_for(secs(1800));
+        assert!(fleet.behind(content.mark()).is_empty());
+        for host in 0..10 {
+            fleet.restart(host, secs(1));
+        }
+        fleet.run_for(secs(1800));
+        assert!(fleet.behind(content.mark()).is_empty());
+        content.change_slots(1);
+        fleet.set_platform(PlatformState::Up);
+        fleet.publish(&content);
+        // Failed watches are repeated after at most 30 s.
+        converge(&mut fleet, &content, secs(30) + BOUND);
+    }
+}
+
+// The platform shows an old version to a host that restarted alone.
+#[test]
+fn lone_host_meets_a_stale_platform() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.set_platform(PlatformState::Stale);
+        let stale = content.mark();
+        // The others get newer versions before; the platform then serves old ones.
+        fleet.set_platform(PlatformState::Up);
+        change(&mut fleet, &mut content, 1);
+        converge(&mut fleet, &content, BOUND);
+        fleet.set_platform_stale_at(&stale);
+        fleet.restart(33, secs(1));
+        fleet.run_for(secs(4));
+        converge(&mut fleet, &content, BOUND);
+        let share = fleet.host(33).share.clone().unwrap();
+        assert!(!share.unconfirmed);
+    }
+}
+
+// A host that starts cut off from all peers takes what the platform has, says
+// that nobody confirmed it, and goes forward when peers appear.
+#[test]
+fn lone_host_takes_the_platform_unconfirmed() {
+    let (mut fleet, mut content) = settled(7);
+    let stale = content.mark();
+    change(&mut fleet, &mut content, 1);
+    converge(&mut fleet, &content, BOUND);
+    fleet.set_platform_stale_at(&stale);
+    // Only the restarted daemons of the domain and the platform see each other.
+    for host in 10..20 {
+        fleet.crash(host);
+    }
+    fleet.partition(&[0, 1, 0, 0, 0, 0, 1]);
+    fleet.restart(13, secs(1));
+    fleet.run_for(secs(200));
+    let share = fleet
+        .host(13)
+        .share
+        .clone()
+        .expect("a version after the wait");
+    assert_eq!((share.revision, share.unconfirmed), (stale.revision, true));
+    fleet.heal();
+    for host in 10..20 {
+        fleet.restart(host, secs(1));
+    }
+    fleet.publish_lists();
+    converge(&mut fleet, &content, secs(120));
+}
+
+// Torn values must be discarded, and a whole one taken when it comes.
+#[test]
+fn platform_tears_values() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        fleet.set_platform(PlatformState::Torn);
+        for service in 0..4 {
+            change(&mut fleet, &mut content, service);
+            fleet.run_for(secs(6));
+        }
+        converge(&mut fleet, &content, secs(60));
+    }
+}
+
+// A refused version comes into force nowhere, and all daemons learn why.
+#[test]
+fn refused_version_is_not_published() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        let good = content.mark();
+        content.set_connections(5, REFUSED_CONNECTIONS);
+        fleet.forbid(content.mark());
+        fleet.publish(&content);
+        fleet.run_for(secs(30));
+        assert!(fleet.behind(good).is_empty());
+        for host in 0..60 {
+            let status = fleet.host(host).machine().unwrap().status();
+            assert_eq!(
+                status.refused_revision,
+                content.mark().revision,
+                "host {host}"
+            );
+            assert!(!status.refused_reasons.is_empty());
+        }
+        content.set_connections(5, 110);
+        fleet.publish(&content);
+        converge(&mut fleet, &content, BOUND);
+    }
+}
+
+// Two operators publish different content under one revision: no daemon
+// changes its content, the conflict is reported, and the next revision heals.
+#[test]
+fn conflicting_revisions() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        let mut other = content.clone();
+        content.change_slots(1);
+        other.change_slots(2);
+        fleet.publish(&content);
+        fleet.run_for(Duration::from_millis(8));
+        fleet.publish(&other);
+        fleet.run_for(secs(20));
+        let conflict = |log: &ControlLog| matches!(log, ControlLog::ConflictingRevision { .. });
+        assert!((0..60).any(|host| fleet.host(host).logs.iter().any(conflict)));
+        other.change_slots(3);
+        fleet.publish(&other);
+        converge(&mut fleet, &other, BOUND);
+    }
+}
