Add the commands status and explain

Cause: operators could read a daemon's version and routes only by requests of their own to its operator listener, one daemon at a time, and the listener passed query parameters on without decoding them.

Change: `radishgauge status` asks many daemons at the same time and prints their revisions, the lag behind the newest one in force, and why a daemon lags. `radishgauge explain route` and `explain version` show the explanations of one daemon. The command line percent-encodes the parameters; the operator listener decodes them and answers 400 when one is not UTF-8.

Conclusion: the tests of radishgauge-cli pass against a stand-in of the operator page with a current daemon, one that refused a version, one that does not listen and one that does not answer.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -5,9 +5,11 @@
 use crate::Subcommand;
 use crate::check::CheckOptions;
 use crate::diff::DiffOptions;
+use crate::explain::ExplainOptions;
 use crate::help::HelpOptions;
 use crate::keys::KeysOptions;
 use crate::pack::PackOptions;
+use crate::status::StatusOptions;
 
 /// A sub-command with its options.
 #[derive(Debug, Options)]
@@ -24,6 +26,12 @@
     /// Make the certificates of the daemons.
     #[options(help = "make the certificates of the daemons")]
     Keys(KeysOptions),
+    /// Show which versions daemons have in force.
+    #[options(help = "show which versions daemons have in force")]
+    Status(StatusOptions),
+    /// Explain how a daemon routes a call or chose its version.
+    #[options(help = "explain how a daemon routes a call or chose its version")]
+    Explain(ExplainOptions),
     /// Explain a command.
     #[options(help = "explain a command")]
     Help(HelpOptions),
@@ -37,6 +45,8 @@
             Command::Diff(options) => options,
             Command::Pack(options) => options,
             Command::Keys(options) => options,
+            Command::Status(options) => options,
+            Command::Explain(options) => options,
             Command::Help(options) => options,
         }
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -17,10 +17,13 @@
 pub mod check;
 pub mod command;
 pub mod diff;
+pub mod explain;
 pub mod help;
 pub mod keys;
+pub mod operator;
 pub mod pack;
 pub mod source;
+pub mod status;
 pub mod table;
 
 use crate::command::Command;
@@ -108,7 +111,8 @@
     fn run(&self, out: &mut dyn Write) -> Result<ExitStatus, CommandError>;
 }
 
-/// Distributes mesh configuration: checks, packs and compares sets of files.
+/// Distributes mesh configuration: checks, packs and compares sets of files, and
+/// asks daemons what they run.
 #[derive(Debug, Options)]
 struct ProgramOptions {
     #[options(help = "print this help")]
--- /dev/null
+++ b/crates/cli/src/operator.rs
@@ -0,0 +1,99 @@
+//! Requests to the operator listeners of daemons.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use anyhow::Context;
+use anyhow::Result;
+use anyhow::anyhow;
+use anyhow::bail;
+use bytes::Bytes;
+use http::Request;
+use http::StatusCode;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Empty;
+use http_body_util::Limited;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::CommandError;
+
+/// The time limit of a request in milliseconds by default. An operator page is
+/// made from memory, so that a daemon without an answer by then is in trouble.
+const TIMEOUT_MS: u64 = 2000;
+
+/// The longest accepted time limit in milliseconds.
+const TIMEOUT_MS_MAX: u64 = 60_000;
+
+/// The greatest accepted answer in bytes. A page has about 100 bytes per hosted
+/// service or target; the limit bounds the memory that a wrong address can take.
+const ANSWER_BYTES_MAX: usize = 4 << 20;
+
+/// Returns the time limit that an option gives.
+pub(crate) fn time_limit(option: Option<u64>) -> Result<Duration, CommandError> {
+    let limit = option.unwrap_or(TIMEOUT_MS);
+    if !(1..=TIMEOUT_MS_MAX).contains(&limit) {
+        let text = format!("--timeout-ms must be from 1 to {TIMEOUT_MS_MAX}");
+        return Err(CommandError::usage(&text));
+    }
+    Ok(Duration::from_millis(limit))
+}
+
+/// Runs requests to their end.
+pub(crate) fn block_on<F>(requests: F) -> io::Result<F::Output>
+where
+    F: Future,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    Ok(runtime.block_on(requests))
+}
+
+/// Asks a daemon for a page and returns its JSON.
+///
+/// # Errors
+///
+/// When the daemon cannot be reached, does not answer within the limit, or
+/// answers with another status than 200 or with something that is not JSON.
+pub(crate) async fn ask(daemon: SocketAddr, target: &str, limit: Duration) -> Result<Value> {
+    timeout(limit, exchange(daemon, target))
+        .await
+        .unwrap_or_else(|_| {
+            Err(anyhow!(
+                "not reachable: no answer within {} ms",
+                limit.as_millis()
+            ))
+        })
+}
+
+async fn exchange(daemon: SocketAddr, target: &str) -> Result<Value> {
+    let stream = TcpStream::connect(daemon).await.context("not reachable")?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    // A fault of the connection also ends the request, which reports it.
+    let connection = tokio::spawn(connection);
+    let request = Request::get(target)
+        .header(HOST, daemon.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let response = sender.send_request(request).await.context("no answer")?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX);
+    let body = body
+        .collect()
+        .await
+        .map_err(|error| anyhow!("the answer is incomplete: {error}"))?;
+    connection.abort();
+    let page: Result<Value, _> = serde_json::from_slice(&body.to_bytes());
+    if status != StatusCode::OK {
+        let error = page
+            .ok()
+            .and_then(|page| Some(page["error"].as_str()?.to_owned()));
+        bail!("answered {status}: {}", error.unwrap_or_default());
+    }
+    page.context("the answer is not JSON")
+}
--- /dev/null
+++ b/crates/cli/tests/operators.rs
@@ -0,0 +1,370 @@
+//! Commands that ask daemons, against a stand-in of the operator page.
+
+use std::fs;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
+use http::StatusCode;
+use radishgauge_cli::ExitStatus;
+use radishgauge_daemon::operator::query_parameter;
+use radishgauge_net::OperatorListener;
+use radishgauge_net::exchange::AnswerBody;
+use radishgauge_net::exchange::HttpAnswer;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpSocket;
+
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+struct Outcome {
+    status: ExitStatus,
+    out: String,
+    err: String,
+}
+
+fn run(args: &[&str]) -> Outcome {
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let args = args.iter().map(|arg| (*arg).into()).collect();
+    let status = radishgauge_cli::run(args, &mut out, &mut err);
+    Outcome {
+        status,
+        out: String::from_utf8(out).unwrap(),
+        err: String::from_utf8(err).unwrap(),
+    }
+}
+
+/// Serves one page for every request.
+fn serve(status: StatusCode, page: Value) -> (OperatorListener, String) {
+    serve_with(move |_| (status, page.clone()))
+}
+
+/// Serves the page that a function returns for a path with its query.
+fn serve_with<P>(page: P) -> (OperatorListener, String)
+where
+    P: Fn(&http::Uri) -> (StatusCode, Value) + Clone + Send + Sync + 'static,
+{
+    let listener = OperatorListener::bind(LOOPBACK, move |request| {
+        let (status, page) = page(&request.head.uri);
+        let mut answer = HttpAnswer::new(AnswerBody::whole(page.to_string()));
+        *answer.status_mut() = status;
+        async move { answer }
+    })
+    .unwrap();
+    let address = listener.local_address().to_string();
+    (listener, address)
+}
+
+/// Holds a port on which nothing listens, so that no other process takes it.
+fn closed_port() -> (TcpSocket, String) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(LOOPBACK).unwrap();
+    let address = socket.local_addr().unwrap().to_string();
+    (socket, address)
+}
+
+fn status_page(host: &str, revision: u64, took_ms: u64) -> Value {
+    json!({
+        "host": host,
+        "region": "north",
+        "failure_domain": "north-1",
+        "revision": revision,
+        "source": "platform",
+        "age_ms": 65_000,
+        "took_ms": took_ms,
+        "unconfirmed": false,
+        "refused_revision": 0,
+        "refused_reasons": [],
+        "platform_age_ms": 10,
+        "roles": ["relay", "reader"],
+        "stopping": false,
+        "hosted": [],
+        "suspects": 0,
+        "retry_budget_calls": 10,
+        "keys": 0,
+        "meters": { "calls": 41, "refused": 7 },
+    })
+}
+
+fn lagging_page() -> Value {
+    let mut page = status_page("h2", 11, 900);
+    page["refused_revision"] = json!(12);
+    page["refused_reasons"] = json!(["route a: no such\nservice b", "drops half"]);
+    page
+}
+
+/// Returns the line of the table for a daemon, with single spaces.
+fn line(out: &str, daemon: &str) -> String {
+    let found = out.lines().find(|line| line.starts_with(daemon));
+    let words: Vec<&str> = found.unwrap().split_whitespace().collect();
+    words.join(" ")
+}
+
+// Guards against a fleet that looks current because a daemon that lags or does
+// not answer is left out, or is shown without the reason.
+#[test]
+fn status_shows_why_daemons_lag() {
+    let (_current, current) = serve(StatusCode::OK, status_page("h1", 12, 250));
+    let (_lagging, lagging) = serve(StatusCode::OK, lagging_page());
+    let (_closed, closed) = closed_port();
+    let daemons = [
+        "status", "--daemon", &current, "--daemon", &lagging, "--daemon", &closed,
+    ];
+    let shown = run(&daemons);
+    assert_eq!(shown.status, ExitStatus::Partial, "{}", shown.err);
+    assert_eq!(
+        line(&shown.out, &current),
+        format!("{current} h1 north-1 12 0 platform 65 s 250 ms relay,reader 41 7")
+    );
+    assert_eq!(
+        line(&shown.out, &lagging),
+        format!(
+            "{lagging} h2 north-1 11 1 platform 65 s 900 ms relay,reader 41 7 \
+             refused 12: route a: no such service b; drops half"
+        )
+    );
+    let unreachable = line(&shown.out, &closed);
+    assert!(unreachable.contains("- not reachable: "), "{unreachable}");
+    assert_eq!(
+        shown.out.lines().last().unwrap(),
+        "3 daemons, 2 answered, 1 at the newest revision 12, took median 250 ms, longest 250 ms"
+    );
+
+    let json = run(&[&daemons[..], &["--json"]].concat());
+    assert_eq!(json.status, ExitStatus::Partial);
+    let report: Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(report["daemons"][0]["status"], status_page("h1", 12, 250));
+    assert_eq!(report["daemons"][1]["lag"], 1);
+    assert_eq!(report["daemons"][2]["status"], Value::Null);
+    assert_eq!(report["daemons"][2]["lag"], Value::Null);
+    assert_eq!(
+        report["summary"],
+        json!({
+            "daemons": 3,
+            "answered": 2,
+            "newest_revision": 12,
+            "at_newest": 1,
+            "median_took_ms": 250,
+            "longest_took_ms": 250,
+        })
+    );
+}
+
+// Guards against a lag without a reason, and against a refusal that is still
+// shown after a later version came into force.
+#[test]
+fn status_names_each_state_of_a_daemon() {
+    let mut unconfirmed = status_page("h1", 12, 100);
+    unconfirmed["unconfirmed"] = json!(true);
+    unconfirmed["stopping"] = json!(true);
+    let mut recovered = status_page("h2", 12, 300);
+    recovered["refused_revision"] = json!(11);
+    let pages = [
+        (unconfirmed, "41 7 unconfirmed, stopping"),
+        (recovered, "41 7"),
+        (status_page("h3", 12, 200), "41 7"),
+        (status_page("h4", 10, 5000), "41 7 12 not in force yet"),
+        (status_page("h5", 0, 0), "41 7 no version in force"),
+    ];
+    let served = pages.map(|(page, end)| (serve(StatusCode::OK, page), end));
+    let mut args = vec!["status"];
+    for ((_, address), _) in &served {
+        args.extend(["--daemon", address]);
+    }
+    let shown = run(&args);
+    assert_eq!(shown.status, ExitStatus::Done, "{}", shown.err);
+    for ((_, address), end) in &served {
+        let line = line(&shown.out, address);
+        assert!(line.ends_with(end), "{line}");
+    }
+    assert!(
+        shown
+            .out
+            .ends_with("3 at the newest revision 12, took median 200 ms, longest 300 ms\n"),
+        "{}",
+        shown.out
+    );
+}
+
+// Guards against a program that waits for ever for a daemon that accepts a
+// connection but does not answer.
+#[test]
+fn status_gives_up_a_silent_daemon() {
+    let silent = TcpListener::bind(LOOPBACK).unwrap();
+    let silent = (silent.local_addr().unwrap().to_string(), silent);
+    let shown = run(&["status", "--daemon", &silent.0, "--timeout-ms", "50"]);
+    assert_eq!(shown.status, ExitStatus::Unreachable);
+    assert!(
+        shown.out.contains("not reachable: no answer within 50 ms"),
+        "{}",
+        shown.out
+    );
+    assert!(
+        shown
+            .out
+            .ends_with("1 daemons, 0 answered, 0 at the newest revision 0\n")
+    );
+}
+
+// Guards against another server's page that counts as a daemon's status.
+#[test]
+fn status_takes_only_status_pages() {
+    let (_other, other) = serve(StatusCode::OK, json!({ "revision": 99 }));
+    let (_missing, missing) = serve(StatusCode::NOT_FOUND, json!({ "error": "no page" }));
+    let shown = run(&["status", "--daemon", &other, "--daemon", &missing]);
+    assert_eq!(shown.status, ExitStatus::Unreachable);
+    assert!(line(&shown.out, &other).contains("not a status page"));
+    assert!(line(&shown.out, &missing).ends_with("answered 404 Not Found: no page"));
+}
+
+// Guards against addresses of a file that are skipped or asked twice.
+#[test]
+fn status_reads_addresses_from_a_file() {
+    let dir = tempfile::tempdir().unwrap();
+    let file = dir.path().join("daemons.txt");
+    let name = file.to_str().unwrap();
+    let (_daemon, daemon) = serve(StatusCode::OK, status_page("h1", 12, 250));
+    fs::write(&file, format!("# north\n\n {daemon} \n{daemon}\n")).unwrap();
+    let shown = run(&["status", "--file", name, "--daemon", &daemon]);
+    assert_eq!(shown.status, ExitStatus::Done, "{}", shown.err);
+    assert!(
+        shown.out.contains("\n1 daemons, 1 answered"),
+        "{}",
+        shown.out
+    );
+
+    fs::write(&file, format!("{daemon}\n\nh1:port\n")).unwrap();
+    let refused = run(&["status", "--file", name]);
+    assert_eq!(refused.status, ExitStatus::Refused);
+    assert!(
+        refused
+            .err
+            .contains("daemons.txt:3: \"h1:port\" is not IP:PORT"),
+        "{}",
+        refused.err
+    );
+}
+
+fn route_page() -> Value {
+    json!({
+        "revision": 12,
+        "route": "orders",
+        "service": "orders",
+        "repeatable": false,
+        "timeout_ms": 800,
+        "home_regions": ["north", "south"],
+        "refused_here": null,
+        "targets": [
+            { "host": "h1", "distance": "near", "allowed": true, "outstanding": 3,
+              "response_us": 1200, "capacity": 8, "passed_over": false },
+            { "host": "h2", "distance": "far", "allowed": false, "outstanding": 0,
+              "response_us": 0, "capacity": 8, "passed_over": false },
+        ],
+    })
+}
+
+// Guards against a route that people cannot read or programs get changed.
+#[test]
+fn explain_route_shows_the_targets() {
+    let (_daemon, daemon) = serve(StatusCode::OK, route_page());
+    let args = ["explain", "route", "--daemon", &daemon, "/orders/17"];
+    let shown = run(&args);
+    assert_eq!(shown.status, ExitStatus::Done, "{}", shown.err);
+    for text in ["timeout       800 ms", "home regions  north, south"] {
+        assert!(shown.out.contains(text), "{}", shown.out);
+    }
+    assert_eq!(line(&shown.out, "h1"), "h1 near yes 3 8 1200 us");
+    assert_eq!(line(&shown.out, "h2"), "h2 far not allowed 0 8 0 us");
+    let json = run(&[&args[..], &["--json"]].concat());
+    let page: Value = serde_json::from_str(&json.out).unwrap();
+    assert_eq!(page, route_page());
+}
+
+// Guards against parameters that are cut at a reserved character, or decoded
+// otherwise than they were encoded.
+#[test]
+fn explain_route_passes_parameters_unchanged() {
+    let (_daemon, daemon) = serve_with(|uri| {
+        let query = uri.query().unwrap();
+        let parameter = |name| query_parameter(query, name).unwrap();
+        assert_eq!(uri.path(), "/explain/route");
+        let seen = json!([parameter("path"), parameter("method"), parameter("tenant")]);
+        (StatusCode::OK, json!({ "refused": seen.to_string() }))
+    });
+    let path = "/a b&c=d%20+#?é";
+    let shown = run(&[
+        "explain", "route", path, "--daemon", &daemon, "--method", "PUT", "--tenant", "t&u",
+    ]);
+    let seen = json!([path, "PUT", "t&u"]);
+    assert_eq!(shown.out, format!("refused: {seen}\n"), "{}", shown.err);
+    let shown = run(&["explain", "route", "/", "--daemon", &daemon]);
+    assert_eq!(shown.out, "refused: [\"/\",null,null]\n");
+    assert!(query_parameter("path=%ff", "path").is_err());
+}
+
+// Guards against a script that takes a call as possible that the daemon refuses.
+#[test]
+fn explain_route_tells_refused_calls_by_the_exit_code() {
+    let mut refused_here = route_page();
+    refused_here["refused_here"] = json!("not-home");
+    let pages = [
+        (json!({ "refused": "no-route" }), "refused: no-route\n"),
+        (
+            json!({ "route": "a", "refused": "no-target" }),
+            "route a: refused: no-target\n",
+        ),
+        (refused_here, "refused here  not-home\n"),
+    ];
+    for (page, text) in pages {
+        let (_daemon, daemon) = serve(StatusCode::OK, page);
+        let args = ["explain", "route", "/a", "--daemon", &daemon];
+        let shown = run(&args);
+        assert_eq!(shown.status, ExitStatus::Refused, "{}", shown.err);
+        assert!(shown.out.contains(text), "{}", shown.out);
+        let json = run(&[&args[..], &["--json"]].concat());
+        assert_eq!(json.status, ExitStatus::Refused);
+    }
+}
+
+// Guards against a refused version that the explanation hides, and against a
+// daemon without a version that is taken for one that does not answer.
+#[test]
+fn explain_version_shows_refusals() {
+    let (_daemon, daemon) = serve(
+        StatusCode::OK,
+        json!({
+            "revision": 11, "root": "ab", "source": "platform", "because": "11 is the greatest",
+            "freshness": "Fresh", "services_held": ["orders"], "routes_held": 3,
+            "routes_not_held": 2, "refused_revision": 12, "refused_reasons": ["drops half"],
+        }),
+    );
+    let shown = run(&["explain", "version", "--daemon", &daemon]);
+    assert_eq!(shown.status, ExitStatus::Done, "{}", shown.err);
+    assert!(shown.out.contains("routes     3 held, 2 not held\n"));
+    assert!(
+        shown
+            .out
+            .ends_with("refused    12\n           drops half\n")
+    );
+
+    let page = json!({ "revision": 0, "because": "no version is in force yet" });
+    let (_daemon, daemon) = serve(StatusCode::OK, page);
+    let shown = run(&["explain", "version", "--daemon", &daemon]);
+    assert_eq!(shown.status, ExitStatus::Done, "{}", shown.err);
+    assert_eq!(
+        shown.out,
+        "revision   0\nbecause    no version is in force yet\n"
+    );
+}
+
+// Guards against a daemon that is away being reported as a refused call.
+#[test]
+fn explain_tells_unreachable_daemons() {
+    let (_closed, closed) = closed_port();
+    for subject in [&["version"][..], &["route", "/a"]] {
+        let shown = run(&[&["explain", "--daemon", &closed], subject].concat());
+        assert_eq!(shown.status, ExitStatus::Unreachable);
+        assert!(shown.err.contains("not reachable"), "{}", shown.err);
+    }
+}
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -2,11 +2,14 @@
 //!
 //! The listener changes nothing but that its own process stops gracefully.
 
+use std::borrow::Cow;
+use std::str::Utf8Error;
 use std::sync::Arc;
 
 use http::Method;
 use http::Response;
 use http::StatusCode;
+use percent_encoding::percent_decode_str;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_net::exchange::HttpAnswer;
 use radishgauge_net::exchange::HttpRequest;
@@ -38,12 +41,16 @@
             (&Method::GET, "/explain/version") => {
                 reply(StatusCode::OK, &self.explain_version().await)
             }
-            (&Method::GET, "/explain/route") => {
-                let path = parameter(query, "path").unwrap_or("/");
-                let method = parameter(query, "method").unwrap_or("GET");
-                let tenant = parameter(query, "tenant").unwrap_or_default();
-                reply(StatusCode::OK, &self.explain_route(method, path, tenant))
-            }
+            (&Method::GET, "/explain/route") => match route_parameters(query) {
+                Ok([method, path, tenant]) => {
+                    let route = self.explain_route(&method, &path, &tenant);
+                    reply(StatusCode::OK, &route)
+                }
+                Err(error) => reply(
+                    StatusCode::BAD_REQUEST,
+                    &json!({ "error": format!("a parameter is not UTF-8: {error}") }),
+                ),
+            },
             (&Method::POST, "/stop") => {
                 self.stop.notify_one();
                 reply(StatusCode::ACCEPTED, &json!({ "stopping": true }))
@@ -201,12 +208,33 @@
     response
 }
 
-/// Returns a parameter of a query. Names of routes and tenants need no
-/// percent-decoding.
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+/// Returns the method, path and tenant of a query.
+fn route_parameters(query: &str) -> Result<[Cow<'_, str>; 3], Utf8Error> {
+    let method = query_parameter(query, "method")?.unwrap_or(Cow::Borrowed("GET"));
+    let path = query_parameter(query, "path")?.unwrap_or(Cow::Borrowed("/"));
+    let tenant = query_parameter(query, "tenant")?.unwrap_or_default();
+    Ok([method, path, tenant])
+}
+
+/// Returns a percent-decoded parameter of a query. `+` stands for itself.
+///
+/// # Errors
+///
+/// When the decoded value is not UTF-8.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_daemon::operator::query_parameter;
+///
+/// let path = query_parameter("path=%2Fa%26b&tenant=t", "path").unwrap();
+/// assert_eq!(path.as_deref(), Some("/a&b"));
+/// ```
+pub fn query_parameter<'a>(query: &'a str, name: &str) -> Result<Option<Cow<'a, str>>, Utf8Error> {
     query
         .split('&')
         .filter_map(|pair| pair.split_once('='))
         .find(|(found, _)| *found == name)
-        .map(|(_, value)| value)
+        .map(|(_, value)| percent_decode_str(value).decode_utf8())
+        .transpose()
 }
