--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -6,9 +6,11 @@
 use crate::check::CheckOptions;
 use crate::demo::DemoOptions;
 use crate::diff::DiffOptions;
+use crate::explain::ExplainOptions;
 use crate::help::HelpOptions;
 use crate::keys::KeysOptions;
 use crate::pack::PackOptions;
+use crate::status::StatusOptions;
 
 /// A sub-command with its options.
 #[derive(Debug, Options)]
@@ -25,9 +27,18 @@
     /// Make the certificates of the daemons.
     #[options(help = "make the certificates of the daemons")]
     Keys(KeysOptions),
+<<<<<<< HEAD
     /// Run an example fleet in this process.
     #[options(help = "run an example fleet in this process and measure it")]
     Demo(DemoOptions),
+=======
+    /// Show which versions daemons have in force.
+    #[options(help = "show which versions daemons have in force")]
+    Status(StatusOptions),
+    /// Explain how a daemon routes a call or chose its version.
+    #[options(help = "explain how a daemon routes a call or chose its version")]
+    Explain(ExplainOptions),
+>>>>>>> cli-status
     /// Explain a command.
     #[options(help = "explain a command")]
     Help(HelpOptions),
@@ -41,7 +52,12 @@
             Command::Diff(options) => options,
             Command::Pack(options) => options,
             Command::Keys(options) => options,
+<<<<<<< HEAD
             Command::Demo(options) => options,
+=======
+            Command::Status(options) => options,
+            Command::Explain(options) => options,
+>>>>>>> cli-status
             Command::Help(options) => options,
         }
     }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -20,10 +20,13 @@
 mod demo_fleet;
 mod demo_load;
 pub mod diff;
+pub mod explain;
 pub mod help;
 pub mod keys;
+pub mod operator;
 pub mod pack;
 pub mod source;
+pub mod status;
 pub mod table;
 
 use crate::command::Command;
@@ -111,7 +114,8 @@
     fn run(&self, out: &mut dyn Write) -> Result<ExitStatus, CommandError>;
 }
 
-/// Distributes mesh configuration: checks, packs and compares sets of files.
+/// Distributes mesh configuration: checks, packs and compares sets of files, and
+/// asks daemons what they run.
 #[derive(Debug, Options)]
 struct ProgramOptions {
     #[options(help = "print this help")]
