--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -27,18 +27,15 @@
     /// Make the certificates of the daemons.
     #[options(help = "make the certificates of the daemons")]
     Keys(KeysOptions),
-<<<<<<< HEAD
     /// Run an example fleet in this process.
     #[options(help = "run an example fleet in this process and measure it")]
     Demo(DemoOptions),
-=======
     /// Show which versions daemons have in force.
     #[options(help = "show which versions daemons have in force")]
     Status(StatusOptions),
     /// Explain how a daemon routes a call or chose its version.
     #[options(help = "explain how a daemon routes a call or chose its version")]
     Explain(ExplainOptions),
->>>>>>> cli-status
     /// Explain a command.
     #[options(help = "explain a command")]
     Help(HelpOptions),
@@ -52,12 +49,9 @@
             Command::Diff(options) => options,
             Command::Pack(options) => options,
             Command::Keys(options) => options,
-<<<<<<< HEAD
             Command::Demo(options) => options,
-=======
             Command::Status(options) => options,
             Command::Explain(options) => options,
->>>>>>> cli-status
             Command::Help(options) => options,
         }
     }
