Tell unsent calls from sent ones at a deadline, and let a stop wait for answers

Change: a mark set before the first byte tells the two apart; a stop waits for the listener's requests up to its deadline. Cold targets and shed load get their log events.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -50,6 +50,7 @@
 use crate::meters::MeterSender;
 use crate::node::DaemonNode;
 use crate::node::NodeParts;
+use crate::observe;
 use crate::operator::OperatorDesk;
 use crate::publish::Publisher;
 use crate::publish::SharedState;
@@ -62,6 +63,9 @@
 /// closes its sessions, so that senders learn that it leaves.
 const NOTICE_TIME: Duration = Duration::from_millis(300);
 
+/// How often a stop looks whether the last answers have reached their callers.
+const ANSWER_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The state of a daemon that serves.
 #[derive(Debug)]
 pub struct Running;
@@ -216,6 +220,7 @@
             .runtime
             .spawn(serve::accept(Arc::clone(&node), endpoint.clone()));
         resources.runtime.spawn(transfer::run(Arc::clone(&node)));
+        resources.runtime.spawn(observe::run(Arc::clone(&node)));
         events::STARTED.emit(format_args!(
             "host={} failure_domain={} callers={} peers={peer_address} operators={}",
             settings.host,
@@ -304,13 +309,22 @@
             }
         };
         let _ = tokio::time::timeout(self.stop_deadline, idle).await;
-        let cut_off = self.node.under_way.load(Ordering::Acquire);
-        let left = if cut_off == 0 {
-            serve::FLUSH_TIME
-        } else {
-            Duration::ZERO
+        // An answer may still be on its way to a caller after its call ended.
+        let left = self
+            .stop_deadline
+            .saturating_sub(self.node.clock.now().saturating_sub(begun));
+        let answers = async {
+            while self.callers.running() > 0 {
+                tokio::time::sleep(ANSWER_INTERVAL).await;
+            }
         };
-        let _ = tokio::time::timeout(left, self.callers.stop()).await;
+        let _ = tokio::time::timeout(left, answers).await;
+        let cut_off = self
+            .node
+            .under_way
+            .load(Ordering::Acquire)
+            .max(self.callers.running());
+        let _ = tokio::time::timeout(serve::FLUSH_TIME, self.callers.stop()).await;
         self.node.end();
         self.node.control.send(ControlInput::End);
         // A peer that does not answer the close must not hold up the stop.
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -5,6 +5,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -249,10 +251,18 @@
                 Err(_) => CallAnswer::unanswered(CallVerdict::MayHaveRun, receive::DEADLINE),
             }
         } else {
-            let sent = send(&self.node, picked.daemon, head, body, self.may_repeat());
+            let mark = SentMark::default();
+            let sent = send(
+                &self.node,
+                picked.daemon,
+                head,
+                body,
+                self.may_repeat(),
+                &mark,
+            );
             match tokio::time::timeout(time, sent).await {
                 Ok(answer) => answer,
-                Err(_) => CallAnswer::unanswered(CallVerdict::MayHaveRun, receive::DEADLINE),
+                Err(_) => CallAnswer::unanswered(mark.verdict(), receive::DEADLINE),
             }
         };
         self.conclude(picked, answer)
@@ -305,6 +315,27 @@
     }
 }
 
+/// Whether a call may have left this daemon; readable after the future that
+/// sends it was dropped, as at a deadline.
+#[derive(Debug, Default)]
+pub struct SentMark(AtomicBool);
+
+impl SentMark {
+    /// Set before the first byte is handed to the session.
+    fn set(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    /// Returns what is known of a call whose future was dropped.
+    pub fn verdict(&self) -> CallVerdict {
+        if self.0.load(Ordering::Acquire) {
+            CallVerdict::MayHaveRun
+        } else {
+            CallVerdict::NotRun
+        }
+    }
+}
+
 /// Sends a call to the daemon at an address and waits for the head of its
 /// answer. The verdict is "not run" only when nothing was sent or the daemon
 /// says so.
@@ -314,6 +345,7 @@
     head: CallHead,
     body: &mut RequestBody,
     repeatable: bool,
+    mark: &SentMark,
 ) -> CallAnswer {
     let held = match node.pool.get(address).await {
         Ok(held) => held,
@@ -323,6 +355,7 @@
         return broken(&error);
     }
     let waiting = held.wait();
+    mark.set();
     let call = match body.as_whole() {
         Some(bytes) => held.session().call_whole(head, bytes.clone()).await,
         None => stream_call(held.session(), head, body).await,
--- a/crates/daemon/src/events.rs
+++ b/crates/daemon/src/events.rs
@@ -53,7 +53,6 @@
     VERSION_CONFLICT = 2003, Error, "two contents with one revision", "revision, root, other", "Two operators published the same revision; publish a greater one.";
     VALUE_REJECTED = 2004, Warn, "value does not match its digest", "key, source", "Expected while the platform is torn; if it goes on, look at the platform or the peer named.";
     PLATFORM_FAILED = 2005, Warn, "platform does not answer", "key, error", "Look at the platform; versions in force stay.";
-    PLATFORM_BACK = 2006, Info, "platform answers again", "", "None.";
     ROLES_CHANGED = 2007, Info, "roles changed", "roles", "None.";
     HOST_CHANGED = 2101, Info, "state of a host changed", "host, state, incarnation", "None.";
     PEER_UP = 3001, Debug, "peer session opened", "host, failure_domain, address", "None.";
@@ -65,7 +64,7 @@
     TARGET_COLD = 4001, Warn, "target is in cold start", "service, limit", "None; its limit doubles with each step while answers are good.";
     TARGET_CRASHED = 4002, Error, "target crashed with calls under way", "service, calls", "Look at the target's own logs.";
     REQUEST_QUARANTINED = 4003, Error, "request quarantined", "service, fingerprint", "A request crashed two targets; find it by its fingerprint at the caller.";
-    OVERLOADED = 4004, Warn, "calls are shed", "service, refused", "Add workers, or lower the load; see the page on overload.";
+    OVERLOADED = 4004, Warn, "calls are shed", "refused", "Add workers, or lower the load; see the page on overload.";
     REQUEST_REJECTED = 4005, Warn, "malformed or oversize request", "reason", "The caller's request was refused; nothing of it ran.";
     TELEMETRY_FAILED = 5001, Warn, "telemetry cannot be sent", "receiver, error", "Look at the receiver; calls are not affected.";
 }
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -44,10 +44,12 @@
 use crate::body::RequestBody;
 use crate::dispatch;
 use crate::dispatch::OutboundCall;
+use crate::dispatch::SentMark;
 use crate::headers;
 use crate::meters::count;
 use crate::node::DaemonNode;
 use crate::publish::owner_set;
+use crate::receive::DEADLINE;
 
 /// The greatest body that is kept to be repeated.
 const KEPT_BYTES: usize = 64 * 1024;
@@ -112,13 +114,14 @@
         head.owner = true;
         head.key = key.to_string();
         attempt.sent();
-        let sent = dispatch::send(node, address, head, body, false);
+        let mark = SentMark::default();
+        let sent = dispatch::send(node, address, head, body, false, &mark);
         let answer = match tokio::time::timeout(call.remaining(), sent).await {
             Ok(answer) => answer,
-            Err(_) => CallAnswer::unanswered(CallVerdict::MayHaveRun, "deadline"),
+            Err(_) => CallAnswer::unanswered(mark.verdict(), DEADLINE),
         };
-        let never_sent =
-            answer.verdict() == CallVerdict::NotRun && answer.head.reason == dispatch::PATH_BROKE;
+        let never_sent = answer.verdict() == CallVerdict::NotRun
+            && [dispatch::PATH_BROKE, DEADLINE].contains(&answer.head.reason.as_str());
         if !never_sent {
             let verdict = attempt.answered(answer.verdict());
             return with_verdict(answer, verdict);
@@ -212,7 +215,7 @@
                     // An error says that the run has ended.
                     let waited = tokio::time::timeout(call.remaining(), ended.changed()).await;
                     if waited.is_err() {
-                        return CallAnswer::unanswered(CallVerdict::MayHaveRun, "deadline");
+                        return CallAnswer::unanswered(CallVerdict::MayHaveRun, DEADLINE);
                     }
                 }
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod logs;
 pub mod meters;
 pub mod node;
+pub mod observe;
 pub mod operator;
 pub mod publish;
 pub mod receive;
--- /dev/null
+++ b/crates/daemon/src/observe.rs
@@ -0,0 +1,47 @@
+//! Writes log events for changes that no single call can see: a target that
+//! turns cold, and load that is shed.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use smol_str::SmolStr;
+
+use crate::events;
+use crate::node::DaemonNode;
+
+/// How often the targets of this host are looked at.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Shed calls are told at most this often, or an overload would fill the log.
+const SHED_INTERVAL: u32 = 10;
+
+/// Observes the daemon until it stops.
+pub async fn run(node: Arc<DaemonNode>) {
+    let mut cold: HashSet<SmolStr> = HashSet::new();
+    let mut shed = 0;
+    let mut rounds = 0;
+    while !node.is_stopped() {
+        tokio::time::sleep(INTERVAL).await;
+        let Some(current) = node.state.current() else {
+            continue;
+        };
+        for (service, admission) in current.snapshot.all_hosted() {
+            if !admission.is_cold() {
+                cold.remove(service);
+            } else if cold.insert(service.clone()) {
+                let limit = admission.limit();
+                events::TARGET_COLD.emit(format_args!("service={service} limit={limit}"));
+            }
+        }
+        rounds += 1;
+        if rounds % SHED_INTERVAL == 0 {
+            let total = node.meters.shed.load(Ordering::Relaxed);
+            if total > shed {
+                events::OVERLOADED.emit(format_args!("refused={}", total - shed));
+            }
+            shed = total;
+        }
+    }
+}
