Test status and explain against an opened daemon

Cause: the tests of these commands used copies of the operator pages, which would not notice a renamed field of the daemon.

Change: a test opens a daemon in its process, publishes the Abay Etchcraft set to it and runs status, explain version and explain route. The daemon is a listed seed with a short alone_after_ms: without these it reads the host list or the version only after a random wait.

--- a/crates/cli/tests/operators.rs
+++ b/crates/cli/tests/operators.rs
@@ -5,16 +5,26 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
+use std::time::Duration;
 
 use http::StatusCode;
+use prost::Message;
 use radishgauge_cli::ExitStatus;
+use radishgauge_config::load_settings;
+use radishgauge_daemon::Daemon;
+use radishgauge_daemon::DaemonResources;
 use radishgauge_daemon::operator::query_parameter;
 use radishgauge_net::OperatorListener;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_net::exchange::HttpAnswer;
+use radishgauge_schema::config::HostEntry;
+use radishgauge_schema::config::HostList;
+use radishgauge_schema::config::HostState;
 use serde_json::Value;
 use serde_json::json;
 use tokio::net::TcpSocket;
+use tokio::runtime::Runtime;
 
 const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
@@ -368,3 +378,94 @@
         assert!(shown.err.contains("not reachable"), "{}", shown.err);
     }
 }
+
+/// Far beyond the time that a version takes; reached only when something is stuck.
+const STUCK: Duration = Duration::from_secs(60);
+
+// Guards against operator pages that the commands no longer understand after a
+// change of the daemon; the other tests only know copies of the pages.
+#[test]
+fn commands_understand_a_daemon() {
+    let dir = tempfile::tempdir().unwrap();
+    let at = dir.path().to_str().unwrap();
+    let set = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/abay-etchcraft");
+    let set = set.to_str().unwrap();
+    let platform = format!("{at}/platform");
+    let keys = format!("{at}/keys");
+    for args in [
+        &["pack", set, "--revision", "5", "--output", &platform][..],
+        &["keys", "shop-1.addis-bole", "--output", &keys],
+    ] {
+        let made = run(args);
+        assert_eq!(made.status, ExitStatus::Done, "{}", made.err);
+    }
+    // A listed seed reads the version at once; other lone daemons spread their
+    // reads over two minutes.
+    let list = HostList {
+        failure_domain: "addis-bole".to_owned(),
+        revision: 5,
+        hosts: vec![HostEntry {
+            host: "shop-1".to_owned(),
+            failure_domain: "addis-bole".to_owned(),
+            daemon: "127.0.0.1:9".to_owned(),
+            incarnation: 1,
+            state: HostState::Live.into(),
+        }],
+    };
+    let hosts = dir.path().join("platform/hosts");
+    fs::create_dir_all(&hosts).unwrap();
+    fs::write(hosts.join("addis-bole"), list.encode_to_vec()).unwrap();
+    let settings = format!(
+        "host: shop-1\nregion: addis\nfailure_domain: addis-bole\n\
+         listen:\n  callers: 127.0.0.1:0\n  peers: 127.0.0.1:0\n  operators: 127.0.0.1:0\n\
+         advertise: 127.0.0.1:9\nseeds: [\"127.0.0.1:9\"]\npolicy:\n  alone_after_ms: 100\n\
+         platform:\n  directory: {platform}\n\
+         tls:\n  ca: {keys}/ca.pem\n  certificate: {keys}/shop-1.pem\n  key: {keys}/shop-1.key.pem\n"
+    );
+    let path = dir.path().join("shop-1.yaml");
+    fs::write(&path, settings).unwrap();
+    let settings = load_settings(&path).unwrap_or_else(|faults| panic!("{faults}"));
+    let runtime = Runtime::new().unwrap();
+    let daemon = runtime.block_on(async {
+        let opened = Daemon::open(&settings, DaemonResources::of_process()).await;
+        let daemon = opened.unwrap();
+        assert!(daemon.wait_for_revision(5, STUCK).await);
+        daemon
+    });
+    let address = daemon.operators().to_string();
+
+    let status = run(&["status", "--daemon", &address]);
+    assert_eq!(status.status, ExitStatus::Done, "{}", status.out);
+    let shown = line(&status.out, &address);
+    assert!(
+        shown.starts_with(&format!("{address} shop-1 addis-bole 5 0 ")),
+        "{shown}"
+    );
+    // No peer has confirmed the version of a lone daemon.
+    assert!(shown.ends_with(" unconfirmed"), "{shown}");
+    let version = run(&["explain", "version", "--daemon", &address]);
+    assert_eq!(version.status, ExitStatus::Done, "{}", version.err);
+    assert!(version.out.starts_with("revision   5\n"), "{}", version.out);
+
+    let route = ["explain", "route", "--daemon", &address, "/motifs/7%20a"];
+    let found = run(&route);
+    assert_eq!(found.status, ExitStatus::Done, "{}{}", found.out, found.err);
+    assert!(
+        found.out.starts_with("route         catalogue\n"),
+        "{}",
+        found.out
+    );
+    assert!(
+        line(&found.out, "shop-1").contains(" yes "),
+        "{}",
+        found.out
+    );
+    // The home region of this tenant is another one than the daemon's.
+    let bound = run(&[&route[..], &["--tenant", "tana-weavers"]].concat());
+    assert_eq!(bound.status, ExitStatus::Refused, "{}", bound.out);
+    assert!(bound.out.contains("refused here  "), "{}", bound.out);
+    let method = run(&[&route[..], &["--method", "DELETE"]].concat());
+    assert_eq!(method.status, ExitStatus::Refused, "{}", method.out);
+
+    runtime.block_on(daemon.begin_stop().finish());
+}
