Load a service before a key for it is issued

A daemon that did not yet hold the part of a service answered a request for a key with 404 no-route, although the route exists: the key endpoint looked only at loaded routes. A caller asks for its key before its first call, so this was the ordinary case at an entry daemon that hosts no target of the service.

The endpoint now finds the route as calls do, which asks for the part and waits for it.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -88,8 +88,8 @@
             .await
             .map_err(|refusal| refused(&refusal, 0))?;
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
-        let (version, route) =
-            find_route(node, version, head.method.as_str(), path, &carried).await?;
+        let limit = carried.as_ref().map(|context| context.deadline);
+        let (version, route) = find_route(node, version, head.method.as_str(), path, limit).await?;
         let revision = version.snapshot.revision();
         let entry = version.snapshot.routes().get(route);
         let Some(entry) = entry else {
@@ -219,12 +219,12 @@
 
 /// Finds the route; when its service is not held yet, asks for it and waits
 /// until it is or the deadline passes.
-async fn find_route(
+pub(crate) async fn find_route(
     node: &Arc<DaemonNode>,
     mut version: Arc<PublishedVersion>,
     method: &str,
     path: &str,
-    carried: &Option<CallContext>,
+    limit: Option<Duration>,
 ) -> Result<(Arc<PublishedVersion>, RouteKey), CallAnswer> {
     let mut changes = node.state.changes();
     let arrived = node.clock.now();
@@ -250,10 +250,8 @@
             node.control.want_service(service);
             asked = true;
         }
-        let limit = carried
-            .as_ref()
-            .map_or(timeout, |context| context.deadline.min(timeout));
-        let left = (arrived + limit).saturating_sub(node.clock.now());
+        let time = limit.map_or(timeout, |limit| limit.min(timeout));
+        let left = (arrived + time).saturating_sub(node.clock.now());
         match tokio::time::timeout(left, changes.changed()).await {
             Ok(Ok(())) => {
                 version = node.state.current().unwrap_or(version);
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -34,6 +34,7 @@
 use radishgauge_traffic::once::OnceTicket;
 use radishgauge_traffic::once_entry::KeyedAttempt;
 use radishgauge_traffic::once_owner::KeyOwner;
+use radishgauge_traffic::route::RouteKey;
 use radishgauge_traffic::suspect::Fingerprint;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
@@ -44,9 +45,11 @@
 use crate::body::RequestBody;
 use crate::dispatch;
 use crate::dispatch::OutboundCall;
+use crate::entry;
 use crate::headers;
 use crate::meters::count;
 use crate::node::DaemonNode;
+use crate::publish::PublishedVersion;
 use crate::publish::owner_set;
 
 /// The greatest body that is kept to be repeated.
@@ -349,17 +352,31 @@
             answer.body = AnswerBody::Whole(Bytes::from(format!("{key}\n")));
             answer
         }
-        Err(refusal) => CallAnswer::refused(&refusal, 0),
+        Err(refused) => refused,
     }
 }
 
-async fn issue_key(node: &Arc<DaemonNode>, head: &Parts) -> Result<String, Refusal> {
-    let version = node.fresh_version().await?;
-    let snapshot = &version.snapshot;
+async fn issue_key(node: &Arc<DaemonNode>, head: &Parts) -> Result<String, CallAnswer> {
+    let refused = |refusal| CallAnswer::refused(&refusal, 0);
+    let version = node.fresh_version().await.map_err(refused)?;
     let query = head.uri.query().unwrap_or_default();
     let path = query.split('&').find_map(|pair| pair.strip_prefix("path="));
-    let path = path.ok_or(Refusal::new(RefusalReason::NoRoute))?;
-    let route = snapshot.routes().find("POST", path)?;
+    let path = path.ok_or_else(|| refused(Refusal::new(RefusalReason::NoRoute)))?;
+    // The key is often asked for before the first call to its service, whose
+    // part is then not held yet.
+    let (version, route) = entry::find_route(node, version, "POST", path, None).await?;
+    key_for_route(node, &version, route, head)
+        .await
+        .map_err(refused)
+}
+
+async fn key_for_route(
+    node: &Arc<DaemonNode>,
+    version: &PublishedVersion,
+    route: RouteKey,
+    head: &Parts,
+) -> Result<String, Refusal> {
+    let snapshot = &version.snapshot;
     let route = snapshot
         .routes()
         .get(route)
