--- /dev/null
+++ b/crates/daemon/tests/run_once.rs
@@ -0,0 +1,94 @@
+//! A request that may not be repeated runs once, wherever it is re-sent.
+
+mod common;
+
+use std::sync::atomic::Ordering;
+
+use common::Caller;
+use common::Fleet;
+use common::FleetPlan;
+use common::TargetGate;
+use common::wait_until;
+use radishgauge_traffic::key::IdempotencyKey;
+
+const RULES: &str = "routes:\n  - name: orders\n    path_prefix: /orders\n    \
+    service: order-desk\n    repeatable: false\n    timeout_ms: 60000\n\
+    policy:\n  retry_percent: 10\n";
+/// The first two are entries only; a key is issued on one of the others.
+const HOSTS: [(&str, &str, bool); 4] = [
+    ("shop-1", "addis-bole", false),
+    ("shop-2", "addis-kality", false),
+    ("shop-3", "addis-bole", true),
+    ("shop-4", "addis-kality", true),
+];
+
+// Guards against a second execution when a re-send enters at another daemon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_resent_request_runs_once_and_gets_the_first_answer() {
+    let gate = TargetGate::closed();
+    let fleet = Fleet::start(FleetPlan {
+        gate: Some(&gate),
+        ..FleetPlan::new(&HOSTS, RULES)
+    })
+    .await;
+    let entries = [0, 1].map(|index| fleet.hosts[index].daemon().callers());
+    let caller = Caller::new();
+    let key = caller.key(entries[0], "/orders").await;
+    let send = |entry| {
+        let (caller, key) = (caller.clone(), key.clone());
+        tokio::spawn(async move {
+            let headers = [("idempotency-key", &*key)];
+            caller.post(entry, "/orders", &headers, "two chairs").await
+        })
+    };
+    let first = send(entries[0]);
+    wait_until("the first request to run", || fleet.started() == 1).await;
+    let meters = &fleet.hosts[1].daemon().node().meters;
+    let entered = || meters.calls.load(Ordering::Relaxed);
+    let before = entered();
+    let second = send(entries[1]);
+    wait_until("the re-send to enter", || entered() > before).await;
+    gate.open();
+    let first = first.await.unwrap();
+    let second = second.await.unwrap();
+    let third = send(entries[1]).await.unwrap();
+    assert_eq!(first.verdict().0, "ran", "{first:?}");
+    assert_eq!(first.header("x-radishgauge-replayed"), "");
+    assert_eq!(&first.body[..], b"two chairs");
+    for again in [second, third] {
+        assert_eq!(again.header("x-radishgauge-replayed"), "true", "{again:?}");
+        assert_eq!(again.verdict().0, "ran");
+        assert_eq!(again.status, first.status);
+        assert_eq!(again.body, first.body);
+    }
+    assert_eq!(fleet.started(), 1);
+    fleet.end().await;
+}
+
+// Guards against a run by a daemon that does not own the key, after the owner
+// is gone with what it knew.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_whose_owner_is_gone_may_have_run_and_runs_no_more() {
+    let mut fleet = Fleet::start(FleetPlan::new(&HOSTS, RULES)).await;
+    let entries = [0, 1].map(|index| fleet.hosts[index].daemon().callers());
+    let caller = Caller::new();
+    let key = caller.key(entries[0], "/orders").await;
+    let headers = [("idempotency-key", &*key)];
+    let first = caller.post(entries[0], "/orders", &headers, "a desk").await;
+    assert_eq!(first.verdict().0, "ran", "{first:?}");
+
+    let Ok(IdempotencyKey::Issued(issued)) = key.parse() else {
+        panic!("{key} is not an issued key");
+    };
+    let owner = fleet
+        .hosts
+        .iter_mut()
+        .find(|host| host.name == *issued.host);
+    owner.unwrap().daemon.take().unwrap().kill().await;
+    for entry in entries {
+        let again = caller.post(entry, "/orders", &headers, "a desk").await;
+        assert_eq!(again.verdict().0, "may-have-run", "{again:?}");
+    }
+    assert_eq!(fleet.started(), 1);
+    fleet.end().await;
+}
