Name the former targets of a service in its packed part

The owner of a caller's idempotency key follows from the targets of a service. A ledger learned former owners only from the changes that it saw, so a daemon that restarted after a change could run a key a second time.

`pack` now adds to each service the targets that differ from those of the version in the output and of `--previous`, with the revision at which they were left. The 32 newest sets are kept apart; older ones are merged into one entry, which is marked, because the owner of a key in a union need not be its owner in a member. Files may not hold the field: fields with the new rule `derived` are unknown to the reader, the reference and the comparison. Acceptance checks the entries and refuses a `left_at` above the revision.

The daemon passes the entries to its ledger. The ledger keeps one merged set and extends it, so that a set that is named again with each publication no longer evicts the others.

The host list of a share does not tell whether a former owner that is no target any more is gone, so `host_gone` is not called for such hosts.

--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -90,7 +90,8 @@
             Ok(set) => set,
             Err(faults) => return Ok(CheckReport::faulty(faults)),
         };
-        let refused = refusals(&set, previous.as_ref());
+        // The set of a packed directory may come from any revision.
+        let refused = refusals(&set, previous.as_ref(), u64::MAX);
         Ok(CheckReport {
             accepted: refused.is_empty(),
             summary: format!("{dir}: {}", set_summary(&set)),
@@ -137,10 +138,14 @@
     }
 }
 
-/// Returns why a set without faults must not be packed.
-pub(crate) fn refusals(set: &ConfigSet, previous: Option<&ConfigSet>) -> Vec<String> {
+/// Returns why a set without faults must not be packed as a revision.
+pub(crate) fn refusals(
+    set: &ConfigSet,
+    previous: Option<&ConfigSet>,
+    revision: u64,
+) -> Vec<String> {
     // Parts that are too long show only when they are packed.
-    let packed = pack(set, 1);
+    let packed = pack(set, revision);
     let mut refused = match accept(&packed.index().root(), packed.parts()) {
         AcceptVerdict::Accepted => Vec::new(),
         verdict => verdict.reasons(),
--- a/crates/cli/src/pack.rs
+++ b/crates/cli/src/pack.rs
@@ -13,6 +13,7 @@
 use radishgauge_config::pack;
 use radishgauge_config::read_packed;
 use radishgauge_config::read_root;
+use radishgauge_config::with_former_targets;
 use radishgauge_schema::config::ConfigSet;
 use radishgauge_schema::config::IndexRoot;
 use serde::Serialize;
@@ -39,7 +40,8 @@
     #[options(help = "the directory that the platform publishes", meta = "DIR")]
     output: Option<String>,
     #[options(
-        help = "refuse too large cuts since this set; without it, since the version in the output",
+        help = "refuse too large cuts since this set, not the version in the output; the former \
+                targets of both are kept",
         meta = "DIR"
     )]
     previous: Option<String>,
@@ -76,13 +78,28 @@
             return Err(CommandError::usage(text));
         };
         let set = load_set(Path::new(set)).map_err(CommandError::refused)?;
+        let root = found(read_root(Path::new(output)), Path::new(output))?;
+        let (previous, published) = match &self.previous {
+            // The output may be damaged; former targets are then those of
+            // `--previous` only.
+            Some(previous) => (Some(open_set(previous)?), published(Path::new(output)).ok()),
+            None => (None, Some(published(Path::new(output))?)),
+        };
+        let published = published.flatten();
+        // A previous set of files has no former targets, so those of the output
+        // are kept as well.
+        let earlier = published.iter().chain(&previous);
+        let set = earlier.fold(set, |set, earlier| {
+            with_former_targets(&set, earlier, revision)
+        });
         let packed = pack(&set, revision);
-        check_revision(&packed, Path::new(output))?;
-        let previous = match &self.previous {
-            Some(previous) => Some(open_set(previous)?),
-            None => published(Path::new(output))?,
+        check_revision(&packed, root, output)?;
+        let previous = if self.previous.is_some() {
+            previous
+        } else {
+            published
         };
-        let refused = refusals(&set, previous.as_ref());
+        let refused = refusals(&set, previous.as_ref(), revision);
         if !refused.is_empty() {
             return Err(CommandError::refused(anyhow!(
                 "the set is refused\n{}",
@@ -127,8 +144,12 @@
 
 // A version that is packed twice gives the same values, so repeating the
 // command after a failure is allowed; another content needs a greater revision.
-fn check_revision(packed: &PackedSet, output: &Path) -> Result<(), CommandError> {
-    let Some(root) = found(read_root(output), output)? else {
+fn check_revision(
+    packed: &PackedSet,
+    root: Option<IndexRoot>,
+    output: &str,
+) -> Result<(), CommandError> {
+    let Some(root) = root else {
         return Ok(());
     };
     let revision = packed.index().revision();
@@ -137,8 +158,7 @@
         return Ok(());
     }
     Err(CommandError::refused(anyhow!(
-        "--revision; found: {revision}; accepted: greater than {last}, the revision in {}",
-        output.display()
+        "--revision; found: {revision}; accepted: greater than {last}, the revision in {output}"
     )))
 }
 
@@ -157,7 +177,7 @@
         }
         Err(error) => {
             let context = format!(
-                "cannot read the version in {}; with --previous only its root is read",
+                "cannot read the version in {}; with --previous only its root must be readable",
                 output.display()
             );
             Err(CommandError::refused(anyhow!(error).context(context)))
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -287,6 +287,40 @@
     assert!(before.iter().all(|file| after.contains(file)));
 }
 
+// Guards against former targets that are lost when a set of files is given as
+// the previous one, and against a repeated pack that differs from the first.
+#[test]
+fn pack_fills_former_targets() {
+    let output = tempfile::tempdir().unwrap();
+    let output = text(output.path());
+    let pack = |set: &str, revision: &str, previous: &[&str]| {
+        let args = ["pack", set, "--revision", revision, "--output", output];
+        let outcome = run(&[&args, previous].concat());
+        assert_eq!(outcome.status, ExitStatus::Done, "{}", outcome.err);
+    };
+    let renamed = |host: &str| changed("services.yaml", "host: shop-1", host);
+    let (second, third) = (renamed("host: shop-21"), renamed("host: shop-31"));
+    let (second, third) = (text(second.path()), text(third.path()));
+    pack(&abay(), "1", &[]);
+    pack(second, "2", &[]);
+    pack(third, "3", &["--previous", second]);
+    let history = || {
+        let (_, set) = read_packed(Path::new(output)).unwrap();
+        let mut services = set.services.into_iter();
+        let shop = services.find(|service| service.name == "motif-shop");
+        shop.unwrap().former_targets
+    };
+    let entries = history();
+    let entry = |at: usize, host: &str| {
+        assert!(entries[at].targets.iter().any(|target| target.host == host));
+        entries[at].left_at
+    };
+    assert_eq!(entries.len(), 2);
+    assert_eq!((entry(0, "shop-1"), entry(1, "shop-21")), (2, 3));
+    pack(third, "3", &["--previous", second]);
+    assert_eq!(history(), entries);
+}
+
 #[test]
 fn pack_leaves_a_damaged_directory_alone() {
     let output = tempfile::tempdir().unwrap();
--- a/crates/config/src/accept.rs
+++ b/crates/config/src/accept.rs
@@ -156,6 +156,7 @@
             Err(error) => reasons.push(refuse(key, &error.reason)),
         }
     }
+    reasons.extend(late_former(&set, root.revision));
     if let Err(faults) = check_set(&set) {
         reasons.extend(faults.into_iter().map(|fault| set_reason(&set, fault)));
     }
@@ -201,6 +202,24 @@
     Err(reasons)
 }
 
+// A ledger would wait for a revision that no daemon has.
+fn late_former(set: &ConfigSet, revision: u64) -> Vec<RefuseReason> {
+    let mut reasons = Vec::new();
+    for service in &set.services {
+        for (at, former) in service.former_targets.iter().enumerate() {
+            let found = former.left_at;
+            if found > revision {
+                let reason = format!(
+                    "former_targets[{at}].left_at: later than the version; found: {found}; \
+                     accepted: 1 to {revision}"
+                );
+                reasons.push(refuse(&service_key(&service.name), &reason));
+            }
+        }
+    }
+    reasons
+}
+
 fn set_reason(set: &ConfigSet, fault: SetFault) -> RefuseReason {
     let (key, path) = part_path(set, &fault.path);
     let fault = SetFault { path, ..fault };
--- a/crates/config/src/bounds.rs
+++ b/crates/config/src/bounds.rs
@@ -3,13 +3,17 @@
 use radishgauge_schema::config::ConfigSet;
 use radishgauge_schema::config::FailureDomain;
 use radishgauge_schema::config::FleetPolicy;
+use radishgauge_schema::config::FormerTarget;
+use radishgauge_schema::config::FormerTargets;
 use radishgauge_schema::config::Region;
 use radishgauge_schema::config::Route;
 use radishgauge_schema::config::Service;
 use radishgauge_schema::config::Target;
 use radishgauge_schema::config::Tenant;
 
+use crate::FieldPath;
 use crate::SetFault;
+use crate::former::FORMER_SETS;
 use crate::path::POLICY;
 use crate::path::Spot;
 use crate::rules;
@@ -56,6 +60,7 @@
             cold_start_slots,
             targets,
             owner_epoch,
+            former_targets,
         } = service;
         let spot = Spot::new("services", at, "name");
         check.text(rules, spot, name);
@@ -65,6 +70,7 @@
         check.number(rules, spot.field("cold_start_slots"), cold);
         check.number(rules, spot.field("owner_epoch"), *owner_epoch);
         check.targets(spot.field("targets"), targets);
+        check.former(spot.field("former_targets"), former_targets);
     }
     let rules = rules::of("radishgauge.config.v1.Route");
     for (at, route) in routes.iter().enumerate() {
@@ -123,6 +129,41 @@
         }
     }
 
+    fn former(&mut self, list: Spot, former: &[FormerTargets]) {
+        // One entry more holds the merged older sets.
+        if former.len() > FORMER_SETS + 1 {
+            self.faults.push(SetFault {
+                path: list.path(),
+                problem: "too many former sets of targets".to_owned(),
+                found: former.len().to_string(),
+                accepted: format!("up to {}", FORMER_SETS + 1),
+                other: None,
+            });
+        }
+        let rules = rules::of("radishgauge.config.v1.FormerTargets");
+        let target_rules = rules::of("radishgauge.config.v1.FormerTarget");
+        for (at, entry) in former.iter().enumerate() {
+            let FormerTargets {
+                owner_epoch: _,
+                targets,
+                left_at,
+                merged: _,
+            } = entry;
+            let spot = list.item(at);
+            self.number(rules, spot.field("left_at"), *left_at);
+            let spot = spot.field("targets");
+            for (inner, FormerTarget { host, region }) in targets.iter().enumerate() {
+                for (name, text) in [("host", host), ("region", region)] {
+                    let field = target_rules.field(name).expect("the schema has the field");
+                    if let Some((problem, found)) = text_fault(field, text) {
+                        let path = spot.path().item(inner).field(name);
+                        self.add_at(field, path, problem, found);
+                    }
+                }
+            }
+        }
+    }
+
     fn policy(&mut self, policy: &FleetPolicy) {
         let FleetPolicy {
             retry_percent,
@@ -150,15 +191,10 @@
         }
     }
 
-    // An absent text is empty, which only a required field refuses.
     fn text(&mut self, rules: &MessageRules, spot: Spot, text: &str) {
         let field = rules_of(rules, spot);
-        if text.is_empty() {
-            if field.rule.required {
-                self.add(field, spot, "required field missing", String::new());
-            }
-        } else if !field.accepts_text(text) {
-            self.add(field, spot, REFUSED, format!("{text:?}"));
+        if let Some((problem, found)) = text_fault(field, text) {
+            self.add(field, spot, problem, found);
         }
     }
 
@@ -187,8 +223,12 @@
     }
 
     fn add(&mut self, field: &FieldRules, spot: Spot, problem: &str, found: String) {
+        self.add_at(field, spot.path(), problem, found);
+    }
+
+    fn add_at(&mut self, field: &FieldRules, path: FieldPath, problem: &str, found: String) {
         self.faults.push(SetFault {
-            path: spot.path(),
+            path,
             problem: problem.to_owned(),
             found,
             accepted: field.accepted(),
@@ -200,6 +240,16 @@
 /// The problem of a value that breaks the rule of its field.
 const REFUSED: &str = "value not accepted";
 
+/// Returns the problem of a text that breaks the rule of its field, and the
+/// value found. An absent text is empty, which only a required field refuses.
+fn text_fault(field: &FieldRules, text: &str) -> Option<(&'static str, String)> {
+    if text.is_empty() {
+        let missing = ("required field missing", String::new());
+        return field.rule.required.then_some(missing);
+    }
+    (!field.accepts_text(text)).then(|| (REFUSED, format!("{text:?}")))
+}
+
 fn rules_of(rules: &MessageRules, spot: Spot) -> &FieldRules {
     rules.field(spot.name()).expect("the schema has the field")
 }
--- /dev/null
+++ b/crates/config/src/former.rs
@@ -0,0 +1,142 @@
+//! The former targets of services, which packing carries from version to version.
+//!
+//! The owner of a caller's idempotency key follows from the targets of a
+//! service. A daemon that restarted has seen no earlier version, and would run a
+//! key again that a former owner ran, unless the version names that owner.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use radishgauge_schema::config::ConfigSet;
+use radishgauge_schema::config::FormerTarget;
+use radishgauge_schema::config::FormerTargets;
+use radishgauge_schema::config::Service;
+
+/// The former sets of targets kept apart for one service. Older ones are merged
+/// into one more entry, whose hosts must all hand over their keys.
+pub const FORMER_SETS: usize = 32;
+
+/// The hosts kept in all former sets of one service, unless one entry alone has
+/// more. At about 35 bytes each they take a third of the longest part.
+pub const FORMER_HOSTS: usize = 10_000;
+
+/// Returns the set with the former targets of its services filled in.
+///
+/// A service whose owner epoch, hosts or regions differ in `previous` gets those
+/// as left at `revision`. Former targets of `previous` and those that `set`
+/// already has are kept.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_config::with_former_targets;
+/// use radishgauge_schema::config::ConfigSet;
+/// use radishgauge_schema::config::Service;
+/// use radishgauge_schema::config::Target;
+///
+/// let target = Target { host: "shop-1".to_owned(), ..Target::default() };
+/// let shop = Service { targets: vec![target], ..Service::default() };
+/// let previous = ConfigSet { services: vec![shop], ..ConfigSet::default() };
+/// let mut set = previous.clone();
+/// set.services[0].targets[0].host = "shop-2".to_owned();
+/// let set = with_former_targets(&set, &previous, 2);
+/// let former = &set.services[0].former_targets[0];
+/// assert_eq!((former.targets[0].host.as_str(), former.left_at), ("shop-1", 2));
+/// ```
+pub fn with_former_targets(set: &ConfigSet, previous: &ConfigSet, revision: u64) -> ConfigSet {
+    let (regions, old_regions) = (regions_of(set), regions_of(previous));
+    let services = previous.services.iter();
+    let services: HashMap<&str, &Service> = services
+        .map(|service| (service.name.as_str(), service))
+        .collect();
+    let mut filled = set.clone();
+    for service in &mut filled.services {
+        let Some(earlier) = services.get(service.name.as_str()) else {
+            continue;
+        };
+        let left = FormerTargets {
+            left_at: revision,
+            ..targets_of(earlier, &old_regions)
+        };
+        let mut former = std::mem::take(&mut service.former_targets);
+        let kept = earlier.former_targets.iter().cloned();
+        let current = targets_of(service, &regions);
+        let same = left.owner_epoch == current.owner_epoch && left.targets == current.targets;
+        // Targets that no host ran own no key.
+        let left = Some(left).filter(|left| !same && !left.targets.is_empty());
+        for entry in kept.chain(left) {
+            add(&mut former, entry);
+        }
+        former.sort_by_key(|entry| (!entry.merged, entry.left_at));
+        bound(&mut former);
+        service.former_targets = former;
+    }
+    filled
+}
+
+fn regions_of(set: &ConfigSet) -> HashMap<&str, &str> {
+    set.failure_domains
+        .iter()
+        .map(|domain| (domain.name.as_str(), domain.region.as_str()))
+        .collect()
+}
+
+fn targets_of(service: &Service, regions: &HashMap<&str, &str>) -> FormerTargets {
+    let targets = service.targets.iter().map(|target| FormerTarget {
+        host: target.host.clone(),
+        region: regions
+            .get(target.failure_domain.as_str())
+            .copied()
+            .unwrap_or_default()
+            .to_owned(),
+    });
+    let mut targets: Vec<FormerTarget> = targets.collect();
+    targets.sort_by(|a, b| a.host.cmp(&b.host));
+    FormerTargets {
+        owner_epoch: service.owner_epoch,
+        targets,
+        left_at: 0,
+        merged: false,
+    }
+}
+
+// Targets that were current more than once count as left the last time.
+fn add(former: &mut Vec<FormerTargets>, entry: FormerTargets) {
+    let same = |known: &&mut FormerTargets| {
+        known.merged == entry.merged
+            && known.owner_epoch == entry.owner_epoch
+            && known.targets == entry.targets
+    };
+    match former.iter_mut().find(same) {
+        Some(known) => known.left_at = known.left_at.max(entry.left_at),
+        None => former.push(entry),
+    }
+}
+
+/// Merges the oldest entries, which come first, until the bounds hold.
+fn bound(former: &mut Vec<FormerTargets>) {
+    let exceeded = |former: &[FormerTargets]| {
+        let merged = former.iter().filter(|entry| entry.merged).count();
+        let hosts: usize = former.iter().map(|entry| entry.targets.len()).sum();
+        merged > 1 || former.len() - merged > FORMER_SETS || hosts > FORMER_HOSTS
+    };
+    while former.len() > 1 && exceeded(former) {
+        let oldest = former.remove(0);
+        former[0] = merge(oldest, &former[0]);
+    }
+}
+
+fn merge(older: FormerTargets, newer: &FormerTargets) -> FormerTargets {
+    let targets = older.targets.into_iter().chain(newer.targets.clone());
+    let targets: BTreeMap<String, String> =
+        targets.map(|target| (target.host, target.region)).collect();
+    let targets = targets.into_iter();
+    FormerTargets {
+        owner_epoch: 0,
+        targets: targets
+            .map(|(host, region)| FormerTarget { host, region })
+            .collect(),
+        left_at: older.left_at.max(newer.left_at),
+        merged: true,
+    }
+}
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -13,6 +13,8 @@
 use radishgauge_schema::config::ConfigSet;
 use radishgauge_schema::config::FailureDomain;
 use radishgauge_schema::config::FleetPolicy;
+use radishgauge_schema::config::FormerTarget;
+use radishgauge_schema::config::FormerTargets;
 use radishgauge_schema::config::Region;
 use radishgauge_schema::config::Route;
 use radishgauge_schema::config::Service;
@@ -67,6 +69,22 @@
     pub owner_epoch: u64,
     /// The targets by host.
     pub targets: IndexMap<SmolStr, TargetModel>,
+    /// The earlier targets, oldest first, whose daemons may hold callers' keys.
+    pub former: Vec<FormerModel>,
+}
+
+/// The targets of a service under earlier versions.
+#[derive(Debug, Clone, PartialEq)]
+pub struct FormerModel {
+    /// The owner epoch while the targets were current.
+    pub owner_epoch: u64,
+    /// The regions by host.
+    pub targets: IndexMap<SmolStr, SmolStr>,
+    /// The first revision at which the targets were not current any more.
+    pub left_at: u64,
+    /// Whether the targets of several versions are joined, so that each host
+    /// counts as former owner of every key.
+    pub merged: bool,
 }
 
 /// One worker of a service.
@@ -329,6 +347,7 @@
             cold_start_slots: service.cold_start_slots,
             owner_epoch: service.owner_epoch,
             targets,
+            former: service.former_targets.iter().map(former_model).collect(),
         };
         match self.services.insert(SmolStr::new(&service.name), value) {
             None => Ok(()),
@@ -409,6 +428,32 @@
         cold_start_slots: service.cold_start_slots,
         targets: targets.collect(),
         owner_epoch: service.owner_epoch,
+        former_targets: service.former.iter().map(former_message).collect(),
+    }
+}
+
+fn former_model(former: &FormerTargets) -> FormerModel {
+    let targets = former.targets.iter();
+    FormerModel {
+        owner_epoch: former.owner_epoch,
+        targets: targets
+            .map(|target| (SmolStr::new(&target.host), SmolStr::new(&target.region)))
+            .collect(),
+        left_at: former.left_at,
+        merged: former.merged,
+    }
+}
+
+fn former_message(former: &FormerModel) -> FormerTargets {
+    let targets = former.targets.iter().map(|(host, region)| FormerTarget {
+        host: host.to_string(),
+        region: region.to_string(),
+    });
+    FormerTargets {
+        owner_epoch: former.owner_epoch,
+        targets: targets.collect(),
+        left_at: former.left_at,
+        merged: former.merged,
     }
 }
 
--- a/crates/config/src/rules.rs
+++ b/crates/config/src/rules.rs
@@ -45,7 +45,8 @@
     if rules.contains_key(message.full_name()) {
         return;
     }
-    let fields = message.fields().map(FieldRules::new).collect();
+    let fields = message.fields().map(FieldRules::new);
+    let fields = fields.filter(|field| !field.rule.derived).collect();
     let entry = MessageRules {
         descriptor: message.clone(),
         fields,
@@ -67,7 +68,7 @@
     &RULES[message]
 }
 
-/// The fields of one message, in the order of their numbers.
+/// The fields of one message that files may hold, in the order of their numbers.
 pub(crate) struct MessageRules {
     pub(crate) descriptor: MessageDescriptor,
     pub(crate) fields: Vec<FieldRules>,
--- a/crates/config/tests/bounds.rs
+++ b/crates/config/tests/bounds.rs
@@ -9,6 +9,7 @@
 use prost_reflect::Value;
 use radishgauge_config::check_set;
 use radishgauge_config::load_set;
+use radishgauge_config::with_former_targets;
 use radishgauge_schema::config::ConfigSet;
 use radishgauge_schema::descriptors;
 use radishgauge_schema::rules::FieldRule;
@@ -104,7 +105,12 @@
 #[test]
 fn every_rule_is_applied() {
     let dir = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/abay-etchcraft");
-    let set = load_set(&dir).unwrap();
+    let mut set = load_set(&dir).unwrap();
+    let previous = set.clone();
+    for service in &mut set.services {
+        service.owner_epoch += 1;
+    }
+    let set = with_former_targets(&set, &previous, 2);
     let descriptor = descriptors::message("radishgauge.config.v1.ConfigSet").unwrap();
     let mut message = DynamicMessage::new(descriptor);
     message.transcode_from(&set).unwrap();
--- a/crates/config/tests/properties.rs
+++ b/crates/config/tests/properties.rs
@@ -86,6 +86,7 @@
                 cold_start_slots,
                 targets,
                 owner_epoch,
+                former_targets: Vec::new(),
             },
         )
 }
--- a/crates/daemon/src/publish.rs
+++ b/crates/daemon/src/publish.rs
@@ -11,6 +11,7 @@
 
 use arc_swap::ArcSwapOption;
 use radishgauge_config::FleetModel;
+use radishgauge_config::model::FormerModel;
 use radishgauge_control::FleetShare;
 use radishgauge_control::fresh;
 use radishgauge_control::member::HostPhase;
@@ -19,6 +20,7 @@
 use radishgauge_traffic::LocalHost;
 use radishgauge_traffic::TrafficSnapshot;
 use radishgauge_traffic::once::OnceLedger;
+use radishgauge_traffic::once_cover::FormerOwners;
 use radishgauge_traffic::once_cover::OwnerChange;
 use radishgauge_traffic::once_owner::OwnerSet;
 use radishgauge_traffic::once_owner::OwnerTarget;
@@ -176,7 +178,7 @@
                     service: name.clone(),
                     revision: share.revision,
                     current: owner_set(&share.model, name),
-                    former: Vec::new(),
+                    former: service.former.iter().map(former_owners).collect(),
                 };
                 ledger.ownership_changed(change, now);
             }
@@ -202,6 +204,18 @@
     OwnerSet::new(service.owner_epoch, targets)
 }
 
+fn former_owners(former: &FormerModel) -> FormerOwners {
+    let targets = former.targets.iter().map(|(host, region)| OwnerTarget {
+        host: host.clone(),
+        region: region.clone(),
+    });
+    FormerOwners {
+        set: OwnerSet::new(former.owner_epoch, targets),
+        left_at: former.left_at,
+        merged: former.merged,
+    }
+}
+
 fn host_states(share: &FleetShare) -> HostStates {
     let view = |standing: &HostStanding| HostView {
         state: match standing.phase {
--- a/crates/standin/src/virtual_fleet/content.rs
+++ b/crates/standin/src/virtual_fleet/content.rs
@@ -131,6 +131,7 @@
                 cold_start_slots: 2,
                 targets: hosts.map(|host| target(spec, host, 8000)).collect(),
                 owner_epoch: 0,
+                former_targets: Vec::new(),
             };
             let route = Route {
                 name: format!("route-{number:03}"),
--- a/crates/traffic/examples/once_cost.rs
+++ b/crates/traffic/examples/once_cost.rs
@@ -75,6 +75,7 @@
     let former = (0..32).map(|set| FormerOwners {
         set: OwnerSet::new(0, (set..set + 20).map(target)),
         left_at: 2,
+        merged: false,
     });
     let change = OwnerChange {
         service: service.clone(),
--- a/crates/traffic/examples/overload/fleet.rs
+++ b/crates/traffic/examples/overload/fleet.rs
@@ -52,6 +52,7 @@
         cold_start_slots: COLD_SLOTS,
         owner_epoch: 0,
         targets: hosts(targets).into_iter().enumerate().map(target).collect(),
+        former: Vec::new(),
     };
     model.services.insert("desk".into(), service);
     model
--- a/crates/traffic/src/once_cover.rs
+++ b/crates/traffic/src/once_cover.rs
@@ -13,7 +13,7 @@
 use crate::once_owner::OwnerSet;
 
 /// The greatest number of former sets kept apart for a service. Beyond it the
-/// oldest are merged into one whose hosts must all hand over.
+/// oldest are merged into one more whose hosts must all hand over.
 const FORMER_SETS: usize = 32;
 
 /// The owners of a service's opaque keys under a configuration in force.
@@ -40,6 +40,9 @@
     /// The first revision at which the set was not current any more. A host that
     /// applied it does not act under the set.
     pub left_at: u64,
+    /// Whether the set joins the targets of several revisions, so that every
+    /// host of it counts as former owner of every key.
+    pub merged: bool,
 }
 
 /// A completed transfer from a former owner.
@@ -84,7 +87,10 @@
         &self.current
     }
 
-    fn add_former(&mut self, set: OwnerSet, left_at: u64) {
+    fn add_former(&mut self, set: OwnerSet, left_at: u64, all: bool) {
+        if all {
+            return self.add_merged(&set, left_at);
+        }
         if let Some(known) = self
             .former
             .iter_mut()
@@ -93,22 +99,31 @@
             known.left_at = known.left_at.max(left_at);
             return;
         }
-        let all = false;
         self.former.push(FormerSet { set, left_at, all });
-        if self.former.len() > FORMER_SETS {
-            let older = self.former.remove(0);
-            let newer = &mut self.former[0];
-            let targets = older
-                .set
-                .targets()
-                .iter()
-                .chain(newer.set.targets())
-                .cloned();
-            newer.set = OwnerSet::new(0, targets.collect::<Vec<_>>());
-            newer.left_at = newer.left_at.max(older.left_at);
-            newer.all = true;
+        let apart = self.former.iter().enumerate();
+        let apart = apart.filter(|(_, former)| !former.all);
+        if apart.clone().count() > FORMER_SETS {
+            // The configuration names the newest again with each change, so an
+            // eviction by age does not come back.
+            let oldest = apart.min_by_key(|(_, former)| former.left_at);
+            if let Some((oldest, _)) = oldest {
+                let oldest = self.former.remove(oldest);
+                self.add_merged(&oldest.set, oldest.left_at);
+            }
         }
     }
+
+    /// Adds to the one set whose hosts all count as former owners.
+    fn add_merged(&mut self, set: &OwnerSet, left_at: u64) {
+        let Some(known) = self.former.iter_mut().find(|known| known.all) else {
+            let set = OwnerSet::new(0, set.targets().to_vec());
+            let all = true;
+            return self.former.insert(0, FormerSet { set, left_at, all });
+        };
+        let targets = known.set.targets().iter().chain(set.targets()).cloned();
+        known.set = OwnerSet::new(0, targets.collect::<Vec<_>>());
+        known.left_at = known.left_at.max(left_at);
+    }
 }
 
 impl OnceLedger {
@@ -133,10 +148,10 @@
         cover.revision = revision;
         if cover.current != change.current {
             let former = std::mem::replace(&mut cover.current, change.current);
-            cover.add_former(former, revision);
+            cover.add_former(former, revision, false);
         }
         for former in change.former {
-            cover.add_former(former.set, former.left_at);
+            cover.add_former(former.set, former.left_at, former.merged);
         }
         self.update_clear();
     }
--- a/crates/traffic/tests/once/cover.rs
+++ b/crates/traffic/tests/once/cover.rs
@@ -198,6 +198,7 @@
     let former = FormerOwners {
         set: set(&["a"]),
         left_at: 2,
+        merged: false,
     };
     let moved = OwnerChange {
         service: SERVICE.clone(),
@@ -263,3 +264,40 @@
     let verdict = a.finish(ticket, OnceOutcome::NotRun, settled);
     assert_eq!(verdict, CallVerdict::MayHaveRun);
 }
+
+/// Guards against a merged former set in which the owner is computed, although
+/// the owner of a key in a union is not its owner in each member.
+#[test]
+fn every_host_of_a_merged_set_is_waited_for() {
+    let merged = FormerOwners {
+        set: set(&["a", "c", "d"]),
+        left_at: 2,
+        merged: true,
+    };
+    let moved = OwnerChange {
+        service: SERVICE.clone(),
+        revision: 2,
+        current: set(&["b"]),
+        former: vec![merged],
+    };
+    let mut b = ledger_with("b", OnceLimits::default());
+    live(&mut b, COVERED);
+    // The configuration names the set again with each publication.
+    b.ownership_changed(moved.clone(), COVERED);
+    b.ownership_changed(moved, COVERED);
+    let mut now = COVERED;
+    for host in ["a", "c", "d"] {
+        let waits = refuse(
+            CallVerdict::MayHaveRun,
+            OnceReason::FormerOwner(host.into()),
+        );
+        for key in 0..8 {
+            let key = opaque(&format!("k{key}"));
+            assert_eq!(b.begin(&request(&key), now), waits);
+        }
+        b.host_gone(host, now);
+        now += COVERED;
+        live(&mut b, now);
+    }
+    run(&mut b, &opaque("k0"), now);
+}
--- a/crates/traffic/tests/once/support.rs
+++ b/crates/traffic/tests/once/support.rs
@@ -46,6 +46,7 @@
     let former = former.iter().map(|&(left_at, hosts)| FormerOwners {
         set: set(hosts),
         left_at,
+        merged: false,
     });
     let change = OwnerChange {
         service: SERVICE.clone(),
--- a/crates/traffic/tests/once/world.rs
+++ b/crates/traffic/tests/once/world.rs
@@ -194,7 +194,11 @@
         for (index, (_, daemons)) in plan.changes.iter().enumerate() {
             let (set, mut former) = configs[index].clone();
             let left_at = index as u64 + 1;
-            former.push(FormerOwners { set, left_at });
+            former.push(FormerOwners {
+                set,
+                left_at,
+                merged: false,
+            });
             configs.push((targets(daemons), former));
         }
         let daemon = |daemon| Daemon {
--- a/crates/traffic/tests/traffic/fleet.rs
+++ b/crates/traffic/tests/traffic/fleet.rs
@@ -104,6 +104,7 @@
         cold_start_slots,
         owner_epoch: 0,
         targets: Default::default(),
+        former: Vec::new(),
     }
 }
 
