--- a/crates/generate/tests/matrix.rs
+++ b/crates/generate/tests/matrix.rs
@@ -24,15 +24,22 @@
 /// Says whether `text` has a test function of this name.
 fn has_test(text: &str, name: &str) -> bool {
     let head = format!("fn {name}(");
+    let is_head = |line: &str| {
+        line.strip_prefix("async ")
+            .unwrap_or(line)
+            .starts_with(&head)
+    };
     let lines: Vec<&str> = text.lines().map(str::trim).collect();
     let is_test = |index: usize| {
         let attributes = lines[..index]
             .iter()
             .rev()
             .take_while(|line| line.starts_with("#["));
-        attributes.into_iter().any(|line| *line == "#[test]")
+        attributes
+            .into_iter()
+            .any(|line| *line == "#[test]" || line.starts_with("#[tokio::test"))
     };
-    (0..lines.len()).any(|index| lines[index].starts_with(&head) && is_test(index))
+    (0..lines.len()).any(|index| is_head(lines[index]) && is_test(index))
 }
 
 /// Says whether a test of the form `package::module::name` is in the tree.
@@ -64,7 +71,28 @@
     })
 }
 
-/// Guards against a cell that names a test which was renamed or removed.
+/// Says whether the list of what is not applicable names the invariant.
+fn has_reason(text: &str, invariant: &str) -> bool {
+    let list = text.split("\nNot applicable:\n").nth(1);
+    list.unwrap_or_default()
+        .lines()
+        .take_while(|line| !line.starts_with("## "))
+        .filter_map(|line| line.strip_prefix("- ")?.split_once(" with "))
+        .any(|(names, _)| names.split(", ").any(|name| name == invariant))
+}
+
+/// Says whether a cell's entry is a test or a model of the tree.
+fn covers(entry: &str) -> bool {
+    let is_model = entry.starts_with("model/") && entry.ends_with(".pml");
+    if is_model {
+        root().join(entry).is_file()
+    } else {
+        exists(entry)
+    }
+}
+
+/// Guards against a cell that names a test which was renamed or removed, and
+/// against one that is not applicable without a reason.
 #[test]
 fn each_named_test_exists() {
     let text = fs::read_to_string(root().join("docs/failure-matrix.md")).unwrap();
@@ -77,14 +105,41 @@
         let cells: Vec<&str> = row.trim_matches('|').split('|').map(str::trim).collect();
         assert_eq!(cells.len(), COLUMNS + 1, "{row}");
         for cell in &cells[1..] {
-            for test in cell.split("<br>").filter(|test| *test != "open") {
+            if *cell == "open" {
+                continue;
+            }
+            if *cell == "n/a" {
+                assert!(has_reason(&text, cells[0]), "{}: no reason", cells[0]);
+                continue;
+            }
+            for test in cell.split("<br>") {
                 let test = test.trim_matches('`');
-                assert!(exists(test), "{}: there is no test `{test}`", cells[0]);
+                assert!(covers(test), "{}: there is no test `{test}`", cells[0]);
             }
         }
     }
 }
 
+/// Guards against a pair of failures whose test was renamed or removed.
+#[test]
+fn each_test_of_a_pair_exists() {
+    let text = fs::read_to_string(root().join("docs/failure-matrix.md")).unwrap();
+    let (_, table) = text.split_once("## Failures at the same time").unwrap();
+    let rows: Vec<&str> = table
+        .lines()
+        .filter(|line| line.starts_with("| "))
+        .skip(1)
+        .collect();
+    assert!(!rows.is_empty());
+    for row in rows {
+        let cells: Vec<&str> = row.trim_matches('|').split('|').map(str::trim).collect();
+        assert_eq!(cells.len(), 3, "{row}");
+        let test = cells[1].trim_matches('`');
+        assert!(exists(test), "there is no test `{test}`");
+        assert!(cells[2].contains(|letter: char| letter.is_ascii_digit()));
+    }
+}
+
 /// Guards against a check that finds any name.
 #[test]
 fn a_test_that_is_not_in_the_tree_is_noticed() {
@@ -96,4 +151,10 @@
         "radishgauge-generate::current::each_named_test_exists"
     ));
     assert!(!exists("radishgauge-traffic::each_named_test_exists"));
+    assert!(has_test("#[tokio::test]\nasync fn a() {", "a"));
+    assert!(!has_test("async fn a() {", "a"));
+    assert!(covers("model/once.pml"));
+    assert!(!covers("model/absent.pml"));
+    assert!(has_reason("x\nNot applicable:\n- I1, I2 with y: z", "I2"));
+    assert!(!has_reason("x\nNot applicable:\n- I12 with y: z", "I1"));
 }
