Test the ramp under crashes and pauses

A second test covers crashes that break a request; without the restart of the ramp on such a crash it fails.

--- a/crates/traffic/tests/traffic/admission.rs
+++ b/crates/traffic/tests/traffic/admission.rs
@@ -1,11 +1,13 @@
 //! Admission at the receiving daemon: limits, queue, shedding and refusals.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use proptest::prelude::prop;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
+use proptest::test_runner::TestCaseError;
 use radishgauge_config::model::Criticality;
 use radishgauge_config::model::PolicyModel;
 use radishgauge_traffic::Admit;
@@ -371,3 +373,121 @@
         }
     }
 }
+
+/// The greatest load that a target bears: its cold slots after a start, and
+/// twice as much after each ramp step in which it has answered.
+struct BorneLoad {
+    slots: u32,
+    raise_at: Option<u64>,
+    answered: bool,
+}
+
+impl BorneLoad {
+    const STEP: u64 = 2000;
+
+    fn cold(slots: u32) -> BorneLoad {
+        BorneLoad {
+            slots,
+            raise_at: None,
+            answered: false,
+        }
+    }
+
+    fn advance(&mut self, now: u64) {
+        if self.answered && self.raise_at.is_some_and(|at| at <= now) {
+            self.slots *= 2;
+            self.raise_at = Some(now + BorneLoad::STEP);
+            self.answered = false;
+        }
+    }
+
+    fn answer(&mut self, now: u64) {
+        self.answered = true;
+        self.raise_at.get_or_insert(now + BorneLoad::STEP);
+        self.advance(now);
+    }
+}
+
+/// Plays admissions, answers, crashes and pauses at one target. With
+/// `idle_crashes` the target also crashes while it runs no request.
+fn crash_and_pause(
+    events: &[(u8, u64)],
+    cold: u32,
+    idle_crashes: bool,
+) -> Result<(), TestCaseError> {
+    let admission = admission(20, cold);
+    let mut load = BorneLoad::cold(cold);
+    let mut running = VecDeque::new();
+    let (mut now, mut down_until) = (0, 0);
+    for (event, number) in events.iter().copied() {
+        now += number;
+        load.advance(now);
+        let mut wakes = Vec::new();
+        match event {
+            0..=19 => match admission.admit(&request(Criticality::Normal, ms(now + 1000)), ms(now))
+            {
+                Admit::Run(ticket) if now < down_until => {
+                    wakes = admission.connection_refused(ticket, ms(now)).1;
+                }
+                Admit::Run(ticket) => running.push_back(ticket.hand_over(ms(now))),
+                Admit::Wait(_) | Admit::Refuse(_) => {}
+            },
+            20..=37 => {
+                if let Some(ticket) = running.pop_front() {
+                    load.answer(now);
+                    wakes = admission.finish(ticket, RunOutcome::Answered, ms(now));
+                }
+            }
+            38 if idle_crashes || !running.is_empty() => {
+                down_until = now + number * 10;
+                load = BorneLoad::cold(cold);
+                for ticket in running.drain(..) {
+                    wakes.extend(admission.finish(ticket, RunOutcome::Crashed, ms(now)));
+                }
+            }
+            38 => {}
+            _ => now += number * 500,
+        }
+        while let Some(wake) = wakes.pop() {
+            match wake.decision {
+                Ok(ticket) if now < down_until => {
+                    wakes.extend(admission.connection_refused(ticket, ms(now)).1);
+                }
+                Ok(ticket) => running.push_back(ticket.hand_over(ms(now))),
+                Err(_) => {}
+            }
+        }
+        prop_assert_eq!(admission.running() as usize, running.len());
+        prop_assert!(
+            running.len() as u32 <= load.slots,
+            "{} run at {now} where the target bears {}",
+            running.len(),
+            load.slots
+        );
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(cases(512, 0x54))]
+
+    /// Guards invariant I4 while the target crashes again and again and the
+    /// daemon pauses: a target that is down or back takes its cold slots, and a
+    /// pause of any length counts as one step of the ramp.
+    #[test]
+    fn crashes_and_pauses_never_overload_a_cold_target(
+        events in prop::collection::vec((0_u8..40, 1_u64..200), 1..600),
+        cold in 1_u32..4,
+    ) {
+        crash_and_pause(&events, cold, true)?;
+    }
+
+    /// Guards invariant I4 as the test above, when each crash breaks a request.
+    #[test]
+    fn crashes_of_running_requests_and_pauses_never_overload_a_cold_target(
+        events in prop::collection::vec((0_u8..40, 1_u64..200), 1..600),
+        cold in 1_u32..4,
+    ) {
+        crash_and_pause(&events, cold, false)?;
+    }
+}
