--- a/crates/traffic/tests/traffic/picking.rs
+++ b/crates/traffic/tests/traffic/picking.rs
@@ -7,6 +7,9 @@
 use proptest::prop_assert;
 use proptest::proptest;
 use radishgauge_config::model::Criticality;
+use radishgauge_config::model::DomainState;
+use radishgauge_config::model::PolicyModel;
+use radishgauge_traffic::Admit;
 use radishgauge_traffic::CallOutcome;
 use radishgauge_traffic::HomeRule;
 use radishgauge_traffic::LinkBudget;
@@ -20,9 +23,13 @@
 use radishgauge_traffic::pick::PickRule;
 use radishgauge_traffic::snapshot::Distance;
 
+use crate::fleet::admission;
 use crate::fleet::cases;
 use crate::fleet::fleet;
 use crate::fleet::ms;
+use crate::fleet::request;
+use crate::fleet::service;
+use crate::fleet::set_domain;
 use crate::fleet::snapshot;
 
 const ANYWHERE: PickRequest = PickRequest {
@@ -177,6 +184,51 @@
     assert_eq!(asked, 3);
 }
 
+/// Guards invariant I5 while a partition lets the revision that takes a domain
+/// out reach only the sender or only the receivers: either side alone keeps new
+/// work off the domain, and critical work goes elsewhere.
+#[test]
+fn one_side_of_a_partition_keeps_work_off_a_domain_taken_out() {
+    let policy = PolicyModel::default();
+    for seed in 1..=20 {
+        for sender_knows in [false, true] {
+            let mut model = fleet([3, 3, 0, 0, 0, 0]);
+            if sender_knows {
+                set_domain(&mut model, "addis-bole", DomainState::Out);
+            }
+            let snapshot = snapshot(&model);
+            let receivers: Vec<_> = (0..3).map(|_| admission(20, 2)).collect();
+            for receiver in &receivers {
+                receiver.configure(&service(20, 2), &policy, !sender_knows, false, ms(0));
+            }
+            let picker = TargetPicker::new(seed, 0);
+            let (mut asked, mut served) = (0, 0);
+            for now in 5000..5500 {
+                let mut tried = TriedTargets::default();
+                loop {
+                    let picked = pick(&picker, &snapshot, &tried, now).unwrap();
+                    if picked.distance != Distance::Near {
+                        served += 1;
+                        picked.finish(CallOutcome::Answered { capacity: 20 }, ms(now + 10));
+                        break;
+                    }
+                    let receiver = &receivers[asked % receivers.len()];
+                    asked += 1;
+                    let call = request(Criticality::Critical, ms(now + 1000));
+                    let Admit::Refuse(refusal) = receiver.admit(&call, ms(now)) else {
+                        panic!("seed {seed}: a target of the domain got work at {now}");
+                    };
+                    tried.insert(picked.target);
+                    refuse(picked, refusal.reason, now);
+                }
+            }
+            assert_eq!(served, 500, "seed {seed}");
+            let expected = if sender_knows { 0 } else { 3 };
+            assert_eq!(asked, expected, "seed {seed}");
+        }
+    }
+}
+
 /// Guards against a target that fails at once and so looks like the fastest,
 /// and against one that is never tried again after it was repaired.
 #[test]
