--- /dev/null
+++ b/crates/control/tests/leaving.rs
@@ -0,0 +1,139 @@
+//! A host that leaves while others are paused and the host list lags.
+
+mod support;
+
+use radishgauge_control::ControlEvent;
+use radishgauge_control::fresh::Freshness;
+use radishgauge_control::member::HostPhase;
+use radishgauge_schema::config::HostState;
+use radishgauge_standin::virtual_fleet::VirtualFleet;
+
+use support::SEEDS;
+use support::change;
+use support::ranked;
+use support::secs;
+use support::settled;
+
+/// The host that leaves in each test.
+const LEAVER: usize = 14;
+
+/// Returns the hosts that know the leaver as a target's host and take it for
+/// one that stays.
+fn unaware(fleet: &VirtualFleet, hosts: impl IntoIterator<Item = usize>) -> Vec<usize> {
+    let name = fleet.spec.host_name(LEAVER);
+    hosts
+        .into_iter()
+        .filter(|host| {
+            let share = fleet.host(*host).share.as_ref().unwrap();
+            let standing = share.hosts.get(&name);
+            standing.is_some_and(|standing| standing.phase < HostPhase::Leaving)
+        })
+        .collect()
+}
+
+fn others() -> impl Iterator<Item = usize> {
+    (0..60).filter(|host| *host != LEAVER)
+}
+
+/// Pauses half of the fleet for 20 s just before the host leaves.
+fn leave_while_half_is_paused(seed: u64) -> VirtualFleet {
+    let (mut fleet, _) = settled(seed);
+    let paused: Vec<_> = others().filter(|host| host % 2 == 0).collect();
+    assert!(!unaware(&fleet, paused.iter().copied()).is_empty());
+    for host in paused {
+        fleet.pause(host, secs(20));
+    }
+    fleet.inject(LEAVER, ControlEvent::Stop);
+    fleet
+}
+
+// Guards against a notice that is relayed by paused hosts only: every host that
+// runs must know of the leaving host within 5 s.
+#[test]
+fn running_hosts_learn_of_a_leaving_host_while_half_is_paused() {
+    for seed in SEEDS {
+        let mut fleet = leave_while_half_is_paused(seed);
+        fleet.run_for(secs(5));
+        let running = others().filter(|host| host % 2 == 1);
+        assert_eq!(unaware(&fleet, running), [], "seed {seed}");
+    }
+}
+
+// Guards against a paused host that misses the notice: it must know of the
+// leaving host within 5 s of its return.
+#[test]
+fn paused_hosts_learn_of_a_leaving_host() {
+    for seed in SEEDS {
+        let mut fleet = leave_while_half_is_paused(seed);
+        fleet.run_for(secs(25));
+        assert_eq!(unaware(&fleet, others()), [], "seed {seed}");
+    }
+}
+
+// Guards against a leaving host that is paused at once after its notice and
+// takes itself for one that stays when it returns.
+#[test]
+fn leaving_host_that_was_paused_still_leaves() {
+    for seed in SEEDS {
+        let (mut fleet, _) = settled(seed);
+        fleet.inject(LEAVER, ControlEvent::Stop);
+        fleet.run_for(secs(1));
+        fleet.pause(LEAVER, secs(20));
+        fleet.run_for(secs(25));
+        let share = fleet.host(LEAVER).share.clone().unwrap();
+        assert!(share.leaving);
+        assert_eq!(share.freshness, Freshness::Fresh);
+        assert_eq!(unaware(&fleet, others()), [], "seed {seed}");
+    }
+}
+
+// Guards against a newer host list which still calls the host live and takes
+// back its own word that it leaves.
+#[test]
+fn lagging_list_does_not_take_back_a_leave() {
+    for seed in SEEDS {
+        let (mut fleet, mut content) = settled(seed);
+        let name = fleet.spec.host_name(LEAVER);
+        let viewer = unaware(&fleet, others())[0];
+        let life = fleet.host(viewer).share.as_ref().unwrap().hosts[&name].incarnation;
+        fleet.inject(LEAVER, ControlEvent::Stop);
+        fleet.run_for(secs(5));
+        assert_eq!(unaware(&fleet, others()), [], "seed {seed}");
+        let spec = fleet.spec.clone();
+        for round in 0..4 {
+            // Entries of another host give the list a newer revision.
+            let states = [HostState::Leaving, HostState::Live];
+            let state = states[round % 2];
+            fleet.platform.list_host(&spec, 17, 9_999_999, state);
+            fleet
+                .platform
+                .list_host(&spec, LEAVER, life, HostState::Live);
+            fleet.publish_lists();
+            change(&mut fleet, &mut content, round);
+            fleet.run_for(secs(10));
+            assert_eq!(unaware(&fleet, others()), [], "seed {seed}, round {round}");
+        }
+    }
+}
+
+// Guards against a pause and a lagging list at once: the platform's readers,
+// which spread the list, are paused while the host leaves.
+#[test]
+fn paused_readers_of_a_lagging_list_learn_of_a_leaving_host() {
+    for seed in SEEDS {
+        let (mut fleet, _) = settled(seed);
+        let mut readers = ranked(&fleet, 2);
+        readers.retain(|host| *host != LEAVER);
+        for host in &readers {
+            fleet.pause(*host, secs(20));
+        }
+        fleet.inject(LEAVER, ControlEvent::Stop);
+        fleet.run_for(secs(10));
+        let spec = fleet.spec.clone();
+        let state = HostState::Leaving;
+        fleet.platform.list_host(&spec, 17, 9_999_999, state);
+        fleet.publish_lists();
+        fleet.run_for(secs(15));
+        assert_eq!(unaware(&fleet, others()), [], "seed {seed}");
+    }
+}
