--- /dev/null
+++ b/crates/daemon/tests/quarantine.rs
@@ -0,0 +1,86 @@
+//! A request that crashes its targets is stopped after the second.
+
+mod common;
+
+use std::time::Instant;
+
+use common::Caller;
+use common::Fleet;
+use common::FleetPlan;
+use common::STUCK;
+use radishgauge_standin::target::CRASH_HEADER;
+
+const HOSTS: [(&str, &str, bool); 5] = [
+    ("shop-1", "addis-bole", false),
+    ("shop-2", "addis-kality", false),
+    ("shop-3", "addis-bole", true),
+    ("shop-4", "addis-kality", true),
+    ("shop-5", "addis-bole", true),
+];
+
+/// Re-sends a request that crashes its target, through changing daemons, until
+/// it is refused for good; crashed targets come back at once.
+async fn resend_until_quarantined(repeatable: bool) {
+    let rules = format!(
+        "routes:\n  - name: orders\n    path_prefix: /orders\n    \
+         service: order-desk\n    repeatable: {repeatable}\n    timeout_ms: 60000\n\
+         policy:\n  retry_percent: 10\n"
+    );
+    let fleet = Fleet::start(FleetPlan::new(&HOSTS, &rules)).await;
+    let entries = [0, 1].map(|index| fleet.hosts[index].daemon().callers());
+    let crashes = || -> u64 {
+        let targets = fleet.hosts.iter().filter_map(|host| host.target.as_ref());
+        targets.map(|target| target.counts().crashes).sum()
+    };
+    let headers = [(CRASH_HEADER, "1")];
+    let caller = Caller::new();
+    let begun = Instant::now();
+    let mut sent = 0;
+    let mut restarted = [0; HOSTS.len()];
+    let refused = loop {
+        let entry = entries[sent % entries.len()];
+        sent += 1;
+        let before = crashes();
+        let answer = caller.post(entry, "/orders", &headers, "poison").await;
+        let crashed = crashes() - before;
+        assert!(crashes() <= 2, "the request crashed {} targets", crashes());
+        if answer.verdict() == ("not-run", "quarantined") {
+            break answer;
+        }
+        if crashed > 0 {
+            assert_eq!(answer.verdict().0, "may-have-run", "{answer:?}");
+        }
+        assert!(begun.elapsed() < STUCK, "stuck after {sent}: {answer:?}");
+        for (host, restarted) in fleet.hosts.iter().zip(&mut restarted) {
+            if let Some(target) = &host.target
+                && target.counts().crashes > *restarted
+            {
+                target.restart().await.unwrap();
+                *restarted += 1;
+            }
+        }
+    };
+    assert_eq!(crashes(), 2, "{refused:?}");
+    // The refusal holds at each entry, and other requests run.
+    for entry in entries {
+        let answer = caller.post(entry, "/orders", &headers, "poison").await;
+        assert_eq!(answer.verdict(), ("not-run", "quarantined"));
+        let answer = caller.post(entry, "/orders", &[], "harmless").await;
+        assert_eq!(answer.verdict().0, "ran", "{answer:?}");
+    }
+    assert_eq!(crashes(), 2);
+    fleet.end().await;
+}
+
+// Guards against a request that crashes one target after another.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_repeatable_request_crashes_at_most_two_targets() {
+    resend_until_quarantined(true).await;
+}
+
+// Guards against a fingerprint that changes with the key that the mesh itself
+// issues for a request without one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_request_that_may_not_be_repeated_crashes_at_most_two_targets() {
+    resend_until_quarantined(false).await;
+}
