Make the benchmark one command

Cause: crates/bench was a placeholder. Distribution was measured by an example that printed text only, so runs could not be plotted or compared, and the check of torn reads by two markers had not been weighed.

Conclusion: the command covers distribution and torn reads. The overload driver is still an example of crates/traffic.

--- /dev/null
+++ b/crates/bench/src/torn.rs
@@ -0,0 +1,301 @@
+//! Torn reads: what a check of consistency costs and finds.
+//!
+//! A configuration is a root and parts under fixed names. A reader follows
+//! every change. With the given probability a fault hits an attempt to read:
+//!
+//! - `moving`: the next version is published between two calls;
+//! - `stale`: one call is answered from the version before, as by a replica
+//!   that lags.
+//!
+//! Four readers are compared: without a check; with two reads of the root,
+//! before and after the parts, taken only if both agree; with a digest of every
+//! part in the root; and with digests, reading only parts whose digest changed.
+//! A part whose digest does not match is read once more before the root is.
+
+use radishgauge_config::PartDigest;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::index;
+use rand_pcg::Pcg32;
+
+use crate::result::Curve;
+use crate::result::ExperimentResult;
+
+/// The parts of a configuration, as many as the index has pages.
+const PARTS: usize = radishgauge_config::index::PAGES;
+
+/// The parts that a change touches.
+const CHANGED: usize = 4;
+
+/// The attempts after which a reader waits for the next change.
+const ATTEMPTS: usize = 3;
+
+/// The length of a part in bytes; a route has about 200.
+const PART_BYTES: usize = 200;
+
+/// The probabilities that a fault hits an attempt.
+const PROBABILITIES: [f64; 5] = [0.01, 0.05, 0.1, 0.2, 0.5];
+
+/// The probability that the figures are given for.
+const TABLE_PROBABILITY: f64 = 0.1;
+
+/// The reads of each reader, for each probability.
+const READS: u64 = 10_000;
+
+/// How the answers of the platform mix two versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MixKind {
+    /// The next version is published between two calls.
+    Moving,
+    /// One call is answered from the version before.
+    Stale,
+}
+
+/// How a reader checks what it read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadCheck {
+    /// Not at all.
+    None,
+    /// By a second read of the root after the parts.
+    TwoRoots,
+    /// By a digest of every part in the root.
+    Digests,
+    /// By digests, reading only parts whose digest changed.
+    DigestsChanged,
+}
+
+impl ReadCheck {
+    /// All checks, in the order of the tables.
+    pub const ALL: [ReadCheck; 4] = [
+        ReadCheck::None,
+        ReadCheck::TwoRoots,
+        ReadCheck::Digests,
+        ReadCheck::DigestsChanged,
+    ];
+
+    /// Returns the name in tables and plots.
+    pub fn name(self) -> &'static str {
+        match self {
+            ReadCheck::None => "no check",
+            ReadCheck::TwoRoots => "two roots",
+            ReadCheck::Digests => "digests",
+            ReadCheck::DigestsChanged => "digests, changed parts",
+        }
+    }
+}
+
+/// What one reader did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReadCount {
+    /// The calls to the platform.
+    pub calls: u64,
+    /// The versions taken, torn ones included.
+    pub taken: u64,
+    /// The torn versions taken: the root of one and a part of another.
+    pub torn: u64,
+    /// The versions that were published and never taken.
+    pub missed: u64,
+}
+
+impl ReadCount {
+    /// Returns the platform calls for each version taken.
+    pub fn calls_per_taken(&self) -> f64 {
+        self.calls as f64 / self.taken.max(1) as f64
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+struct Version {
+    revision: u64,
+    // The revision that last changed each part.
+    parts: [u64; PARTS],
+}
+
+struct MixingPlatform {
+    current: Version,
+    previous: Version,
+    rng: Pcg32,
+    kind: MixKind,
+    // The call of the running attempt that the fault hits.
+    fault: Option<usize>,
+    call: usize,
+    calls: u64,
+}
+
+impl MixingPlatform {
+    fn new(kind: MixKind, seed: u64) -> MixingPlatform {
+        let first = Version {
+            revision: 1,
+            parts: [1; PARTS],
+        };
+        MixingPlatform {
+            current: first,
+            previous: first,
+            rng: Pcg32::seed_from_u64(seed),
+            kind,
+            fault: None,
+            call: 0,
+            calls: 0,
+        }
+    }
+
+    fn publish(&mut self) {
+        self.previous = self.current;
+        self.current.revision += 1;
+        for part in index::sample(&mut self.rng, PARTS, CHANGED) {
+            self.current.parts[part] = self.current.revision;
+        }
+    }
+
+    // Begins an attempt of about `calls` calls. A fault hits one after the first
+    // when the version moves, since a move before the first mixes nothing.
+    fn begin(&mut self, probability: f64, calls: usize) {
+        let first = usize::from(self.kind == MixKind::Moving);
+        let hit = self.rng.random_bool(probability);
+        let call = self.rng.random_range(first..calls.max(first + 1));
+        self.fault = hit.then_some(call);
+        self.call = 0;
+    }
+
+    // Returns the version that answers the next call.
+    fn answer(&mut self) -> Version {
+        let hit = self.fault == Some(self.call);
+        self.call += 1;
+        self.calls += 1;
+        match self.kind {
+            MixKind::Moving if hit => self.publish(),
+            MixKind::Stale if hit => return self.previous,
+            _ => {}
+        }
+        self.current
+    }
+}
+
+struct Reader {
+    check: ReadCheck,
+    // The last version taken: its revision, and the digest of each part.
+    revision: u64,
+    held: [PartDigest; PARTS],
+    count: ReadCount,
+}
+
+impl Reader {
+    // The calls of an attempt without a fault.
+    fn calls(&self) -> usize {
+        match self.check {
+            ReadCheck::None | ReadCheck::Digests => 1 + PARTS,
+            ReadCheck::TwoRoots => 2 + PARTS,
+            ReadCheck::DigestsChanged => 1 + CHANGED,
+        }
+    }
+
+    // Attempts one read; returns whether a version was taken.
+    fn attempt(&mut self, platform: &mut MixingPlatform) -> bool {
+        let root = platform.answer();
+        // A root that is not newer says that there is nothing to take yet.
+        if root.revision <= self.revision {
+            return false;
+        }
+        let digests = matches!(self.check, ReadCheck::Digests | ReadCheck::DigestsChanged);
+        let mut read = [PartDigest::default(); PARTS];
+        for (part, value) in read.iter_mut().enumerate() {
+            let named = digest(part, root.parts[part]);
+            if self.check == ReadCheck::DigestsChanged && self.held[part] == named {
+                *value = named;
+                continue;
+            }
+            *value = digest(part, platform.answer().parts[part]);
+            if digests && *value != named {
+                *value = digest(part, platform.answer().parts[part]);
+                if *value != named {
+                    return false;
+                }
+            }
+        }
+        if self.check == ReadCheck::TwoRoots && platform.answer().revision != root.revision {
+            return false;
+        }
+        let torn = (0..PARTS).any(|part| read[part] != digest(part, root.parts[part]));
+        self.count.taken += 1;
+        self.count.torn += u64::from(torn);
+        self.revision = root.revision;
+        self.held = read;
+        true
+    }
+}
+
+// Returns the digest of the value that a part has since a revision.
+fn digest(part: usize, revision: u64) -> PartDigest {
+    let mut value = [0; PART_BYTES];
+    value[..8].copy_from_slice(&(part as u64).to_be_bytes());
+    value[8..16].copy_from_slice(&revision.to_be_bytes());
+    PartDigest::of(&value)
+}
+
+/// Reads `reads` changes with one check and returns what that took.
+pub fn measure(
+    kind: MixKind,
+    check: ReadCheck,
+    probability: f64,
+    reads: u64,
+    seed: u64,
+) -> ReadCount {
+    let mut platform = MixingPlatform::new(kind, seed);
+    let mut held = [PartDigest::default(); PARTS];
+    for (part, value) in held.iter_mut().enumerate() {
+        *value = digest(part, 1);
+    }
+    let mut reader = Reader {
+        check,
+        revision: 1,
+        held,
+        count: ReadCount::default(),
+    };
+    for _ in 0..reads {
+        platform.publish();
+        for _ in 0..ATTEMPTS {
+            platform.begin(probability, reader.calls());
+            if reader.attempt(&mut platform) {
+                break;
+            }
+        }
+    }
+    let published = platform.current.revision - 1;
+    reader.count.calls = platform.calls;
+    reader.count.missed = published - reader.count.taken;
+    reader.count
+}
+
+/// Runs the experiment.
+pub fn run(seed: u64, quick: bool) -> ExperimentResult {
+    let reads = if quick { READS / 10 } else { READS };
+    let mut result = ExperimentResult::new("torn", seed, quick);
+    for (kind, name) in [(MixKind::Moving, "moving"), (MixKind::Stale, "stale")] {
+        let x = "probability of a fault in an attempt";
+        let mut calls = Curve::new(&format!("{name}-calls"), x, "calls per version taken");
+        let mut torn = Curve::new(&format!("{name}-torn"), x, "torn versions taken");
+        let mut missed = Curve::new(&format!("{name}-missed"), x, "versions never taken");
+        for probability in PROBABILITIES {
+            eprintln!("torn: {name}, probability {probability}, {reads} reads by each reader");
+            for check in ReadCheck::ALL {
+                let count = measure(kind, check, probability, reads, seed);
+                let check = check.name();
+                calls.add(check, probability, count.calls_per_taken());
+                torn.add(check, probability, count.torn as f64);
+                missed.add(check, probability, count.missed as f64);
+                if probability == TABLE_PROBABILITY {
+                    let mut put = |figure: &str, value: f64| {
+                        let key = format!("{name} {probability}, {check}: {figure}");
+                        result.figures.insert(key, value);
+                    };
+                    put("calls per version taken", count.calls_per_taken());
+                    put("versions taken", count.taken as f64);
+                    put("torn versions taken", count.torn as f64);
+                    put("versions missed", count.missed as f64);
+                }
+            }
+        }
+        result.curves.extend([calls, torn, missed]);
+    }
+    result
+}
--- /dev/null
+++ b/crates/bench/tests/experiments.rs
@@ -0,0 +1,102 @@
+//! The experiments' models, the comparison and the command line.
+
+use radishgauge_bench::command;
+use radishgauge_bench::compare;
+use radishgauge_bench::result::ExperimentResult;
+use radishgauge_bench::torn;
+use radishgauge_bench::torn::MixKind;
+use radishgauge_bench::torn::ReadCheck;
+
+const READS: u64 = 500;
+
+fn arguments(line: &str) -> Vec<String> {
+    line.split_whitespace().map(Into::into).collect()
+}
+
+/// Guards against a mixing platform that mixes nothing, which would make every
+/// check look sound, and against a digest check that lets a torn version pass.
+#[test]
+fn digests_take_no_torn_version() {
+    for kind in [MixKind::Moving, MixKind::Stale] {
+        for seed in 1..=5 {
+            let count = |check| torn::measure(kind, check, 0.5, READS, seed);
+            assert!(count(ReadCheck::None).torn > 0, "{kind:?}, seed {seed}");
+            assert_eq!(count(ReadCheck::Digests).torn, 0);
+            assert_eq!(count(ReadCheck::DigestsChanged).torn, 0);
+        }
+    }
+}
+
+/// Guards against a marker check that misses a version published between its
+/// two reads, and against one credited with finding a stale part.
+#[test]
+fn two_roots_find_only_moves() {
+    let torn = |kind| torn::measure(kind, ReadCheck::TwoRoots, 0.5, READS, 1).torn;
+    assert_eq!(torn(MixKind::Moving), 0);
+    assert!(torn(MixKind::Stale) > 0);
+}
+
+/// Guards against faults or extra calls where none are asked for.
+#[test]
+fn calls_without_faults_are_those_of_one_attempt() {
+    let expected = [33, 34, 33, 5];
+    for (check, calls) in ReadCheck::ALL.into_iter().zip(expected) {
+        let count = torn::measure(MixKind::Moving, check, 0.0, READS, 1);
+        assert_eq!((count.calls, count.taken), (calls * READS, READS));
+        assert_eq!((count.torn, count.missed), (0, 0));
+    }
+}
+
+/// Guards against results that a seed does not repeat, and against a result
+/// file that cannot be read back.
+#[test]
+fn results_repeat_and_are_read_back() {
+    let folder = tempfile::tempdir().unwrap();
+    let output = folder.path().display();
+    command::run(&arguments(&format!(
+        "torn --quick --seed 7 --output {output} --bench"
+    )))
+    .unwrap();
+    let read = ExperimentResult::read(&folder.path().join("torn.json")).unwrap();
+    assert_eq!(read, torn::run(7, true));
+    for curve in &read.curves {
+        let plot = folder.path().join(format!("torn-{}.svg", curve.name));
+        let text = std::fs::read_to_string(plot).unwrap();
+        assert!(text.trim_end().ends_with("</svg>"));
+    }
+}
+
+/// Guards against ratios that are upside down or that hide a missing figure.
+#[test]
+fn compare_prints_ratios_and_lone_figures() {
+    let mut old = ExperimentResult::new("torn", 1, false);
+    let mut new = old.clone();
+    old.figures
+        .extend([("both".into(), 2.0), ("gone".into(), 1.0)]);
+    new.figures
+        .extend([("both".into(), 3.0), ("added".into(), 1.0)]);
+    let table = compare::table(&old, &new).unwrap();
+    let last = |name| {
+        let line = table.lines().find(|line| line.starts_with(name)).unwrap();
+        line.split_whitespace().last().unwrap()
+    };
+    assert_eq!(last("both"), "1.500");
+    assert_eq!((last("gone"), last("added")), ("-", "-"));
+    new.experiment = "distribution".into();
+    assert!(compare::table(&old, &new).is_err());
+}
+
+/// Guards against wrong arguments that are taken silently.
+#[test]
+fn wrong_arguments_are_refused() {
+    for line in [
+        "nothing",
+        "torn --seed x",
+        "torn --unknown",
+        "distribution --size 5",
+        "compare one.json",
+        "compare /nonexistent/a.json /nonexistent/b.json",
+    ] {
+        assert!(command::run(&arguments(line)).is_err(), "{line}");
+    }
+}
