Measure overload with the benchmark command

Cause: the overload driver was part of an example of crates/traffic, so its figures could not be plotted or compared with those of another run.

Change: the driver's world, workers, counts and fleet move to radishgauge_standin::virtual_load, which the example and the new experiment `overload` use. crates/traffic gets the stand-ins as a dev-dependency, as crates/control has. The tables of results have room for longer names.

The parts pick, cold, mixed, broken, degraded, depth and cost stay in the example.

--- a/crates/bench/src/command.rs
+++ b/crates/bench/src/command.rs
@@ -9,6 +9,7 @@
 
 use crate::compare;
 use crate::distribution;
+use crate::overload;
 use crate::plot;
 use crate::result::ExperimentResult;
 use crate::torn;
@@ -37,6 +38,9 @@
     /// Convergence and traffic on the virtual fleet.
     #[options(help = "convergence, control bytes and platform calls by fleet size")]
     Distribution(DistributionOptions),
+    /// Goodput and retries beyond capacity.
+    #[options(help = "goodput, response times and retries under load beyond capacity")]
+    Overload(RunOptions),
     /// Torn reads with and without checks.
     #[options(help = "platform calls and torn versions for each kind of read check")]
     Torn(RunOptions),
@@ -145,6 +149,10 @@
             let result = distribution::run(options.seed, options.quick, sizes);
             finish(&result, &options.output)
         }
+        BenchCommand::Overload(options) => {
+            let result = overload::run(options.seed, options.quick);
+            finish(&result, &options.output)
+        }
         BenchCommand::Torn(options) => {
             let result = torn::run(options.seed, options.quick);
             finish(&result, &options.output)
--- a/crates/bench/src/compare.rs
+++ b/crates/bench/src/compare.rs
@@ -25,7 +25,7 @@
     }
     let _ = writeln!(
         table,
-        "{:<56} {:>14} {:>14} {:>8}",
+        "{:<64} {:>14} {:>14} {:>8}",
         "figure", "old", "new", "ratio"
     );
     for (name, before) in &old.figures {
@@ -33,24 +33,24 @@
             Some(after) if before == after => {
                 writeln!(
                     table,
-                    "{name:<56} {before:>14.3} {after:>14.3} {:>8.3}",
+                    "{name:<64} {before:>14.3} {after:>14.3} {:>8.3}",
                     1.0
                 )
             }
             Some(after) if *before == 0.0 => {
-                writeln!(table, "{name:<56} {before:>14.3} {after:>14.3} {:>8}", "-")
+                writeln!(table, "{name:<64} {before:>14.3} {after:>14.3} {:>8}", "-")
             }
             Some(after) => writeln!(
                 table,
-                "{name:<56} {before:>14.3} {after:>14.3} {:>8.3}",
+                "{name:<64} {before:>14.3} {after:>14.3} {:>8.3}",
                 after / before
             ),
-            None => writeln!(table, "{name:<56} {before:>14.3} {:>14} {:>8}", "-", "-"),
+            None => writeln!(table, "{name:<64} {before:>14.3} {:>14} {:>8}", "-", "-"),
         };
     }
     for (name, after) in &new.figures {
         if !old.figures.contains_key(name) {
-            let _ = writeln!(table, "{name:<56} {:>14} {after:>14.3} {:>8}", "-", "-");
+            let _ = writeln!(table, "{name:<64} {:>14} {after:>14.3} {:>8}", "-", "-");
         }
     }
     Ok(table)
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod command;
 pub mod compare;
 pub mod distribution;
+pub mod overload;
 pub mod plot;
 pub mod result;
 pub mod torn;
--- /dev/null
+++ b/crates/bench/src/overload.rs
@@ -0,0 +1,117 @@
+//! Goodput, response times and retries under load beyond capacity, beside the
+//! baseline of round robin, three blind retries, no limits and no ramp.
+//!
+//! Twelve senders share six workers on a virtual clock. The loads are run with
+//! a deadline above and one below the time that a worker's full backlog takes;
+//! the last part measures how long a service takes to recover from 5 s at three
+//! times its capacity.
+
+use std::time::Duration;
+
+use radishgauge_standin::virtual_load::worker::SERVICE;
+use radishgauge_standin::virtual_load::worker::SLOTS;
+use radishgauge_standin::virtual_load::world::Handling;
+use radishgauge_standin::virtual_load::world::World;
+use radishgauge_traffic::pick::PickRule;
+
+use crate::result::Curve;
+use crate::result::ExperimentResult;
+
+/// The targets of the service.
+const TARGETS: usize = 6;
+
+/// The daemons that send to it.
+const SENDERS: usize = 12;
+
+/// Long enough for all ramps of the mesh to end.
+const WARM_UP: Duration = Duration::from_secs(12);
+
+/// The load while the ramps run, as a part of the capacity.
+const WARM_LOAD: f64 = 0.6;
+
+/// The measured time of each load.
+const SPAN: Duration = Duration::from_secs(20);
+
+/// The measured time of each load in a quick run.
+const QUICK_SPAN: Duration = Duration::from_secs(4);
+
+/// The loads, as parts of the capacity.
+const LOADS: [f64; 4] = [0.5, 1.0, 2.0, 3.0];
+
+/// A full backlog of 120 connections takes 120 ms.
+const DEADLINES: [Duration; 2] = [Duration::from_millis(250), Duration::from_millis(100)];
+
+const HANDLINGS: [(&str, Handling); 2] = [
+    ("mesh", Handling::Mesh(PickRule::LeastLoaded)),
+    ("baseline", Handling::Naive),
+];
+
+/// Runs the experiment.
+pub fn run(seed: u64, quick: bool) -> ExperimentResult {
+    let span = if quick { QUICK_SPAN } else { SPAN };
+    let mut result = ExperimentResult::new("overload", seed, quick);
+    for deadline in DEADLINES {
+        let ms = deadline.as_millis();
+        let x = "load, times the capacity";
+        let curve = |name: &str, y| Curve::new(&format!("{name}-{ms}ms"), x, y);
+        let mut goodput = curve("goodput", "answers in time, part of the capacity");
+        let mut tail = curve("p99", "99th percentile of answers in time, ms");
+        let mut attempts = curve("attempts", "attempts for each request, warm-up included");
+        for (name, handling) in HANDLINGS {
+            eprintln!("overload: {name}, deadline {ms} ms");
+            for load in LOADS {
+                let mut world = warm(handling, seed);
+                world.deadline = deadline;
+                world.run(capacity() * load, WARM_UP + span);
+                let tally = &world.tally;
+                let good = tally.good as f64 / (capacity() * span.as_secs_f64());
+                let p99 = tally.quantile(0.99);
+                let critical = tally.critical_good as f64 / tally.critical.max(1) as f64;
+                goodput.add(name, load, good);
+                tail.add(name, load, p99);
+                attempts.add(name, load, world.amplification());
+                for (figure, value) in [
+                    ("goodput, part of capacity", good),
+                    ("p99, ms", p99),
+                    (
+                        "attempts per request, warm-up included",
+                        world.amplification(),
+                    ),
+                    ("critical requests in time, part", critical),
+                ] {
+                    let key = format!("{ms} ms, load {load}, {name}: {figure}");
+                    result.figures.insert(key, value);
+                }
+            }
+        }
+        result.curves.extend([goodput, tail, attempts]);
+    }
+    for (name, handling) in HANDLINGS {
+        eprintln!("overload: {name}, recovery");
+        let key = format!("recovery, {name}: ms (-1: not within 20 s)");
+        let time = recovery(handling, seed);
+        result
+            .figures
+            .insert(key, time.map_or(-1.0, |ms| ms as f64));
+    }
+    result
+}
+
+fn capacity() -> f64 {
+    TARGETS as f64 * f64::from(SLOTS) / SERVICE.as_secs_f64()
+}
+
+fn warm(handling: Handling, seed: u64) -> World {
+    let mut world = World::new(handling, TARGETS, SENDERS, seed);
+    world.run(capacity() * WARM_LOAD, WARM_UP);
+    world.reset();
+    world
+}
+
+fn recovery(handling: Handling, seed: u64) -> Option<u64> {
+    let mut world = warm(handling, seed);
+    let end = WARM_UP + Duration::from_secs(5);
+    world.run(capacity() * 3.0, end);
+    world.run(capacity() * 0.5, end + Duration::from_secs(20));
+    world.tally.recovery(end)
+}
--- a/crates/bench/src/result.rs
+++ b/crates/bench/src/result.rs
@@ -103,7 +103,7 @@
     pub fn table(&self) -> String {
         let mut table = format!("{}, seed {}\n", self.experiment, self.seed);
         for (name, value) in &self.figures {
-            let _ = writeln!(table, "{name:<56} {value:>14.3}");
+            let _ = writeln!(table, "{name:<64} {value:>14.3}");
         }
         table
     }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod statsd;
 pub mod target;
 pub mod virtual_fleet;
+pub mod virtual_load;
 
 pub use cold::ColdStart;
 pub use collector::CollectorStandIn;
--- a/crates/traffic/examples/overload/fleet.rs
+++ b/crates/standin/src/virtual_load/fleet.rs
@@ -12,9 +12,9 @@
 use radishgauge_traffic::snapshot::HostStates;
 use smol_str::SmolStr;
 
-use crate::worker::COLD_SLOTS;
-use crate::worker::CONNECTIONS;
-use crate::worker::SLOTS;
+use crate::virtual_load::worker::COLD_SLOTS;
+use crate::virtual_load::worker::CONNECTIONS;
+use crate::virtual_load::worker::SLOTS;
 
 const DOMAINS: [&str; 2] = ["addis-bole", "addis-kality"];
 
--- a/crates/traffic/examples/overload/report.rs
+++ b/crates/standin/src/virtual_load/report.rs
@@ -7,17 +7,25 @@
 
 /// What was counted in one run.
 pub struct Tally {
+    /// Requests, without retries.
     pub first: u64,
+    /// Answers within the deadline.
     pub good: u64,
+    /// Answers after the deadline.
     pub late: u64,
+    /// Requests that failed.
     pub failed: u64,
     /// Refusals by reason, those that were sent again included.
     pub refused: BTreeMap<&'static str, u64>,
+    /// Crashes of workers.
     pub crashes: u64,
+    /// Critical requests.
     pub critical: u64,
+    /// Critical requests that were answered within the deadline.
     pub critical_good: u64,
-    /// Attempts of critical requests, and those that left the failure domain.
+    /// Attempts of critical requests.
     pub critical_attempts: u64,
+    /// Attempts of critical requests that left the failure domain.
     pub critical_spilled: u64,
     times: Histogram<u64>,
     /// Good answers and failures in windows of 100 ms.
@@ -44,6 +52,7 @@
 }
 
 impl Tally {
+    /// Counts an answer.
     pub fn answer(&mut self, took: Duration, in_time: bool, critical: bool, now: Duration) {
         if !in_time {
             self.late += 1;
@@ -57,6 +66,7 @@
         self.times.record(micros).expect("the histogram grows");
     }
 
+    /// Counts a failure.
     pub fn fail(&mut self, now: Duration) {
         self.failed += 1;
         self.window(now).1 += 1;
--- a/crates/traffic/examples/overload/worker.rs
+++ b/crates/standin/src/virtual_load/worker.rs
@@ -29,9 +29,11 @@
 
 /// A worker of the service.
 pub struct Worker {
+    /// The calls that run.
     pub running: Vec<usize>,
     backlog: VecDeque<usize>,
     cold_since: Option<Duration>,
+    /// The end of the time after a crash in which it refuses all.
     pub down_until: Duration,
     /// Counts crashes, so that events of an earlier life are dropped.
     pub life: u32,
@@ -56,14 +58,18 @@
 
 /// What a worker does with a connection.
 pub enum Accept {
+    /// The request runs and takes this time.
     Started(Duration),
+    /// The request waits for a slot.
     Backlog,
+    /// The connection is refused.
     Refused,
     /// The worker crashed, with these requests.
     Crashed(Vec<usize>),
 }
 
 impl Worker {
+    /// Makes a warm worker.
     pub fn new(seed: u64) -> Worker {
         Worker {
             running: Vec::new(),
@@ -88,6 +94,7 @@
         self.cold_since = Some(now);
     }
 
+    /// Charges the time of a refusal.
     pub fn refuse(&mut self) {
         self.debt += REFUSAL_COST;
     }
@@ -106,6 +113,7 @@
         bears
     }
 
+    /// Takes a request at a time.
     pub fn accept(&mut self, call: usize, now: Duration) -> Accept {
         if now < self.down_until || self.running.len() + self.backlog.len() >= CONNECTIONS {
             self.refuse();
@@ -130,6 +138,7 @@
         Accept::Started(self.service_time(now))
     }
 
+    /// Ends the worker and returns the requests that it held.
     pub fn crash(&mut self, now: Duration) -> Vec<usize> {
         self.life += 1;
         self.down_until = now + DOWN;
--- a/crates/traffic/examples/overload/world.rs
+++ b/crates/standin/src/virtual_load/world.rs
@@ -1,4 +1,4 @@
-//! Senders, targets and a virtual clock around the machines of the package.
+//! Senders, targets and a virtual clock around the machines of the request path.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -32,10 +32,10 @@
 use rand::Rng;
 use rand_pcg::Pcg64;
 
-use crate::fleet;
-use crate::report::Tally;
-use crate::worker::Accept;
-use crate::worker::Worker;
+use crate::virtual_load::fleet;
+use crate::virtual_load::report::Tally;
+use crate::virtual_load::worker::Accept;
+use crate::virtual_load::worker::Worker;
 
 /// Retries of the baseline, sent at once and to the next target in turn.
 const BLIND_RETRIES: u32 = 3;
@@ -45,7 +45,7 @@
 pub enum Handling {
     /// Round robin, three blind retries, no limits, no ramp.
     Naive,
-    /// The machines of the package.
+    /// The machines of the request path.
     Mesh(PickRule),
 }
 
@@ -89,6 +89,7 @@
 /// One service with its senders and targets.
 pub struct World {
     handling: Handling,
+    /// The time of the virtual clock.
     pub now: Duration,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     order: u64,
@@ -97,12 +98,14 @@
     hosts: HashMap<smol_str::SmolStr, usize>,
     admissions: Vec<Arc<TargetAdmission>>,
     waiters: HashMap<(usize, u64), usize>,
+    /// The workers behind the targets.
     pub workers: Vec<Worker>,
     /// The time that a caller waits for its answer.
     pub deadline: Duration,
     /// Requests a second of all senders.
     rate: f64,
     random: Pcg64,
+    /// What was counted since the last reset.
     pub tally: Tally,
     /// First attempts and all attempts since the start, as the retry budget may
     /// spend what it saved before the counts were reset.
@@ -111,6 +114,7 @@
 }
 
 impl World {
+    /// Makes a world with warm targets and a first arrival.
     pub fn new(handling: Handling, targets: usize, senders: usize, seed: u64) -> World {
         let model = fleet::model(targets);
         let hosts = fleet::hosts(targets);
@@ -180,6 +184,7 @@
         self.attempts as f64 / self.first as f64
     }
 
+    /// Returns the concurrency limit of each target.
     pub fn limits(&self) -> Vec<u32> {
         self.admissions
             .iter()
--- a/crates/traffic/examples/overload/cost.rs
+++ b/crates/traffic/examples/overload/cost.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use radishgauge_config::model::Criticality;
+use radishgauge_standin::virtual_load::fleet;
 use radishgauge_traffic::Admit;
 use radishgauge_traffic::AdmitRequest;
 use radishgauge_traffic::CallContext;
@@ -20,8 +21,6 @@
 use radishgauge_traffic::snapshot::TargetEntry;
 use radishgauge_traffic::stats::TargetStats;
 
-use crate::fleet;
-
 const CALLS: u32 = 1_000_000;
 
 /// Prints the median of five runs in ns a call, and sizes in bytes.
--- a/crates/traffic/examples/overload/main.rs
+++ b/crates/traffic/examples/overload/main.rs
@@ -6,20 +6,15 @@
 
 mod chain;
 mod cost;
-mod fleet;
-mod report;
-mod worker;
-mod world;
 
 use std::time::Duration;
 
+use radishgauge_standin::virtual_load::worker::SERVICE;
+use radishgauge_standin::virtual_load::worker::SLOTS;
+use radishgauge_standin::virtual_load::world::Handling;
+use radishgauge_standin::virtual_load::world::World;
 use radishgauge_traffic::pick::PickRule;
 
-use crate::worker::SERVICE;
-use crate::worker::SLOTS;
-use crate::world::Handling;
-use crate::world::World;
-
 const TARGETS: usize = 6;
 const SENDERS: usize = 12;
 const MESH: Handling = Handling::Mesh(PickRule::TwoChoices);
