--- a/crates/daemon/src/traces.rs
+++ b/crates/daemon/src/traces.rs
@@ -40,6 +40,9 @@
 
 const TRACEPARENT: &str = "traceparent";
 
+/// Where a collector takes traces (OTLP over HTTP).
+const TRACES_PATH: &str = "/v1/traces";
+
 /// How long one export may take before its spans are dropped.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -51,7 +54,7 @@
 }
 
 impl HopTracer {
-    /// Opens an exporter towards the collector's base URL.
+    /// Opens an exporter towards the collector's URL; see [`trace_endpoint`].
     ///
     /// `per_mille` of the calls that bring no trace context are traced; a call
     /// that brings one follows its sampled flag.
@@ -66,7 +69,7 @@
         failure_domain: &str,
         runtime: Handle,
     ) -> Result<HopTracer> {
-        let endpoint = format!("{}/v1/traces", collector.trim_end_matches('/'));
+        let endpoint = trace_endpoint(collector);
         let exporter = SpanExporter::builder()
             .with_http()
             .with_http_client(ExportClient::new(runtime))
@@ -128,6 +131,24 @@
     }
 }
 
+/// Returns the URL that spans are posted to, for a collector's base URL or for
+/// the full URL.
+///
+/// # Examples
+///
+/// ```
+/// use radishgauge_daemon::traces::trace_endpoint;
+///
+/// let endpoint = "http://127.0.0.1:4318/v1/traces";
+/// assert_eq!(trace_endpoint("http://127.0.0.1:4318/"), endpoint);
+/// assert_eq!(trace_endpoint(endpoint), endpoint);
+/// ```
+pub fn trace_endpoint(collector: &str) -> String {
+    let base = collector.trim_end_matches('/');
+    let base = base.strip_suffix(TRACES_PATH).unwrap_or(base);
+    format!("{base}{TRACES_PATH}")
+}
+
 impl fmt::Debug for HopTracer {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("HopTracer").finish_non_exhaustive()
