--- a/crates/daemon/examples/added_time.rs
+++ b/crates/daemon/examples/added_time.rs
@@ -1,9 +1,10 @@
 //! Measures the time that two daemons add to a call, against a direct call.
 //!
-//! `cargo run --release -p radishgauge-daemon --example added_time -- [CALLS_PER_SECOND] [SECONDS]`
+//! `cargo run --release -p radishgauge-daemon --example added_time -- [CALLS_PER_SECOND] [SECONDS] [ENTRY]`
 //!
-//! The caller's daemon hosts no target, so each call crosses to the daemon on
-//! the target's host. Direct calls and calls through the mesh alternate in the
+//! With ENTRY 0, the default, the caller's daemon hosts no target, so each call
+//! crosses to the daemon on the target's host; with ENTRY 1 it enters there, and
+//! no session is on its way. Direct calls and calls through the mesh alternate in the
 //! same run, so that a busy machine slows both.
 
 use std::fs;
@@ -68,11 +69,13 @@
     };
     let rate = number(1)?.unwrap_or(1000).clamp(1, 20_000);
     let seconds = number(2)?.unwrap_or(10).clamp(1, 60);
+    let entry = number(3)?.unwrap_or(0).min(1) as usize;
     logs::silence()?;
-    tokio::runtime::Runtime::new()?.block_on(measure(rate, Duration::from_secs(seconds)))
+    let work = measure(rate, Duration::from_secs(seconds), entry);
+    tokio::runtime::Runtime::new()?.block_on(work)
 }
 
-async fn measure(rate: u64, time: Duration) -> Result<()> {
+async fn measure(rate: u64, time: Duration, entry: usize) -> Result<()> {
     let worker = TargetStandIn::start(TargetConfig {
         answer_bytes: Some(64),
         record: false,
@@ -81,7 +84,7 @@
     .await?;
     let (daemons, _platform) = open(worker.address()).await?;
     let client: HttpClient = Client::builder(TokioExecutor::new()).build_http();
-    let mesh = daemons[0].callers();
+    let mesh = daemons[entry].callers();
     run(&client, worker.address(), mesh, rate, WARM_UP).await?;
     let [direct, through] = run(&client, worker.address(), mesh, rate, time).await?;
     println!(
