--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -31,12 +31,12 @@
 
 /// Answers callers.
 #[derive(Clone)]
-pub struct CallerDesk {
+pub struct CallerHandler {
     /// The daemon's shared parts.
     pub node: Arc<DaemonNode>,
 }
 
-impl CallerDesk {
+impl CallerHandler {
     /// Answers one request. Dropping the future cancels the call.
     pub async fn answer(self, request: HttpRequest) -> HttpAnswer {
         let HttpRequest { head, mut body, .. } = request;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -51,7 +51,7 @@
 use crate::node::DaemonNode;
 use crate::node::NodeParts;
 use crate::observe;
-use crate::operator::OperatorDesk;
+use crate::operator::OperatorHandler;
 use crate::publish::Publisher;
 use crate::publish::SharedState;
 use crate::serve;
@@ -184,13 +184,13 @@
             resources.listener_threads,
         )?;
         let stop_asked = Arc::new(Notify::new());
-        let desk = OperatorDesk {
+        let handler = OperatorHandler {
             node: Arc::clone(&node),
             stop: Arc::clone(&stop_asked),
         };
         let operators = OperatorListener::bind(
             address("listen.operators", &listen.operators)?,
-            move |request| desk.clone().answer(request),
+            move |request| handler.clone().answer(request),
         )
         .context("bind listen.operators")?;
         let parts = ControlParts {
@@ -397,7 +397,7 @@
     limits: &LimitSettings,
     threads: usize,
 ) -> Result<CallerListener> {
-    let handler = callers::CallerDesk {
+    let handler = callers::CallerHandler {
         node: Arc::clone(node),
     };
     let bounds = ListenLimits {
--- a/crates/daemon/src/dispatch.rs
+++ b/crates/daemon/src/dispatch.rs
@@ -115,12 +115,12 @@
         let mut tried = TriedTargets::default();
         let mut context = self.context.clone();
         let mut retries = 0;
-        let mut worst: Option<CallAnswer> = None;
+        let mut kept: Option<CallAnswer> = None;
         loop {
             let picked = match self.pick(picker, route, &tried, body) {
                 Ok(picked) => picked,
                 Err(refusal) => {
-                    return worst.unwrap_or_else(|| CallAnswer::refused(&refusal, revision));
+                    return kept.unwrap_or_else(|| CallAnswer::refused(&refusal, revision));
                 }
             };
             tried.insert(picked.target);
@@ -154,13 +154,13 @@
                 self.node.next_number(),
             );
             let RetryDecision::Retry { after, allowance } = decision else {
-                return worse(worst, failed);
+                return more_certain(kept, failed);
             };
             if !body.is_complete() {
                 self.node.budget.refund(allowance);
-                return worse(worst, failed);
+                return more_certain(kept, failed);
             }
-            worst = Some(worse(worst, failed));
+            kept = Some(more_certain(kept, failed));
             count(&self.node.meters.retries);
             retries += 1;
             context.allowance = Some(allowance);
@@ -307,8 +307,8 @@
     }
 }
 
-/// Returns the answer that tells the caller more of what may have been done.
-fn worse(first: Option<CallAnswer>, second: CallAnswer) -> CallAnswer {
+/// Returns the answer whose verdict is the more certain that work was done.
+fn more_certain(first: Option<CallAnswer>, second: CallAnswer) -> CallAnswer {
     match first {
         Some(first) if first.verdict() > second.verdict() => first,
         _ => second,
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -25,14 +25,14 @@
 
 /// Answers operators.
 #[derive(Clone)]
-pub struct OperatorDesk {
+pub struct OperatorHandler {
     /// The daemon's shared parts.
     pub node: Arc<DaemonNode>,
     /// Signalled when an operator asks for a graceful stop.
     pub stop: Arc<Notify>,
 }
 
-impl OperatorDesk {
+impl OperatorHandler {
     /// Answers one request.
     pub async fn answer(self, request: HttpRequest) -> HttpAnswer {
         let query = request.head.uri.query().unwrap_or_default();
