--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -12,17 +12,14 @@
 pub mod answer;
 pub mod body;
 pub mod callers;
-pub mod clock;
 pub mod control_log;
 pub mod control_loop;
 pub mod daemon;
 pub mod dispatch;
 pub mod entry;
-pub mod events;
 pub mod headers;
 pub mod hosted;
 pub mod keyed;
-pub mod logs;
 pub mod meters;
 pub mod node;
 pub mod observe;
@@ -36,6 +33,10 @@
 pub mod traces;
 pub mod transfer;
 
+pub use radishgauge_events::events;
+pub use radishgauge_events::logs;
+pub use radishgauge_net::clock;
+
 pub use daemon::Daemon;
 pub use daemon::DaemonResources;
 pub use daemon::Running;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,5 +1,7 @@
 //! `radishgauged`: the daemon's process.
 
+mod sidecar;
+
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -31,6 +33,10 @@
     version: bool,
     #[options(help = "the settings file (YAML)", meta = "FILE")]
     settings: Option<PathBuf>,
+    #[options(
+        help = "run beside a target of the users' platform, with the settings file that it places"
+    )]
+    platform: bool,
     #[options(
         help = "threads that carry sessions and calls; 0 for one per core",
         meta = "N"
@@ -41,6 +47,7 @@
 const EXAMPLE: &str = "\
 Example:
   radishgauged --settings /etc/radishgauge/host.yaml
+  radishgauged --platform
 
 SIGTERM and SIGINT stop gracefully: no new calls, those under way finish.
 
@@ -70,6 +77,9 @@
         println!("radishgauged {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
+    if options.platform {
+        return sidecar::main();
+    }
     let Some(path) = &options.settings else {
         eprintln!("radishgauged: --settings is required\n\n{EXAMPLE}");
         return ExitCode::from(USAGE);
--- a/crates/daemon/src/events.rs
+++ b/crates/events/src/events.rs
@@ -67,6 +67,28 @@
     OVERLOADED = 4004, Warn, "calls are shed", "refused", "Add workers, or lower the load; see the page on overload.";
     REQUEST_REJECTED = 4005, Warn, "malformed or oversize request", "reason", "The caller's request was refused; nothing of it ran.";
     TELEMETRY_FAILED = 5001, Warn, "telemetry cannot be sent", "receiver, error", "Look at the receiver; calls are not affected.";
+    SIDECAR_STARTED = 6001, Info, "sidecar started", "host, failure_domain, service, callers, peers, target, store", "None. Daemons of the platform share no keys, so they talk in plain text.";
+    SIDECAR_STOPPING = 6002, Info, "sidecar stop began", "running, waiting", "None; it is not ready from here on, and serves what still comes.";
+    SIDECAR_STOPPED = 6003, Info, "sidecar stopped", "took_ms, cut_off", "If cut_off is not 0, requests outlived the stop deadline.";
+    SETTINGS_RELOADED = 6004, Info, "settings reloaded", "service, target", "None.";
+    SETTINGS_REFUSED = 6005, Error, "settings refused", "fault", "Correct the field; the settings before stay in force.";
+    READY_CHANGED = 6006, Info, "readiness changed", "ready, reason", "None.";
+    STORE_LOST = 6101, Warn, "store lost", "error, revision", "Look at the platform's store; the state stays as it was, or peers tell it.";
+    STORE_REGAINED = 6102, Info, "store regained", "revision, away_ms", "None.";
+    ITEM_UNREADABLE = 6103, Warn, "item of the store cannot be read", "item", "Another writer left it; it names no target and changes nothing.";
+    BELIEF_CHANGED = 6104, Info, "belief changed", "change, source, revision", "None.";
+    STATE_TOLD = 6105, Info, "state taken from a peer", "peer, from, to", "None; the store could not be read in time.";
+    PEER_STATE_FAILED = 6106, Debug, "peer did not tell its state", "peer, error", "None while other peers do.";
+    TARGET_DOWN = 6201, Warn, "target is down", "error", "Look at the target's own logs.";
+    TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
+    TARGET_UNSURE = 6203, Info, "target is taken for cold until it was asked", "reason", "None; it may have crashed and started again.";
+    REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
+    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, reason, retry_after_ms, tried, took_ms, version, revision", "If many: see the page on overload.";
+    REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, status, attempts, took_ms, version, revision", "Look for the request's lines at the target's host.";
+    REQUEST_REPEATED = 6304, Info, "request sent again", "route, target, reason, attempt", "None; counts against the retry budget.";
+    OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; its sender tries another target.";
+    OWNER_FAILED = 6306, Warn, "target did not answer a request well", "target, reason, took_ms", "Look at the target's own logs.";
+    LINES_LEFT_OUT = 6401, Info, "log lines left out", "served, other", "None; the volume of the log is bounded.";
 }
 
 impl EventKind {
@@ -82,11 +104,23 @@
     }
 }
 
+impl EventKind {
+    /// Writes one event that concerns a request, by the identity that its caller
+    /// gave it.
+    pub fn emit_request(&self, request: &str, fields: fmt::Arguments<'_>) {
+        spdlog::log!(self.level, "RG{} {}", self.number, self.title, kv: {
+            event = self.number,
+            request = request.to_owned(),
+            detail = fields.to_string(),
+        });
+    }
+}
+
 /// Returns the text of docs/events.md.
 pub fn reference() -> String {
     let mut page = String::from(
         "# Log events\n\nEach log line carries the number of its event. \
-         This page is written from `crates/daemon/src/events.rs`; \
+         This page is written from `crates/events/src/events.rs`; \
          `UPDATE_DOCS=1 cargo test -p radishgauge-daemon --test events` rewrites it.\n\n\
          | event | level | title | fields | what to do |\n|---|---|---|---|---|\n",
     );
--- a/crates/generate/src/lib.rs
+++ b/crates/generate/src/lib.rs
@@ -11,11 +11,12 @@
 
 use anyhow::Result;
 
-const FILES: [&str; 4] = [
+const FILES: [&str; 5] = [
     "rules.proto",
     "config.proto",
     "settings.proto",
     "peer.proto",
+    "hop.proto",
 ];
 
 /// Returns the package directory of the schema.
--- /dev/null
+++ b/crates/mesh/src/budget.rs
@@ -0,0 +1,81 @@
+//! How many requests a daemon may send to a second target.
+//!
+//! All daemons together may repeat a fixed part of a service's requests and a
+//! fixed number besides, within a sliding window. Without shared state, each
+//! daemon takes the part of its own requests and an equal share of the fixed
+//! number, so the sum stays within the bound whatever the others do.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+/// The part of the allowance that is used. The rest covers daemons whose share
+/// of the fixed number is out of date after others came or went, and calls that
+/// a repeated request makes.
+const USED_PART: f64 = 0.7;
+
+/// The bounds of repeats, as the platform states them.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RepeatBounds {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats besides, over all daemons.
+    pub extra: f64,
+    /// The window over which both are counted.
+    pub window: Duration,
+}
+
+#[derive(Debug, Default)]
+struct ServiceWindow {
+    requests: VecDeque<Duration>,
+    repeats: VecDeque<Duration>,
+}
+
+/// The repeats of one daemon, by service.
+#[derive(Debug)]
+pub struct RepeatBudget {
+    bounds: RepeatBounds,
+    services: IndexMap<SmolStr, ServiceWindow>,
+}
+
+impl RepeatBudget {
+    /// Returns a budget without any request counted.
+    pub fn new(bounds: RepeatBounds) -> RepeatBudget {
+        RepeatBudget {
+            bounds,
+            services: IndexMap::new(),
+        }
+    }
+
+    /// Counts a first request for a service.
+    pub fn record_request(&mut self, service: &SmolStr, now: Duration) {
+        let window = self.bounds.window;
+        let counts = self.services.entry(service.clone()).or_default();
+        counts.requests.push_back(now);
+        expire(&mut counts.requests, window, now);
+    }
+
+    /// Takes one repeat, when the budget allows it with so many daemons.
+    pub fn take(&mut self, service: &SmolStr, daemons: usize, now: Duration) -> bool {
+        let bounds = self.bounds;
+        let counts = self.services.entry(service.clone()).or_default();
+        expire(&mut counts.requests, bounds.window, now);
+        expire(&mut counts.repeats, bounds.window, now);
+        let own = bounds.ratio * counts.requests.len() as f64;
+        let share = bounds.extra / daemons.max(1) as f64;
+        let allowed = (own + share) * USED_PART;
+        if counts.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        counts.repeats.push_back(now);
+        true
+    }
+}
+
+fn expire(times: &mut VecDeque<Duration>, window: Duration, now: Duration) {
+    while times.front().is_some_and(|time| *time + window <= now) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/placement.rs
@@ -0,0 +1,335 @@
+//! Which target a request is sent to.
+//!
+//! The owner beside each target knows its load exactly and says so with each
+//! answer. A sender adds what it has sent since, and prefers near targets:
+//! bytes to another failure domain or region are slow and paid for. A farther
+//! target is used when it saves more of the latency objective than it costs.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand_pcg::Pcg32;
+use smol_str::SmolStr;
+
+use crate::order;
+
+/// Weight of one answer in the averages of a target.
+const ANSWER_WEIGHT: f64 = 0.15;
+
+/// The time after which a report says little of other senders' load.
+const REPORT_TIME: Duration = Duration::from_secs(1);
+
+/// The time after which an old failure counts a third.
+const FAILURE_TIME: Duration = Duration::from_secs(3);
+
+/// Service time of a target that has not answered, as a part of the objective.
+const UNKNOWN_SERVICE_PART: f64 = 0.4;
+
+/// How much of the objective a target in another failure domain of the region
+/// has to save.
+const DOMAIN_PART: f64 = 0.08;
+
+/// How much of the objective a target in another region has to save.
+const REGION_PART: f64 = 0.3;
+
+/// A body of so many bytes doubles what a farther target has to save.
+const BYTES_SCALE: f64 = 32_768.0;
+
+/// The greatest factor by which a long body raises what a farther target has to
+/// save.
+const GREATEST_BYTES_FACTOR: f64 = 3.0;
+
+/// How long a target is passed over that does not accept connections.
+const DOWN_PAUSE: Duration = Duration::from_millis(400);
+
+/// How long a target is passed over whose owner refuses all work.
+const CLOSED_PAUSE: Duration = Duration::from_millis(700);
+
+/// The first estimate of the time to a target and back, by distance.
+const FIRST_HOP: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(2),
+    Duration::from_millis(5),
+    Duration::from_millis(30),
+];
+
+/// The load of a target, as its owner tells it with each answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LoadReport {
+    /// The requests that run and wait.
+    pub occupied: u32,
+    /// The requests that run at once.
+    pub limit: u32,
+    /// How long one more request would wait.
+    pub wait: Duration,
+    /// The mean service time, when any run has ended.
+    pub service_time: Option<Duration>,
+    /// Whether the target is cold.
+    pub cold: bool,
+}
+
+/// How far a target is from this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum TargetDistance {
+    /// On this host.
+    Host,
+    /// In the same failure domain.
+    Domain,
+    /// In another failure domain of the region.
+    Region,
+    /// In another region.
+    Far,
+}
+
+/// A target that may get a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PlaceCandidate {
+    /// Its identity.
+    pub id: SmolStr,
+    /// How far it is.
+    pub distance: TargetDistance,
+    /// The requests that it runs at once, as it registered.
+    pub capacity: u32,
+}
+
+/// What placing needs to know of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PlaceRequest {
+    /// How much of the latency objective is left.
+    pub objective: Duration,
+    /// The rank; 0 is the most urgent.
+    pub priority: u32,
+    /// The length of its body.
+    pub body_bytes: u64,
+}
+
+/// Why a request was placed nowhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unplaced {
+    /// No target is known that may get it.
+    NoTarget,
+    /// Every target would answer too late; there may be room after a time.
+    Full {
+        /// When.
+        retry_after: Duration,
+    },
+}
+
+/// How a request that was sent to a target ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SendOutcome {
+    /// The target answered well.
+    Served {
+        /// The time that the owner did not account for.
+        hop: Duration,
+    },
+    /// The target failed it, or its answer was lost.
+    Failed,
+    /// The owner refused it for lack of room.
+    Full,
+    /// The owner refuses all work, or is not the target's owner.
+    Closed,
+    /// The owner or the target accepts no connections.
+    Down,
+    /// The caller went away, or its time was over.
+    Cancelled,
+}
+
+#[derive(Debug, Clone, Default)]
+struct TargetBelief {
+    /// Requests of this host that are under way there.
+    own: u32,
+    /// `own` at the time of the last report.
+    own_reported: u32,
+    report: Option<(LoadReport, Duration)>,
+    service_time: Option<f64>,
+    /// The share of failed requests, and when it was last updated.
+    failures: f64,
+    failures_at: Duration,
+    paused_until: Duration,
+}
+
+impl TargetBelief {
+    fn failure_share(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.failures_at).as_secs_f64();
+        self.failures * (-age / FAILURE_TIME.as_secs_f64()).exp()
+    }
+
+    fn record_failure(&mut self, failed: bool, now: Duration) {
+        let share = self.failure_share(now);
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failures = share + (sample - share) * ANSWER_WEIGHT;
+        self.failures_at = now;
+    }
+
+    fn service_time(&self, objective: Duration) -> Duration {
+        self.service_time
+            .map_or(objective.mul_f64(UNKNOWN_SERVICE_PART), |seconds| {
+                Duration::from_secs_f64(seconds)
+            })
+    }
+
+    /// Returns how long one more request would wait.
+    fn wait(&self, capacity: u32, service_time: Duration, now: Duration) -> Duration {
+        let limit = f64::from(capacity.max(1));
+        let (others, base) = match self.report {
+            None => (0.0, Duration::ZERO),
+            Some((report, at)) => {
+                let age = now.saturating_sub(at);
+                let kept = (-age.as_secs_f64() / REPORT_TIME.as_secs_f64()).exp();
+                let others = f64::from(report.occupied.saturating_sub(self.own_reported));
+                (others * kept, report.wait.saturating_sub(age))
+            }
+        };
+        let over = others + f64::from(self.own) + 1.0 - limit;
+        let slots = service_time.mul_f64(over.max(0.0) / limit);
+        slots.max(base)
+    }
+}
+
+/// Places requests on targets, by what one host knows of them.
+#[derive(Debug)]
+pub struct TargetPlacer {
+    beliefs: IndexMap<SmolStr, TargetBelief>,
+    /// The time to a target and back, by distance, in seconds.
+    hops: [f64; 4],
+    random: Pcg32,
+}
+
+impl TargetPlacer {
+    /// Returns a placer that knows nothing; its random numbers follow from the
+    /// seed.
+    pub fn new(seed: u64) -> TargetPlacer {
+        TargetPlacer {
+            beliefs: IndexMap::new(),
+            hops: FIRST_HOP.map(|hop| hop.as_secs_f64()),
+            random: Pcg32::new(seed, 0),
+        }
+    }
+
+    /// Places a request on one of the candidates, and counts it as under way
+    /// there until [`TargetPlacer::finish`].
+    ///
+    /// # Errors
+    ///
+    /// When there is no candidate, or none that could answer in time.
+    pub fn place<'a, I>(
+        &mut self,
+        candidates: I,
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Result<SmolStr, Unplaced>
+    where
+        I: IntoIterator<Item = &'a PlaceCandidate>,
+    {
+        let mut best: Option<(f64, &PlaceCandidate)> = None;
+        let mut best_paused: Option<(f64, &PlaceCandidate)> = None;
+        let mut soonest: Option<Duration> = None;
+        for candidate in candidates {
+            let cost = self.cost(candidate, request, now);
+            let belief = self.beliefs.entry(candidate.id.clone()).or_default();
+            if belief.paused_until > now {
+                let until = Duration::as_secs_f64(&belief.paused_until);
+                if best_paused.is_none_or(|(least, _)| until < least) {
+                    best_paused = Some((until, candidate));
+                }
+                continue;
+            }
+            let over = over_allowed(belief, candidate, request, now);
+            if over > Duration::ZERO {
+                soonest = Some(soonest.map_or(over, |least| least.min(over)));
+                continue;
+            }
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate));
+            }
+        }
+        // A target that is down for all this host knows is better than none.
+        let chosen = match (best, soonest, best_paused) {
+            (Some((_, candidate)), _, _) => candidate,
+            (None, Some(retry_after), _) => return Err(Unplaced::Full { retry_after }),
+            (None, None, Some((_, candidate))) => candidate,
+            (None, None, None) => return Err(Unplaced::NoTarget),
+        };
+        let belief = self.beliefs.entry(chosen.id.clone()).or_default();
+        belief.own += 1;
+        Ok(chosen.id.clone())
+    }
+
+    /// Records what the owner of a target told of its load.
+    pub fn report(&mut self, id: &SmolStr, report: LoadReport, now: Duration) {
+        let belief = self.beliefs.entry(id.clone()).or_default();
+        if let Some(service_time) = report.service_time {
+            belief.service_time = Some(service_time.as_secs_f64());
+        }
+        // The request that brought the report is not under way any more.
+        belief.own_reported = belief.own.saturating_sub(1);
+        belief.report = Some((report, now));
+    }
+
+    /// Ends a request that was placed on a target.
+    pub fn finish(
+        &mut self,
+        id: &SmolStr,
+        distance: TargetDistance,
+        outcome: SendOutcome,
+        now: Duration,
+    ) {
+        let belief = self.beliefs.entry(id.clone()).or_default();
+        belief.own = belief.own.saturating_sub(1);
+        match outcome {
+            SendOutcome::Served { hop } => {
+                belief.record_failure(false, now);
+                let average = &mut self.hops[distance as usize];
+                *average += (hop.as_secs_f64() - *average) * ANSWER_WEIGHT;
+            }
+            SendOutcome::Failed => belief.record_failure(true, now),
+            SendOutcome::Closed => belief.paused_until = now + CLOSED_PAUSE,
+            SendOutcome::Down => belief.paused_until = now + DOWN_PAUSE,
+            SendOutcome::Full | SendOutcome::Cancelled => {}
+        }
+    }
+
+    /// Forgets the targets that are not known any more.
+    pub fn retain<F>(&mut self, mut known: F)
+    where
+        F: FnMut(&str) -> bool,
+    {
+        self.beliefs
+            .retain(|id, belief| belief.own > 0 || known(id));
+    }
+
+    fn cost(&mut self, candidate: &PlaceCandidate, request: &PlaceRequest, now: Duration) -> f64 {
+        let belief = self.beliefs.entry(candidate.id.clone()).or_default();
+        let objective = request.objective.as_secs_f64();
+        let service_time = belief.service_time(request.objective);
+        let wait = belief.wait(candidate.capacity, service_time, now);
+        let failures = belief.failure_share(now) * objective;
+        let bytes = 1.0 + request.body_bytes as f64 / BYTES_SCALE;
+        let saving = match candidate.distance {
+            TargetDistance::Host | TargetDistance::Domain => 0.0,
+            TargetDistance::Region => DOMAIN_PART,
+            TargetDistance::Far => REGION_PART,
+        };
+        let saving = saving * bytes.min(GREATEST_BYTES_FACTOR) * objective;
+        let hop = self.hops[candidate.distance as usize];
+        // Of about equal targets, senders should not all choose the same.
+        let spread = service_time.as_secs_f64() / f64::from(candidate.capacity.max(1));
+        let noise = self.random.random_range(0.0..1.0) * spread;
+        hop + service_time.as_secs_f64() + wait.as_secs_f64() + failures + saving + noise
+    }
+}
+
+/// Returns by how much a request would wait longer than it may.
+fn over_allowed(
+    belief: &TargetBelief,
+    candidate: &PlaceCandidate,
+    request: &PlaceRequest,
+    now: Duration,
+) -> Duration {
+    let service_time = belief.service_time(request.objective);
+    let wait = belief.wait(candidate.capacity, service_time, now);
+    let allowed = order::allowed_wait(request.objective, service_time, request.priority);
+    wait.saturating_sub(allowed)
+}
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -26,6 +26,8 @@
     pub head: Parts,
     /// The address of the caller.
     pub remote: SocketAddr,
+    /// By which of the listener's addresses the request came, counted from 0.
+    pub socket: usize,
     /// The body.
     pub body: HttpBody,
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod authority;
 pub mod call;
+pub mod clock;
 mod connection;
 pub mod error;
 pub mod exchange;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -109,10 +109,28 @@
         H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = HttpAnswer> + 'static,
     {
-        RunningListener::bind(address, limits, handler).map(CallerListener)
+        RunningListener::bind(&[address], limits, handler).map(CallerListener)
     }
 
-    /// The bound address.
+    /// As [`CallerListener::bind`], for several addresses that the same threads
+    /// serve; [`HttpRequest::socket`] tells by which one a request came.
+    ///
+    /// # Errors
+    ///
+    /// As [`CallerListener::bind`].
+    pub fn bind_all<H, F>(
+        addresses: &[SocketAddr],
+        limits: ListenLimits,
+        handler: H,
+    ) -> std::io::Result<CallerListener>
+    where
+        H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = HttpAnswer> + 'static,
+    {
+        RunningListener::bind(addresses, limits, handler).map(CallerListener)
+    }
+
+    /// The bound address; the first of several.
     pub fn local_address(&self) -> SocketAddr {
         self.0.address
     }
@@ -129,6 +147,11 @@
         self.0.state.running.load(Ordering::Acquire)
     }
 
+    /// Returns the count of requests under way, readable during a stop.
+    pub fn running_count(&self) -> RunningCount {
+        RunningCount(self.0.state.clone())
+    }
+
     /// Accepts no more connections, lets the requests under way finish, and
     /// ends. Dropping the listener does the same without waiting.
     pub async fn stop(self) {
@@ -136,6 +159,16 @@
     }
 }
 
+/// The count of requests under way at a listener.
+pub struct RunningCount(Arc<ListenState>);
+
+impl RunningCount {
+    /// Returns the requests under way.
+    pub fn get(&self) -> usize {
+        self.0.running.load(Ordering::Acquire)
+    }
+}
+
 /// A running listener for operators.
 pub struct OperatorListener(RunningListener);
 
@@ -157,7 +190,7 @@
             requests: 64,
             ..ListenLimits::default()
         };
-        RunningListener::bind(address, limits, handler).map(OperatorListener)
+        RunningListener::bind(&[address], limits, handler).map(OperatorListener)
     }
 
     /// The bound address.
@@ -187,7 +220,7 @@
 
 impl RunningListener {
     fn bind<H, F>(
-        address: SocketAddr,
+        addresses: &[SocketAddr],
         limits: ListenLimits,
         handler: H,
     ) -> std::io::Result<RunningListener>
@@ -195,41 +228,52 @@
         H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = HttpAnswer> + 'static,
     {
-        let listener = TcpListener::bind(address)?;
-        let address = listener.local_addr()?;
+        let listeners = addresses
+            .iter()
+            .map(TcpListener::bind)
+            .collect::<std::io::Result<Vec<_>>>()?;
+        let address = listeners
+            .first()
+            .ok_or_else(|| std::io::Error::other("no address to listen on"))?
+            .local_addr()?;
         let state = Arc::new(ListenState::default());
-        let served = state.clone();
-        let service = fn_service(move |request: Request<RequestExt<RequestBody>>| {
-            let state = served.clone();
-            let handler = handler.clone();
-            async move { Ok::<_, Infallible>(answer(request, limits, &state, handler).await) }
-        });
         let config = HttpServiceConfig::new()
             .keep_alive_timeout(KEEP_ALIVE)
             .request_head_timeout(HEAD_TIME)
             .max_read_buf_size::<READ_BUFFER>()
             .max_write_buf_size::<WRITE_BUFFER>()
             .max_request_headers::<HEADER_FIELDS>();
-        let watched = state.clone();
         let (started, runtimes) = std::sync::mpsc::channel();
-        let service = service
-            .enclosed(RuntimeProbe(started))
-            .enclosed(HttpServiceBuilder::h1().config(config))
-            .enclosed_fn(
-                async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
-                    connection::serve(service, stream, remote, &watched.stop).await
-                },
-            );
-        let mut server = xitca_server::Builder::new()
+        let mut builder = xitca_server::Builder::new()
             .worker_threads(limits.threads.max(1))
             .shutdown_timeout(limits.stop.as_secs().max(1))
-            .disable_signal()
-            .listen(
-                "listener",
+            .disable_signal();
+        for (socket, listener) in listeners.into_iter().enumerate() {
+            let served = state.clone();
+            let handler = handler.clone();
+            let service = fn_service(move |request: Request<RequestExt<RequestBody>>| {
+                let state = served.clone();
+                let handler = handler.clone();
+                async move {
+                    Ok::<_, Infallible>(answer(request, socket, limits, &state, handler).await)
+                }
+            });
+            let watched = state.clone();
+            let service = service
+                .enclosed(RuntimeProbe(started.clone()))
+                .enclosed(HttpServiceBuilder::h1().config(config))
+                .enclosed_fn(
+                    async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
+                        connection::serve(service, stream, remote, &watched.stop).await
+                    },
+                );
+            builder = builder.listen(
+                format!("listener {socket}"),
                 StoppableListener::new(listener, state.stop.clone()),
                 service,
-            )
-            .build();
+            );
+        }
+        let mut server = builder.build();
         let handle = server.handle()?;
         let runtime = runtimes
             .recv_timeout(START_TIME)
@@ -310,6 +354,7 @@
 /// Checks the limits, runs the handler, and turns its answer into the listener's form.
 async fn answer<H, F>(
     request: Request<RequestExt<RequestBody>>,
+    socket: usize,
     limits: ListenLimits,
     state: &Arc<ListenState>,
     handler: H,
@@ -339,6 +384,7 @@
     let request = HttpRequest {
         head,
         remote,
+        socket,
         body: HttpBody::new(inner, limits.body),
     };
     let (mut head, body) = handler(request).await.into_parts();
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -14,6 +14,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -37,6 +38,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
@@ -58,6 +60,9 @@
     pub idle: Duration,
     /// The greatest head of an answer in bytes.
     pub head: usize,
+    /// How long sent bytes may stay unacknowledged before the connection is
+    /// given up; `None` for the system's own limit.
+    pub unacknowledged: Option<Duration>,
 }
 
 impl Default for TargetLimits {
@@ -68,6 +73,7 @@
             connect: Duration::from_secs(1),
             idle: Duration::from_secs(5),
             head: 64 * 1024,
+            unacknowledged: None,
         }
     }
 }
@@ -177,6 +183,7 @@
     limits: TargetLimits,
     permits: Arc<Semaphore>,
     idle: Mutex<VecDeque<IdleConnection>>,
+    broken: Arc<AtomicU64>,
 }
 
 struct IdleConnection {
@@ -206,6 +213,7 @@
                 limits,
                 permits: Arc::new(Semaphore::new(limits.connections)),
                 idle: Mutex::new(VecDeque::new()),
+                broken: Arc::default(),
             }),
         }
     }
@@ -220,6 +228,12 @@
         self.shared.idle().len()
     }
 
+    /// The connections that ended with an error so far. When the number grows,
+    /// the target may have crashed and started again.
+    pub fn broken(&self) -> u64 {
+        self.shared.broken.load(Ordering::Relaxed)
+    }
+
     /// Closes the connections that were idle for too long.
     pub fn sweep(&self) {
         self.shared.sweep();
@@ -343,6 +357,11 @@
                 Err(_) => return Err(connect_error("no answer to the connection attempt")),
             };
         stream.set_nodelay(true).map_err(connect_error)?;
+        if self.limits.unacknowledged.is_some() {
+            SockRef::from(&stream)
+                .set_tcp_user_timeout(self.limits.unacknowledged)
+                .map_err(connect_error)?;
+        }
         let gates = Arc::new(ArcSwap::default());
         let gated = GatedStream::new(stream, gates.clone());
         let (sender, driver) = http1::Builder::new()
@@ -350,9 +369,12 @@
             .handshake(TokioIo::new(gated))
             .await
             .map_err(connect_error)?;
+        let broken = self.broken.clone();
         let driver = tokio::spawn(async move {
             // The request under way reports the error.
-            let _ = driver.await;
+            if driver.await.is_err() {
+                broken.fetch_add(1, Ordering::Relaxed);
+            }
         });
         Ok(TargetConnection {
             sender,
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -69,3 +69,14 @@
         include!("generated/radishgauge.peer.v1.rs");
     }
 }
+
+/// The messages between the daemons of hosts that share no keys.
+pub mod hop {
+    pub use v1::*;
+
+    /// The first version of these messages.
+    #[allow(missing_docs)]
+    pub mod v1 {
+        include!("generated/radishgauge.hop.v1.rs");
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/follow.rs
@@ -0,0 +1,105 @@
+//! Follows the platform's store.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishgauge_events::events;
+use radishgauge_mesh::book::StateSource;
+use radishgauge_platform::StoreClient;
+use radishgauge_platform::StoreError;
+use rand::Rng;
+
+use crate::node::SidecarNode;
+
+/// How long one watch waits for a change. A store that has gone silent is
+/// noticed after that time.
+const WATCH_TIME: Duration = Duration::from_millis(4_000);
+
+/// The least time between two watches: changes that come together are read by
+/// one call.
+const WATCH_PAUSE: Duration = Duration::from_millis(120);
+
+/// The first wait after a failed call.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+
+/// The longest wait after failed calls. With all daemons waiting so long at
+/// most, a store that returns is noticed within a second.
+const LAST_BACKOFF: Duration = Duration::from_millis(800);
+
+/// Reads the store and follows its changes; ends never.
+pub async fn run(node: Arc<SidecarNode>, store: StoreClient) {
+    let mut lost_at: Option<Duration> = None;
+    let mut backoff = FIRST_BACKOFF;
+    // A whole read is due at the start and when the history is lost.
+    let mut read_due = true;
+    loop {
+        let outcome = if read_due {
+            read_all(&node, &store).await
+        } else {
+            watch(&node, &store).await
+        };
+        match outcome {
+            Ok(()) => {
+                read_due = false;
+                backoff = FIRST_BACKOFF;
+                if let Some(at) = lost_at.take() {
+                    regain(&node, at);
+                }
+                tokio::time::sleep(WATCH_PAUSE).await;
+            }
+            Err(StoreError::HistoryLost) => {
+                events::STORE_LOST.emit(format_args!(
+                    "error=history lost revision={}",
+                    node.revision()
+                ));
+                read_due = true;
+            }
+            Err(error) => {
+                if lost_at.is_none() {
+                    lost_at = Some(node.now());
+                    lose(&node, &error);
+                }
+                let jitter = rand::rng().random_range(0.5..1.0);
+                tokio::time::sleep(backoff.mul_f64(jitter)).await;
+                backoff = (backoff * 2).min(LAST_BACKOFF);
+            }
+        }
+    }
+}
+
+async fn read_all(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
+    let page = store.read_all().await?;
+    // A peer may have told a newer state meanwhile.
+    if page.revision >= node.revision() {
+        node.replace_state(page.items, page.revision, StateSource::Store);
+    }
+    Ok(())
+}
+
+async fn watch(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
+    let away = node.known().book.store_away();
+    // After an outage the store is asked at once whether it is back.
+    let wait = if away { Duration::ZERO } else { WATCH_TIME };
+    let changes = store.watch(node.revision(), wait).await?;
+    if away {
+        // Entries that lapsed during the outage may still come back.
+        node.known().book.regain_store(node.now());
+    }
+    node.update_state(changes.items, changes.revision);
+    Ok(())
+}
+
+fn lose(node: &SidecarNode, error: &StoreError) {
+    node.known().book.lose_store();
+    events::STORE_LOST.emit(format_args!("error={error} revision={}", node.revision()));
+}
+
+fn regain(node: &SidecarNode, lost_at: Duration) {
+    let now = node.now();
+    node.known().book.regain_store(now);
+    let away_ms = now.saturating_sub(lost_at).as_millis();
+    events::STORE_REGAINED.emit(format_args!(
+        "revision={} away_ms={away_ms}",
+        node.revision()
+    ));
+}
--- /dev/null
+++ b/crates/sidecar/src/node.rs
@@ -0,0 +1,284 @@
+//! What the parts of one daemon share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use radishgauge_events::events;
+use radishgauge_mesh::MeshConfig;
+use radishgauge_mesh::MeshRoute;
+use radishgauge_mesh::RepeatBudget;
+use radishgauge_mesh::StateBook;
+use radishgauge_mesh::TargetPlacer;
+use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::book::BeliefChange;
+use radishgauge_mesh::book::StateSource;
+use radishgauge_mesh::placement::PlaceCandidate;
+use radishgauge_mesh::placement::TargetDistance;
+use radishgauge_net::clock::ProcessClock;
+use radishgauge_platform::HostSettings;
+use radishgauge_platform::StoreItem;
+use radishgauge_platform::StoreView;
+use radishgauge_platform::view::ViewChanges;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+
+use crate::owner::TargetOwner;
+use crate::peers::PeerClients;
+use crate::record::RequestRecord;
+
+/// The state of the platform as this daemon knows it.
+#[derive(Default)]
+pub struct KnownState {
+    /// The raw items.
+    pub view: StoreView,
+    /// What they mean.
+    pub book: StateBook,
+}
+
+/// What the parts of one daemon share.
+pub struct SidecarNode {
+    /// The host's settings.
+    pub settings: HostSettings,
+    /// The process clock.
+    pub clock: Arc<dyn ProcessClock>,
+    /// The target of this host.
+    pub owner: Arc<TargetOwner>,
+    /// The other daemons.
+    pub peers: PeerClients,
+    /// The log of decisions on requests.
+    pub record: RequestRecord,
+    /// Wakes the exchange of state with peers.
+    pub behind: Notify,
+    known: Mutex<KnownState>,
+    placer: Mutex<TargetPlacer>,
+    budget: Mutex<RepeatBudget>,
+    /// The greatest revision that a peer told, and who.
+    heard: Mutex<Option<(u64, SocketAddr)>>,
+    revision: AtomicU64,
+    stopping: AtomicBool,
+}
+
+impl SidecarNode {
+    /// Returns the shared parts of a daemon that knows no state yet.
+    pub fn new(
+        settings: HostSettings,
+        clock: Arc<dyn ProcessClock>,
+        owner: Arc<TargetOwner>,
+        seed: u64,
+    ) -> SidecarNode {
+        SidecarNode {
+            peers: PeerClients::new(settings.peers.port()),
+            budget: Mutex::new(RepeatBudget::new(settings.repeats)),
+            settings,
+            clock,
+            owner,
+            record: RequestRecord::default(),
+            behind: Notify::new(),
+            known: Mutex::default(),
+            placer: Mutex::new(TargetPlacer::new(seed)),
+            heard: Mutex::default(),
+            revision: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the time of the process clock.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Returns the store's revision up to which the state is known; 0 for none.
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::Relaxed)
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Option<Arc<MeshConfig>> {
+        self.known().book.config().cloned()
+    }
+
+    /// Whether the daemon has begun to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Records that the daemon has begun to stop.
+    pub fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether callers may send requests here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping() && self.known().book.config().is_some()
+    }
+
+    /// Locks the known state; never held across I/O.
+    pub fn known(&self) -> MutexGuard<'_, KnownState> {
+        lock(&self.known)
+    }
+
+    /// Locks the placer; never held across I/O.
+    pub fn placer(&self) -> MutexGuard<'_, TargetPlacer> {
+        lock(&self.placer)
+    }
+
+    /// Locks the repeat budget; never held across I/O.
+    pub fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
+        lock(&self.budget)
+    }
+
+    /// Takes over a whole state.
+    pub fn replace_state(&self, items: Vec<StoreItem>, revision: u64, source: StateSource) {
+        let now = self.now();
+        let mut known = self.known();
+        let changes = known.view.replace(items, revision);
+        let beliefs = known.book.replace(changes.changes, source, now);
+        self.conclude(&mut known, &changes.faults, beliefs, source, now);
+    }
+
+    /// Takes over changes after the known revision.
+    pub fn update_state(&self, items: Vec<StoreItem>, revision: u64) {
+        let now = self.now();
+        let source = StateSource::Store;
+        let mut known = self.known();
+        let ViewChanges { changes, faults } = known.view.update(items, revision);
+        let book = &mut known.book;
+        let beliefs = changes
+            .into_iter()
+            .filter_map(|change| book.apply(change, source, now))
+            .collect();
+        self.conclude(&mut known, &faults, beliefs, source, now);
+    }
+
+    /// Drops the targets whose entries did not come back after an outage.
+    pub fn expire_targets(&self) {
+        let now = self.now();
+        let mut known = self.known();
+        let beliefs = known.book.expire(now);
+        if !beliefs.is_empty() {
+            self.conclude(&mut known, &[], beliefs, StateSource::Store, now);
+        }
+    }
+
+    fn conclude(
+        &self,
+        known: &mut KnownState,
+        faults: &[radishgauge_platform::items::ItemFault],
+        beliefs: Vec<BeliefChange>,
+        source: StateSource,
+        now: Duration,
+    ) {
+        let revision = known.view.revision();
+        self.revision.store(revision, Ordering::Relaxed);
+        for fault in faults {
+            events::ITEM_UNREADABLE.emit(format_args!("item={fault}"));
+        }
+        for belief in &beliefs {
+            if matches!(belief, BeliefChange::ConfigIgnored { .. }) {
+                continue;
+            }
+            events::BELIEF_CHANGED.emit(format_args!(
+                "change={belief:?} source={source:?} revision={revision}"
+            ));
+        }
+        let book = &known.book;
+        self.placer().retain(|id| book.target(id).is_some());
+        self.owner.refresh(&self.settings, book, now);
+    }
+
+    /// Records a revision that a peer knows.
+    pub fn hear_revision(&self, peer: SocketAddr, revision: u64) {
+        if revision <= self.revision() {
+            return;
+        }
+        let mut heard = lock(&self.heard);
+        if heard.is_none_or(|(greatest, _)| greatest < revision) {
+            *heard = Some((revision, peer));
+        }
+        self.behind.notify_one();
+    }
+
+    /// Returns a peer that knows more than this daemon.
+    pub fn ahead(&self) -> Option<SocketAddr> {
+        let heard = *lock(&self.heard);
+        heard
+            .filter(|(revision, _)| *revision > self.revision())
+            .map(|(_, peer)| peer)
+    }
+
+    /// Returns the targets that may get a request of the route for the service.
+    pub fn candidates(&self, route: &MeshRoute, service: &str) -> Vec<Candidate> {
+        let known = self.known();
+        let book = &known.book;
+        book.targets()
+            .filter(|target| target.service == service && !target.draining)
+            .filter(|target| !book.is_out(&target.failure_domain))
+            .filter_map(|target| self.candidate(target))
+            .filter(|candidate| route.allows_region(&candidate.region))
+            .collect()
+    }
+
+    fn candidate(&self, target: &TargetRecord) -> Option<Candidate> {
+        let region = self.settings.domains.get(&target.failure_domain)?.clone();
+        let distance = if target.address == self.settings.target {
+            TargetDistance::Host
+        } else if target.failure_domain == self.settings.failure_domain {
+            TargetDistance::Domain
+        } else if region == self.settings.region {
+            TargetDistance::Region
+        } else {
+            TargetDistance::Far
+        };
+        Some(Candidate {
+            place: PlaceCandidate {
+                id: target.id.clone(),
+                distance,
+                capacity: target.capacity,
+            },
+            region,
+            peer: self.peers.address_of(target.address),
+        })
+    }
+
+    /// Returns the addresses of the other daemons, those of the own failure
+    /// domain first.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let known = self.known();
+        let mut peers: Vec<(bool, SocketAddr)> = known
+            .book
+            .targets()
+            .map(|target| {
+                let far = target.failure_domain != self.settings.failure_domain;
+                (far, self.peers.address_of(target.address))
+            })
+            .filter(|(_, peer)| peer.ip() != self.settings.peers.ip())
+            .collect();
+        peers.sort_unstable();
+        peers.dedup();
+        peers.into_iter().map(|(_, peer)| peer).collect()
+    }
+}
+
+/// A target that may get a request.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// What placing needs to know of it.
+    pub place: PlaceCandidate,
+    /// Its region.
+    pub region: SmolStr,
+    /// The daemon on its host.
+    pub peer: SocketAddr,
+}
+
+/// Each step under a lock leaves its state consistent, so a panic elsewhere
+/// does no harm.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/sidecar/src/owner.rs
@@ -0,0 +1,471 @@
+//! The target of this host, and everything that runs at it.
+//!
+//! Requests of this host and of others pass the same admission, so the target's
+//! limits hold whatever senders believe.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use radishgauge_events::events;
+use radishgauge_mesh::LoadReport;
+use radishgauge_mesh::LocalAdmission;
+use radishgauge_mesh::Offer;
+use radishgauge_mesh::OfferRequest;
+use radishgauge_mesh::ServicePolicy;
+use radishgauge_mesh::StateBook;
+use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::admission::CloseReason;
+use radishgauge_mesh::admission::OfferRefusal;
+use radishgauge_mesh::admission::RefuseReason;
+use radishgauge_mesh::admission::WaitKey;
+use radishgauge_net::TargetClient;
+use radishgauge_net::TargetLimits;
+use radishgauge_net::clock::ProcessClock;
+use radishgauge_platform::HostSettings;
+use radishgauge_platform::message::TargetOrders;
+use radishgauge_schema::hop::HopHead;
+use radishgauge_schema::hop::HopReason;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+
+use crate::answer::NotRun;
+use crate::answer::TargetOutcome;
+use crate::node::lock;
+use crate::target_call;
+use crate::target_call::WholeRequest;
+
+/// The capacity that is assumed of a target before it is known.
+const UNKNOWN_CAPACITY: u32 = 4;
+
+/// How long a connection to the target may take to open; it is on this host.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long an unused connection to the target is kept. Targets close theirs
+/// after some seconds, and a request must not cross that.
+const CONNECTION_IDLE: Duration = Duration::from_secs(4);
+
+/// The greatest number of connections to the target. Admission keeps fewer in
+/// use; this bounds those that are just being closed.
+const CONNECTIONS: usize = 96;
+
+/// Identities of former targets that are remembered, so that a sender with an
+/// older state is told.
+const FORMER_TARGETS: usize = 64;
+
+/// What is known of the target, and what runs at it.
+struct OwnerState {
+    admission: LocalAdmission,
+    waiters: HashMap<WaitKey, oneshot::Sender<Result<(), OfferRefusal>>>,
+    /// The targets that registered with this host's target address.
+    records: Vec<TargetRecord>,
+    former: VecDeque<SmolStr>,
+    policy: Option<ServicePolicy>,
+    stopping: bool,
+    domain_out: bool,
+    down: bool,
+    /// Failed connections up to the last health check.
+    broken_seen: u64,
+    timer: Option<Duration>,
+}
+
+/// The target of this host.
+pub struct TargetOwner {
+    clock: Arc<dyn ProcessClock>,
+    client: ArcSwap<TargetClient>,
+    state: Mutex<OwnerState>,
+    /// Asks for a health check of the target.
+    pub check: Notify,
+}
+
+impl TargetOwner {
+    /// Returns the owner of a target of which nothing is known yet.
+    pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
+        TargetOwner {
+            clock,
+            client: ArcSwap::from_pointee(client(settings)),
+            state: Mutex::new(OwnerState {
+                admission: LocalAdmission::new(UNKNOWN_CAPACITY),
+                waiters: HashMap::new(),
+                records: Vec::new(),
+                former: VecDeque::new(),
+                policy: None,
+                stopping: false,
+                domain_out: false,
+                down: false,
+                broken_seen: 0,
+                timer: None,
+            }),
+            check: Notify::new(),
+        }
+    }
+
+    /// Returns the client of the target.
+    pub fn client(&self) -> Arc<TargetClient> {
+        self.client.load_full()
+    }
+
+    /// Returns what the configuration says of the target's service.
+    pub fn policy(&self) -> Option<ServicePolicy> {
+        self.state().policy.clone()
+    }
+
+    /// Returns the target's load.
+    pub fn report(&self) -> LoadReport {
+        self.state().admission.report(self.clock.now())
+    }
+
+    /// Returns the requests that run and wait.
+    pub fn load(&self) -> (u32, usize) {
+        let state = self.state();
+        (state.admission.running(), state.admission.waiting())
+    }
+
+    /// Whether the target accepts no connections.
+    pub fn is_down(&self) -> bool {
+        self.state().down
+    }
+
+    /// Takes no new work from here on.
+    pub fn stop(self: &Arc<Self>) {
+        let mut state = self.state();
+        state.stopping = true;
+        state.close_or_open();
+        self.decide(&mut state);
+    }
+
+    /// Takes over what the platform says of the target, its service and its
+    /// failure domain.
+    pub fn refresh(self: &Arc<Self>, settings: &HostSettings, book: &StateBook, now: Duration) {
+        let mut state = self.state();
+        let policy = book
+            .config()
+            .and_then(|config| config.service(&settings.service));
+        if state.policy.is_none() && policy.is_some() {
+            // The target may have started with this daemon.
+            state.suspect(now);
+            self.check.notify_one();
+        }
+        state.policy = policy.cloned();
+        let records = book
+            .targets()
+            .filter(|record| record.address == settings.target)
+            .cloned()
+            .collect();
+        state.take_records(records, now);
+        let out = book.is_out(&settings.failure_domain);
+        if state.domain_out && !out {
+            // Targets of a failure domain that returns may be cold.
+            state.suspect(now);
+            self.check.notify_one();
+        }
+        state.domain_out = out;
+        state.close_or_open();
+        self.decide(&mut state);
+    }
+
+    /// Records that the target does not accept connections.
+    pub fn record_down(self: &Arc<Self>, error: &str) {
+        let mut state = self.state();
+        if !state.down {
+            events::TARGET_DOWN.emit(format_args!("error={error}"));
+        }
+        state.down = true;
+        state.close_or_open();
+        self.decide(&mut state);
+        self.check.notify_one();
+    }
+
+    /// Records that the target answered a health check.
+    pub fn record_up(self: &Arc<Self>, target: Option<&str>, cold_left: Duration, broken: u64) {
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.down {
+            let id = target.unwrap_or("unknown");
+            let cold_ms = cold_left.as_millis();
+            events::TARGET_UP.emit(format_args!("target={id} cold_ms={cold_ms}"));
+        }
+        state.down = false;
+        state.broken_seen = broken;
+        if cold_left.is_zero() {
+            state.admission.cold_mut().set_warm();
+        } else {
+            let rate = state.cold_rate();
+            let until = now + cold_left;
+            state.admission.cold_mut().set_cold(until, rate);
+        }
+        state.close_or_open();
+        self.decide(&mut state);
+    }
+
+    /// Runs a request at the target, when its turn comes.
+    pub async fn run(self: &Arc<Self>, request: &WholeRequest, head: &HopHead) -> TargetOutcome {
+        let arrived = self.clock.now();
+        let time_left = Duration::from_micros(head.time_left_us);
+        let deadline = arrived + time_left;
+        let offer = OfferRequest {
+            route: SmolStr::from(head.route.as_str()),
+            objective: Duration::from_micros(head.objective_us),
+            time_left,
+            priority: head.priority,
+        };
+        let slot = match self.acquire(&head.target, &offer).await {
+            Ok(slot) => slot,
+            Err(refusal) => return TargetOutcome::NotRun(refusal),
+        };
+        let left = deadline.saturating_sub(self.clock.now());
+        let orders = TargetOrders {
+            target: &head.target,
+            caller_service: &head.caller_service,
+            time_left: left,
+        };
+        let client = self.client();
+        let outcome = target_call::call(&client, request, &orders, left).await;
+        self.conclude(slot, &outcome);
+        outcome
+    }
+
+    fn conclude(self: &Arc<Self>, mut slot: RunningSlot, outcome: &TargetOutcome) {
+        match outcome {
+            TargetOutcome::Answered(_) => {
+                slot.took = Some(self.clock.now().saturating_sub(slot.started));
+            }
+            TargetOutcome::NotRun(refusal) if refusal.reason == HopReason::Down => {
+                self.record_down("no connection");
+            }
+            TargetOutcome::NotRun(_) | TargetOutcome::MayHaveRun(_) => {}
+        }
+    }
+
+    async fn acquire(
+        self: &Arc<Self>,
+        target: &str,
+        offer: &OfferRequest,
+    ) -> Result<RunningSlot, NotRun> {
+        let broken = self.client().broken();
+        let waiter = {
+            let now = self.clock.now();
+            let mut state = self.state();
+            if state.is_former(target) {
+                return Err(NotRun::unseen(HopReason::Draining));
+            }
+            if state.broken_seen != broken {
+                state.broken_seen = broken;
+                events::TARGET_UNSURE.emit(format_args!("reason=broken connection"));
+                state.suspect(now);
+                self.check.notify_one();
+            }
+            match state.admission.offer(offer, now) {
+                Offer::Run => return Ok(self.slot(&offer.route)),
+                Offer::Refuse(refusal) => return Err(not_run(refusal)),
+                Offer::Wait(key) => {
+                    let (sender, decision) = oneshot::channel();
+                    state.waiters.insert(key, sender);
+                    self.arm_timer(&mut state, now);
+                    QueuedRequest {
+                        owner: self,
+                        key: Some(key),
+                        route: &offer.route,
+                        decision,
+                    }
+                }
+            }
+        };
+        waiter.wait().await
+    }
+
+    fn slot(self: &Arc<Self>, route: &SmolStr) -> RunningSlot {
+        RunningSlot {
+            owner: Arc::clone(self),
+            route: route.clone(),
+            started: self.clock.now(),
+            took: None,
+        }
+    }
+
+    /// Makes the decisions that are due on waiting requests.
+    fn decide(self: &Arc<Self>, state: &mut OwnerState) {
+        let now = self.clock.now();
+        while let Some(popped) = state.admission.pop(now) {
+            let sent = state
+                .waiters
+                .remove(&popped.key)
+                .is_some_and(|sender| sender.send(popped.decision).is_ok());
+            if !sent && popped.decision.is_ok() {
+                // Its caller has gone; the slot is free again.
+                state.admission.finish(&SmolStr::default(), None);
+            }
+        }
+        self.arm_timer(state, now);
+    }
+
+    /// Wakes up when a cold target bears the next request.
+    fn arm_timer(self: &Arc<Self>, state: &mut OwnerState, now: Duration) {
+        let Some(next) = state.admission.next_timer(now) else {
+            return;
+        };
+        if state.timer.is_some_and(|armed| armed > now && armed <= next) {
+            return;
+        }
+        state.timer = Some(next);
+        let owner = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(next.saturating_sub(now)).await;
+            let mut state = owner.state();
+            state.timer = None;
+            owner.decide(&mut state);
+        });
+    }
+
+    fn state(&self) -> MutexGuard<'_, OwnerState> {
+        lock(&self.state)
+    }
+}
+
+fn client(settings: &HostSettings) -> TargetClient {
+    TargetClient::new(
+        settings.target,
+        TargetLimits {
+            connections: CONNECTIONS,
+            connect: CONNECT_TIMEOUT,
+            idle: CONNECTION_IDLE,
+            ..TargetLimits::default()
+        },
+    )
+}
+
+impl OwnerState {
+    fn cold_rate(&self) -> f64 {
+        self.policy.as_ref().map_or(1.0, |policy| policy.cold_rate)
+    }
+
+    /// Takes the target for cold until a health check says otherwise.
+    fn suspect(&mut self, now: Duration) {
+        let time = self.policy.as_ref().map_or(Duration::ZERO, |policy| policy.cold_time);
+        let rate = self.cold_rate();
+        self.admission.cold_mut().set_cold(now + time, rate);
+    }
+
+    fn take_records(&mut self, records: Vec<TargetRecord>, now: Duration) {
+        for old in &self.records {
+            if !records.iter().any(|record| record.id == old.id) {
+                self.former.push_back(old.id.clone());
+            }
+        }
+        while self.former.len() > FORMER_TARGETS {
+            self.former.pop_front();
+        }
+        for record in &records {
+            self.former.retain(|id| *id != record.id);
+            let known = self.records.iter().find(|old| old.same_life(record));
+            let newly_cold = known.is_none_or(|old| old.cold_left != record.cold_left);
+            if newly_cold && !record.cold_left.is_zero() {
+                let rate = self.cold_rate();
+                let until = now + record.cold_left;
+                self.admission.cold_mut().set_cold(until, rate);
+            }
+        }
+        if let Some(record) = records.iter().find(|record| !record.draining) {
+            self.admission.set_limit(record.capacity);
+        }
+        self.records = records;
+    }
+
+    /// Whether a target that a sender names is known to have left.
+    fn is_former(&self, target: &str) -> bool {
+        let record = self.records.iter().find(|record| record.id == target);
+        match record {
+            Some(record) => record.draining,
+            None => self.former.iter().any(|id| id == target),
+        }
+    }
+
+    fn close_or_open(&mut self) {
+        let drained = !self.records.is_empty() && self.records.iter().all(|record| record.draining);
+        let closed = if self.stopping {
+            Some(CloseReason::Stopping)
+        } else if self.domain_out {
+            Some(CloseReason::DomainOut)
+        } else if drained {
+            Some(CloseReason::Draining)
+        } else if self.down {
+            Some(CloseReason::Down)
+        } else {
+            None
+        };
+        self.admission.set_closed(closed);
+    }
+}
+
+/// A request in the queue; dropping it takes it out.
+struct QueuedRequest<'a> {
+    owner: &'a Arc<TargetOwner>,
+    key: Option<WaitKey>,
+    route: &'a SmolStr,
+    decision: oneshot::Receiver<Result<(), OfferRefusal>>,
+}
+
+impl QueuedRequest<'_> {
+    async fn wait(mut self) -> Result<RunningSlot, NotRun> {
+        let decision = (&mut self.decision).await;
+        self.key = None;
+        match decision {
+            Ok(Ok(())) => Ok(self.owner.slot(self.route)),
+            Ok(Err(refusal)) => Err(not_run(refusal)),
+            // The owner drops a sender only with its own end.
+            Err(_) => Err(NotRun::unseen(HopReason::Stopping)),
+        }
+    }
+}
+
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        let Some(key) = self.key else {
+            return;
+        };
+        let mut state = self.owner.state();
+        state.waiters.remove(&key);
+        if !state.admission.abandon(key) && matches!(self.decision.try_recv(), Ok(Ok(()))) {
+            state.admission.finish(self.route, None);
+            self.owner.decide(&mut state);
+        }
+    }
+}
+
+/// A request that runs at the target; dropping it gives the slot back.
+struct RunningSlot {
+    owner: Arc<TargetOwner>,
+    route: SmolStr,
+    started: Duration,
+    took: Option<Duration>,
+}
+
+impl Drop for RunningSlot {
+    fn drop(&mut self) {
+        let mut state = self.owner.state();
+        state.admission.finish(&self.route, self.took);
+        self.owner.decide(&mut state);
+    }
+}
+
+fn not_run(refusal: OfferRefusal) -> NotRun {
+    let reason = match refusal.reason {
+        RefuseReason::Full => HopReason::Full,
+        RefuseReason::Cold => HopReason::Cold,
+        RefuseReason::Expired => HopReason::Expired,
+        RefuseReason::Closed(CloseReason::Stopping) => HopReason::Stopping,
+        RefuseReason::Closed(CloseReason::Draining) => HopReason::Draining,
+        RefuseReason::Closed(CloseReason::DomainOut) => HopReason::DomainOut,
+        RefuseReason::Closed(CloseReason::Down) => HopReason::Down,
+    };
+    NotRun {
+        reason,
+        retry_after: refusal.retry_after,
+        reached_target: false,
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/peers.rs
@@ -0,0 +1,182 @@
+//! Requests to the daemons of other hosts.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use indexmap::IndexMap;
+use radishgauge_net::RequestProgress;
+use radishgauge_net::TargetBody;
+use radishgauge_net::TargetClient;
+use radishgauge_net::TargetError;
+use radishgauge_net::TargetLimits;
+use radishgauge_platform::message;
+use radishgauge_schema::hop::HopHead;
+use radishgauge_schema::hop::HopReason;
+use radishgauge_schema::hop::HopReport;
+use radishgauge_schema::hop::HopVerdict;
+
+use crate::answer::NotRun;
+use crate::answer::TargetOutcome;
+use crate::answer::WholeAnswer;
+use crate::hop;
+use crate::node::lock;
+use crate::target_call::WholeRequest;
+
+/// The connections to one daemon; requests beyond them wait.
+const CONNECTIONS: usize = 96;
+
+/// How long a connection to a daemon may take to open: several times the way
+/// between regions, and less than a caller's objective.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long an unused connection is kept; daemons keep theirs for longer.
+const CONNECTION_IDLE: Duration = Duration::from_secs(20);
+
+/// How long bytes to a daemon may stay unacknowledged. Longer than some
+/// retransmissions between regions, and shorter than callers wait.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
+
+/// The greatest body of an answer that is held, in bytes.
+const GREATEST_ANSWER: usize = 16 * 1024 * 1024;
+
+/// How an exchange with an owner ended.
+pub struct HopOutcome {
+    /// What became of the request.
+    pub outcome: TargetOutcome,
+    /// What the owner told, when it answered.
+    pub report: Option<HopReport>,
+}
+
+impl HopOutcome {
+    fn without_report(outcome: TargetOutcome) -> HopOutcome {
+        HopOutcome {
+            outcome,
+            report: None,
+        }
+    }
+}
+
+/// The connections to other daemons.
+pub struct PeerClients {
+    port: u16,
+    clients: Mutex<IndexMap<SocketAddr, TargetClient>>,
+}
+
+impl PeerClients {
+    /// Prepares clients for daemons that all listen on the same port.
+    pub fn new(port: u16) -> PeerClients {
+        PeerClients {
+            port,
+            clients: Mutex::default(),
+        }
+    }
+
+    /// Returns the address of the daemon beside a target.
+    pub fn address_of(&self, target: SocketAddr) -> SocketAddr {
+        SocketAddr::new(target.ip(), self.port)
+    }
+
+    /// Closes connections that were unused for long.
+    pub fn sweep(&self) {
+        for client in lock(&self.clients).values() {
+            client.sweep();
+        }
+    }
+
+    /// Returns the client of one daemon.
+    pub fn client(&self, address: SocketAddr) -> TargetClient {
+        let mut clients = lock(&self.clients);
+        let client = clients.entry(address).or_insert_with(|| {
+            TargetClient::new(
+                address,
+                TargetLimits {
+                    connections: CONNECTIONS,
+                    connect: CONNECT_TIMEOUT,
+                    idle: CONNECTION_IDLE,
+                    unacknowledged: Some(UNACKNOWLEDGED),
+                    ..TargetLimits::default()
+                },
+            )
+        });
+        client.clone()
+    }
+
+    /// Sends a request to the owner of a target.
+    pub async fn send(
+        &self,
+        peer: SocketAddr,
+        request: &WholeRequest,
+        head: &HopHead,
+        progress: &RequestProgress,
+    ) -> HopOutcome {
+        let mut headers = request.headers.clone();
+        hop::set_head(&mut headers, head);
+        let Ok(sending) = request.to_http(headers) else {
+            let refusal = NotRun::unseen(HopReason::Unspecified);
+            return HopOutcome::without_report(TargetOutcome::NotRun(refusal));
+        };
+        match exchange(&self.client(peer), sending, progress).await {
+            Ok((status, headers, body)) => read_answer(status, headers, body),
+            Err(error) if !error.sent => {
+                let refusal = NotRun::unseen(HopReason::Down);
+                HopOutcome::without_report(TargetOutcome::NotRun(refusal))
+            }
+            Err(_) => HopOutcome::without_report(TargetOutcome::MayHaveRun(
+                "connection to the owner ended",
+            )),
+        }
+    }
+}
+
+async fn exchange(
+    client: &TargetClient,
+    request: Request<TargetBody>,
+    progress: &RequestProgress,
+) -> Result<(StatusCode, HeaderMap, Bytes), TargetError> {
+    let answer = client.send_tracked(request, progress).await?;
+    let (head, mut body) = answer.into_parts();
+    let body = body.whole(GREATEST_ANSWER).await?;
+    Ok((head.status, head.headers, body))
+}
+
+fn read_answer(status: StatusCode, mut headers: HeaderMap, body: Bytes) -> HopOutcome {
+    let Some(report) = hop::take_report(&mut headers) else {
+        // The listener itself refuses before the owner sees a request, with
+        // this status only; anything else is not an owner's answer.
+        let outcome = match status {
+            StatusCode::SERVICE_UNAVAILABLE => {
+                TargetOutcome::NotRun(NotRun::unseen(HopReason::Full))
+            }
+            _ => TargetOutcome::MayHaveRun("answer without a report"),
+        };
+        return HopOutcome::without_report(outcome);
+    };
+    let outcome = match report.verdict() {
+        HopVerdict::Ran => {
+            message::strip_connection_fields(&mut headers);
+            TargetOutcome::Answered(WholeAnswer {
+                status,
+                headers,
+                body,
+            })
+        }
+        HopVerdict::NotRun => TargetOutcome::NotRun(NotRun {
+            reason: report.reason(),
+            retry_after: (report.retry_after_us > 0)
+                .then(|| Duration::from_micros(report.retry_after_us)),
+            reached_target: matches!(report.reason(), HopReason::Shed | HopReason::OtherTarget),
+        }),
+        HopVerdict::MayHaveRun | HopVerdict::Unspecified => {
+            TargetOutcome::MayHaveRun("the target did not answer its owner well")
+        }
+    };
+    HopOutcome {
+        outcome,
+        report: Some(report),
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/record.rs
@@ -0,0 +1,112 @@
+//! The log of decisions on requests, bounded in volume.
+//!
+//! Served requests are the many and tell the least, so failures and refusals
+//! have a budget of their own. Lines that are left out are counted and said.
+
+use std::fmt;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use radishgauge_events::events;
+use radishgauge_events::events::EventKind;
+
+/// Lines a second about requests that were served.
+const SERVED_RATE: f64 = 4.0;
+
+/// Lines a second about requests that were refused, failed or sent again.
+const OTHER_RATE: f64 = 25.0;
+
+/// For how many seconds of lines a budget saves up.
+const BURST_S: f64 = 2.0;
+
+/// How often the lines that were left out are said.
+const SAY_EVERY: Duration = Duration::from_secs(5);
+
+#[derive(Debug)]
+struct LineBudget {
+    rate: f64,
+    tokens: f64,
+    filled: Duration,
+    left_out: u64,
+}
+
+impl LineBudget {
+    fn new(rate: f64) -> LineBudget {
+        LineBudget {
+            rate,
+            tokens: rate * BURST_S,
+            filled: Duration::ZERO,
+            left_out: 0,
+        }
+    }
+
+    fn take(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.filled = now;
+        self.tokens = (self.tokens + passed * self.rate).min(self.rate * BURST_S);
+        if self.tokens < 1.0 {
+            self.left_out += 1;
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+#[derive(Debug)]
+struct RecordState {
+    served: LineBudget,
+    other: LineBudget,
+    said: Duration,
+}
+
+/// Writes lines about requests within the budgets.
+#[derive(Debug)]
+pub struct RequestRecord {
+    state: Mutex<RecordState>,
+}
+
+impl Default for RequestRecord {
+    fn default() -> RequestRecord {
+        RequestRecord {
+            state: Mutex::new(RecordState {
+                served: LineBudget::new(SERVED_RATE),
+                other: LineBudget::new(OTHER_RATE),
+                said: Duration::ZERO,
+            }),
+        }
+    }
+}
+
+impl RequestRecord {
+    /// Writes a line about a request that was served.
+    pub fn served(&self, request: &str, fields: fmt::Arguments<'_>, now: Duration) {
+        if self.allows(|state| &mut state.served, now) {
+            events::REQUEST_SERVED.emit_request(request, fields);
+        }
+    }
+
+    /// Writes a line about any other decision on a request.
+    pub fn other(&self, kind: &EventKind, request: &str, fields: fmt::Arguments<'_>, now: Duration) {
+        if self.allows(|state| &mut state.other, now) {
+            kind.emit_request(request, fields);
+        }
+    }
+
+    fn allows<F>(&self, budget: F, now: Duration) -> bool
+    where
+        F: FnOnce(&mut RecordState) -> &mut LineBudget,
+    {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if now.saturating_sub(state.said) >= SAY_EVERY {
+            state.said = now;
+            let served = std::mem::take(&mut state.served.left_out);
+            let other = std::mem::take(&mut state.other.left_out);
+            if served + other > 0 {
+                events::LINES_LEFT_OUT.emit(format_args!("served={served} other={other}"));
+            }
+        }
+        budget(&mut state).take(now)
+    }
+}
