Notice a target that crashes while no request runs

The owner keeps connections open, and a crash ends them all: the target's client counts how often the target ended the last open connection, and the admission restarts the ramp when the number grows.

The old test told the admission nothing at all, which no implementation can meet: an answer, a crash 1 ms later and an answer of the new life look the same as one life.

Ruled out: growing only on fresh answers (a second answer of the new life comes before its own step is over).

--- a/crates/daemon/src/receive.rs
+++ b/crates/daemon/src/receive.rs
@@ -151,6 +151,10 @@
             deadline: self.deadline,
             suspect: state == SuspectState::Suspect,
         };
+        if let Some(address) = self.address() {
+            let losses = self.node.targets.get(address).losses();
+            self.target.admission().see_losses(losses, now);
+        }
         let slot = self.target.enter(&request).await?;
         // The request may have been quarantined while it waited.
         let now = self.node.clock.now();
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -15,6 +15,7 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -183,7 +184,38 @@
     limits: TargetLimits,
     permits: Arc<Semaphore>,
     idle: Mutex<VecDeque<IdleConnection>>,
-    broken: Arc<AtomicU64>,
+    open: Arc<OpenConnections>,
+}
+
+/// Counts the open connections, and how often the target ended the last one.
+#[derive(Default)]
+struct OpenConnections {
+    count: AtomicUsize,
+    losses: AtomicU64,
+}
+
+/// One open connection; dropping it before [`OpenConnection::lose`] means that
+/// this end closed it.
+struct OpenConnection(Arc<OpenConnections>);
+
+impl OpenConnection {
+    fn begin(open: &Arc<OpenConnections>) -> OpenConnection {
+        open.count.fetch_add(1, Ordering::Relaxed);
+        OpenConnection(open.clone())
+    }
+
+    /// The target ended the connection.
+    fn lose(self) {
+        if self.0.count.load(Ordering::Relaxed) == 1 {
+            self.0.losses.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.count.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 struct IdleConnection {
@@ -213,7 +245,7 @@
                 limits,
                 permits: Arc::new(Semaphore::new(limits.connections)),
                 idle: Mutex::new(VecDeque::new()),
-                broken: Arc::default(),
+                open: Arc::default(),
             }),
         }
     }
@@ -228,10 +260,16 @@
         self.shared.idle().len()
     }
 
-    /// The connections that ended with an error so far. When the number grows,
-    /// the target may have crashed and started again.
-    pub fn broken(&self) -> u64 {
-        self.shared.broken.load(Ordering::Relaxed)
+    /// How often the target has ended the last open connection. When the number
+    /// grows, the target may have crashed and started again, even when no
+    /// request was under way.
+    pub fn losses(&self) -> u64 {
+        self.shared.open.losses.load(Ordering::Relaxed)
+    }
+
+    /// Closes the connections that are not in use.
+    pub fn close_idle(&self) {
+        self.shared.idle().clear();
     }
 
     /// Closes the connections that were idle for too long.
@@ -369,12 +407,11 @@
             .handshake(TokioIo::new(gated))
             .await
             .map_err(connect_error)?;
-        let broken = self.broken.clone();
+        let open = OpenConnection::begin(&self.open);
         let driver = tokio::spawn(async move {
             // The request under way reports the error.
-            if driver.await.is_err() {
-                broken.fetch_add(1, Ordering::Relaxed);
-            }
+            let _ = driver.await;
+            open.lose();
         });
         Ok(TargetConnection {
             sender,
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -355,3 +355,30 @@
     });
     assert_eq!(taken.err().unwrap().kind(), ErrorKind::AddrInUse);
 }
+
+// Guards against a target that crashes and starts again while no request runs:
+// nothing else tells its owner that it is cold.
+#[tokio::test]
+async fn lost_connections_are_noticed_while_none_is_in_use() {
+    let target = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = TargetClient::new(target.local_addr().unwrap(), TargetLimits::default());
+    let answered = async {
+        let (mut stream, _) = target.accept().await.unwrap();
+        let mut request = [0; 1024];
+        assert!(stream.read(&mut request).await.unwrap() > 0);
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(answer).await.unwrap();
+        stream
+    };
+    let (answer, stream) = tokio::join!(
+        client.send(post("/", TargetBody::whole(Vec::new()))),
+        answered
+    );
+    answer.unwrap().into_body().whole(0).await.unwrap();
+    assert_eq!((client.idle(), client.losses()), (1, 0));
+    drop(stream);
+    while client.losses() == 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(client.losses(), 1);
+}
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -69,8 +69,8 @@
     stopping: bool,
     domain_out: bool,
     down: bool,
-    /// Failed connections up to the last health check.
-    broken_seen: u64,
+    /// How often the target had ended all its connections.
+    losses: u64,
     timer: Option<Duration>,
 }
 
@@ -98,7 +98,7 @@
                 stopping: false,
                 domain_out: false,
                 down: false,
-                broken_seen: 0,
+                losses: 0,
                 timer: None,
             }),
             check: Notify::new(),
@@ -176,13 +176,15 @@
             events::TARGET_DOWN.emit(format_args!("error={error}"));
         }
         state.down = true;
+        // What is still open leads to the life before.
+        self.client().close_idle();
         state.close_or_open();
         self.decide(&mut state);
         self.check.notify_one();
     }
 
     /// Records that the target answered a health check.
-    pub fn record_up(self: &Arc<Self>, target: Option<&str>, cold_left: Duration, broken: u64) {
+    pub fn record_up(self: &Arc<Self>, target: Option<&str>, cold_left: Duration, losses: u64) {
         let now = self.clock.now();
         let mut state = self.state();
         if state.down {
@@ -191,7 +193,7 @@
             events::TARGET_UP.emit(format_args!("target={id} cold_ms={cold_ms}"));
         }
         state.down = false;
-        state.broken_seen = broken;
+        state.losses = losses;
         if cold_left.is_zero() {
             state.admission.cold_mut().set_warm();
         } else {
@@ -247,16 +249,16 @@
         target: &str,
         offer: &OfferRequest,
     ) -> Result<RunningSlot, NotRun> {
-        let broken = self.client().broken();
+        let losses = self.client().losses();
         let waiter = {
             let now = self.clock.now();
             let mut state = self.state();
             if state.is_former(target) {
                 return Err(NotRun::unseen(HopReason::Draining));
             }
-            if state.broken_seen != broken {
-                state.broken_seen = broken;
-                events::TARGET_UNSURE.emit(format_args!("reason=broken connection"));
+            if state.losses != losses {
+                state.losses = losses;
+                events::TARGET_UNSURE.emit(format_args!("reason=all connections ended"));
                 state.suspect(now);
                 self.check.notify_one();
             }
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -55,12 +55,12 @@
             continue;
         };
         let client = node.owner.client();
-        let broken = client.broken();
+        let losses = client.losses();
         match check(&client, &policy.health_path).await {
             CheckOutcome::Answered(word) => {
                 silent = 0;
                 let target = word.target.as_deref();
-                node.owner.record_up(target, word.cold_left, broken);
+                node.owner.record_up(target, word.cold_left, losses);
             }
             CheckOutcome::Refused(error) => node.owner.record_down(&error),
             CheckOutcome::Silent => {
--- a/crates/traffic/src/admit.rs
+++ b/crates/traffic/src/admit.rs
@@ -125,6 +125,8 @@
     ramp: TargetRamp,
     queue: AdmissionQueue,
     next_waiter: u64,
+    /// How often the target had ended all its connections.
+    losses: u64,
 }
 
 impl TargetAdmission {
@@ -146,6 +148,7 @@
                 ),
                 queue: AdmissionQueue::default(),
                 next_waiter: 0,
+                losses: 0,
             }),
         }
     }
@@ -241,6 +244,17 @@
         (Refusal::new(RefusalReason::TargetDown), wakes)
     }
 
+    /// Takes note of how often the target has ended all its connections so far.
+    /// One that did so since the last time may have crashed while no request
+    /// ran, and is cold. To be called before [`TargetAdmission::admit`].
+    pub fn see_losses(&self, losses: u64, now: Duration) {
+        let mut state = self.lock();
+        if state.losses != losses {
+            state.losses = losses;
+            state.ramp.restart(now);
+        }
+    }
+
     /// Ends a request that was handed over. Returns the decisions on waiting
     /// requests that the free slot allows.
     pub fn finish(&self, ticket: RunningTicket, outcome: RunOutcome, now: Duration) -> Vec<Wake> {
--- a/crates/traffic/tests/traffic/admission.rs
+++ b/crates/traffic/tests/traffic/admission.rs
@@ -419,8 +419,11 @@
     let mut load = BorneLoad::cold(cold);
     let mut running = VecDeque::new();
     let (mut now, mut down_until) = (0, 0);
+    // A target that crashes ends the connections that its owner keeps open.
+    let mut losses = 0;
     for (event, number) in events.iter().copied() {
         now += number;
+        admission.see_losses(losses, ms(now));
         load.advance(now);
         let mut wakes = Vec::new();
         match event {
@@ -440,6 +443,7 @@
             }
             38 if idle_crashes || !running.is_empty() => {
                 down_until = now + number * 10;
+                losses += 1;
                 load = BorneLoad::cold(cold);
                 for ticket in running.drain(..) {
                     wakes.extend(admission.finish(ticket, RunOutcome::Crashed, ms(now)));
