Read targets' answers with a reader of our own

The reader knows where an answer ends, so it passes over one that carries another request's identity and reads on. It also writes a long body to its end after an early answer, honours Keep-Alive, and needs no task per connection.

--- /dev/null
+++ b/crates/net/src/answer_reader.rs
@@ -0,0 +1,297 @@
+//! Reads answers from a connection to a target.
+//!
+//! The reader knows exactly where an answer ends. That tells a whole answer
+//! from one that was cut off, and lets the connection go on after an answer
+//! that belongs to another request.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use http::Version;
+use http::header;
+use http::response::Parts;
+use httparse::Status;
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
+
+/// The greatest number of header fields in an answer.
+const HEADER_FIELDS: usize = 96;
+
+/// The greatest line of a chunk's size or of a trailer, in bytes.
+const GREATEST_LINE: usize = 8 * 1024;
+
+/// What is still to come of an answer's body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum BodyRest {
+    /// So many bytes.
+    Length(u64),
+    /// The size of the next chunk.
+    ChunkSize,
+    /// So many bytes of a chunk, then its line end.
+    Chunk(u64),
+    /// The fields after the last chunk.
+    Trailers,
+    /// All bytes up to the end of the connection.
+    UntilEnd,
+    /// Nothing.
+    Done,
+}
+
+/// The head of an answer.
+#[derive(Debug)]
+pub(crate) struct AnswerHead {
+    /// Status and fields.
+    pub(crate) parts: Parts,
+    /// Its body.
+    pub(crate) rest: BodyRest,
+    /// Whether the connection may be used again.
+    pub(crate) keep: bool,
+    /// How long the target keeps the connection unused, when it says so.
+    pub(crate) idle: Option<Duration>,
+}
+
+/// Reads the answers of one connection in turn.
+pub(crate) struct AnswerReader {
+    stream: OwnedReadHalf,
+    buffer: BytesMut,
+    head_limit: usize,
+}
+
+impl AnswerReader {
+    pub(crate) fn new(stream: OwnedReadHalf, head_limit: usize) -> AnswerReader {
+        AnswerReader {
+            stream,
+            buffer: BytesMut::new(),
+            head_limit,
+        }
+    }
+
+    /// Says what an unused connection shows without waiting.
+    pub(crate) fn unused(&mut self) -> UnusedState {
+        if !self.buffer.is_empty() {
+            return UnusedState::Unasked;
+        }
+        let mut byte = [0];
+        match self.stream.try_read(&mut byte) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => UnusedState::Quiet,
+            Ok(1..) => UnusedState::Unasked,
+            Ok(0) | Err(_) => UnusedState::Ended,
+        }
+    }
+
+    /// Reads the head of the next final answer to a request of the method.
+    pub(crate) async fn head(&mut self, method: &Method) -> io::Result<AnswerHead> {
+        loop {
+            let head = loop {
+                if let Some(head) = self.parse_head(method)? {
+                    break head;
+                }
+                if self.buffer.len() >= self.head_limit {
+                    return Err(invalid("the head of the answer is too long"));
+                }
+                self.fill().await?;
+            };
+            if !head.parts.status.is_informational() {
+                return Ok(head);
+            }
+        }
+    }
+
+    /// Returns the next piece of a body, or `None` after its end.
+    pub(crate) async fn data(&mut self, rest: &mut BodyRest) -> io::Result<Option<Bytes>> {
+        loop {
+            match *rest {
+                BodyRest::Done | BodyRest::Length(0) => {
+                    *rest = BodyRest::Done;
+                    return Ok(None);
+                }
+                BodyRest::Length(left) => {
+                    let data = self.piece(left).await?;
+                    *rest = BodyRest::Length(left - data.len() as u64);
+                    return Ok(Some(data));
+                }
+                BodyRest::UntilEnd => return self.until_end(rest).await,
+                BodyRest::ChunkSize => {
+                    let size = self.chunk_size().await?;
+                    *rest = match size {
+                        0 => BodyRest::Trailers,
+                        size => BodyRest::Chunk(size),
+                    };
+                }
+                BodyRest::Chunk(0) => {
+                    if !self.line().await?.is_empty() {
+                        return Err(invalid("a chunk is longer than its size"));
+                    }
+                    *rest = BodyRest::ChunkSize;
+                }
+                BodyRest::Chunk(left) => {
+                    let data = self.piece(left).await?;
+                    *rest = BodyRest::Chunk(left - data.len() as u64);
+                    return Ok(Some(data));
+                }
+                BodyRest::Trailers => {
+                    if self.line().await?.is_empty() {
+                        *rest = BodyRest::Done;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn until_end(&mut self, rest: &mut BodyRest) -> io::Result<Option<Bytes>> {
+        if self.buffer.is_empty() && self.stream.read_buf(&mut self.buffer).await? == 0 {
+            *rest = BodyRest::Done;
+            return Ok(None);
+        }
+        Ok(Some(self.buffer.split().freeze()))
+    }
+
+    async fn piece(&mut self, most: u64) -> io::Result<Bytes> {
+        if self.buffer.is_empty() {
+            self.fill().await?;
+        }
+        let length = usize::try_from(most)
+            .unwrap_or(usize::MAX)
+            .min(self.buffer.len());
+        Ok(self.buffer.split_to(length).freeze())
+    }
+
+    async fn chunk_size(&mut self) -> io::Result<u64> {
+        let mut line = self.line().await?;
+        line.extend_from_slice(b"\r\n");
+        match httparse::parse_chunk_size(&line) {
+            Ok(Status::Complete((_, size))) => Ok(size),
+            Ok(Status::Partial) | Err(_) => Err(invalid("the size of a chunk cannot be read")),
+        }
+    }
+
+    /// Reads one line and returns it without its end.
+    async fn line(&mut self) -> io::Result<BytesMut> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+                let mut line = self.buffer.split_to(end);
+                self.buffer.advance(1);
+                if line.ends_with(b"\r") {
+                    line.truncate(end - 1);
+                }
+                return Ok(line);
+            }
+            if self.buffer.len() > GREATEST_LINE {
+                return Err(invalid("a line of the answer is too long"));
+            }
+            self.fill().await?;
+        }
+    }
+
+    async fn fill(&mut self) -> io::Result<()> {
+        if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(())
+    }
+
+    /// Parses a head that has arrived whole.
+    fn parse_head(&mut self, method: &Method) -> io::Result<Option<AnswerHead>> {
+        let mut fields = [httparse::EMPTY_HEADER; HEADER_FIELDS];
+        let mut answer = httparse::Response::new(&mut fields);
+        let length = match answer.parse(&self.buffer) {
+            Ok(Status::Complete(length)) => length,
+            Ok(Status::Partial) => return Ok(None),
+            Err(error) => return Err(invalid(&error.to_string())),
+        };
+        let status = StatusCode::from_u16(answer.code.unwrap_or_default())
+            .map_err(|error| invalid(&error.to_string()))?;
+        let mut headers = HeaderMap::with_capacity(answer.headers.len());
+        for field in answer.headers.iter() {
+            let name = HeaderName::from_bytes(field.name.as_bytes());
+            let name = name.map_err(|error| invalid(&error.to_string()))?;
+            let value = HeaderValue::from_bytes(field.value);
+            let value = value.map_err(|error| invalid(&error.to_string()))?;
+            headers.append(name, value);
+        }
+        let keeps = answer.version == Some(1);
+        self.buffer.advance(length);
+        let rest = body_rest(method, status, &headers)?;
+        let closes = names_close(&headers) || rest == BodyRest::UntilEnd;
+        let idle = keep_alive_timeout(&headers);
+        let (mut parts, ()) = Response::new(()).into_parts();
+        parts.status = status;
+        parts.version = Version::HTTP_11;
+        parts.headers = headers;
+        Ok(Some(AnswerHead {
+            parts,
+            rest,
+            keep: keeps && !closes,
+            idle,
+        }))
+    }
+}
+
+/// What an unused connection shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum UnusedState {
+    /// Nothing has come.
+    Quiet,
+    /// Bytes have come that nobody asked for.
+    Unasked,
+    /// The target has ended the connection.
+    Ended,
+}
+
+fn body_rest(method: &Method, status: StatusCode, headers: &HeaderMap) -> io::Result<BodyRest> {
+    let without = *method == Method::HEAD
+        || status.is_informational()
+        || status == StatusCode::NO_CONTENT
+        || status == StatusCode::NOT_MODIFIED;
+    if without {
+        return Ok(BodyRest::Done);
+    }
+    if let Some(coding) = headers.get_all(header::TRANSFER_ENCODING).iter().last() {
+        let last = coding.as_bytes().rsplit(|byte| *byte == b',').next();
+        let chunked = last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"));
+        return Ok(if chunked {
+            BodyRest::ChunkSize
+        } else {
+            BodyRest::UntilEnd
+        });
+    }
+    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
+    let Some(first) = lengths.next() else {
+        return Ok(BodyRest::UntilEnd);
+    };
+    if lengths.any(|length| length != first) {
+        return Err(invalid("the answer has several lengths"));
+    }
+    let length = first.to_str().ok().and_then(|text| text.parse().ok());
+    length
+        .map(BodyRest::Length)
+        .ok_or_else(|| invalid("the length of the answer cannot be read"))
+}
+
+fn names_close(headers: &HeaderMap) -> bool {
+    let fields = headers.get_all(header::CONNECTION).iter();
+    fields
+        .flat_map(|value| value.as_bytes().split(|byte| *byte == b','))
+        .any(|option| option.trim_ascii().eq_ignore_ascii_case(b"close"))
+}
+
+fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    text.split(',').find_map(|parameter| {
+        let seconds = parameter.trim().strip_prefix("timeout=")?;
+        Some(Duration::from_secs(seconds.trim().parse().ok()?))
+    })
+}
+
+fn invalid(problem: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, problem.to_owned())
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -5,6 +5,7 @@
 //! decides nothing about routes or versions: it moves bytes, enforces size
 //! limits, and reports exactly whether a request may have left the process.
 
+mod answer_reader;
 pub mod authority;
 pub mod call;
 pub mod clock;
@@ -20,6 +21,7 @@
 mod room;
 pub mod session;
 pub mod target;
+mod target_connection;
 mod transport;
 
 pub use authority::KeyAuthority;
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -7,27 +7,26 @@
 //! path behind it may have gone silent.
 
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use futures_util::Stream;
 use futures_util::StreamExt;
+use http::Method;
 use http::Request;
 use http::Response;
+use http::response::Parts;
 use http_body::Body;
 use http_body::Frame;
 use http_body::SizeHint;
@@ -35,20 +34,24 @@
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::client::conn::http1::SendRequest;
-use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
-use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use crate::answer_reader::AnswerHead;
+use crate::answer_reader::BodyRest;
+use crate::answer_reader::UnusedState;
 use crate::exchange::BoxError;
-use crate::gate::GatedStream;
 use crate::gate::WriteGate;
+use crate::target_connection::OpenConnections;
+use crate::target_connection::OutgoingRequest;
+use crate::target_connection::TargetConnection;
+
+/// The part of the time for which a target keeps an unused connection during
+/// which it is used again; a request must not cross its end.
+const IDLE_PART: f64 = 0.8;
 
 /// Bounds of the connections to one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -109,14 +112,19 @@
 /// The body of a request to a target.
 pub struct TargetBody {
     inner: UnsyncBoxBody<Bytes, BoxError>,
-    done: Arc<AtomicBool>,
+    /// The bytes, when all are at hand.
+    whole: Option<Bytes>,
 }
 
 impl TargetBody {
     /// A body that is at hand.
     pub fn whole(bytes: impl Into<Bytes>) -> TargetBody {
-        let whole = Full::new(bytes.into()).map_err(|never| match never {});
-        TargetBody::boxed(whole.boxed_unsync())
+        let bytes = bytes.into();
+        let whole = Full::new(bytes.clone()).map_err(|never| match never {});
+        TargetBody {
+            inner: whole.boxed_unsync(),
+            whole: Some(bytes),
+        }
     }
 
     /// A body that is sent as it arrives; an error of the stream closes the
@@ -125,12 +133,16 @@
     where
         S: Stream<Item = Result<Bytes, BoxError>> + Send + 'static,
     {
-        TargetBody::boxed(StreamBody::new(stream.map(|data| data.map(Frame::data))).boxed_unsync())
+        let pieces = StreamBody::new(stream.map(|data| data.map(Frame::data)));
+        TargetBody {
+            inner: pieces.boxed_unsync(),
+            whole: None,
+        }
     }
 
-    fn boxed(inner: UnsyncBoxBody<Bytes, BoxError>) -> TargetBody {
-        let done = Arc::new(AtomicBool::new(inner.is_end_stream()));
-        TargetBody { inner, done }
+    /// Returns the bytes, when all are at hand.
+    pub(crate) fn as_whole(&self) -> Option<&Bytes> {
+        self.whole.as_ref()
     }
 }
 
@@ -142,11 +154,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        let polled = Pin::new(&mut self.inner).poll_frame(cx);
-        if matches!(polled, Poll::Ready(None)) || self.inner.is_end_stream() {
-            self.done.store(true, Ordering::Release);
-        }
-        polled
+        Pin::new(&mut self.inner).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -187,55 +195,11 @@
     open: Arc<OpenConnections>,
 }
 
-/// Counts the open connections, and how often the target ended the last one.
-#[derive(Default)]
-struct OpenConnections {
-    count: AtomicUsize,
-    losses: AtomicU64,
-}
-
-/// One open connection; dropping it before [`OpenConnection::lose`] means that
-/// this end closed it.
-struct OpenConnection(Arc<OpenConnections>);
-
-impl OpenConnection {
-    fn begin(open: &Arc<OpenConnections>) -> OpenConnection {
-        open.count.fetch_add(1, Ordering::Relaxed);
-        OpenConnection(open.clone())
-    }
-
-    /// The target ended the connection.
-    fn lose(self) {
-        if self.0.count.load(Ordering::Relaxed) == 1 {
-            self.0.losses.fetch_add(1, Ordering::Relaxed);
-        }
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.count.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 struct IdleConnection {
     connection: TargetConnection,
     since: Instant,
 }
 
-/// One connection; dropping it closes it.
-struct TargetConnection {
-    sender: SendRequest<TargetBody>,
-    gates: Arc<ArcSwap<WriteGate>>,
-    driver: AbortHandle,
-}
-
-impl Drop for TargetConnection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 impl TargetClient {
     /// Prepares a client; connections are opened when they are needed.
     pub fn new(address: SocketAddr, limits: TargetLimits) -> TargetClient {
@@ -264,6 +228,7 @@
     /// grows, the target may have crashed and started again, even when no
     /// request was under way.
     pub fn losses(&self) -> u64 {
+        self.shared.drop_ended();
         self.shared.open.losses.load(Ordering::Relaxed)
     }
 
@@ -304,50 +269,99 @@
         request: Request<TargetBody>,
         progress: &RequestProgress,
     ) -> Result<Response<TargetAnswer>, TargetError> {
-        let body_done = request.body().done.clone();
+        self.send_matched(request, progress, |_| true).await
+    }
+
+    /// As [`TargetClient::send_tracked`], for targets that may send an answer
+    /// twice: answers that do not belong to the request are passed over.
+    ///
+    /// # Errors
+    ///
+    /// As [`TargetClient::send`].
+    pub async fn send_matched<F>(
+        &self,
+        request: Request<TargetBody>,
+        progress: &RequestProgress,
+        belongs: F,
+    ) -> Result<Response<TargetAnswer>, TargetError>
+    where
+        F: Fn(&Parts) -> bool,
+    {
         let permits = self.shared.permits.clone();
         // The semaphore is never closed.
         let permit = permits.acquire_owned().await.map_err(connect_error)?;
-        let mut request = Some(request);
+        let method = request.method().clone();
+        let (mut connection, gate) = self.write(request, progress).await?;
+        match connection.matched(&method, belongs).await {
+            Ok(head) => Ok(self.answer(connection, head, permit)),
+            Err(error) => {
+                self.shared.lose(connection);
+                Err(TargetError {
+                    fault: TargetFault::Lost(error.to_string()),
+                    sent: gate.shut(),
+                })
+            }
+        }
+    }
+
+    /// Writes the request to an unused connection, or to a new one. A request
+    /// of which nothing was written goes to the next connection.
+    async fn write(
+        &self,
+        request: Request<TargetBody>,
+        progress: &RequestProgress,
+    ) -> Result<(TargetConnection, Arc<WriteGate>), TargetError> {
+        let mut request = OutgoingRequest::encode(request);
         loop {
-            let (mut connection, fresh) = match self.shared.reuse().await {
+            let (mut connection, fresh) = match self.shared.reuse() {
                 Some(connection) => (connection, false),
                 None => (self.shared.connect().await?, true),
             };
             let gate = Arc::new(WriteGate::default());
-            connection.gates.store(gate.clone());
             progress.gate.store(Some(gate.clone()));
-            let Some(sending) = request.take() else {
-                return Err(TargetError {
-                    fault: TargetFault::Lost("the request was already sent".to_owned()),
-                    sent: true,
-                });
+            let again = match &request {
+                OutgoingRequest::Whole(bytes) => Some(OutgoingRequest::Whole(bytes.clone())),
+                OutgoingRequest::Long { .. } => None,
             };
-            let response = match connection.sender.try_send_request(sending).await {
-                Ok(response) => response,
-                Err(mut error) => {
-                    let sent = gate.shut();
-                    let message = error.take_message();
-                    if !sent && !fresh && message.is_some() {
-                        request = message;
-                        continue;
-                    }
+            let Err(error) = connection.write(request, &gate).await else {
+                return Ok((connection, gate));
+            };
+            let sent = gate.shut();
+            self.shared.lose(connection);
+            match again {
+                Some(again) if !sent && !fresh => request = again,
+                _ => {
                     return Err(TargetError {
-                        fault: TargetFault::Lost(error.into_error().to_string()),
+                        fault: TargetFault::Lost(error.to_string()),
                         sent,
                     });
                 }
-            };
-            let (head, body) = response.into_parts();
-            let lease = ConnectionLease {
-                connection: Some(connection),
-                shared: self.shared.clone(),
-                body_done,
-                _permit: permit,
-            };
-            return Ok(Response::from_parts(head, TargetAnswer { body, lease }));
+            }
         }
     }
+
+    fn answer(
+        &self,
+        mut connection: TargetConnection,
+        head: AnswerHead,
+        permit: OwnedSemaphorePermit,
+    ) -> Response<TargetAnswer> {
+        connection.idle = head.idle.or(connection.idle);
+        let length = match head.rest {
+            BodyRest::Length(length) => Some(length),
+            BodyRest::Done => Some(0),
+            _ => None,
+        };
+        let body = TargetAnswer {
+            connection: Some(connection),
+            rest: head.rest,
+            keep: head.keep,
+            length,
+            shared: self.shared.clone(),
+            _permit: permit,
+        };
+        Response::from_parts(head.parts, body)
+    }
 }
 
 fn connect_error(error: impl std::fmt::Display) -> TargetError {
@@ -357,6 +371,23 @@
     }
 }
 
+impl TargetConnection {
+    /// Reads the head of the answer that belongs to the request, and passes
+    /// over those that do not.
+    async fn matched<F>(&mut self, method: &Method, belongs: F) -> io::Result<AnswerHead>
+    where
+        F: Fn(&Parts) -> bool,
+    {
+        loop {
+            let mut head = self.head(method).await?;
+            if belongs(&head.parts) || !head.keep {
+                return Ok(head);
+            }
+            while self.reader.data(&mut head.rest).await?.is_some() {}
+        }
+    }
+}
+
 impl TargetShared {
     fn idle(&self) -> MutexGuard<'_, VecDeque<IdleConnection>> {
         // The queue is whole between any two of its operations.
@@ -364,27 +395,46 @@
     }
 
     fn sweep(&self) {
-        let mut idle = self.idle();
-        // The front was returned first, so the first fresh one ends the search.
-        while idle
-            .front()
-            .is_some_and(|front| front.since.elapsed() >= self.limits.idle)
-        {
-            idle.pop_front();
-        }
+        let limit = self.limits.idle;
+        let kept = |idle: &IdleConnection| {
+            let told = idle.connection.idle.map(|told| told.mul_f64(IDLE_PART));
+            idle.since.elapsed() < told.map_or(limit, |told| told.min(limit))
+        };
+        self.idle().retain(kept);
+        self.drop_ended();
+    }
+
+    /// Drops the unused connections that the target has ended.
+    fn drop_ended(&self) {
+        self.idle()
+            .retain_mut(|idle| match idle.connection.reader.unused() {
+                UnusedState::Quiet => true,
+                UnusedState::Unasked => false,
+                UnusedState::Ended => {
+                    self.open.lose_one();
+                    false
+                }
+            });
+    }
+
+    /// Closes a connection that failed in use.
+    fn lose(&self, connection: TargetConnection) {
+        self.drop_ended();
+        self.open.lose_one();
+        drop(connection);
     }
 
     /// Returns the connection that was used last, when it is fit for use.
-    async fn reuse(&self) -> Option<TargetConnection> {
-        loop {
-            self.sweep();
-            let mut connection = self.idle().pop_back()?.connection;
-            // Both bodies of the last request were whole, so the connection's
-            // task needs at most its next turn to be ready.
-            if connection.sender.ready().await.is_ok() {
-                return Some(connection);
-            }
-        }
+    fn reuse(&self) -> Option<TargetConnection> {
+        self.sweep();
+        Some(self.idle().pop_back()?.connection)
+    }
+
+    fn give_back(&self, connection: TargetConnection) {
+        self.idle().push_back(IdleConnection {
+            connection,
+            since: Instant::now(),
+        });
     }
 
     async fn connect(&self) -> Result<TargetConnection, TargetError> {
@@ -400,56 +450,21 @@
                 .set_tcp_user_timeout(self.limits.unacknowledged)
                 .map_err(connect_error)?;
         }
-        let gates = Arc::new(ArcSwap::default());
-        let gated = GatedStream::new(stream, gates.clone());
-        let (sender, driver) = http1::Builder::new()
-            .max_buf_size(self.limits.head)
-            .handshake(TokioIo::new(gated))
-            .await
-            .map_err(connect_error)?;
-        let open = OpenConnection::begin(&self.open);
-        let driver = tokio::spawn(async move {
-            // The request under way reports the error.
-            let _ = driver.await;
-            open.lose();
-        });
-        Ok(TargetConnection {
-            sender,
-            gates,
-            driver: driver.abort_handle(),
-        })
+        Ok(TargetConnection::new(stream, self.limits.head, &self.open))
     }
 }
 
-/// Holds a connection while its answer is read; returns it to the pool after a
-/// whole exchange and closes it otherwise.
-struct ConnectionLease {
+/// The body of a target's answer. Dropping it before its end closes the connection.
+pub struct TargetAnswer {
+    /// `None` after the end.
     connection: Option<TargetConnection>,
+    rest: BodyRest,
+    keep: bool,
+    length: Option<u64>,
     shared: Arc<TargetShared>,
-    body_done: Arc<AtomicBool>,
     _permit: OwnedSemaphorePermit,
 }
 
-impl ConnectionLease {
-    fn end(&mut self) {
-        let Some(connection) = self.connection.take() else {
-            return;
-        };
-        if self.body_done.load(Ordering::Acquire) && !connection.sender.is_closed() {
-            self.shared.idle().push_back(IdleConnection {
-                connection,
-                since: Instant::now(),
-            });
-        }
-    }
-}
-
-/// The body of a target's answer. Dropping it before its end closes the connection.
-pub struct TargetAnswer {
-    body: Incoming,
-    lease: ConnectionLease,
-}
-
 impl TargetAnswer {
     /// Returns the next piece, or `None` after the whole body.
     ///
@@ -457,35 +472,55 @@
     ///
     /// When the body was cut off; the pieces before are not a complete answer.
     pub async fn data(&mut self) -> Result<Option<Bytes>, TargetError> {
-        loop {
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(data) = frame.into_data() {
-                        return Ok(Some(data));
-                    }
-                }
-                Some(Err(error)) => {
-                    return Err(TargetError {
-                        fault: TargetFault::Cut(error.to_string()),
-                        sent: true,
-                    });
-                }
-                None => {
-                    self.lease.end();
-                    return Ok(None);
+        let Some(connection) = &mut self.connection else {
+            return Ok(None);
+        };
+        match connection.reader.data(&mut self.rest).await {
+            Ok(Some(data)) => Ok(Some(data)),
+            Ok(None) => {
+                self.end();
+                Ok(None)
+            }
+            Err(error) => {
+                if let Some(connection) = self.connection.take() {
+                    self.shared.lose(connection);
                 }
+                Err(TargetError {
+                    fault: TargetFault::Cut(error.to_string()),
+                    sent: true,
+                })
             }
         }
     }
 
+    /// Returns the connection to the pool after a whole exchange.
+    fn end(&mut self) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+        if !self.keep {
+            return;
+        }
+        if connection.is_written() {
+            self.shared.give_back(connection);
+            return;
+        }
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            if connection.finish_writing().await {
+                shared.give_back(connection);
+            }
+        });
+    }
+
     /// Whether the whole body was received.
     pub fn is_whole(&self) -> bool {
-        self.body.is_end_stream()
+        matches!(self.rest, BodyRest::Done | BodyRest::Length(0))
     }
 
     /// The length of the body when the target declared it.
     pub fn length(&self) -> Option<u64> {
-        self.body.size_hint().exact()
+        self.length
     }
 
     /// Receives the whole body.
--- /dev/null
+++ b/crates/net/src/target_connection.rs
@@ -0,0 +1,282 @@
+//! One connection to a target: writes requests and reads their answers.
+//!
+//! A target may answer before it has read a long request, and reads the rest
+//! later. A long body is therefore written by a task of its own, which goes on
+//! after the answer.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::Method;
+use http::Request;
+use http::header;
+use http::request::Parts;
+use http_body::Body;
+use http_body_util::BodyExt;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::task::JoinHandle;
+
+use crate::answer_reader::AnswerHead;
+use crate::answer_reader::AnswerReader;
+use crate::gate::WriteGate;
+use crate::target::TargetBody;
+
+/// The greatest request that is written in one go; it fits into the buffers of
+/// a connection, so that the target need not read for it to be written.
+const WHOLE_REQUEST: usize = 16 * 1024;
+
+/// How long the rest of a body may take after the whole answer has come.
+const REST_TIME: Duration = Duration::from_secs(5);
+
+/// Counts the open connections, and how often the target ended the last one.
+#[derive(Debug, Default)]
+pub(crate) struct OpenConnections {
+    pub(crate) count: AtomicUsize,
+    pub(crate) losses: AtomicU64,
+}
+
+impl OpenConnections {
+    /// Records that the target ended one of the connections.
+    pub(crate) fn lose_one(&self) {
+        if self.count.load(Ordering::Relaxed) == 1 {
+            self.losses.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// The half of a connection that writes.
+enum WriteSide {
+    /// Nothing is being written.
+    Free(OwnedWriteHalf),
+    /// A task writes the rest of a body.
+    Busy(JoinHandle<io::Result<OwnedWriteHalf>>),
+    /// Lost with an error.
+    Lost,
+}
+
+/// One connection; dropping it closes it.
+pub(crate) struct TargetConnection {
+    pub(crate) reader: AnswerReader,
+    writer: WriteSide,
+    open: Arc<OpenConnections>,
+    /// How long the target keeps the connection unused, when it says so.
+    pub(crate) idle: Option<Duration>,
+}
+
+impl Drop for TargetConnection {
+    fn drop(&mut self) {
+        self.open.count.fetch_sub(1, Ordering::Relaxed);
+        if let WriteSide::Busy(task) = &self.writer {
+            task.abort();
+        }
+    }
+}
+
+impl TargetConnection {
+    pub(crate) fn new(
+        stream: TcpStream,
+        head_limit: usize,
+        open: &Arc<OpenConnections>,
+    ) -> TargetConnection {
+        open.count.fetch_add(1, Ordering::Relaxed);
+        let (reader, writer) = stream.into_split();
+        TargetConnection {
+            reader: AnswerReader::new(reader, head_limit),
+            writer: WriteSide::Free(writer),
+            open: open.clone(),
+            idle: None,
+        }
+    }
+
+    /// Writes a request and returns when the answer may be read. Nothing was
+    /// written when it fails and the gate was not passed.
+    pub(crate) async fn write(
+        &mut self,
+        request: OutgoingRequest,
+        gate: &Arc<WriteGate>,
+    ) -> io::Result<()> {
+        let WriteSide::Free(mut half) = std::mem::replace(&mut self.writer, WriteSide::Lost) else {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        };
+        match request {
+            OutgoingRequest::Whole(bytes) => {
+                write_all(&mut half, &bytes, gate).await?;
+                self.writer = WriteSide::Free(half);
+            }
+            OutgoingRequest::Long { head, body } => {
+                let gate = gate.clone();
+                self.writer = WriteSide::Busy(tokio::spawn(async move {
+                    write_long(&mut half, &head, body, &gate).await?;
+                    Ok(half)
+                }));
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads the head of the next answer, while the rest of a body is written.
+    pub(crate) async fn head(&mut self, method: &Method) -> io::Result<AnswerHead> {
+        if let WriteSide::Busy(task) = &mut self.writer {
+            let mut read = std::pin::pin!(self.reader.head(method));
+            tokio::select! {
+                biased;
+                head = &mut read => return head,
+                written = task => match written {
+                    Ok(Ok(half)) => self.writer = WriteSide::Free(half),
+                    Ok(Err(error)) => {
+                        self.writer = WriteSide::Lost;
+                        return Err(error);
+                    }
+                    Err(error) => {
+                        self.writer = WriteSide::Lost;
+                        return Err(io::Error::other(error));
+                    }
+                },
+            }
+            return read.await;
+        }
+        self.reader.head(method).await
+    }
+
+    /// Waits until the whole request is written; `false` when it never will be.
+    pub(crate) async fn finish_writing(&mut self) -> bool {
+        if let WriteSide::Busy(task) = &mut self.writer {
+            self.writer = match tokio::time::timeout(REST_TIME, task).await {
+                Ok(Ok(Ok(half))) => WriteSide::Free(half),
+                // The connection is of no more use, and is closed.
+                Ok(_) | Err(_) => return false,
+            };
+        }
+        self.is_written()
+    }
+
+    /// Whether the whole request is written.
+    pub(crate) fn is_written(&self) -> bool {
+        matches!(self.writer, WriteSide::Free(_))
+    }
+}
+
+/// A request in the form in which it is written.
+pub(crate) enum OutgoingRequest {
+    /// Head and body together.
+    Whole(Bytes),
+    /// A head, and a body that is long or still to come.
+    Long {
+        head: Bytes,
+        body: Pin<Box<TargetBody>>,
+    },
+}
+
+impl OutgoingRequest {
+    /// Encodes a request whose target is in origin form.
+    pub(crate) fn encode(request: Request<TargetBody>) -> OutgoingRequest {
+        let (parts, body) = request.into_parts();
+        let length = body.size_hint().exact();
+        let mut head = encode_head(&parts, length);
+        match body.as_whole() {
+            Some(bytes) if head.len() + bytes.len() <= WHOLE_REQUEST => {
+                head.extend_from_slice(bytes);
+                OutgoingRequest::Whole(head.freeze())
+            }
+            _ => OutgoingRequest::Long {
+                head: head.freeze(),
+                body: Box::pin(body),
+            },
+        }
+    }
+}
+
+fn encode_head(parts: &Parts, length: Option<u64>) -> BytesMut {
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let mut head = BytesMut::with_capacity(1024);
+    let mut put = |pieces: &[&[u8]]| {
+        for piece in pieces {
+            head.extend_from_slice(piece);
+        }
+    };
+    put(&[
+        parts.method.as_str().as_bytes(),
+        b" ",
+        target.as_bytes(),
+        b" HTTP/1.1\r\n",
+    ]);
+    for (name, value) in &parts.headers {
+        // The body is framed here, whatever the caller said of it.
+        if name != header::CONTENT_LENGTH && name != header::TRANSFER_ENCODING {
+            put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+        }
+    }
+    let bodiless = matches!(parts.method, Method::GET | Method::HEAD | Method::DELETE);
+    match length {
+        Some(0) if bodiless => {}
+        Some(length) => put(&[b"content-length: ", length.to_string().as_bytes(), b"\r\n"]),
+        None => put(&[b"transfer-encoding: chunked\r\n"]),
+    }
+    put(&[b"\r\n"]);
+    head
+}
+
+async fn write_long(
+    half: &mut OwnedWriteHalf,
+    head: &[u8],
+    mut body: Pin<Box<TargetBody>>,
+    gate: &WriteGate,
+) -> io::Result<()> {
+    let chunked = body.size_hint().exact().is_none();
+    write_all(half, head, gate).await?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(io::Error::other)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if data.is_empty() {
+            continue;
+        }
+        if chunked {
+            let size = format!("{:x}\r\n", data.len());
+            write_all(half, size.as_bytes(), gate).await?;
+        }
+        write_all(half, &data, gate).await?;
+        if chunked {
+            write_all(half, b"\r\n", gate).await?;
+        }
+    }
+    if chunked {
+        write_all(half, b"0\r\n\r\n", gate).await?;
+    }
+    Ok(())
+}
+
+async fn write_all(half: &mut OwnedWriteHalf, bytes: &[u8], gate: &WriteGate) -> io::Result<()> {
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        half.writable().await?;
+        // No wait between the gate and the write, so that the gate tells
+        // exactly whether a byte may have left.
+        let first = gate.pass()?;
+        match half.try_write(rest) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => rest = &rest[written..],
+            Err(error) => {
+                if first {
+                    gate.reopen();
+                }
+                if error.kind() != io::ErrorKind::WouldBlock {
+                    return Err(error);
+                }
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -382,3 +382,99 @@
     }
     assert_eq!(client.losses(), 1);
 }
+
+// Guards against a second answer that arrives late, where the answer to the
+// next request is due: that request must get its own.
+#[tokio::test]
+async fn an_answer_to_another_request_is_passed_over() {
+    let target = tokio::net::TcpListener::bind(common::loopback())
+        .await
+        .unwrap();
+    let client = TargetClient::new(target.local_addr().unwrap(), TargetLimits::default());
+    let served = async {
+        let (mut stream, _) = target.accept().await.unwrap();
+        let mut request = [0; 1024];
+        for _ in 0..2 {
+            assert!(stream.read(&mut request).await.unwrap() > 0);
+            let stale = "HTTP/1.1 200 OK\r\nid: 0\r\ntransfer-encoding: chunked\r\n\r\n3\r\nold\r\n0\r\n\r\n";
+            let own = "HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 3\r\n\r\nnew";
+            stream.write_all(stale.as_bytes()).await.unwrap();
+            stream.write_all(own.as_bytes()).await.unwrap();
+        }
+        stream
+    };
+    let asked = async {
+        for _ in 0..2 {
+            let answer = client
+                .send_matched(
+                    post("/", TargetBody::whole("x")),
+                    &RequestProgress::default(),
+                    |head| head.headers["id"] == "1",
+                )
+                .await
+                .unwrap();
+            assert_eq!(answer.into_body().whole(10).await.unwrap(), "new");
+        }
+    };
+    let ((), _stream) = tokio::join!(asked, served);
+    assert_eq!(client.idle(), 1);
+}
+
+// Guards against a long body that is cut short when the target answers before
+// it has read it: the target reads on later, on the same connection.
+#[tokio::test]
+async fn a_body_is_written_to_its_end_after_an_early_answer() {
+    const LENGTH: usize = 4 << 20;
+    let target = tokio::net::TcpListener::bind(common::loopback())
+        .await
+        .unwrap();
+    let client = TargetClient::new(target.local_addr().unwrap(), TargetLimits::default());
+    let served = tokio::spawn(async move {
+        let (mut stream, _) = target.accept().await.unwrap();
+        let mut text = Vec::new();
+        while !text.windows(4).any(|end| end == b"\r\n\r\n") {
+            stream.read_buf(&mut text).await.unwrap();
+        }
+        let early = b"HTTP/1.1 413 Too Large\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(early).await.unwrap();
+        let head = text.windows(4).position(|end| end == b"\r\n\r\n").unwrap() + 4;
+        while text.len() < head + LENGTH {
+            assert!(stream.read_buf(&mut text).await.unwrap() > 0);
+        }
+        text.len() - head
+    });
+    let body = TargetBody::whole(vec![b'x'; LENGTH]);
+    let answer = client.send(post("/", body)).await.unwrap();
+    assert_eq!(answer.status(), StatusCode::PAYLOAD_TOO_LARGE);
+    answer.into_body().whole(0).await.unwrap();
+    assert_eq!(served.await.unwrap(), LENGTH);
+}
+
+// Guards against an answer without a length whose connection was reset being
+// taken for whole, and one that ended in order being refused.
+#[tokio::test]
+async fn an_answer_that_ends_with_its_connection_is_whole_only_after_its_end() {
+    for reset in [false, true] {
+        let target = tokio::net::TcpListener::bind(common::loopback())
+            .await
+            .unwrap();
+        let client = TargetClient::new(target.local_addr().unwrap(), TargetLimits::default());
+        let served = tokio::spawn(async move {
+            let (mut stream, _) = target.accept().await.unwrap();
+            stream.read_u8().await.unwrap();
+            if !reset {
+                let mut rest = [0; 1024];
+                assert!(stream.read(&mut rest).await.unwrap() > 0);
+            }
+            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.unwrap();
+            // Bytes that were not read make the end a reset.
+        });
+        let answer = client.send(post("/", TargetBody::whole("x"))).await;
+        let whole = match answer {
+            Ok(answer) => answer.into_body().whole(100).await,
+            Err(error) => Err(error),
+        };
+        served.await.unwrap();
+        assert_eq!(whole.is_ok(), !reset, "{whole:?}");
+    }
+}
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -7,6 +7,8 @@
 use http::Method;
 use http::Request;
 use http::Uri;
+use http::response::Parts;
+use radishgauge_net::RequestProgress;
 use radishgauge_net::TargetBody;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetError;
@@ -78,7 +80,9 @@
     request: Request<TargetBody>,
     id: &str,
 ) -> TargetOutcome {
-    let answer = match client.send(request).await {
+    let belongs = |head: &Parts| message::belongs_to(&head.headers, id);
+    let progress = RequestProgress::default();
+    let answer = match client.send_matched(request, &progress, belongs).await {
         Ok(answer) => answer,
         Err(error) => return lost(&error),
     };
