Try targets that have not answered, and leave half of the repeats to nested calls

Ruled out: telling nested calls from others by their origin (all requests of a host come from one address).

--- a/crates/mesh/src/budget.rs
+++ b/crates/mesh/src/budget.rs
@@ -11,10 +11,10 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
-/// The part of the allowance that is used. The rest covers daemons whose share
-/// of the fixed number is out of date after others came or went, and calls that
-/// a repeated request makes.
-const USED_PART: f64 = 0.7;
+/// The part of the allowance that is used. The other half is for the calls that
+/// repeated requests make: they count as repeats at the service that is called,
+/// and its daemons cannot tell them from others.
+const USED_PART: f64 = 0.5;
 
 /// The bounds of repeats, as the platform states them.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -23,9 +23,13 @@
 /// The time after which an old failure counts a third.
 const FAILURE_TIME: Duration = Duration::from_secs(3);
 
-/// Service time of a target that has not answered, as a part of the objective.
+/// Service time while no target has answered, as a part of the objective.
 const UNKNOWN_SERVICE_PART: f64 = 0.4;
 
+/// The time after which what a target last told of its service time is no
+/// longer held against it: it may have been cold, or slow for a while.
+const SERVICE_TIME_AGE: Duration = Duration::from_secs(2);
+
 /// How much of the objective a target in another failure domain of the region
 /// has to save.
 const DOMAIN_PART: f64 = 0.08;
@@ -143,7 +147,6 @@
     /// `own` at the time of the last report.
     own_reported: u32,
     report: Option<(LoadReport, Duration)>,
-    service_time: Option<f64>,
     /// The share of failed requests, and when it was last updated.
     failures: f64,
     failures_at: Duration,
@@ -163,11 +166,18 @@
         self.failures_at = now;
     }
 
-    fn service_time(&self, objective: Duration) -> Duration {
-        self.service_time
-            .map_or(objective.mul_f64(UNKNOWN_SERVICE_PART), |seconds| {
-                Duration::from_secs_f64(seconds)
-            })
+    /// Returns the expected service time. A target that has not told it lately
+    /// is taken for as fast as the fastest other one, so that it gets requests
+    /// and tells it.
+    fn service_time(&self, fastest: Duration, now: Duration) -> Duration {
+        let told = self
+            .report
+            .and_then(|(report, at)| Some((report.service_time?, now.saturating_sub(at))));
+        match told {
+            Some((time, age)) if age <= SERVICE_TIME_AGE => time,
+            Some((time, _)) => time.min(fastest),
+            None => fastest,
+        }
     }
 
     /// Returns how long one more request would wait.
@@ -214,20 +224,18 @@
     /// # Errors
     ///
     /// When there is no candidate, or none that could answer in time.
-    pub fn place<'a, I>(
+    pub fn place(
         &mut self,
-        candidates: I,
+        candidates: &[PlaceCandidate],
         request: &PlaceRequest,
         now: Duration,
-    ) -> Result<SmolStr, Unplaced>
-    where
-        I: IntoIterator<Item = &'a PlaceCandidate>,
-    {
+    ) -> Result<SmolStr, Unplaced> {
+        let fastest = self.fastest(candidates, request, now);
         let mut best: Option<(f64, &PlaceCandidate)> = None;
         let mut best_paused: Option<(f64, &PlaceCandidate)> = None;
         let mut soonest: Option<Duration> = None;
         for candidate in candidates {
-            let cost = self.cost(candidate, request, now);
+            let cost = self.cost(candidate, request, fastest, now);
             let belief = self.beliefs.entry(candidate.id.clone()).or_default();
             if belief.paused_until > now {
                 let until = Duration::as_secs_f64(&belief.paused_until);
@@ -236,7 +244,7 @@
                 }
                 continue;
             }
-            let over = over_allowed(belief, candidate, request, now);
+            let over = over_allowed(belief, candidate, request, fastest, now);
             if over > Duration::ZERO {
                 soonest = Some(soonest.map_or(over, |least| least.min(over)));
                 continue;
@@ -260,9 +268,6 @@
     /// Records what the owner of a target told of its load.
     pub fn report(&mut self, id: &SmolStr, report: LoadReport, now: Duration) {
         let belief = self.beliefs.entry(id.clone()).or_default();
-        if let Some(service_time) = report.service_time {
-            belief.service_time = Some(service_time.as_secs_f64());
-        }
         // The request that brought the report is not under way any more.
         belief.own_reported = belief.own.saturating_sub(1);
         belief.report = Some((report, now));
@@ -300,10 +305,32 @@
             .retain(|id, belief| belief.own > 0 || known(id));
     }
 
-    fn cost(&mut self, candidate: &PlaceCandidate, request: &PlaceRequest, now: Duration) -> f64 {
+    /// Returns the service time of the fastest candidate that has told it lately.
+    fn fastest(
+        &self,
+        candidates: &[PlaceCandidate],
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Duration {
+        let told = candidates.iter().filter_map(|candidate| {
+            let (report, at) = self.beliefs.get(&candidate.id)?.report?;
+            let lately = now.saturating_sub(at) <= SERVICE_TIME_AGE;
+            report.service_time.filter(|_| lately)
+        });
+        told.min()
+            .unwrap_or(request.objective.mul_f64(UNKNOWN_SERVICE_PART))
+    }
+
+    fn cost(
+        &mut self,
+        candidate: &PlaceCandidate,
+        request: &PlaceRequest,
+        fastest: Duration,
+        now: Duration,
+    ) -> f64 {
         let belief = self.beliefs.entry(candidate.id.clone()).or_default();
         let objective = request.objective.as_secs_f64();
-        let service_time = belief.service_time(request.objective);
+        let service_time = belief.service_time(fastest, now);
         let wait = belief.wait(candidate.capacity, service_time, now);
         let failures = belief.failure_share(now) * objective;
         let bytes = 1.0 + request.body_bytes as f64 / BYTES_SCALE;
@@ -326,9 +353,10 @@
     belief: &TargetBelief,
     candidate: &PlaceCandidate,
     request: &PlaceRequest,
+    fastest: Duration,
     now: Duration,
 ) -> Duration {
-    let service_time = belief.service_time(request.objective);
+    let service_time = belief.service_time(fastest, now);
     let wait = belief.wait(candidate.capacity, service_time, now);
     let allowed = order::allowed_wait(request.objective, service_time, request.priority);
     wait.saturating_sub(allowed)
