--- /dev/null
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -0,0 +1,163 @@
+use std::time::Duration;
+
+use radishgauge_mesh::LocalAdmission;
+use radishgauge_mesh::Offer;
+use radishgauge_mesh::OfferRequest;
+use radishgauge_mesh::admission::CloseReason;
+use radishgauge_mesh::admission::RefuseReason;
+use radishgauge_mesh::admission::WaitKey;
+use smol_str::SmolStr;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn request(route: &str, objective: u64, priority: u32) -> OfferRequest {
+    OfferRequest {
+        route: route.into(),
+        objective: ms(objective),
+        time_left: ms(objective * 4),
+        priority,
+    }
+}
+
+/// Returns the admission of a target whose runs take 100 ms.
+fn admission(limit: u32) -> LocalAdmission {
+    let mut admission = LocalAdmission::new(limit);
+    for route in ["read", "order", "call"] {
+        assert_eq!(admission.offer(&request(route, 1000, 1), ms(0)), Offer::Run);
+        admission.finish(&SmolStr::new(route), Some(ms(100)));
+    }
+    admission
+}
+
+fn waits(admission: &mut LocalAdmission, request: &OfferRequest) -> WaitKey {
+    match admission.offer(request, ms(0)) {
+        Offer::Wait(key) => key,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against more requests at once than the target runs.
+#[test]
+fn no_more_run_than_the_target_runs_at_once() {
+    let mut admission = admission(2);
+    let read = request("read", 1000, 1);
+    assert_eq!(admission.offer(&read, ms(0)), Offer::Run);
+    assert_eq!(admission.offer(&read, ms(0)), Offer::Run);
+    let key = waits(&mut admission, &read);
+    assert_eq!(admission.pop(ms(1)), None);
+    admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    let popped = admission.pop(ms(1)).unwrap();
+    assert_eq!((popped.key, popped.decision), (key, Ok(())));
+    assert_eq!(admission.running(), 2);
+}
+
+/// Guards against a call of a running request that waits behind new work: its
+/// objective is shorter, so it runs first.
+#[test]
+fn the_shortest_objective_runs_first() {
+    let mut admission = admission(1);
+    assert_eq!(admission.offer(&request("read", 1000, 1), ms(0)), Offer::Run);
+    let read = waits(&mut admission, &request("read", 1000, 2));
+    let order = waits(&mut admission, &request("order", 1000, 1));
+    let call = waits(&mut admission, &request("call", 600, 1));
+    let mut order_of_runs = Vec::new();
+    for _ in 0..3 {
+        admission.finish(&SmolStr::new("read"), Some(ms(100)));
+        order_of_runs.push(admission.pop(ms(1)).unwrap().key);
+    }
+    assert_eq!(order_of_runs, [call, order, read]);
+}
+
+/// Guards against requests that wait although their answer cannot come in time,
+/// and against a refusal that does not say when there is room.
+#[test]
+fn a_request_that_would_be_late_is_refused_at_once() {
+    let mut admission = admission(1);
+    assert_eq!(admission.offer(&request("read", 500, 0), ms(0)), Offer::Run);
+    let mut refused = None;
+    for _ in 0..10 {
+        if let Offer::Refuse(refusal) = admission.offer(&request("read", 500, 0), ms(0)) {
+            refused.get_or_insert((admission.waiting(), refusal));
+        }
+    }
+    let (waiting, refusal) = refused.unwrap();
+    // 500 ms hold a run of 100 ms behind at most four others.
+    assert!((1..=4).contains(&waiting), "{waiting} wait");
+    assert_eq!(refusal.reason, RefuseReason::Full);
+    assert!(refusal.retry_after.unwrap() > Duration::ZERO);
+}
+
+/// Guards against work at a target that leaves, that is down, or whose failure
+/// domain is out, also by requests that waited before.
+#[test]
+fn nothing_runs_at_a_closed_target() {
+    for reason in [
+        CloseReason::Draining,
+        CloseReason::DomainOut,
+        CloseReason::Down,
+        CloseReason::Stopping,
+    ] {
+        let mut admission = admission(1);
+        let read = request("read", 1000, 1);
+        assert_eq!(admission.offer(&read, ms(0)), Offer::Run);
+        let key = waits(&mut admission, &read);
+        admission.set_closed(Some(reason));
+        let popped = admission.pop(ms(1)).unwrap();
+        assert_eq!(popped.key, key);
+        assert_eq!(
+            popped.decision.unwrap_err().reason,
+            RefuseReason::Closed(reason)
+        );
+        assert!(matches!(admission.offer(&read, ms(1)), Offer::Refuse(_)));
+    }
+}
+
+/// Guards against work for a caller who will have gone before the answer.
+#[test]
+fn an_expired_request_is_not_run() {
+    let mut admission = admission(1);
+    assert_eq!(admission.offer(&request("read", 1000, 1), ms(0)), Offer::Run);
+    waits(&mut admission, &request("read", 1000, 1));
+    admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    let popped = admission.pop(ms(3990)).unwrap();
+    assert_eq!(popped.decision.unwrap_err().reason, RefuseReason::Expired);
+    assert_eq!(admission.running(), 0);
+}
+
+/// Guards against a slot that is lost when a caller goes away while its request
+/// waits.
+#[test]
+fn an_abandoned_request_leaves_the_queue() {
+    let mut admission = admission(1);
+    let read = request("read", 1000, 1);
+    assert_eq!(admission.offer(&read, ms(0)), Offer::Run);
+    let key = waits(&mut admission, &read);
+    assert!(admission.abandon(key));
+    assert!(!admission.abandon(key));
+    admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    assert_eq!(admission.pop(ms(1)), None);
+    assert_eq!(admission.offer(&read, ms(1)), Offer::Run);
+}
+
+/// Guards against a cold target that gets more than it bears, and against
+/// requests for it that wait for ever: the timer says when the next one runs.
+#[test]
+fn a_cold_target_is_sent_no_more_than_it_bears() {
+    let mut admission = admission(18);
+    admission.cold_mut().set_cold(ms(10_000), 5.0);
+    let read = request("read", 2000, 0);
+    let now = ms(1_500);
+    for _ in 0..5 {
+        assert_eq!(admission.offer(&read, now), Offer::Run);
+        admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    }
+    let Offer::Wait(key) = admission.offer(&read, now) else {
+        panic!("the sixth request of a second must wait");
+    };
+    assert_eq!(admission.pop(now), None);
+    let next = admission.next_timer(now).unwrap();
+    assert_eq!(next, ms(2_500));
+    assert_eq!(admission.pop(next).unwrap().key, key);
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/book.rs
@@ -0,0 +1,132 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use radishgauge_mesh::MeshConfig;
+use radishgauge_mesh::StateBook;
+use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::book::BeliefChange;
+use radishgauge_mesh::book::LAPSE_GRACE;
+use radishgauge_mesh::book::StateChange;
+use radishgauge_mesh::book::StateSource;
+use radishgauge_mesh::config::RequestLimits;
+
+const STORE: StateSource = StateSource::Store;
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn record(id: &str) -> TargetRecord {
+    TargetRecord {
+        id: id.into(),
+        service: "shop".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        failure_domain: "a".into(),
+        capacity: 18,
+        draining: false,
+        cold_left: Duration::ZERO,
+        incarnation: None,
+    }
+}
+
+fn version(number: u64) -> StateChange {
+    let limits = RequestLimits::default();
+    let config = MeshConfig::new(number, limits, Vec::new(), IndexMap::new());
+    StateChange::Config(Arc::new(config))
+}
+
+fn known(book: &StateBook) -> Vec<&str> {
+    book.targets().map(|target| target.id.as_str()).collect()
+}
+
+fn book_with(ids: &[&str]) -> StateBook {
+    let mut book = StateBook::default();
+    for id in ids {
+        book.apply(StateChange::Target(record(id)), STORE, s(0));
+    }
+    book
+}
+
+/// Guards against a daemon that goes back to an older configuration, whoever
+/// tells it.
+#[test]
+fn an_older_version_is_passed_over() {
+    let mut book = StateBook::default();
+    for (told, in_force) in [(5, 5), (4, 5), (5, 5), (9, 9), (8, 9)] {
+        for source in [STORE, StateSource::Peer] {
+            book.apply(version(told), source, s(0));
+            assert_eq!(book.config().unwrap().version(), in_force);
+        }
+    }
+}
+
+/// Guards against a leaving target that stays in use after its entry was
+/// removed while the store was well.
+#[test]
+fn a_removed_entry_is_gone_at_once() {
+    let mut book = book_with(&["one", "two"]);
+    let change = book.apply(StateChange::TargetGone("one".into()), STORE, s(1));
+    assert_eq!(change, Some(BeliefChange::TargetGone { id: "one".into() }));
+    assert_eq!(known(&book), ["two"]);
+}
+
+/// Guards against losing the targets whose entries ran out while the store was
+/// away: they are kept until two seconds after its return.
+#[test]
+fn entries_that_lapsed_during_an_outage_are_kept_for_a_time() {
+    let mut book = book_with(&["back", "gone"]);
+    book.lose_store();
+    for id in ["back", "gone"] {
+        book.apply(StateChange::TargetGone(id.into()), STORE, s(5));
+    }
+    book.expire(s(100));
+    assert_eq!(known(&book), ["back", "gone"]);
+    book.regain_store(s(100));
+    book.apply(StateChange::Target(record("back")), STORE, s(101));
+    book.expire(s(100) + LAPSE_GRACE - Duration::from_millis(1));
+    assert_eq!(known(&book), ["back", "gone"]);
+    book.expire(s(100) + LAPSE_GRACE);
+    assert_eq!(known(&book), ["back"]);
+    assert!(book.is_settled());
+}
+
+/// Guards against a target that said it drains, and is kept as one that lapsed.
+#[test]
+fn a_draining_target_does_not_lapse() {
+    let mut book = book_with(&["one"]);
+    let draining = TargetRecord {
+        draining: true,
+        ..record("one")
+    };
+    book.apply(StateChange::Target(draining), STORE, s(1));
+    book.lose_store();
+    book.apply(StateChange::TargetGone("one".into()), STORE, s(2));
+    assert!(known(&book).is_empty());
+}
+
+/// Guards against keeping a target of whose end a peer knows that can read the
+/// store, while this daemon cannot.
+#[test]
+fn a_settled_peer_is_believed_during_an_outage() {
+    let mut book = book_with(&["one", "two"]);
+    book.lose_store();
+    let all = vec![StateChange::Target(record("two"))];
+    book.replace(all, StateSource::Peer, s(1));
+    assert_eq!(known(&book), ["two"]);
+}
+
+/// Guards against a whole state that leaves behind what it lacks: targets, and
+/// failure domains that were taken back.
+#[test]
+fn a_whole_state_replaces_the_one_before() {
+    let mut book = book_with(&["one"]);
+    book.apply(StateChange::DomainOut("a".into()), STORE, s(0));
+    let all = vec![
+        StateChange::Target(record("two")),
+        StateChange::DomainOut("b".into()),
+    ];
+    book.replace(all, STORE, s(1));
+    assert_eq!(known(&book), ["two"]);
+    assert!(book.is_out("b") && !book.is_out("a"));
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/budget.rs
@@ -0,0 +1,57 @@
+use std::time::Duration;
+
+use radishgauge_mesh::RepeatBudget;
+use radishgauge_mesh::budget::RepeatBounds;
+use smol_str::SmolStr;
+
+const BOUNDS: RepeatBounds = RepeatBounds {
+    ratio: 0.2,
+    extra: 60.0,
+    window: Duration::from_secs(10),
+};
+
+/// Guards against repeats over the bound, summed over all daemons and with the
+/// calls that the repeated requests make at the same service, in any window.
+#[test]
+fn all_daemons_together_stay_within_the_bound() {
+    let daemons = 13;
+    let service = SmolStr::new("desk");
+    let mut budgets: Vec<_> = (0..daemons).map(|_| RepeatBudget::new(BOUNDS)).collect();
+    let mut requests = Vec::new();
+    let mut repeats = Vec::new();
+    for tick in 0..40_000_u64 {
+        let now = Duration::from_millis(tick);
+        let budget = &mut budgets[(tick % daemons) as usize];
+        // Bursts of requests; each is sent again as often as allowed.
+        if tick % 3 == 0 && (tick / 5_000) % 2 == 0 {
+            budget.record_request(&service, now);
+            requests.push(now);
+        }
+        while budget.take(&service, daemons as usize, now) {
+            repeats.push(now);
+        }
+    }
+    assert!(!repeats.is_empty());
+    let count = |times: &[Duration], from: Duration| {
+        let window = from..from + BOUNDS.window;
+        times.iter().filter(|time| window.contains(time)).count() as f64
+    };
+    for from in (0..40).map(Duration::from_secs) {
+        let before = from.saturating_sub(BOUNDS.window);
+        let most = count(&requests, from).max(count(&requests, before));
+        let allowed = BOUNDS.ratio * most + BOUNDS.extra;
+        assert!(2.0 * count(&repeats, from) <= allowed, "from {from:?}");
+    }
+}
+
+/// Guards against a budget that is not given back when its window has passed.
+#[test]
+fn repeats_are_allowed_again_after_the_window() {
+    let service = SmolStr::new("desk");
+    let mut budget = RepeatBudget::new(BOUNDS);
+    let taken = |budget: &mut RepeatBudget, now| (0..100).filter(|_| budget.take(&service, 1, now)).count();
+    let first = taken(&mut budget, Duration::ZERO);
+    assert!(first > 0);
+    assert_eq!(taken(&mut budget, Duration::from_secs(9)), 0);
+    assert_eq!(taken(&mut budget, Duration::from_secs(10)), first);
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/config.rs
@@ -0,0 +1,74 @@
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use radishgauge_mesh::MeshConfig;
+use radishgauge_mesh::MeshRoute;
+use radishgauge_mesh::config::RequestLimits;
+use radishgauge_mesh::config::SplitPart;
+
+fn route(name: &str, host: &str, prefix: &str, split: &[(&str, u32)]) -> MeshRoute {
+    let part = |(service, weight): &(&str, u32)| SplitPart {
+        service: (*service).into(),
+        weight: *weight,
+    };
+    MeshRoute {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        idempotent: true,
+        objective: Duration::from_millis(500),
+        priority: 1,
+        timeout: Duration::from_secs(1),
+        attempts: 2,
+        regions: Vec::new(),
+        split: split.iter().map(part).collect(),
+    }
+}
+
+fn config(routes: Vec<MeshRoute>) -> MeshConfig {
+    MeshConfig::new(7, RequestLimits::default(), routes, IndexMap::new())
+}
+
+/// Guards against a shorter prefix, or another host's route, that takes a
+/// request.
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let config = config(vec![
+        route("short", "a", "/x/", &[("one", 1)]),
+        route("long", "a", "/x/y/", &[("one", 1)]),
+        route("other", "b", "/x/y/z/", &[("one", 1)]),
+    ]);
+    let name = |host, path| config.find(host, path).map(|route| route.name.as_str());
+    assert_eq!(name("a", "/x/y/z/1"), Some("long"));
+    assert_eq!(name("a", "/x/1"), Some("short"));
+    assert_eq!(name("b", "/x/y/z/1"), Some("other"));
+    assert_eq!(name("b", "/x/1"), None);
+    assert_eq!(name("c", "/x/1"), None);
+    assert_eq!(name("a", "/xy/"), None);
+}
+
+/// Guards against a split whose parts get other shares than their weights, and
+/// against a part of weight 0 that gets a request.
+#[test]
+fn parts_get_their_weights() {
+    let route = route("r", "a", "/", &[("none", 0), ("most", 90), ("few", 10)]);
+    let mut counts: IndexMap<&str, u32> = IndexMap::new();
+    for draw in 0..1000 {
+        let service = route.service(f64::from(draw) / 1000.0).unwrap();
+        *counts.entry(service.as_str()).or_default() += 1;
+    }
+    assert_eq!(counts.get("none"), None);
+    assert_eq!((counts["most"], counts["few"]), (900, 100));
+    // A draw at the upper end still finds a part.
+    assert_eq!(route.service(1.0).unwrap(), "few");
+}
+
+/// Guards against a request with home regions that is handled elsewhere.
+#[test]
+fn only_home_regions_are_allowed() {
+    let mut route = route("r", "a", "/", &[("one", 1)]);
+    assert!(route.allows_region("addis"));
+    route.regions = vec!["bahir".into()];
+    assert!(route.allows_region("bahir"));
+    assert!(!route.allows_region("addis"));
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/main.rs
@@ -0,0 +1,9 @@
+//! Tests of the decisions beside one target, with the time passed in.
+
+mod admission;
+mod book;
+mod budget;
+mod config;
+mod load;
+mod placement;
+mod warmth;
--- /dev/null
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -0,0 +1,185 @@
+use std::time::Duration;
+
+use radishgauge_mesh::LoadReport;
+use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::TargetPlacer;
+use radishgauge_mesh::placement::PlaceCandidate;
+use radishgauge_mesh::placement::SendOutcome;
+use radishgauge_mesh::placement::TargetDistance;
+use radishgauge_mesh::placement::Unplaced;
+use smol_str::SmolStr;
+
+const REQUEST: PlaceRequest = PlaceRequest {
+    objective: Duration::from_millis(500),
+    priority: 0,
+    body_bytes: 0,
+};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn candidate(id: &str, distance: TargetDistance) -> PlaceCandidate {
+    PlaceCandidate {
+        id: id.into(),
+        distance,
+        capacity: 10,
+    }
+}
+
+fn candidates() -> Vec<PlaceCandidate> {
+    vec![
+        candidate("far", TargetDistance::Far),
+        candidate("region", TargetDistance::Region),
+        candidate("domain", TargetDistance::Domain),
+    ]
+}
+
+fn load(occupied: u32, wait: u64, service_time: u64) -> LoadReport {
+    LoadReport {
+        occupied,
+        limit: 10,
+        wait: ms(wait),
+        service_time: Some(ms(service_time)),
+        cold: false,
+    }
+}
+
+/// Returns a placer that has heard from the targets, all alike but as told.
+fn placer(loads: &[(&str, LoadReport)]) -> TargetPlacer {
+    let mut placer = TargetPlacer::new(1);
+    for candidate in candidates() {
+        let told = loads.iter().find(|(id, _)| *id == candidate.id);
+        let load = told.map_or(load(0, 0, 100), |(_, load)| *load);
+        placer.report(&candidate.id, load, ms(0));
+    }
+    placer
+}
+
+fn place(placer: &mut TargetPlacer, now: u64) -> Result<SmolStr, Unplaced> {
+    placer.place(&candidates(), &REQUEST, ms(now))
+}
+
+/// Guards against paid bytes to other failure domains while the own one has
+/// room.
+#[test]
+fn the_nearest_target_with_room_is_chosen() {
+    let mut placer = placer(&[]);
+    for _ in 0..10 {
+        assert_eq!(place(&mut placer, 1).unwrap(), "domain");
+    }
+}
+
+/// Guards against requests that wait near by although a farther target would
+/// answer within the objective, and against going farther than needed.
+#[test]
+fn farther_targets_take_what_would_be_late_near_by() {
+    let full = load(20, 250, 100);
+    let mut placer = placer(&[("domain", full)]);
+    assert_eq!(place(&mut placer, 1).unwrap(), "region");
+    placer.report(&"region".into(), full, ms(1));
+    assert_eq!(place(&mut placer, 2).unwrap(), "far");
+}
+
+/// Guards against long bodies that cross to another region to save little.
+#[test]
+fn a_long_body_stays_near() {
+    let busy = load(14, 140, 100);
+    let mut placer = placer(&[("domain", busy), ("region", busy)]);
+    let long = PlaceRequest {
+        body_bytes: 60_000,
+        ..REQUEST
+    };
+    assert_eq!(placer.place(&candidates(), &long, ms(1)).unwrap(), "domain");
+}
+
+/// Guards against callers who wait although no target can answer in time: they
+/// are told at once when to come back.
+#[test]
+fn nothing_is_sent_when_all_are_full() {
+    let full = load(60, 600, 100);
+    let mut placer = placer(&[("domain", full), ("region", full), ("far", full)]);
+    let Err(Unplaced::Full { retry_after }) = place(&mut placer, 0) else {
+        panic!("a full service must refuse");
+    };
+    assert!(retry_after > ms(100) && retry_after < ms(600));
+    // The load that was told wears off, so the targets are tried again.
+    assert!(place(&mut placer, 2_000).is_ok());
+}
+
+/// Guards against one target that stays the choice while it fails requests.
+#[test]
+fn a_failing_target_is_left_and_tried_again_later() {
+    let mut placer = placer(&[]);
+    for tick in 0..20 {
+        let id = place(&mut placer, tick).unwrap();
+        if id != "domain" {
+            break;
+        }
+        placer.finish(&id, TargetDistance::Domain, SendOutcome::Failed, ms(tick));
+    }
+    assert_eq!(place(&mut placer, 20).unwrap(), "region");
+    assert_eq!(place(&mut placer, 20_000).unwrap(), "domain");
+}
+
+/// Guards against a target that joined and gets nothing, as what is not known
+/// of it counts against it.
+#[test]
+fn a_target_that_has_told_nothing_is_tried() {
+    let mut placer = placer(&[]);
+    let mut all = candidates();
+    all.push(candidate("new", TargetDistance::Domain));
+    let chosen: Vec<_> = (0..20)
+        .map(|_| placer.place(&all, &REQUEST, ms(1)).unwrap())
+        .collect();
+    assert!(chosen.iter().any(|id| id == "new"));
+}
+
+/// Guards against a target that was slow for a while and is never asked again.
+#[test]
+fn a_slow_target_is_tried_again_after_a_time() {
+    let mut placer = TargetPlacer::new(1);
+    let pair = [
+        candidate("slow", TargetDistance::Domain),
+        candidate("fast", TargetDistance::Domain),
+    ];
+    placer.report(&"slow".into(), load(0, 0, 400), ms(0));
+    let mut chosen = Vec::new();
+    for tick in 0..40 {
+        let now = tick * 100;
+        placer.report(&"fast".into(), load(0, 0, 100), ms(now));
+        let id = placer.place(&pair, &REQUEST, ms(now)).unwrap();
+        placer.finish(
+            &id,
+            TargetDistance::Domain,
+            SendOutcome::Served { hop: ms(1) },
+            ms(now),
+        );
+        chosen.push((now, id));
+    }
+    let slow: Vec<_> = chosen.iter().filter(|(_, id)| id == "slow").collect();
+    assert!(slow.iter().all(|(now, _)| *now > 2_000), "{slow:?}");
+    assert!(!slow.is_empty());
+}
+
+/// Guards against requests to a daemon that accepts no connections, while
+/// another target is there; with none, it is tried all the same.
+#[test]
+fn a_target_that_is_down_is_the_last_choice() {
+    let mut placer = placer(&[]);
+    let id = place(&mut placer, 1).unwrap();
+    placer.finish(&id, TargetDistance::Domain, SendOutcome::Down, ms(1));
+    assert_eq!(place(&mut placer, 2).unwrap(), "region");
+    let only = [candidate("domain", TargetDistance::Domain)];
+    assert_eq!(placer.place(&only, &REQUEST, ms(2)).unwrap(), "domain");
+}
+
+/// Guards against targets of which no one may get the request.
+#[test]
+fn without_a_target_there_is_no_place() {
+    let mut placer = placer(&[]);
+    assert_eq!(
+        placer.place(&[], &REQUEST, ms(1)),
+        Err(Unplaced::NoTarget)
+    );
+}
--- /dev/null
+++ b/crates/mesh/tests/mesh/warmth.rs
@@ -0,0 +1,51 @@
+use std::time::Duration;
+
+use radishgauge_mesh::ColdLimit;
+
+/// Guards against more requests to a cold target, in any second, than it
+/// declared, also right after a time in which it was taken for warm.
+#[test]
+fn no_second_has_more_than_the_declared_rate() {
+    let mut limit = ColdLimit::default();
+    let mut sent: Vec<Duration> = Vec::new();
+    for tick in 0..6_000_u64 {
+        let now = Duration::from_millis(tick);
+        if tick == 1_000 {
+            limit.set_cold(Duration::from_secs(4), 21.0);
+        }
+        // Warm: one in 100 ms. Cold: as many as are allowed.
+        let wants = limit.is_cold(now) || tick % 100 == 0;
+        while wants && limit.next_at(now) <= now {
+            limit.record(now);
+            sent.push(now);
+            if !limit.is_cold(now) {
+                break;
+            }
+        }
+    }
+    let cold = Duration::from_secs(1)..Duration::from_secs(4);
+    for from in sent.iter().filter(|time| cold.contains(time)) {
+        let window = *from..*from + Duration::from_secs(1);
+        let count = sent
+            .iter()
+            .filter(|time| window.contains(time) && cold.contains(time))
+            .count();
+        assert!(count <= 21, "{count} from {from:?}");
+    }
+    let during = sent.iter().filter(|time| cold.contains(time)).count();
+    assert!(during >= 60, "only {during} were sent while cold");
+}
+
+/// Guards against a limit that outlasts the cold time.
+#[test]
+fn a_warm_target_has_no_limit() {
+    let mut limit = ColdLimit::default();
+    let until = Duration::from_secs(3);
+    limit.set_cold(until, 1.0);
+    limit.record(Duration::ZERO);
+    assert!(limit.next_at(Duration::ZERO) > Duration::ZERO);
+    assert_eq!(limit.next_at(until), until);
+    limit.set_cold(until * 2, 1.0);
+    limit.set_warm();
+    assert_eq!(limit.next_at(until), until);
+}
