--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -37,6 +37,11 @@
         help = "run beside a target of the users' platform, with the settings file that it places"
     )]
     platform: bool,
+    #[options(
+        help = "with --platform: serve metrics on the host's address and this port",
+        meta = "PORT"
+    )]
+    metrics_port: Option<u16>,
     #[options(
         help = "threads that carry sessions and calls; 0 for one per core",
         meta = "N"
@@ -47,7 +52,7 @@
 const EXAMPLE: &str = "\
 Example:
   radishgauged --settings /etc/radishgauge/host.yaml
-  radishgauged --platform
+  radishgauged --platform --metrics-port 9464
 
 SIGTERM and SIGINT stop gracefully: no new calls, those under way finish.
 
@@ -78,7 +83,7 @@
         return ExitCode::SUCCESS;
     }
     if options.platform {
-        return sidecar::main();
+        return sidecar::main(options.metrics_port);
     }
     let Some(path) = &options.settings else {
         eprintln!("radishgauged: --settings is required\n\n{EXAMPLE}");
--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -1,8 +1,11 @@
 //! `radishgauged --platform`: the daemon beside a target of the users' platform.
 
+use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use anyhow::Context;
 use anyhow::Result;
@@ -21,8 +24,12 @@
 use crate::CUT_OFF;
 use crate::REFUSED;
 
-/// Runs until a signal asks for the end.
-pub fn main() -> ExitCode {
+/// How often the settings file is looked at.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Runs until a signal asks for the end; the metrics are served on the host's
+/// address with this port.
+pub fn main(metrics_port: Option<u16>) -> ExitCode {
     let Some(path) = std::env::var_os(PATH_VARIABLE).map(PathBuf::from) else {
         eprintln!("radishgauged: the variable {PATH_VARIABLE} names no settings file");
         return ExitCode::from(REFUSED);
@@ -34,7 +41,7 @@
             return ExitCode::from(REFUSED);
         }
     };
-    match run(settings, path) {
+    match run(settings, &path, metrics_port) {
         Ok(StopReport { cut_off: 0 }) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::from(CUT_OFF),
         Err(error) => {
@@ -44,7 +51,11 @@
     }
 }
 
-fn run(settings: HostSettings, path: PathBuf) -> Result<StopReport> {
+fn run(
+    settings: HostSettings,
+    path: &Path,
+    metrics_port: Option<u16>,
+) -> Result<StopReport> {
     logs::open(LogLevel::Info)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -54,24 +65,36 @@
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         let mut reload = signal(SignalKind::hangup())?;
-        let sidecar = Sidecar::open(settings, Arc::new(SystemClock::start()))?;
+        let metrics = metrics_port.map(|port| SocketAddr::new(settings.peers.ip(), port));
+        let mut current = settings.clone();
+        let sidecar = Sidecar::open(settings, metrics, Arc::new(SystemClock::start()))?;
+        let mut look = tokio::time::interval(LOOK_INTERVAL);
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = reload.recv() => reload_settings(&path),
+                _ = reload.recv() => {}
+                _ = look.tick() => {}
             }
+            reload_settings(&sidecar, path, &mut current);
         }
         Ok(sidecar.stop().await)
     })
 }
 
-fn reload_settings(path: &std::path::Path) {
+/// Takes over the settings file when it says something else than before. The
+/// file may change without a signal.
+fn reload_settings(sidecar: &Sidecar, path: &Path, current: &mut HostSettings) {
     match HostSettings::load(path) {
-        Ok(settings) => events::SETTINGS_RELOADED.emit(format_args!(
-            "service={} target={}",
-            settings.service, settings.target
-        )),
+        Ok(settings) if settings == *current => {}
+        Ok(settings) => {
+            events::SETTINGS_RELOADED.emit(format_args!(
+                "service={} target={}",
+                settings.service, settings.target
+            ));
+            *current = settings.clone();
+            sidecar.reload(settings);
+        }
         Err(fault) => events::SETTINGS_REFUSED.emit(format_args!("fault={fault}")),
     }
 }
--- a/crates/mesh/src/budget.rs
+++ b/crates/mesh/src/budget.rs
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Takes over other bounds.
+    pub fn configure(&mut self, bounds: RepeatBounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts a first request for a service.
     pub fn record_request(&mut self, service: &SmolStr, now: Duration) {
         let window = self.bounds.window;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -195,6 +195,7 @@
         let daemons = self.node.peer_addresses().len() + 1;
         let taken = self.node.budget().take(&self.service, daemons, now);
         if taken {
+            self.node.metrics.count("repeats");
             self.node.record.other(
                 &events::REQUEST_REPEATED,
                 &self.request.id,
@@ -235,7 +236,7 @@
         let now = self.node.now();
         HopHead {
             target: id.to_owned(),
-            caller_service: self.node.settings.service.to_string(),
+            caller_service: self.node.settings().service.to_string(),
             route: self.route.name.to_string(),
             objective_us: hop::micros(self.objective_left(now)),
             time_left_us: hop::micros(self.deadline.saturating_sub(now)),
@@ -292,6 +293,12 @@
             self.version,
             self.node.revision(),
         );
+        let outcome = if answer.status.is_server_error() {
+            "target_failed"
+        } else {
+            "served"
+        };
+        self.count(outcome, now);
         let record = &self.node.record;
         if answer.status.is_server_error() {
             record.other(&events::REQUEST_FAILED, &self.request.id, fields, now);
@@ -323,6 +330,7 @@
         let spread = 1.0 + rand::rng().random_range(0.0..RETRY_SPREAD);
         let retry_after = hint.max(LEAST_RETRY_AFTER).mul_f64(spread);
         let now = self.node.now();
+        self.count("refused", now);
         let reason = log.refusal.map_or(HopReason::Unspecified, |refusal| refusal.reason);
         self.node.record.other(
             &events::REQUEST_REFUSED,
@@ -350,8 +358,14 @@
         self.fail(StatusCode::GATEWAY_TIMEOUT, "timeout", log)
     }
 
+    fn count(&self, outcome: &str, now: Duration) {
+        let took = now.saturating_sub(self.arrived).as_millis() as u64;
+        self.node.metrics.request(&self.route.name, outcome, took);
+    }
+
     fn fail(&self, status: StatusCode, reason: &'static str, log: &AttemptLog) -> HttpAnswer {
         let now = self.node.now();
+        self.count("failed", now);
         self.node.record.other(
             &events::REQUEST_FAILED,
             &self.request.id,
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -60,7 +60,7 @@
     let Some(hop_head) = hop::take_head(&mut head.headers) else {
         return serve_state(&node, &head.method, &head.uri, body).await;
     };
-    let peer = SocketAddr::new(remote.ip(), node.settings.peers.port());
+    let peer = SocketAddr::new(remote.ip(), node.settings().peers.port());
     node.hear_revision(peer, hop_head.revision);
     // A daemon reads the caller's whole body first, so this one is at hand.
     let Ok(body) = body.whole(u64::MAX).await else {
@@ -93,18 +93,21 @@
     let now = node.now();
     match outcome {
         TargetOutcome::Answered(_) => {}
-        TargetOutcome::NotRun(refusal) => node.record.other(
-            &events::OWNER_REFUSED,
-            id,
-            format_args!(
-                "target={target} reason={:?} occupied={} limit={} wait_ms={}",
-                refusal.reason,
-                report.occupied,
-                report.limit,
-                report.wait_us / 1000
-            ),
-            now,
-        ),
+        TargetOutcome::NotRun(refusal) => {
+            node.metrics.owner_refusal(refusal.reason.as_str_name());
+            node.record.other(
+                &events::OWNER_REFUSED,
+                id,
+                format_args!(
+                    "target={target} reason={:?} occupied={} limit={} wait_ms={}",
+                    refusal.reason,
+                    report.occupied,
+                    report.limit,
+                    report.wait_us / 1000
+                ),
+                now,
+            );
+        }
         TargetOutcome::MayHaveRun(reason) => node.record.other(
             &events::OWNER_FAILED,
             id,
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -33,6 +33,7 @@
     // A whole read is due at the start and when the history is lost.
     let mut read_due = true;
     loop {
+        node.metrics.count("store_calls");
         let outcome = if read_due {
             read_all(&node, &store).await
         } else {
@@ -55,6 +56,7 @@
                 read_due = true;
             }
             Err(error) => {
+                node.metrics.count("store_failures");
                 if lost_at.is_none() {
                     lost_at = Some(node.now());
                     lose(&node, &error);
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod hop;
+pub mod metrics;
 pub mod node;
 pub mod owner;
 pub mod peers;
--- /dev/null
+++ b/crates/sidecar/src/metrics.rs
@@ -0,0 +1,195 @@
+//! Counters and latency histograms, served as text.
+//!
+//! The client library formats each metric; the registry adds it to its series,
+//! so that a reader who comes seldom misses nothing. Series are bounded in
+//! number: routes come and go with configurations.
+
+use std::fmt::Write;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use cadence::Counted;
+use cadence::CountedExt;
+use cadence::Gauged;
+use cadence::Histogrammed;
+use cadence::MetricSink;
+use cadence::StatsdClient;
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use smol_str::SmolStr;
+
+use crate::node::SidecarNode;
+use crate::node::lock;
+
+/// The greatest number of series; later ones are counted in one of their own.
+const MOST_SERIES: usize = 400;
+
+/// The greatest latency that a histogram tells apart, in milliseconds.
+const GREATEST_MS: u64 = 60_000;
+
+/// The significant digits of a histogram; 1 keeps a series below 3 KB.
+const DIGITS: u8 = 1;
+
+/// The series that counts metrics beyond the bound.
+const OVERFLOW: &str = "radishgauge.series_left_out";
+
+/// One series.
+#[derive(Debug)]
+enum MetricSeries {
+    Counter(u64),
+    Gauge(u64),
+    Latency(Box<Histogram<u32>>),
+}
+
+/// All series of one process.
+#[derive(Debug, Default)]
+pub struct MetricRegistry {
+    series: Mutex<IndexMap<SmolStr, MetricSeries>>,
+}
+
+impl MetricRegistry {
+    /// Returns all series as text, one a line: the name with its labels, and
+    /// the value.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        for (name, series) in lock(&self.series).iter() {
+            // Writing to a string cannot fail.
+            let _ = match series {
+                MetricSeries::Counter(value) | MetricSeries::Gauge(value) => {
+                    writeln!(text, "{name} {value}")
+                }
+                MetricSeries::Latency(latencies) => write_latency(&mut text, name, latencies),
+            };
+        }
+        text
+    }
+
+    fn add(&self, name: &str, value: u64, kind: &str) {
+        let mut series = lock(&self.series);
+        let name = if series.contains_key(name) || series.len() < MOST_SERIES {
+            SmolStr::from(name)
+        } else {
+            SmolStr::new_static(OVERFLOW)
+        };
+        let counted = kind == "c" || name == OVERFLOW;
+        let entry = series.entry(name).or_insert_with(|| match kind {
+            _ if counted => MetricSeries::Counter(0),
+            "g" => MetricSeries::Gauge(0),
+            _ => MetricSeries::Latency(Box::new(latencies())),
+        });
+        match entry {
+            MetricSeries::Counter(sum) => *sum += if counted { value } else { 1 },
+            MetricSeries::Gauge(last) => *last = value,
+            MetricSeries::Latency(latencies) => latencies.saturating_record(value.max(1)),
+        }
+    }
+}
+
+fn latencies() -> Histogram<u32> {
+    // The bounds are constants that the library accepts.
+    Histogram::new_with_bounds(1, GREATEST_MS, DIGITS).expect("valid bounds")
+}
+
+fn write_latency(text: &mut String, name: &str, latencies: &Histogram<u32>) -> std::fmt::Result {
+    let (base, labels) = name.split_once('{').unwrap_or((name, "}"));
+    writeln!(text, "{base}_count{{{labels} {}", latencies.len())?;
+    for (label, quantile) in [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)] {
+        let value = latencies.value_at_quantile(quantile);
+        writeln!(text, "{base}_{label}{{{labels} {value}")?;
+    }
+    Ok(())
+}
+
+/// Adds what the client formats to the registry.
+struct RegistrySink(Arc<MetricRegistry>);
+
+impl MetricSink for RegistrySink {
+    fn emit(&self, metric: &str) -> io::Result<usize> {
+        // `name:value|kind|#key:value,key:value`
+        let mut parts = metric.split('|');
+        let named = parts.next().and_then(|part| part.rsplit_once(':'));
+        let Some((name, value)) = named else {
+            return Err(io::ErrorKind::InvalidData.into());
+        };
+        let kind = parts.next().unwrap_or_default();
+        let tags = parts.next().and_then(|part| part.strip_prefix('#'));
+        let value = value.parse().map_err(io::Error::other)?;
+        match tags {
+            None => self.0.add(name, value, kind),
+            Some(tags) => self.0.add(&format!("{name}{{{tags}}}"), value, kind),
+        }
+        Ok(metric.len())
+    }
+}
+
+/// Counts what a daemon does.
+pub struct SidecarMetrics {
+    client: StatsdClient,
+    registry: Arc<MetricRegistry>,
+}
+
+impl Default for SidecarMetrics {
+    fn default() -> SidecarMetrics {
+        let registry = Arc::new(MetricRegistry::default());
+        let client = StatsdClient::from_sink("radishgauge", RegistrySink(Arc::clone(&registry)));
+        SidecarMetrics { client, registry }
+    }
+}
+
+impl SidecarMetrics {
+    /// Counts one request of a caller by its route and how it ended.
+    pub fn request(&self, route: &str, outcome: &str, took_ms: u64) {
+        // The registry fails no metric of these forms.
+        let _ = self
+            .client
+            .histogram_with_tags("request_ms", took_ms)
+            .with_tag("route", route)
+            .with_tag("outcome", outcome)
+            .try_send();
+    }
+
+    /// Counts one refusal of the owner by its reason.
+    pub fn owner_refusal(&self, reason: &str) {
+        let _ = self
+            .client
+            .count_with_tags("owner_refusals", 1)
+            .with_tag("reason", reason)
+            .try_send();
+    }
+
+    /// Counts one event without labels.
+    pub fn count(&self, name: &str) {
+        let _: Result<cadence::Counter, _> = self.client.incr(name);
+    }
+
+    /// Returns the page: all series, and the daemon's present state.
+    pub fn page(&self, node: &SidecarNode) -> String {
+        let load = node.owner.report();
+        let (config, targets, out) = {
+            let known = node.known();
+            let book = &known.book;
+            (
+                book.config().map_or(0, |config| config.version()),
+                book.targets().count() as u64,
+                book.domains_out().count() as u64,
+            )
+        };
+        let gauges = [
+            ("state_revision", node.revision()),
+            ("config_version", config),
+            ("targets_known", targets),
+            ("domains_out", out),
+            ("target_occupied", u64::from(load.occupied)),
+            ("target_limit", u64::from(load.limit)),
+            ("target_wait_ms", load.wait.as_millis() as u64),
+            ("target_cold", u64::from(load.cold)),
+            ("target_down", u64::from(node.owner.is_down())),
+            ("store_away", u64::from(node.known().book.store_away())),
+        ];
+        for (name, value) in gauges {
+            let _: Result<cadence::Gauge, _> = self.client.gauge(name, value);
+        }
+        self.registry.render()
+    }
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use radishgauge_events::events;
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MeshRoute;
@@ -29,6 +30,7 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
+use crate::metrics::SidecarMetrics;
 use crate::owner::TargetOwner;
 use crate::peers::PeerClients;
 use crate::record::RequestRecord;
@@ -44,8 +46,7 @@
 
 /// What the parts of one daemon share.
 pub struct SidecarNode {
-    /// The host's settings.
-    pub settings: HostSettings,
+    settings: ArcSwap<HostSettings>,
     /// The process clock.
     pub clock: Arc<dyn ProcessClock>,
     /// The target of this host.
@@ -54,6 +55,8 @@
     pub peers: PeerClients,
     /// The log of decisions on requests.
     pub record: RequestRecord,
+    /// Counters and latencies.
+    pub metrics: SidecarMetrics,
     /// Wakes the exchange of state with peers.
     pub behind: Notify,
     known: Mutex<KnownState>,
@@ -76,10 +79,11 @@
         SidecarNode {
             peers: PeerClients::new(settings.peers.port()),
             budget: Mutex::new(RepeatBudget::new(settings.repeats)),
-            settings,
+            settings: ArcSwap::from_pointee(settings),
             clock,
             owner,
             record: RequestRecord::default(),
+            metrics: SidecarMetrics::default(),
             behind: Notify::new(),
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
@@ -89,6 +93,25 @@
         }
     }
 
+    /// Returns the host's settings.
+    pub fn settings(&self) -> Arc<HostSettings> {
+        self.settings.load_full()
+    }
+
+    /// Takes over changed settings. The addresses on which this daemon listens
+    /// stay as they were at its start.
+    pub fn reload(&self, settings: HostSettings) {
+        let before = self.settings();
+        let now = self.now();
+        if before.target != settings.target {
+            self.owner.set_target(settings.target);
+        }
+        self.budget().configure(settings.repeats);
+        self.settings.store(Arc::new(settings));
+        let known = self.known();
+        self.owner.refresh(&self.settings(), &known.book, now);
+    }
+
     /// Returns the time of the process clock.
     pub fn now(&self) -> Duration {
         self.clock.now()
@@ -190,7 +213,7 @@
         }
         let book = &known.book;
         self.placer().retain(|id| book.target(id).is_some());
-        self.owner.refresh(&self.settings, book, now);
+        self.owner.refresh(&self.settings(), book, now);
     }
 
     /// Records a revision that a peer knows.
@@ -215,23 +238,24 @@
 
     /// Returns the targets that may get a request of the route for the service.
     pub fn candidates(&self, route: &MeshRoute, service: &str) -> Vec<Candidate> {
+        let settings = self.settings();
         let known = self.known();
         let book = &known.book;
         book.targets()
             .filter(|target| target.service == service && !target.draining)
             .filter(|target| !book.is_out(&target.failure_domain))
-            .filter_map(|target| self.candidate(target))
+            .filter_map(|target| self.candidate(target, &settings))
             .filter(|candidate| route.allows_region(&candidate.region))
             .collect()
     }
 
-    fn candidate(&self, target: &TargetRecord) -> Option<Candidate> {
-        let region = self.settings.domains.get(&target.failure_domain)?.clone();
-        let distance = if target.address == self.settings.target {
+    fn candidate(&self, target: &TargetRecord, settings: &HostSettings) -> Option<Candidate> {
+        let region = settings.domains.get(&target.failure_domain)?.clone();
+        let distance = if target.address == settings.target {
             TargetDistance::Host
-        } else if target.failure_domain == self.settings.failure_domain {
+        } else if target.failure_domain == settings.failure_domain {
             TargetDistance::Domain
-        } else if region == self.settings.region {
+        } else if region == settings.region {
             TargetDistance::Region
         } else {
             TargetDistance::Far
@@ -250,15 +274,16 @@
     /// Returns the addresses of the other daemons, those of the own failure
     /// domain first.
     pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let settings = self.settings();
         let known = self.known();
         let mut peers: Vec<(bool, SocketAddr)> = known
             .book
             .targets()
             .map(|target| {
-                let far = target.failure_domain != self.settings.failure_domain;
+                let far = target.failure_domain != settings.failure_domain;
                 (far, self.peers.address_of(target.address))
             })
-            .filter(|(_, peer)| peer.ip() != self.settings.peers.ip())
+            .filter(|(_, peer)| peer.ip() != settings.peers.ip())
             .collect();
         peers.sort_unstable();
         peers.dedup();
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -5,6 +5,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -88,7 +89,7 @@
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
         TargetOwner {
             clock,
-            client: ArcSwap::from_pointee(client(settings)),
+            client: ArcSwap::from_pointee(client(settings.target)),
             state: Mutex::new(OwnerState {
                 admission: LocalAdmission::new(UNKNOWN_CAPACITY),
                 waiters: HashMap::new(),
@@ -110,6 +111,12 @@
         self.client.load_full()
     }
 
+    /// Owns the target at another address from here on.
+    pub fn set_target(&self, address: SocketAddr) {
+        self.client.store(Arc::new(client(address)));
+        self.check.notify_one();
+    }
+
     /// Returns what the configuration says of the target's service.
     pub fn policy(&self) -> Option<ServicePolicy> {
         self.state().policy.clone()
@@ -329,9 +336,9 @@
     }
 }
 
-fn client(settings: &HostSettings) -> TargetClient {
+fn client(address: SocketAddr) -> TargetClient {
     TargetClient::new(
-        settings.target,
+        address,
         TargetLimits {
             connections: CONNECTIONS,
             connect: CONNECT_TIMEOUT,
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -1,5 +1,6 @@
 //! A running daemon and its end.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,10 @@
 /// The listener's address for other daemons, by its place.
 const PEERS: usize = 1;
 
+/// The listener's address of the platform's question whether this daemon is
+/// ready, by its place. The address for metrics comes after it.
+const READINESS: usize = 2;
+
 /// The greatest request head in bytes, above what the platform allows callers.
 const GREATEST_HEAD: usize = 64 * 1024;
 
@@ -41,7 +46,7 @@
 const SERVING_PART: f64 = 0.38;
 
 /// The part of the stop time after which requests under way are cut off.
-const LAST_PART: f64 = 0.95;
+const LAST_PART: f64 = 0.88;
 
 /// How often expired entries and unused connections are looked for.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -65,18 +70,23 @@
     /// # Errors
     ///
     /// When an address cannot be bound.
-    pub fn open(settings: HostSettings, clock: Arc<dyn ProcessClock>) -> Result<Sidecar> {
+    pub fn open(
+        settings: HostSettings,
+        metrics: Option<SocketAddr>,
+        clock: Arc<dyn ProcessClock>,
+    ) -> Result<Sidecar> {
         let owner = Arc::new(TargetOwner::new(&settings, Arc::clone(&clock)));
         let seed = rand::random();
         let node = Arc::new(SidecarNode::new(settings, clock, owner, seed));
-        let settings = &node.settings;
+        let settings = node.settings();
         let limits = ListenLimits {
             head: GREATEST_HEAD,
             threads: 1,
             requests: GREATEST_REQUESTS,
             ..ListenLimits::default()
         };
-        let addresses = [settings.callers, settings.peers, settings.readiness];
+        let mut addresses = vec![settings.callers, settings.peers, settings.readiness];
+        addresses.extend(metrics);
         let served = Arc::clone(&node);
         let handler = move |request| serve(Arc::clone(&served), request);
         let listener =
@@ -100,6 +110,15 @@
         Ok(Sidecar { node, listener })
     }
 
+    /// Takes over changed settings.
+    pub fn reload(&self, settings: HostSettings) {
+        let node = Arc::clone(&self.node);
+        // The owner wakes waiting requests on the listener's thread.
+        self.listener
+            .runtime()
+            .spawn(async move { node.reload(settings) });
+    }
+
     /// Stops within the stop time: everything is served until callers have gone
     /// elsewhere, then requests under way finish.
     pub async fn stop(self) -> StopReport {
@@ -108,7 +127,7 @@
         let (running, waiting) = node.owner.load();
         events::SIDECAR_STOPPING.emit(format_args!("running={running} waiting={waiting}"));
         node.begin_stop();
-        let grace = node.settings.stop_grace;
+        let grace = node.settings().stop_grace;
         tokio::time::sleep(grace.mul_f64(SERVING_PART)).await;
         let owner = Arc::clone(&node.owner);
         listener.runtime().spawn(async move { owner.stop() });
@@ -129,7 +148,8 @@
     match request.socket {
         CALLERS => entry::serve(node, request).await,
         PEERS => exchange::serve(node, request).await,
-        _ => readiness(&node, &request),
+        READINESS => readiness(&node, &request),
+        _ => Response::new(AnswerBody::whole(node.metrics.page(&node))),
     }
 }
 
