Reset requests that are given up, and bound what crosses to other regions

(1) A connection that is dropped with a request under way is reset, which drops what has not been delivered. (2) Each daemon follows the room on the link by the time of short requests to the other region and back, and refuses long bodies beyond it. (3) Requests that wait at an owner are refused while their caller can still be told, and a timeout before anything was sent answers 'not run'.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -12,6 +12,7 @@
 use rand_pcg::Pcg32;
 use smol_str::SmolStr;
 
+use crate::link::FarBudget;
 use crate::order;
 
 /// Weight of one answer in the averages of a target.
@@ -130,13 +131,15 @@
     },
     /// The target failed it, or its answer was lost.
     Failed,
+    /// Nothing was heard of it in time.
+    Unheard,
     /// The owner refused it for lack of room.
     Full,
     /// The owner refuses all work, or is not the target's owner.
     Closed,
     /// The owner or the target accepts no connections.
     Down,
-    /// The caller went away, or its time was over.
+    /// The caller went away.
     Cancelled,
 }
 
@@ -204,6 +207,7 @@
     beliefs: IndexMap<SmolStr, TargetBelief>,
     /// The time to a target and back, by distance, in seconds.
     hops: [f64; 4],
+    far: FarBudget,
     random: Pcg32,
 }
 
@@ -214,6 +218,7 @@
         TargetPlacer {
             beliefs: IndexMap::new(),
             hops: FIRST_HOP.map(|hop| hop.as_secs_f64()),
+            far: FarBudget::default(),
             random: Pcg32::new(seed, 0),
         }
     }
@@ -231,6 +236,7 @@
         now: Duration,
     ) -> Result<SmolStr, Unplaced> {
         let fastest = self.fastest(candidates, request, now);
+        let link_wait = self.far.wait(request.body_bytes, now);
         let mut best: Option<(f64, &PlaceCandidate)> = None;
         let mut best_paused: Option<(f64, &PlaceCandidate)> = None;
         let mut soonest: Option<Duration> = None;
@@ -244,7 +250,10 @@
                 }
                 continue;
             }
-            let over = over_allowed(belief, candidate, request, fastest, now);
+            let mut over = over_allowed(belief, candidate, request, fastest, now);
+            if candidate.distance == TargetDistance::Far {
+                over = over.max(link_wait);
+            }
             if over > Duration::ZERO {
                 soonest = Some(soonest.map_or(over, |least| least.min(over)));
                 continue;
@@ -260,6 +269,9 @@
             (None, None, Some((_, candidate))) => candidate,
             (None, None, None) => return Err(Unplaced::NoTarget),
         };
+        if chosen.distance == TargetDistance::Far {
+            self.far.record_sent(request.body_bytes, now);
+        }
         let belief = self.beliefs.entry(chosen.id.clone()).or_default();
         belief.own += 1;
         Ok(chosen.id.clone())
@@ -278,9 +290,17 @@
         &mut self,
         id: &SmolStr,
         distance: TargetDistance,
+        body_bytes: u64,
         outcome: SendOutcome,
         now: Duration,
     ) {
+        if distance == TargetDistance::Far {
+            match outcome {
+                SendOutcome::Served { hop } => self.far.record_trip(hop, body_bytes, now),
+                SendOutcome::Unheard => self.far.record_lost(now),
+                _ => {}
+            }
+        }
         let belief = self.beliefs.entry(id.clone()).or_default();
         belief.own = belief.own.saturating_sub(1);
         match outcome {
@@ -289,7 +309,7 @@
                 let average = &mut self.hops[distance as usize];
                 *average += (hop.as_secs_f64() - *average) * ANSWER_WEIGHT;
             }
-            SendOutcome::Failed => belief.record_failure(true, now),
+            SendOutcome::Failed | SendOutcome::Unheard => belief.record_failure(true, now),
             SendOutcome::Closed => belief.paused_until = now + CLOSED_PAUSE,
             SendOutcome::Down => belief.paused_until = now + DOWN_PAUSE,
             SendOutcome::Full | SendOutcome::Cancelled => {}
--- /dev/null
+++ b/crates/mesh/tests/mesh/link.rs
@@ -0,0 +1,78 @@
+//! Plays daemons of one region that share a link with a queue.
+
+use std::time::Duration;
+
+use radishgauge_mesh::link::FarBudget;
+
+/// The link in bytes a second, and the way there and back without a queue.
+const LINK: f64 = 7_000_000.0;
+const TRIP: Duration = Duration::from_millis(25);
+
+/// The length of each upload, and of the answers to short requests.
+const UPLOAD: u64 = 280_000;
+
+struct LinkView {
+    /// The queue's greatest time after the first seconds, in seconds.
+    worst_delay: f64,
+    /// The bytes of uploads that the link carried.
+    carried: f64,
+}
+
+/// Twelve daemons; each wants to send five uploads a second, over twice what
+/// the link carries, and makes a short request each 20 ms.
+fn play(guarded: bool) -> LinkView {
+    let mut budgets: Vec<FarBudget> = (0..12).map(|_| FarBudget::default()).collect();
+    let (mut queue, mut carried, mut worst) = (0.0_f64, 0.0, 0.0_f64);
+    for tick in 0..30_000_u64 {
+        let now = Duration::from_millis(tick);
+        queue = (queue - LINK / 1000.0).max(0.0);
+        let delay = queue / LINK;
+        if tick > 8_000 {
+            worst = worst.max(delay);
+        }
+        for (index, budget) in budgets.iter_mut().enumerate() {
+            let turn = tick + index as u64 * 17;
+            if turn % 20 == 0 {
+                let trip = TRIP + Duration::from_secs_f64(delay);
+                budget.record_trip(trip, 100, now);
+            }
+            let passes = !guarded || budget.wait(UPLOAD, now).is_zero();
+            if turn % 200 == 0 && passes {
+                budget.record_sent(UPLOAD, now);
+                queue += UPLOAD as f64;
+                carried += UPLOAD as f64;
+            }
+        }
+    }
+    LinkView {
+        worst_delay: worst,
+        carried,
+    }
+}
+
+/// Guards against uploads that fill the link between regions, so that every
+/// other request on it is late.
+#[test]
+fn the_link_stays_usable_for_short_requests() {
+    let guarded = play(true);
+    // Callers' objectives are some hundred milliseconds.
+    assert!(guarded.worst_delay < 0.5, "{}", guarded.worst_delay);
+    let share = guarded.carried / (LINK * 30.0);
+    assert!(share > 0.3, "only {share} of the link is used");
+    assert!(play(false).worst_delay > 5.0);
+}
+
+/// Guards against short requests that are held back with the long ones, and
+/// against a wait without an end.
+#[test]
+fn short_requests_pass_and_long_ones_are_told_when() {
+    let mut budget = FarBudget::default();
+    let now = Duration::from_secs(1);
+    while budget.wait(UPLOAD, now).is_zero() {
+        budget.record_sent(UPLOAD, now);
+    }
+    assert!(budget.wait(1_000, now).is_zero());
+    let wait = budget.wait(UPLOAD, now);
+    assert!(wait > Duration::ZERO && wait < Duration::from_secs(2));
+    assert!(budget.wait(UPLOAD, now + wait).is_zero());
+}
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -116,7 +116,7 @@
         if id != "domain" {
             break;
         }
-        placer.finish(&id, TargetDistance::Domain, SendOutcome::Failed, ms(tick));
+        placer.finish(&id, TargetDistance::Domain, 0, SendOutcome::Failed, ms(tick));
     }
     assert_eq!(place(&mut placer, 20).unwrap(), "region");
     assert_eq!(place(&mut placer, 20_000).unwrap(), "domain");
@@ -152,6 +152,7 @@
         placer.finish(
             &id,
             TargetDistance::Domain,
+            0,
             SendOutcome::Served { hop: ms(1) },
             ms(now),
         );
@@ -168,7 +169,7 @@
 fn a_target_that_is_down_is_the_last_choice() {
     let mut placer = placer(&[]);
     let id = place(&mut placer, 1).unwrap();
-    placer.finish(&id, TargetDistance::Domain, SendOutcome::Down, ms(1));
+    placer.finish(&id, TargetDistance::Domain, 0, SendOutcome::Down, ms(1));
     assert_eq!(place(&mut placer, 2).unwrap(), "region");
     let only = [candidate("domain", TargetDistance::Domain)];
     assert_eq!(placer.place(&only, &REQUEST, ms(2)).unwrap(), "domain");
--- a/crates/net/src/answer_reader.rs
+++ b/crates/net/src/answer_reader.rs
@@ -21,6 +21,7 @@
 use http::response::Parts;
 use httparse::Status;
 use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 
 /// The greatest number of header fields in an answer.
@@ -75,6 +76,11 @@
         }
     }
 
+    /// Returns the connection's socket.
+    pub(crate) fn socket(&self) -> &TcpStream {
+        self.stream.as_ref()
+    }
+
     /// Says what an unused connection shows without waiting.
     pub(crate) fn unused(&mut self) -> UnusedState {
         if !self.buffer.is_empty() {
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -498,6 +498,7 @@
         let Some(mut connection) = self.connection.take() else {
             return;
         };
+        connection.end_request();
         if !self.keep {
             return;
         }
--- a/crates/net/src/target_connection.rs
+++ b/crates/net/src/target_connection.rs
@@ -20,6 +20,7 @@
 use http::request::Parts;
 use http_body::Body;
 use http_body_util::BodyExt;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::task::JoinHandle;
@@ -69,10 +70,18 @@
     open: Arc<OpenConnections>,
     /// How long the target keeps the connection unused, when it says so.
     pub(crate) idle: Option<Duration>,
+    /// Whether a request is under way.
+    busy: bool,
 }
 
 impl Drop for TargetConnection {
     fn drop(&mut self) {
+        if self.busy {
+            // A reset drops what has not been delivered yet; otherwise a slow
+            // path would still deliver a request that was given up. When it
+            // fails, the connection ends in order.
+            let _ = SockRef::from(self.reader.socket()).set_linger(Some(Duration::ZERO));
+        }
         self.open.count.fetch_sub(1, Ordering::Relaxed);
         if let WriteSide::Busy(task) = &self.writer {
             task.abort();
@@ -93,9 +102,15 @@
             writer: WriteSide::Free(writer),
             open: open.clone(),
             idle: None,
+            busy: false,
         }
     }
 
+    /// Records that the whole answer has come.
+    pub(crate) fn end_request(&mut self) {
+        self.busy = false;
+    }
+
     /// Writes a request and returns when the answer may be read. Nothing was
     /// written when it fails and the gate was not passed.
     pub(crate) async fn write(
@@ -106,6 +121,7 @@
         let WriteSide::Free(mut half) = std::mem::replace(&mut self.writer, WriteSide::Lost) else {
             return Err(io::ErrorKind::BrokenPipe.into());
         };
+        self.busy = true;
         match request {
             OutgoingRequest::Whole(bytes) => {
                 write_all(&mut half, &bytes, gate).await?;
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -478,3 +478,24 @@
         assert_eq!(whole.is_ok(), !reset, "{whole:?}");
     }
 }
+
+// Guards against a request that was given up and is delivered later, from
+// buffers on a slow path: the connection is reset, which drops them.
+#[tokio::test]
+async fn a_request_that_is_given_up_is_reset() {
+    let target = tokio::net::TcpListener::bind(common::loopback())
+        .await
+        .unwrap();
+    let client = TargetClient::new(target.local_addr().unwrap(), TargetLimits::default());
+    let sending = tokio::spawn(async move {
+        let _ = client.send(post("/", TargetBody::whole("x"))).await;
+    });
+    let (mut stream, _) = target.accept().await.unwrap();
+    // The request has arrived, and is not read yet.
+    stream.readable().await.unwrap();
+    sending.abort();
+    assert!(sending.await.unwrap_err().is_cancelled());
+    let mut text = Vec::new();
+    let error = stream.read_to_end(&mut text).await.unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -71,6 +71,8 @@
     refusal: Option<NotRun>,
     /// A failure that a target answered.
     failure: Option<WholeAnswer>,
+    /// What became of the attempt under way at another host.
+    progress: Option<Arc<RequestProgress>>,
 }
 
 /// Serves one request.
@@ -138,7 +140,7 @@
         let answer = tokio::time::timeout(left, self.attempts(&mut log)).await;
         match answer {
             Ok(answer) => answer,
-            Err(_) => self.timed_out(&log),
+            Err(_) => self.timed_out(&mut log),
         }
     }
 
@@ -151,7 +153,7 @@
             };
             let id = candidate.place.id.clone();
             log.tried.push(id.clone());
-            match self.send(&candidate).await {
+            match self.send(&candidate, log).await {
                 TargetOutcome::Answered(answer) => {
                     log.reached += 1;
                     if !answer.status.is_server_error() || !self.may_repeat(log, &id, "failure") {
@@ -246,7 +248,7 @@
         }
     }
 
-    async fn send(&self, candidate: &Candidate) -> TargetOutcome {
+    async fn send(&self, candidate: &Candidate, log: &mut AttemptLog) -> TargetOutcome {
         let started = self.node.now();
         let id = &candidate.place.id;
         let head = self.head(id);
@@ -254,7 +256,9 @@
             node: self.node,
             id,
             distance: candidate.place.distance,
-            outcome: SendOutcome::Cancelled,
+            body_bytes: self.request.body.len() as u64,
+            deadline: self.deadline,
+            outcome: None,
         };
         let (outcome, spent) = if candidate.place.distance == TargetDistance::Host {
             let outcome = self.node.owner.run(&self.request, &head).await;
@@ -262,7 +266,8 @@
             self.node.placer().report(id, load, self.node.now());
             (outcome, None)
         } else {
-            let progress = RequestProgress::default();
+            let progress = Arc::new(RequestProgress::default());
+            log.progress = Some(Arc::clone(&progress));
             let peers = &self.node.peers;
             let hop = peers
                 .send(candidate.peer, &self.request, &head, &progress)
@@ -278,7 +283,8 @@
             (hop.outcome, spent)
         };
         let took = self.node.now().saturating_sub(started);
-        under_way.outcome = send_outcome(&outcome, took, spent);
+        under_way.outcome = Some(send_outcome(&outcome, took, spent));
+        log.progress = None;
         outcome
     }
 
@@ -354,7 +360,15 @@
         )
     }
 
-    fn timed_out(&self, log: &AttemptLog) -> HttpAnswer {
+    fn timed_out(&self, log: &mut AttemptLog) -> HttpAnswer {
+        let sent = match log.progress.take() {
+            Some(progress) => progress.seal(),
+            // The target of this host answers for itself, later.
+            None => !log.tried.is_empty(),
+        };
+        if !sent && log.uncertain.is_none() {
+            return self.give_up(log, Unplaced::NoTarget);
+        }
         self.fail(StatusCode::GATEWAY_TIMEOUT, "timeout", log)
     }
 
@@ -390,15 +404,23 @@
     node: &'a Arc<SidecarNode>,
     id: &'a SmolStr,
     distance: TargetDistance,
-    outcome: SendOutcome,
+    body_bytes: u64,
+    deadline: Duration,
+    /// `None` while it is under way.
+    outcome: Option<SendOutcome>,
 }
 
 impl Drop for UnderWay<'_> {
     fn drop(&mut self) {
         let now = self.node.now();
+        let outcome = self.outcome.unwrap_or(if now >= self.deadline {
+            SendOutcome::Unheard
+        } else {
+            SendOutcome::Cancelled
+        });
         self.node
             .placer()
-            .finish(self.id, self.distance, self.outcome, now);
+            .finish(self.id, self.distance, self.body_bytes, outcome, now);
     }
 }
 
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -55,6 +55,10 @@
 /// use; this bounds those that are just being closed.
 const CONNECTIONS: usize = 96;
 
+/// How long before its caller gives up a waiting request is refused, so that
+/// the refusal arrives in time, also from another region.
+const REFUSAL_TIME: Duration = Duration::from_millis(60);
+
 /// Identities of former targets that are remembered, so that a sender with an
 /// older state is told.
 const FORMER_TARGETS: usize = 64;
@@ -280,6 +284,7 @@
                         owner: self,
                         key: Some(key),
                         route: &offer.route,
+                        until: now + offer.time_left.saturating_sub(REFUSAL_TIME),
                         decision,
                     }
                 }
@@ -416,18 +421,27 @@
     owner: &'a Arc<TargetOwner>,
     key: Option<WaitKey>,
     route: &'a SmolStr,
+    /// When to refuse it, while its caller can still be told.
+    until: Duration,
     decision: oneshot::Receiver<Result<(), OfferRefusal>>,
 }
 
 impl QueuedRequest<'_> {
     async fn wait(mut self) -> Result<RunningSlot, NotRun> {
-        let decision = (&mut self.decision).await;
-        self.key = None;
+        let time = self.until.saturating_sub(self.owner.clock.now());
+        let decision = tokio::time::timeout(time, &mut self.decision).await;
         match decision {
-            Ok(Ok(())) => Ok(self.owner.slot(self.route)),
-            Ok(Err(refusal)) => Err(not_run(refusal)),
+            Ok(Ok(Ok(()))) => {
+                self.key = None;
+                Ok(self.owner.slot(self.route))
+            }
+            Ok(Ok(Err(refusal))) => {
+                self.key = None;
+                Err(not_run(refusal))
+            }
             // The owner drops a sender only with its own end.
-            Err(_) => Err(NotRun::unseen(HopReason::Stopping)),
+            Ok(Err(_)) => Err(NotRun::unseen(HopReason::Stopping)),
+            Err(_) => Err(NotRun::unseen(HopReason::Expired)),
         }
     }
 }
