--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -48,6 +48,7 @@
 use crate::target_connection::OpenConnections;
 use crate::target_connection::OutgoingRequest;
 use crate::target_connection::TargetConnection;
+use crate::target_connection::WriteState;
 
 /// The part of the time for which a target keeps an unused connection during
 /// which it is used again; a request must not cross its end.
@@ -424,10 +425,14 @@
         drop(connection);
     }
 
-    /// Returns the connection that was used last, when it is fit for use.
+    /// Returns the connection that was used last, of those that are fit for use.
     fn reuse(&self) -> Option<TargetConnection> {
         self.sweep();
-        Some(self.idle().pop_back()?.connection)
+        let mut idle = self.idle();
+        idle.retain_mut(|idle| idle.connection.written() != WriteState::Lost);
+        let written = |idle: &mut IdleConnection| idle.connection.written() == WriteState::Written;
+        let last = idle.iter_mut().rposition(written)?;
+        Some(idle.remove(last)?.connection)
     }
 
     fn give_back(&self, connection: TargetConnection) {
@@ -499,19 +504,10 @@
             return;
         };
         connection.end_request();
-        if !self.keep {
-            return;
-        }
-        if connection.is_written() {
+        if self.keep {
+            // The rest of a long body may still be written; see `reuse`.
             self.shared.give_back(connection);
-            return;
         }
-        let shared = self.shared.clone();
-        tokio::spawn(async move {
-            if connection.finish_writing().await {
-                shared.give_back(connection);
-            }
-        });
     }
 
     /// Whether the whole body was received.
--- a/crates/net/src/target_connection.rs
+++ b/crates/net/src/target_connection.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use http::Method;
 use http::Request;
 use http::header;
@@ -34,9 +35,6 @@
 /// a connection, so that the target need not read for it to be written.
 const WHOLE_REQUEST: usize = 16 * 1024;
 
-/// How long the rest of a body may take after the whole answer has come.
-const REST_TIME: Duration = Duration::from_secs(5);
-
 /// Counts the open connections, and how often the target ended the last one.
 #[derive(Debug, Default)]
 pub(crate) struct OpenConnections {
@@ -76,16 +74,22 @@
 
 impl Drop for TargetConnection {
     fn drop(&mut self) {
-        if self.busy {
-            // A reset drops what has not been delivered yet; otherwise a slow
-            // path would still deliver a request that was given up. When it
-            // fails, the connection ends in order.
-            let _ = SockRef::from(self.reader.socket()).set_linger(Some(Duration::ZERO));
-        }
         self.open.count.fetch_sub(1, Ordering::Relaxed);
-        if let WriteSide::Busy(task) = &self.writer {
+        let writer = std::mem::replace(&mut self.writer, WriteSide::Lost);
+        if let WriteSide::Busy(task) = &writer {
             task.abort();
         }
+        if !self.busy {
+            return;
+        }
+        // A reset drops what has not been delivered yet; otherwise a slow path
+        // would still deliver a request that was given up. When it fails, the
+        // connection ends in order.
+        let _ = SockRef::from(self.reader.socket()).set_linger(Some(Duration::ZERO));
+        if let WriteSide::Free(half) = writer {
+            // Dropping it would first end the stream in order.
+            half.forget();
+        }
     }
 }
 
@@ -162,22 +166,33 @@
         self.reader.head(method).await
     }
 
-    /// Waits until the whole request is written; `false` when it never will be.
-    pub(crate) async fn finish_writing(&mut self) -> bool {
+    /// Says whether the whole request is written.
+    pub(crate) fn written(&mut self) -> WriteState {
         if let WriteSide::Busy(task) = &mut self.writer {
-            self.writer = match tokio::time::timeout(REST_TIME, task).await {
-                Ok(Ok(Ok(half))) => WriteSide::Free(half),
-                // The connection is of no more use, and is closed.
-                Ok(_) | Err(_) => return false,
+            self.writer = match task.now_or_never() {
+                None => return WriteState::Writing,
+                Some(Ok(Ok(half))) => WriteSide::Free(half),
+                // The connection is of no more use.
+                Some(Ok(Err(_)) | Err(_)) => WriteSide::Lost,
             };
         }
-        self.is_written()
+        match self.writer {
+            WriteSide::Free(_) => WriteState::Written,
+            WriteSide::Busy(_) => WriteState::Writing,
+            WriteSide::Lost => WriteState::Lost,
+        }
     }
+}
 
-    /// Whether the whole request is written.
-    pub(crate) fn is_written(&self) -> bool {
-        matches!(self.writer, WriteSide::Free(_))
-    }
+/// How far the writing of a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum WriteState {
+    /// It is written.
+    Written,
+    /// Its rest is being written.
+    Writing,
+    /// It will never be written.
+    Lost,
 }
 
 /// A request in the form in which it is written.
