Read the store by one daemon of each failure domain; the others follow it

Daemons now rank themselves by rendezvous hashing; one reads, a second one when the first is turned away, and the others are told the compressed state as it changes.

--- a/crates/daemon/src/sidecar.rs
+++ b/crates/daemon/src/sidecar.rs
@@ -51,11 +51,7 @@
     }
 }
 
-fn run(
-    settings: HostSettings,
-    path: &Path,
-    metrics_port: Option<u16>,
-) -> Result<StopReport> {
+fn run(settings: HostSettings, path: &Path, metrics_port: Option<u16>) -> Result<StopReport> {
     logs::open(LogLevel::Info)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -67,7 +67,7 @@
     OVERLOADED = 4004, Warn, "calls are shed", "refused", "Add workers, or lower the load; see the page on overload.";
     REQUEST_REJECTED = 4005, Warn, "malformed or oversize request", "reason", "The caller's request was refused; nothing of it ran.";
     TELEMETRY_FAILED = 5001, Warn, "telemetry cannot be sent", "receiver, error", "Look at the receiver; calls are not affected.";
-    SIDECAR_STARTED = 6001, Info, "sidecar started", "host, failure_domain, service, callers, peers, target, store", "None. Daemons of the platform share no keys, so they talk in plain text.";
+    SIDECAR_STARTED = 6001, Info, "sidecar started", "host, failure_domain, service, callers, peers, target, store, transport", "None. The platform hands out no keys, so daemons talk to each other in plain text there.";
     SIDECAR_STOPPING = 6002, Info, "sidecar stop began", "running, waiting", "None; it is not ready from here on, and serves what still comes.";
     SIDECAR_STOPPED = 6003, Info, "sidecar stopped", "took_ms, cut_off", "If cut_off is not 0, requests outlived the stop deadline.";
     SETTINGS_RELOADED = 6004, Info, "settings reloaded", "service, target", "None.";
@@ -83,7 +83,7 @@
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_UNSURE = 6203, Info, "target is taken for cold until it was asked", "reason", "None; it may have crashed and started again.";
     REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
-    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, reason, retry_after_ms, tried, took_ms, version, revision", "If many: see the page on overload.";
+    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, version, revision", "If many: see the page on overload.";
     REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, status, attempts, took_ms, version, revision", "Look for the request's lines at the target's host.";
     REQUEST_REPEATED = 6304, Info, "request sent again", "route, target, reason, attempt", "None; counts against the retry budget.";
     OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; its sender tries another target.";
--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -177,7 +177,11 @@
         }
         let service_time = self.service_time(&request.route, request.objective);
         let order = order::order_time(now, request.objective, request.priority);
-        let ahead = self.queue.keys().take_while(|key| key.order <= order).count();
+        let ahead = self
+            .queue
+            .keys()
+            .take_while(|key| key.order <= order)
+            .count();
         let wait = self.wait_behind(ahead, now);
         let objective = request.objective.min(request.time_left);
         let allowed = order::allowed_wait(objective, service_time, request.priority);
--- a/crates/mesh/src/book.rs
+++ b/crates/mesh/src/book.rs
@@ -98,10 +98,12 @@
 
 /// Whether the store can be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum StoreHealth {
+pub enum StoreHealth {
+    /// It can.
     Reachable,
+    /// It cannot; entries may lapse.
     Away,
-    /// Back, at this time.
+    /// It can again, since this time; entries may still come back.
     Regained(Duration),
 }
 
@@ -151,6 +153,23 @@
         self.domains_out.iter()
     }
 
+    /// Returns whether the store can be read.
+    pub fn health(&self) -> StoreHealth {
+        self.health
+    }
+
+    /// Takes over what the daemon that this one follows says of the store.
+    pub fn follow_health(&mut self, health: StoreHealth) {
+        match health {
+            StoreHealth::Reachable => self.health = StoreHealth::Reachable,
+            StoreHealth::Away => self.lose_store(),
+            StoreHealth::Regained(at) => {
+                self.lose_store();
+                self.regain_store(at);
+            }
+        }
+    }
+
     /// Whether the store cannot be read.
     pub fn store_away(&self) -> bool {
         self.health == StoreHealth::Away
@@ -217,9 +236,7 @@
                 StateChange::DomainOut(domain) => {
                     domains_in.shift_remove(domain);
                 }
-                StateChange::Config(_)
-                | StateChange::TargetGone(_)
-                | StateChange::DomainIn(_) => {}
+                StateChange::Config(_) | StateChange::TargetGone(_) | StateChange::DomainIn(_) => {}
             }
         }
         let gone = missing.into_iter().map(StateChange::TargetGone);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod link;
 pub mod order;
 pub mod placement;
+pub mod reader;
 pub mod target;
 pub mod warmth;
 
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -58,7 +58,10 @@
 #[test]
 fn the_shortest_objective_runs_first() {
     let mut admission = admission(1);
-    assert_eq!(admission.offer(&request("read", 1000, 1), ms(0)), Offer::Run);
+    assert_eq!(
+        admission.offer(&request("read", 1000, 1), ms(0)),
+        Offer::Run
+    );
     let read = waits(&mut admission, &request("read", 1000, 2));
     let order = waits(&mut admission, &request("order", 1000, 1));
     let call = waits(&mut admission, &request("call", 600, 1));
@@ -118,7 +121,10 @@
 #[test]
 fn an_expired_request_is_not_run() {
     let mut admission = admission(1);
-    assert_eq!(admission.offer(&request("read", 1000, 1), ms(0)), Offer::Run);
+    assert_eq!(
+        admission.offer(&request("read", 1000, 1), ms(0)),
+        Offer::Run
+    );
     waits(&mut admission, &request("read", 1000, 1));
     admission.finish(&SmolStr::new("read"), Some(ms(100)));
     let popped = admission.pop(ms(3990)).unwrap();
--- a/crates/mesh/tests/mesh/budget.rs
+++ b/crates/mesh/tests/mesh/budget.rs
@@ -49,7 +49,8 @@
 fn repeats_are_allowed_again_after_the_window() {
     let service = SmolStr::new("desk");
     let mut budget = RepeatBudget::new(BOUNDS);
-    let taken = |budget: &mut RepeatBudget, now| (0..100).filter(|_| budget.take(&service, 1, now)).count();
+    let taken =
+        |budget: &mut RepeatBudget, now| (0..100).filter(|_| budget.take(&service, 1, now)).count();
     let first = taken(&mut budget, Duration::ZERO);
     assert!(first > 0);
     assert_eq!(taken(&mut budget, Duration::from_secs(9)), 0);
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -46,7 +46,11 @@
     let mut now = 0.0;
     let mut all = Vec::new();
     while now < 10.0 {
-        let rate = if (3.0..7.0).contains(&now) { 200.0 } else { 70.0 };
+        let rate = if (3.0..7.0).contains(&now) {
+            200.0
+        } else {
+            70.0
+        };
         now += -random.random_range(0.0_f64..1.0).max(1e-9).ln() / rate;
         let work = SERVICE_TIME.mul_f64(random.random_range(0.5..1.5));
         all.push((Duration::from_secs_f64(now), work, (all.len() % 2) as u32));
@@ -138,9 +142,9 @@
         let baseline = play_baseline(&arrivals);
         let in_time = |view: &CallerView| view.in_time.iter().sum::<u32>();
         // The target runs about 100 a second.
-        let room = arrivals.iter().filter(|arrival| {
-            !(3.0..7.0).contains(&arrival.0.as_secs_f64())
-        });
+        let room = arrivals
+            .iter()
+            .filter(|arrival| !(3.0..7.0).contains(&arrival.0.as_secs_f64()));
         let bearable = room.count() as f64 + 4.0 * 100.0;
         assert!(
             f64::from(in_time(&ours)) >= 0.9 * bearable,
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -7,4 +7,5 @@
 mod link;
 mod load;
 mod placement;
+mod reader;
 mod warmth;
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -116,7 +116,13 @@
         if id != "domain" {
             break;
         }
-        placer.finish(&id, TargetDistance::Domain, 0, SendOutcome::Failed, ms(tick));
+        placer.finish(
+            &id,
+            TargetDistance::Domain,
+            0,
+            SendOutcome::Failed,
+            ms(tick),
+        );
     }
     assert_eq!(place(&mut placer, 20).unwrap(), "region");
     assert_eq!(place(&mut placer, 20_000).unwrap(), "domain");
@@ -179,8 +185,5 @@
 #[test]
 fn without_a_target_there_is_no_place() {
     let mut placer = placer(&[]);
-    assert_eq!(
-        placer.place(&[], &REQUEST, ms(1)),
-        Err(Unplaced::NoTarget)
-    );
+    assert_eq!(placer.place(&[], &REQUEST, ms(1)), Err(Unplaced::NoTarget));
 }
--- /dev/null
+++ b/crates/mesh/tests/mesh/reader.rs
@@ -0,0 +1,81 @@
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use radishgauge_mesh::reader::ReaderRanking;
+use radishgauge_mesh::reader::ReaderRole;
+
+fn hosts(count: u8) -> Vec<IpAddr> {
+    let host = |last| IpAddr::V4(Ipv4Addr::new(10, 0, 0, last));
+    (0..count).map(host).collect()
+}
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn readers(rankings: &[ReaderRanking], hosts: &[IpAddr], now: Duration) -> Vec<IpAddr> {
+    let role = |(host, ranking): (&IpAddr, &ReaderRanking)| {
+        let role = ranking.role(*host, "a", hosts, now);
+        (role == ReaderRole::Read).then_some(*host)
+    };
+    hosts.iter().zip(rankings).filter_map(role).collect()
+}
+
+/// Guards against calls to the store that grow with the hosts, and against
+/// hosts that disagree on whom to follow.
+#[test]
+fn one_host_of_a_domain_reads() {
+    for count in [1, 2, 13, 200] {
+        let hosts = hosts(count);
+        let rankings: Vec<_> = hosts.iter().map(|_| ReaderRanking::default()).collect();
+        let readers = readers(&rankings, &hosts, s(0));
+        assert_eq!(readers.len(), 1);
+        for host in hosts.iter().filter(|host| **host != readers[0]) {
+            let role = ReaderRanking::default().role(*host, "a", &hosts, s(0));
+            assert_eq!(role, ReaderRole::Follow(readers[0]));
+        }
+    }
+}
+
+/// Guards against a domain without a reader after its readers died, and against
+/// one that keeps too many after they are back.
+#[test]
+fn others_read_while_the_first_do_not_answer() {
+    let hosts = hosts(10);
+    let mut rankings: Vec<_> = hosts.iter().map(|_| ReaderRanking::default()).collect();
+    let first = readers(&rankings, &hosts, s(0))[0];
+    for ranking in &mut rankings {
+        ranking.mark_unreachable(first, s(0));
+    }
+    let second = readers(&rankings, &hosts, s(1));
+    // The first one does not know that the others cannot reach it.
+    assert_eq!(second.iter().filter(|host| **host != first).count(), 1);
+    assert_eq!(readers(&rankings, &hosts, s(10)), [first]);
+}
+
+/// Guards against a domain that misses changes since its reader is turned away,
+/// and against all its hosts asking a store that is down.
+#[test]
+fn the_second_reads_while_the_first_is_turned_away() {
+    let hosts = hosts(10);
+    let mut rankings: Vec<_> = hosts.iter().map(|_| ReaderRanking::default()).collect();
+    let first = readers(&rankings, &hosts, s(0))[0];
+    for ranking in &mut rankings {
+        ranking.mark_answer(first, true, s(0));
+    }
+    let two = readers(&rankings, &hosts, s(1));
+    assert_eq!(two.len(), 2);
+    let second = *two.iter().find(|host| **host != first).unwrap();
+    let third = hosts
+        .iter()
+        .zip(&rankings)
+        .find(|(host, _)| !two.contains(host));
+    let (third, ranking) = third.unwrap();
+    let role = ranking.role(*third, "a", &hosts, s(1));
+    assert_eq!(role, ReaderRole::Follow(second));
+    for ranking in &mut rankings {
+        ranking.mark_answer(second, true, s(1));
+    }
+    assert_eq!(readers(&rankings, &hosts, s(1)).len(), 2);
+}
--- a/crates/net/src/answer_reader.rs
+++ b/crates/net/src/answer_reader.rs
@@ -261,7 +261,11 @@
     if without {
         return Ok(BodyRest::Done);
     }
-    if let Some(coding) = headers.get_all(header::TRANSFER_ENCODING).iter().next_back() {
+    if let Some(coding) = headers
+        .get_all(header::TRANSFER_ENCODING)
+        .iter()
+        .next_back()
+    {
         let last = coding.as_bytes().rsplit(|byte| *byte == b',').next();
         let chunked = last.is_some_and(|last| last.trim_ascii().eq_ignore_ascii_case(b"chunked"));
         return Ok(if chunked {
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -466,7 +466,10 @@
                 let mut rest = [0; 1024];
                 assert!(stream.read(&mut rest).await.unwrap() > 0);
             }
-            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\npart").await.unwrap();
+            stream
+                .write_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+                .await
+                .unwrap();
             // Bytes that were not read make the end a reset.
         });
         let answer = client.send(post("/", TargetBody::whole("x"))).await;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -81,7 +81,12 @@
     let HttpRequest { head, mut body, .. } = request;
     let id = message::request_id(&head.headers);
     let Some(config) = node.config() else {
-        return refuse(&node, id.as_deref(), "no configuration", UNKNOWN_RETRY_AFTER);
+        return refuse(
+            &node,
+            id.as_deref(),
+            "no configuration",
+            UNKNOWN_RETRY_AFTER,
+        );
     };
     let Some(id) = id else {
         return plain(StatusCode::BAD_REQUEST, None, "no request id");
@@ -187,9 +192,7 @@
 
     /// Whether a request that ran, or may have, is sent to another target.
     fn may_repeat(&self, log: &AttemptLog, id: &str, reason: &str) -> bool {
-        self.route.idempotent
-            && log.reached < self.route.attempts
-            && self.take_repeat(id, reason)
+        self.route.idempotent && log.reached < self.route.attempts && self.take_repeat(id, reason)
     }
 
     fn take_repeat(&self, id: &str, reason: &str) -> bool {
@@ -274,12 +277,12 @@
                 .await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
-                self.node
-                    .placer()
-                    .report(id, hop::load_of(report), now);
+                self.node.placer().report(id, hop::load_of(report), now);
                 self.node.hear_report(candidate.peer, report.revision);
             }
-            let spent = hop.report.map(|report| Duration::from_micros(report.spent_us));
+            let spent = hop
+                .report
+                .map(|report| Duration::from_micros(report.spent_us));
             (hop.outcome, spent)
         };
         let took = self.node.now().saturating_sub(started);
@@ -337,13 +340,18 @@
         let retry_after = hint.max(LEAST_RETRY_AFTER).mul_f64(spread);
         let now = self.node.now();
         self.count("refused", now);
-        let reason = log.refusal.map_or(HopReason::Unspecified, |refusal| refusal.reason);
+        let place = match unplaced {
+            Unplaced::Full { .. } => "full",
+            Unplaced::NoTarget => "no target",
+        };
+        let owner = log.refusal.map(|refusal| refusal.reason.as_str_name());
         self.node.record.other(
             &events::REQUEST_REFUSED,
             &self.request.id,
             format_args!(
-                "route={} reason={unplaced:?}/{reason:?} retry_after_ms={} tried={:?} took_ms={} version={} revision={}",
+                "route={} place={place} owner={} retry_after_ms={} tried={:?} took_ms={} version={} revision={}",
                 self.route.name,
+                owner.unwrap_or("-"),
                 retry_after.as_millis(),
                 log.tried,
                 now.saturating_sub(self.arrived).as_millis(),
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,15 +1,19 @@
 //! Follows the platform's store.
 
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use radishgauge_events::events;
 use radishgauge_mesh::book::StateSource;
+use radishgauge_mesh::reader::ReaderRole;
 use radishgauge_platform::StoreClient;
 use radishgauge_platform::StoreError;
 use rand::Rng;
 
 use crate::node::SidecarNode;
+use crate::share;
 
 /// How long one watch waits for a change. A store that has gone silent is
 /// noticed after that time.
@@ -19,6 +23,9 @@
 /// one call.
 const WATCH_PAUSE: Duration = Duration::from_millis(120);
 
+/// The least time between two questions to the daemon that this one follows.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
+
 /// The first wait after a failed call.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -26,21 +33,36 @@
 /// most, a store that returns is noticed within a second.
 const LAST_BACKOFF: Duration = Duration::from_millis(800);
 
-/// Reads the store and follows its changes; ends never.
+/// How the store was followed for a moment.
+enum FollowStep {
+    /// The store answered.
+    Read,
+    /// The daemon that this one follows answered.
+    Told,
+}
+
+/// What ended a moment of following.
+enum FollowFault {
+    /// The store did.
+    Store(StoreError),
+    /// The daemon that this one follows did not answer.
+    Peer(IpAddr, anyhow::Error),
+}
+
+/// Follows the store, by itself or through another daemon; ends never.
 pub async fn run(node: Arc<SidecarNode>, store: StoreClient) {
     let mut lost_at: Option<Duration> = None;
     let mut backoff = FIRST_BACKOFF;
-    // A whole read is due at the start and when the history is lost.
-    let mut read_due = true;
+    // A whole read is due when the history is lost, and at the start.
+    let mut read_due = false;
     loop {
-        node.metrics.count("store_calls");
-        let outcome = if read_due {
-            read_all(&node, &store).await
-        } else {
-            watch(&node, &store).await
-        };
-        match outcome {
-            Ok(()) => {
+        match step(&node, &store, read_due).await {
+            Ok(FollowStep::Told) => {
+                // What was told is newer than an outage seen before.
+                lost_at = None;
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+            }
+            Ok(FollowStep::Read) => {
                 read_due = false;
                 backoff = FIRST_BACKOFF;
                 if let Some(at) = lost_at.take() {
@@ -48,14 +70,18 @@
                 }
                 tokio::time::sleep(WATCH_PAUSE).await;
             }
-            Err(StoreError::HistoryLost) => {
+            Err(FollowFault::Peer(peer, error)) => {
+                node.ranking().mark_unreachable(peer, node.now());
+                events::PEER_STATE_FAILED.emit(format_args!("peer={peer} error={error}"));
+            }
+            Err(FollowFault::Store(StoreError::HistoryLost)) => {
                 events::STORE_LOST.emit(format_args!(
                     "error=history lost revision={}",
                     node.revision()
                 ));
                 read_due = true;
             }
-            Err(error) => {
+            Err(FollowFault::Store(error)) => {
                 node.metrics.count("store_failures");
                 if lost_at.is_none() {
                     lost_at = Some(node.now());
@@ -69,6 +95,28 @@
     }
 }
 
+async fn step(
+    node: &SidecarNode,
+    store: &StoreClient,
+    read_due: bool,
+) -> Result<FollowStep, FollowFault> {
+    if let ReaderRole::Follow(host) = node.role() {
+        let peer = SocketAddr::new(host, node.settings().peers.port());
+        let away = share::follow(node, peer, WATCH_TIME)
+            .await
+            .map_err(|error| FollowFault::Peer(host, error))?;
+        node.ranking().mark_answer(host, away, node.now());
+        return Ok(FollowStep::Told);
+    }
+    node.metrics.count("store_calls");
+    let read = if read_due || node.revision() == 0 {
+        read_all(node, store).await
+    } else {
+        watch(node, store).await
+    };
+    read.map(|()| FollowStep::Read).map_err(FollowFault::Store)
+}
+
 async fn read_all(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
     let page = store.read_all().await?;
     // A peer may have told a newer state meanwhile.
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! The way of a request is [`entry`], then [`peers`] to another host, or
 //! directly to [`owner`] for the target of this host. The way of a configuration
-//! is [`follow`], which reads the platform's store, and [`exchange`], by which
-//! daemons tell each other the state when the store cannot be read. All
+//! is [`follow`], which reads the platform's store or follows a daemon that
+//! does, and [`share`], by which daemons tell each other the state. All
 //! decisions are made by `radishgauge-mesh`.
 
 pub mod answer;
@@ -17,6 +17,7 @@
 pub mod peers;
 pub mod probe;
 pub mod record;
+pub mod share;
 pub mod sidecar;
 pub mod target_call;
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -1,12 +1,12 @@
 //! What the parts of one daemon share.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -22,6 +22,8 @@
 use radishgauge_mesh::book::StateSource;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::TargetDistance;
+use radishgauge_mesh::reader::ReaderRanking;
+use radishgauge_mesh::reader::ReaderRole;
 use radishgauge_net::clock::ProcessClock;
 use radishgauge_platform::HostSettings;
 use radishgauge_platform::StoreItem;
@@ -29,6 +31,7 @@
 use radishgauge_platform::view::ViewChanges;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::metrics::SidecarMetrics;
 use crate::owner::TargetOwner;
@@ -64,7 +67,8 @@
     budget: Mutex<RepeatBudget>,
     /// The greatest revision that a peer told, and who.
     heard: Mutex<Option<(u64, SocketAddr)>>,
-    revision: AtomicU64,
+    revision: watch::Sender<u64>,
+    ranking: Mutex<ReaderRanking>,
     stopping: AtomicBool,
 }
 
@@ -88,7 +92,8 @@
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
             heard: Mutex::default(),
-            revision: AtomicU64::new(0),
+            revision: watch::Sender::new(0),
+            ranking: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -119,7 +124,41 @@
 
     /// Returns the store's revision up to which the state is known; 0 for none.
     pub fn revision(&self) -> u64 {
-        self.revision.load(Ordering::Relaxed)
+        *self.revision.borrow()
+    }
+
+    /// Waits until the known revision is greater than one, or the time is over.
+    pub async fn wait_revision(&self, after: u64, time: Duration) {
+        let mut revision = self.revision.subscribe();
+        let newer = revision.wait_for(|known| *known > after);
+        // The sender lives in `self`; only the time can end the wait early.
+        let _ = tokio::time::timeout(time, newer).await;
+    }
+
+    /// Locks the ranking of readers; never held across I/O.
+    pub fn ranking(&self) -> MutexGuard<'_, ReaderRanking> {
+        lock(&self.ranking)
+    }
+
+    /// Returns what this daemon does to follow the store.
+    pub fn role(&self) -> ReaderRole {
+        let settings = self.settings();
+        let hosts: Vec<IpAddr> = {
+            let known = self.known();
+            let targets = known.book.targets();
+            targets
+                .filter(|target| target.failure_domain == settings.failure_domain)
+                .map(|target| target.address.ip())
+                .collect()
+        };
+        let mut ranking = self.ranking();
+        ranking.retain(|host| hosts.contains(&host));
+        ranking.role(
+            settings.peers.ip(),
+            &settings.failure_domain,
+            &hosts,
+            self.now(),
+        )
     }
 
     /// Returns the configuration in force.
@@ -199,7 +238,7 @@
         now: Duration,
     ) {
         let revision = known.view.revision();
-        self.revision.store(revision, Ordering::Relaxed);
+        self.revision.send_replace(revision);
         for fault in faults {
             events::ITEM_UNREADABLE.emit(format_args!("item={fault}"));
         }
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -323,7 +323,10 @@
         let Some(next) = state.admission.next_timer(now) else {
             return;
         };
-        if state.timer.is_some_and(|armed| armed > now && armed <= next) {
+        if state
+            .timer
+            .is_some_and(|armed| armed > now && armed <= next)
+        {
             return;
         }
         state.timer = Some(next);
@@ -360,7 +363,10 @@
 
     /// Takes the target for cold until a health check says otherwise.
     fn suspect(&mut self, now: Duration) {
-        let time = self.policy.as_ref().map_or(Duration::ZERO, |policy| policy.cold_time);
+        let time = self
+            .policy
+            .as_ref()
+            .map_or(Duration::ZERO, |policy| policy.cold_time);
         let rate = self.cold_rate();
         self.admission.cold_mut().set_cold(now + time, rate);
     }
--- a/crates/sidecar/src/record.rs
+++ b/crates/sidecar/src/record.rs
@@ -88,7 +88,13 @@
     }
 
     /// Writes a line about any other decision on a request.
-    pub fn other(&self, kind: &EventKind, request: &str, fields: fmt::Arguments<'_>, now: Duration) {
+    pub fn other(
+        &self,
+        kind: &EventKind,
+        request: &str,
+        fields: fmt::Arguments<'_>,
+        now: Duration,
+    ) {
         if self.allows(|state| &mut state.other, now) {
             kind.emit_request(request, fields);
         }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -25,6 +25,7 @@
 use crate::node::SidecarNode;
 use crate::owner::TargetOwner;
 use crate::probe;
+use crate::share;
 
 /// The listener's address for callers, by its place.
 const CALLERS: usize = 0;
@@ -92,7 +93,7 @@
         let listener =
             CallerListener::bind_all(&addresses, limits, handler).context("bind the addresses")?;
         events::SIDECAR_STARTED.emit(format_args!(
-            "host={} failure_domain={} service={} callers={} peers={} target={} store={}",
+            "host={} failure_domain={} service={} callers={} peers={} target={} store={} transport=plain",
             settings.host,
             settings.failure_domain,
             settings.service,
@@ -104,7 +105,7 @@
         let runtime = listener.runtime();
         let store = StoreClient::new(settings.store);
         runtime.spawn(follow::run(Arc::clone(&node), store));
-        runtime.spawn(exchange::run(Arc::clone(&node)));
+        runtime.spawn(share::run(Arc::clone(&node)));
         runtime.spawn(probe::run(Arc::clone(&node)));
         runtime.spawn(upkeep(Arc::clone(&node)));
         Ok(Sidecar { node, listener })
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -75,11 +75,7 @@
     }
 }
 
-async fn exchange(
-    client: &TargetClient,
-    request: Request<TargetBody>,
-    id: &str,
-) -> TargetOutcome {
+async fn exchange(client: &TargetClient, request: Request<TargetBody>, id: &str) -> TargetOutcome {
     let belongs = |head: &Parts| message::belongs_to(&head.headers, id);
     let progress = RequestProgress::default();
     let answer = match client.send_matched(request, &progress, belongs).await {
@@ -96,9 +92,7 @@
     };
     match word {
         TargetWord::NotRun => TargetOutcome::NotRun(NotRun::by_target(HopReason::Shed)),
-        TargetWord::OtherTarget => {
-            TargetOutcome::NotRun(NotRun::by_target(HopReason::OtherTarget))
-        }
+        TargetWord::OtherTarget => TargetOutcome::NotRun(NotRun::by_target(HopReason::OtherTarget)),
         TargetWord::OtherRequest => TargetOutcome::MayHaveRun("answer to another request"),
         TargetWord::Unsigned => TargetOutcome::MayHaveRun("answer without the target's digest"),
         TargetWord::Ran => {
