--- a/crates/mesh/src/budget.rs
+++ b/crates/mesh/src/budget.rs
@@ -11,10 +11,23 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
-/// The part of the allowance that is used. The other half is for the calls that
-/// repeated requests make: they count as repeats at the service that is called,
-/// and its daemons cannot tell them from others.
-const USED_PART: f64 = 0.5;
+/// The part of the allowance that all repeats of a service may use. The rest is
+/// for the calls that repeated requests make: they count as repeats at the
+/// service that is called, and its daemons cannot tell them from others.
+const USED_PART: f64 = 0.6;
+
+/// The part of the allowance that repeats of requests which ran may use: each
+/// makes its calls again, one or two in most services.
+const RAN_PART: f64 = 0.25;
+
+/// What became of the request that is sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatKind {
+    /// A target refused it.
+    NotRun,
+    /// It ran, or may have, and made its calls.
+    Ran,
+}
 
 /// The bounds of repeats, as the platform states them.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -31,6 +44,8 @@
 struct ServiceWindow {
     requests: VecDeque<Duration>,
     repeats: VecDeque<Duration>,
+    /// Those of the repeats whose requests had run.
+    ran: VecDeque<Duration>,
 }
 
 /// The repeats of one daemon, by service.
@@ -63,19 +78,31 @@
     }
 
     /// Takes one repeat, when the budget allows it with so many daemons.
-    pub fn take(&mut self, service: &SmolStr, daemons: usize, now: Duration) -> bool {
+    pub fn take(
+        &mut self,
+        service: &SmolStr,
+        kind: RepeatKind,
+        daemons: usize,
+        now: Duration,
+    ) -> bool {
         let bounds = self.bounds;
         let counts = self.services.entry(service.clone()).or_default();
-        expire(&mut counts.requests, bounds.window, now);
-        expire(&mut counts.repeats, bounds.window, now);
+        for times in [&mut counts.requests, &mut counts.repeats, &mut counts.ran] {
+            expire(times, bounds.window, now);
+        }
         let own = bounds.ratio * counts.requests.len() as f64;
         let share = bounds.extra / daemons.max(1) as f64;
-        let allowed = (own + share) * USED_PART;
-        if counts.repeats.len() as f64 + 1.0 > allowed {
-            return false;
+        let allowed = own + share;
+        let fits = |taken: &VecDeque<Duration>, part| taken.len() as f64 + 1.0 <= allowed * part;
+        let taken = fits(&counts.repeats, USED_PART)
+            && (kind == RepeatKind::NotRun || fits(&counts.ran, RAN_PART));
+        if taken {
+            counts.repeats.push_back(now);
+            if kind == RepeatKind::Ran {
+                counts.ran.push_back(now);
+            }
         }
-        counts.repeats.push_back(now);
-        true
+        taken
     }
 }
 
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -45,6 +45,9 @@
 /// save.
 const GREATEST_BYTES_FACTOR: f64 = 3.0;
 
+/// Bodies of this length or more tell how fast a host's link is, in bytes.
+const LONG_BODY: u64 = 16 * 1024;
+
 /// How long a target is passed over that does not accept connections.
 const DOWN_PAUSE: Duration = Duration::from_millis(400);
 
@@ -154,9 +157,27 @@
     failures: f64,
     failures_at: Duration,
     paused_until: Duration,
+    /// How fast long bodies lately went there, in bytes a second.
+    rate: Option<f64>,
 }
 
 impl TargetBelief {
+    /// Returns how long a body takes to the target's host.
+    fn transfer_time(&self, body_bytes: u64) -> Duration {
+        match self.rate {
+            Some(rate) if body_bytes >= LONG_BODY => {
+                Duration::from_secs_f64(body_bytes as f64 / rate)
+            }
+            _ => Duration::ZERO,
+        }
+    }
+
+    fn record_transfer(&mut self, body_bytes: u64, hop: Duration) {
+        let rate = body_bytes as f64 / hop.as_secs_f64().max(1e-3);
+        let average = self.rate.get_or_insert(rate);
+        *average += (rate - *average) * ANSWER_WEIGHT;
+    }
+
     fn failure_share(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.failures_at).as_secs_f64();
         self.failures * (-age / FAILURE_TIME.as_secs_f64()).exp()
@@ -306,8 +327,14 @@
         match outcome {
             SendOutcome::Served { hop } => {
                 belief.record_failure(false, now);
-                let average = &mut self.hops[distance as usize];
-                *average += (hop.as_secs_f64() - *average) * ANSWER_WEIGHT;
+                if distance == TargetDistance::Host {
+                    // Nothing was sent over a link.
+                } else if body_bytes >= LONG_BODY {
+                    belief.record_transfer(body_bytes, hop);
+                } else {
+                    let average = &mut self.hops[distance as usize];
+                    *average += (hop.as_secs_f64() - *average) * ANSWER_WEIGHT;
+                }
             }
             SendOutcome::Failed | SendOutcome::Unheard => belief.record_failure(true, now),
             SendOutcome::Closed => belief.paused_until = now + CLOSED_PAUSE,
@@ -360,7 +387,8 @@
             TargetDistance::Far => REGION_PART,
         };
         let saving = saving * bytes.min(GREATEST_BYTES_FACTOR) * objective;
-        let hop = self.hops[candidate.distance as usize];
+        let transfer = belief.transfer_time(request.body_bytes);
+        let hop = self.hops[candidate.distance as usize] + transfer.as_secs_f64();
         // Of about equal targets, senders should not all choose the same.
         let spread = service_time.as_secs_f64() / f64::from(candidate.capacity.max(1));
         let noise = self.random.random_range(0.0..1.0) * spread;
--- a/crates/mesh/tests/mesh/budget.rs
+++ b/crates/mesh/tests/mesh/budget.rs
@@ -2,6 +2,7 @@
 
 use radishgauge_mesh::RepeatBudget;
 use radishgauge_mesh::budget::RepeatBounds;
+use radishgauge_mesh::budget::RepeatKind;
 use smol_str::SmolStr;
 
 const BOUNDS: RepeatBounds = RepeatBounds {
@@ -10,8 +11,8 @@
     window: Duration::from_secs(10),
 };
 
-/// Guards against repeats over the bound, summed over all daemons and with the
-/// calls that the repeated requests make at the same service, in any window.
+/// Guards against repeats over the bound, summed over all daemons, in any window;
+/// those of requests that ran count with the call that each makes again.
 #[test]
 fn all_daemons_together_stay_within_the_bound() {
     let daemons = 13;
@@ -27,7 +28,10 @@
             budget.record_request(&service, now);
             requests.push(now);
         }
-        while budget.take(&service, daemons as usize, now) {
+        while budget.take(&service, RepeatKind::Ran, daemons as usize, now) {
+            repeats.extend([now, now]);
+        }
+        while budget.take(&service, RepeatKind::NotRun, daemons as usize, now) {
             repeats.push(now);
         }
     }
@@ -40,7 +44,7 @@
         let before = from.saturating_sub(BOUNDS.window);
         let most = count(&requests, from).max(count(&requests, before));
         let allowed = BOUNDS.ratio * most + BOUNDS.extra;
-        assert!(2.0 * count(&repeats, from) <= allowed, "from {from:?}");
+        assert!(count(&repeats, from) <= allowed, "from {from:?}");
     }
 }
 
@@ -49,8 +53,11 @@
 fn repeats_are_allowed_again_after_the_window() {
     let service = SmolStr::new("desk");
     let mut budget = RepeatBudget::new(BOUNDS);
-    let taken =
-        |budget: &mut RepeatBudget, now| (0..100).filter(|_| budget.take(&service, 1, now)).count();
+    let taken = |budget: &mut RepeatBudget, now| {
+        (0..100)
+            .filter(|_| budget.take(&service, RepeatKind::NotRun, 1, now))
+            .count()
+    };
     let first = taken(&mut budget, Duration::ZERO);
     assert!(first > 0);
     assert_eq!(taken(&mut budget, Duration::from_secs(9)), 0);
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -10,6 +10,7 @@
 use radishgauge_events::events;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::budget::RepeatKind;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::SendOutcome;
 use radishgauge_mesh::placement::TargetDistance;
@@ -142,11 +143,13 @@
         self.node.budget().record_request(&self.service, now);
         let mut log = AttemptLog::default();
         let left = self.deadline.saturating_sub(now);
-        let answer = tokio::time::timeout(left, self.attempts(&mut log)).await;
-        match answer {
-            Ok(answer) => answer,
-            Err(_) => self.timed_out(&mut log),
-        }
+        let answer = tokio::select! {
+            biased;
+            answer = self.attempts(&mut log) => Some(answer),
+            () = tokio::time::sleep(left) => None,
+            () = self.node.wait_cut() => None,
+        };
+        answer.unwrap_or_else(|| self.timed_out(&mut log))
     }
 
     /// Offers the request to targets until one answers, or none may get it.
@@ -170,7 +173,8 @@
                     log.refusal = Some(refusal);
                     let again = if refusal.reached_target {
                         log.reached += 1;
-                        log.reached < self.route.attempts && self.take_repeat(&id, "refused")
+                        log.reached < self.route.attempts
+                            && self.take_repeat(RepeatKind::NotRun, &id, "refused")
                     } else {
                         log.tried.len() < MOST_OFFERS
                     };
@@ -192,13 +196,15 @@
 
     /// Whether a request that ran, or may have, is sent to another target.
     fn may_repeat(&self, log: &AttemptLog, id: &str, reason: &str) -> bool {
-        self.route.idempotent && log.reached < self.route.attempts && self.take_repeat(id, reason)
+        self.route.idempotent
+            && log.reached < self.route.attempts
+            && self.take_repeat(RepeatKind::Ran, id, reason)
     }
 
-    fn take_repeat(&self, id: &str, reason: &str) -> bool {
+    fn take_repeat(&self, kind: RepeatKind, id: &str, reason: &str) -> bool {
         let now = self.node.now();
         let daemons = self.node.peer_addresses().len() + 1;
-        let taken = self.node.budget().take(&self.service, daemons, now);
+        let taken = self.node.budget().take(&self.service, kind, daemons, now);
         if taken {
             self.node.metrics.count("repeats");
             self.node.record.other(
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -133,21 +133,20 @@
     let changes = store.watch(node.revision(), wait).await?;
     if away {
         // Entries that lapsed during the outage may still come back.
-        node.known().book.regain_store(node.now());
+        node.regain_store();
     }
     node.update_state(changes.items, changes.revision);
     Ok(())
 }
 
 fn lose(node: &SidecarNode, error: &StoreError) {
-    node.known().book.lose_store();
+    node.lose_store();
     events::STORE_LOST.emit(format_args!("error={error} revision={}", node.revision()));
 }
 
 fn regain(node: &SidecarNode, lost_at: Duration) {
-    let now = node.now();
-    node.known().book.regain_store(now);
-    let away_ms = now.saturating_sub(lost_at).as_millis();
+    node.regain_store();
+    let away_ms = node.now().saturating_sub(lost_at).as_millis();
     events::STORE_REGAINED.emit(format_args!(
         "revision={} away_ms={away_ms}",
         node.revision()
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -68,6 +68,11 @@
     /// The greatest revision that a peer told, and who.
     heard: Mutex<Option<(u64, SocketAddr)>>,
     revision: watch::Sender<u64>,
+    /// Counts the changes of the state and of whether the store can be read.
+    changes: watch::Sender<u64>,
+    /// Whether requests under way are to be answered now, before the process
+    /// ends.
+    cut: watch::Sender<bool>,
     ranking: Mutex<ReaderRanking>,
     stopping: AtomicBool,
 }
@@ -93,6 +98,8 @@
             placer: Mutex::new(TargetPlacer::new(seed)),
             heard: Mutex::default(),
             revision: watch::Sender::new(0),
+            changes: watch::Sender::new(0),
+            cut: watch::Sender::new(false),
             ranking: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
@@ -127,12 +134,39 @@
         *self.revision.borrow()
     }
 
-    /// Waits until the known revision is greater than one, or the time is over.
-    pub async fn wait_revision(&self, after: u64, time: Duration) {
-        let mut revision = self.revision.subscribe();
-        let newer = revision.wait_for(|known| *known > after);
-        // The sender lives in `self`; only the time can end the wait early.
-        let _ = tokio::time::timeout(time, newer).await;
+    /// Waits until the known revision is greater than one, the state or the
+    /// store's health changes, or the time is over. Who follows this daemon has
+    /// to learn at once that the store cannot be read.
+    pub async fn wait_change(&self, after: u64, time: Duration) {
+        let mut changes = self.changes.subscribe();
+        if self.revision() <= after && !self.is_stopping() {
+            // The sender lives in `self`; only the time can end the wait early.
+            let _ = tokio::time::timeout(time, changes.changed()).await;
+        }
+    }
+
+    /// Records that the store cannot be read.
+    pub fn lose_store(&self) {
+        self.known().book.lose_store();
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Records that the store can be read again.
+    pub fn regain_store(&self) {
+        let now = self.now();
+        self.known().book.regain_store(now);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Has all requests under way answered now.
+    pub fn cut_requests(&self) {
+        self.cut.send_replace(true);
+    }
+
+    /// Waits until requests under way are to be answered.
+    pub async fn wait_cut(&self) {
+        // The sender lives in `self`, so the wait cannot fail.
+        let _ = self.cut.subscribe().wait_for(|cut| *cut).await;
     }
 
     /// Locks the ranking of readers; never held across I/O.
@@ -174,6 +208,8 @@
     /// Records that the daemon has begun to stop.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
+        // Who follows this daemon goes on to another one.
+        self.changes.send_modify(|count| *count += 1);
     }
 
     /// Whether callers may send requests here.
@@ -239,6 +275,7 @@
     ) {
         let revision = known.view.revision();
         self.revision.send_replace(revision);
+        self.changes.send_modify(|count| *count += 1);
         for fault in faults {
             events::ITEM_UNREADABLE.emit(format_args!("item={fault}"));
         }
@@ -261,7 +298,8 @@
             return;
         }
         let mut heard = lock(&self.heard);
-        if heard.is_none_or(|(greatest, _)| greatest < revision) {
+        // The last of several who know as much: the first one may not answer.
+        if heard.is_none_or(|(greatest, _)| greatest <= revision) {
             *heard = Some((revision, peer));
         }
         self.behind.notify_one();
--- a/crates/sidecar/src/share.rs
+++ b/crates/sidecar/src/share.rs
@@ -79,7 +79,7 @@
     }
     let after = parameter(uri, "after").unwrap_or_default();
     let wait = Duration::from_millis(parameter(uri, "wait_ms").unwrap_or_default());
-    node.wait_revision(after, wait.min(GREATEST_WAIT)).await;
+    node.wait_change(after, wait.min(GREATEST_WAIT)).await;
     match encode(node, after) {
         Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
         Err(error) => {
@@ -114,6 +114,8 @@
         Vec::new()
     };
     let (health, regained) = match known.book.health() {
+        // A daemon that stops reads the store no longer.
+        _ if node.is_stopping() => (hop::StoreHealth::Away, Duration::ZERO),
         StoreHealth::Reachable => (hop::StoreHealth::Reachable, Duration::ZERO),
         StoreHealth::Away => (hop::StoreHealth::Away, Duration::ZERO),
         StoreHealth::Regained(at) => (hop::StoreHealth::Regained, now.saturating_sub(at)),
@@ -144,16 +146,25 @@
         .collect()
 }
 
-/// Takes over the state of any peer when it is newer, and settled or better
-/// than nothing.
+/// Takes over the state of any peer when it is newer.
 fn take(node: &SidecarNode, snapshot: StateSnapshot, peer: &str) {
     let before = node.revision();
+    if snapshot.revision <= before {
+        return;
+    }
     let settled = snapshot.health() == hop::StoreHealth::Reachable;
-    if snapshot.revision <= before || (before > 0 && !settled) {
+    // What an unsettled state lacks may have lapsed. A daemon that reads the
+    // store itself waits for its own word; any other keeps what is missing.
+    let source = if settled {
+        StateSource::Peer
+    } else {
+        StateSource::Store
+    };
+    if !settled && before > 0 && !node.known().book.store_away() {
         return;
     }
     let revision = snapshot.revision;
-    node.replace_state(store_items(snapshot.items), revision, StateSource::Peer);
+    node.replace_state(store_items(snapshot.items), revision, source);
     events::STATE_TOLD.emit(format_args!("peer={peer} from={before} to={revision}"));
 }
 
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -46,8 +46,12 @@
 /// callers learn to go elsewhere before the daemon takes no more.
 const SERVING_PART: f64 = 0.38;
 
+/// The part of the stop time after which requests under way are answered as
+/// timed out; the platform allows it in the last sixth.
+const CUT_PART: f64 = 0.86;
+
 /// The part of the stop time after which requests under way are cut off.
-const LAST_PART: f64 = 0.88;
+const LAST_PART: f64 = 0.94;
 
 /// How often expired entries and unused connections are looked for.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -134,6 +138,12 @@
         listener.runtime().spawn(async move { owner.stop() });
         let left = (begun + grace.mul_f64(LAST_PART)).saturating_sub(node.now());
         let state = listener.running_count();
+        let cutting = Arc::clone(&node);
+        let cut_at = (begun + grace.mul_f64(CUT_PART)).saturating_sub(node.now());
+        listener.runtime().spawn(async move {
+            tokio::time::sleep(cut_at).await;
+            cutting.cut_requests();
+        });
         let stopped = tokio::time::timeout(left, listener.stop()).await;
         let cut_off = match stopped {
             Ok(()) => 0,
--- /dev/null
+++ b/crates/sidecar/tests/node.rs
@@ -0,0 +1,92 @@
+//! What one daemon's shared state does, without sockets.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishgauge_net::clock::SystemClock;
+use radishgauge_platform::HostSettings;
+use radishgauge_sidecar::node::SidecarNode;
+use radishgauge_sidecar::owner::TargetOwner;
+
+const SETTINGS: &str = "\
+node=host-1
+zone=north-a
+region=north
+zones.north-a=north
+listen.outbound=127.0.0.1:1
+listen.inbound=127.0.0.1:2
+listen.readiness=127.0.0.1:3
+service=shop
+appAddr=127.0.0.1:4
+provider.address=127.0.0.1:5
+bounds.grace=6s
+bounds.retryBudgetRatio=0.2
+bounds.budgetExtra=60
+bounds.budgetWindow=10s
+";
+
+fn node() -> SidecarNode {
+    let settings = HostSettings::parse(SETTINGS, Path::new("test.conf")).unwrap();
+    let clock = Arc::new(SystemClock::start());
+    let owner = Arc::new(TargetOwner::new(&settings, clock.clone()));
+    SidecarNode::new(settings, clock, owner, 1)
+}
+
+/// Guards against followers that learn only at the end of their question that
+/// their reader was turned away, and miss a configuration meanwhile.
+#[tokio::test(start_paused = true)]
+async fn followers_are_told_at_once_that_the_store_is_away() {
+    let node = Arc::new(node());
+    let asked = Arc::clone(&node);
+    let started = tokio::time::Instant::now();
+    let question = tokio::spawn(async move {
+        asked.wait_change(0, Duration::from_secs(4)).await;
+        started.elapsed()
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    node.lose_store();
+    assert_eq!(question.await.unwrap(), Duration::from_secs(1));
+}
+
+/// Guards against requests that are cut off at the end of a stop without an
+/// answer.
+#[tokio::test(start_paused = true)]
+async fn requests_learn_when_they_have_to_be_answered() {
+    let node = Arc::new(node());
+    let waiting = Arc::clone(&node);
+    let request = tokio::spawn(async move { waiting.wait_cut().await });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(!request.is_finished());
+    node.cut_requests();
+    request.await.unwrap();
+}
+
+/// Guards against a daemon that asks only the first one who knew more, which
+/// may not be able to tell.
+#[test]
+fn the_last_who_knows_more_is_asked() {
+    let node = node();
+    let peers = ["10.0.0.1:9", "10.0.0.2:9"].map(|peer| peer.parse().unwrap());
+    for peer in peers {
+        node.hear_revision(peer, 5);
+        assert_eq!(node.ahead(), Some(peer));
+    }
+}
+
+/// Guards against a stop that waits for the questions of followers.
+#[tokio::test(start_paused = true)]
+async fn a_stop_ends_the_questions_of_followers() {
+    let node = Arc::new(node());
+    let asked = Arc::clone(&node);
+    let question = tokio::spawn(async move {
+        asked.wait_change(0, Duration::from_secs(4)).await;
+        // A question that comes during the stop does not wait either.
+        asked.wait_change(0, Duration::from_secs(4)).await;
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let begun = tokio::time::Instant::now();
+    node.begin_stop();
+    question.await.unwrap();
+    assert_eq!(begun.elapsed(), Duration::ZERO);
+}
