--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -20,10 +20,6 @@
 /// Weight of one run in the average service times.
 const RUN_WEIGHT: f64 = 0.1;
 
-/// Service time of a route of which no run has ended, as a part of its
-/// objective; operators set objectives well above the mean.
-const UNKNOWN_SERVICE_PART: f64 = 0.4;
-
 /// What admission needs to know of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct OfferRequest {
@@ -292,7 +288,7 @@
     fn service_time(&self, route: &SmolStr, objective: Duration) -> Duration {
         self.routes
             .get(route)
-            .map_or(objective.mul_f64(UNKNOWN_SERVICE_PART), |seconds| {
+            .map_or(objective.mul_f64(order::UNKNOWN_SERVICE_PART), |seconds| {
                 Duration::from_secs_f64(*seconds)
             })
     }
--- a/crates/mesh/src/order.rs
+++ b/crates/mesh/src/order.rs
@@ -8,6 +8,10 @@
 
 use std::time::Duration;
 
+/// Service time that is assumed while none is known, as a part of the objective;
+/// operators set objectives well above the mean.
+pub const UNKNOWN_SERVICE_PART: f64 = 0.4;
+
 /// How much longer than the mean a request may take and still meet its
 /// objective; service times are skewed, so the mean alone is met by half only.
 const SERVICE_MARGIN: f64 = 1.25;
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -24,9 +24,6 @@
 /// The time after which an old failure counts a third.
 const FAILURE_TIME: Duration = Duration::from_secs(3);
 
-/// Service time while no target has answered, as a part of the objective.
-const UNKNOWN_SERVICE_PART: f64 = 0.4;
-
 /// The time after which what a target last told of its service time is no
 /// longer held against it: it may have been cold, or slow for a while.
 const SERVICE_TIME_AGE: Duration = Duration::from_secs(2);
@@ -365,7 +362,7 @@
             report.service_time.filter(|_| lately)
         });
         told.min()
-            .unwrap_or(request.objective.mul_f64(UNKNOWN_SERVICE_PART))
+            .unwrap_or(request.objective.mul_f64(order::UNKNOWN_SERVICE_PART))
     }
 
     fn cost(
--- a/crates/mesh/tests/mesh/link.rs
+++ b/crates/mesh/tests/mesh/link.rs
@@ -32,12 +32,12 @@
         }
         for (index, budget) in budgets.iter_mut().enumerate() {
             let turn = tick + index as u64 * 17;
-            if turn % 20 == 0 {
+            if turn.is_multiple_of(20) {
                 let trip = TRIP + Duration::from_secs_f64(delay);
                 budget.record_trip(trip, 100, now);
             }
             let passes = !guarded || budget.wait(UPLOAD, now).is_zero();
-            if turn % 200 == 0 && passes {
+            if turn.is_multiple_of(200) && passes {
                 budget.record_sent(UPLOAD, now);
                 queue += UPLOAD as f64;
                 carried += UPLOAD as f64;
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -21,6 +21,7 @@
 mod room;
 pub mod session;
 pub mod target;
+mod target_body;
 mod target_connection;
 mod transport;
 
@@ -55,8 +56,8 @@
 pub use session::SessionStats;
 pub use target::RequestProgress;
 pub use target::TargetAnswer;
-pub use target::TargetBody;
 pub use target::TargetClient;
 pub use target::TargetError;
 pub use target::TargetFault;
 pub use target::TargetLimits;
+pub use target_body::TargetBody;
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -9,31 +9,20 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
 use futures_util::Stream;
-use futures_util::StreamExt;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::response::Parts;
-use http_body::Body;
-use http_body::Frame;
-use http_body::SizeHint;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::StreamBody;
-use http_body_util::combinators::UnsyncBoxBody;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
@@ -43,8 +32,8 @@
 use crate::answer_reader::AnswerHead;
 use crate::answer_reader::BodyRest;
 use crate::answer_reader::UnusedState;
-use crate::exchange::BoxError;
 use crate::gate::WriteGate;
+use crate::target_body::TargetBody;
 use crate::target_connection::OpenConnections;
 use crate::target_connection::OutgoingRequest;
 use crate::target_connection::TargetConnection;
@@ -110,63 +99,6 @@
     TooLarge(usize),
 }
 
-/// The body of a request to a target.
-pub struct TargetBody {
-    inner: UnsyncBoxBody<Bytes, BoxError>,
-    /// The bytes, when all are at hand.
-    whole: Option<Bytes>,
-}
-
-impl TargetBody {
-    /// A body that is at hand.
-    pub fn whole(bytes: impl Into<Bytes>) -> TargetBody {
-        let bytes = bytes.into();
-        let whole = Full::new(bytes.clone()).map_err(|never| match never {});
-        TargetBody {
-            inner: whole.boxed_unsync(),
-            whole: Some(bytes),
-        }
-    }
-
-    /// A body that is sent as it arrives; an error of the stream closes the
-    /// connection, so that the target sees a cut body.
-    pub fn stream<S>(stream: S) -> TargetBody
-    where
-        S: Stream<Item = Result<Bytes, BoxError>> + Send + 'static,
-    {
-        let pieces = StreamBody::new(stream.map(|data| data.map(Frame::data)));
-        TargetBody {
-            inner: pieces.boxed_unsync(),
-            whole: None,
-        }
-    }
-
-    /// Returns the bytes, when all are at hand.
-    pub(crate) fn as_whole(&self) -> Option<&Bytes> {
-        self.whole.as_ref()
-    }
-}
-
-impl Body for TargetBody {
-    type Data = Bytes;
-    type Error = BoxError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
-        Pin::new(&mut self.inner).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.inner.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.inner.size_hint()
-    }
-}
-
 /// What became of one request, readable also after its future was dropped.
 #[derive(Debug, Default)]
 pub struct RequestProgress {
--- a/crates/net/src/target_connection.rs
+++ b/crates/net/src/target_connection.rs
@@ -29,7 +29,7 @@
 use crate::answer_reader::AnswerHead;
 use crate::answer_reader::AnswerReader;
 use crate::gate::WriteGate;
-use crate::target::TargetBody;
+use crate::target_body::TargetBody;
 
 /// The greatest request that is written in one go; it fits into the buffers of
 /// a connection, so that the target need not read for it to be written.
--- a/crates/sidecar/src/answer.rs
+++ b/crates/sidecar/src/answer.rs
@@ -4,9 +4,22 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::Response;
 use http::StatusCode;
+use radishgauge_net::HttpAnswer;
+use radishgauge_net::exchange::AnswerBody;
 use radishgauge_schema::hop::HopReason;
 
+/// The greatest body of an answer that is held, in bytes.
+pub const GREATEST_ANSWER: usize = 16 * 1024 * 1024;
+
+/// Returns an answer to another daemon that has no body.
+pub fn bare(status: StatusCode) -> HttpAnswer {
+    let mut response = Response::new(AnswerBody::default());
+    *response.status_mut() = status;
+    response
+}
+
 /// A target's whole answer.
 #[derive(Debug, Clone)]
 pub struct WholeAnswer {
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -13,6 +13,7 @@
 use radishgauge_schema::hop::HopReport;
 use radishgauge_schema::hop::HopVerdict;
 
+use crate::answer;
 use crate::answer::TargetOutcome;
 use crate::hop;
 use crate::node::SidecarNode;
@@ -35,7 +36,7 @@
     node.hear_revision(peer, hop_head.revision);
     // A daemon reads the caller's whole body first, so this one is at hand.
     let Ok(body) = body.whole(u64::MAX).await else {
-        return plain(StatusCode::BAD_REQUEST);
+        return answer::bare(StatusCode::BAD_REQUEST);
     };
     message::strip_connection_fields(&mut head.headers);
     let request = WholeRequest {
@@ -51,7 +52,7 @@
     report.spent_us = hop::micros(now.saturating_sub(arrived));
     report.revision = node.revision();
     log_outcome(&node, &request.id, &hop_head.target, &outcome, &report);
-    answer(outcome, report)
+    hop_answer(outcome, report)
 }
 
 fn log_outcome(
@@ -91,7 +92,7 @@
     }
 }
 
-fn answer(outcome: TargetOutcome, mut report: HopReport) -> HttpAnswer {
+fn hop_answer(outcome: TargetOutcome, mut report: HopReport) -> HttpAnswer {
     let mut response = match outcome {
         TargetOutcome::Answered(answer) => {
             report.set_verdict(HopVerdict::Ran);
@@ -104,19 +105,13 @@
             report.set_verdict(HopVerdict::NotRun);
             report.set_reason(refusal.reason);
             report.retry_after_us = refusal.retry_after.map_or(0, hop::micros);
-            plain(StatusCode::SERVICE_UNAVAILABLE)
+            answer::bare(StatusCode::SERVICE_UNAVAILABLE)
         }
         TargetOutcome::MayHaveRun(_) => {
             report.set_verdict(HopVerdict::MayHaveRun);
-            plain(StatusCode::BAD_GATEWAY)
+            answer::bare(StatusCode::BAD_GATEWAY)
         }
     };
     hop::set_report(response.headers_mut(), &report);
     response
 }
-
-fn plain(status: StatusCode) -> HttpAnswer {
-    let mut response = Response::new(AnswerBody::default());
-    *response.status_mut() = status;
-    response
-}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod record;
 pub mod share;
 pub mod sidecar;
+mod slot;
 pub mod target_call;
 
 pub use sidecar::Sidecar;
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -38,6 +38,8 @@
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::node::lock;
+use crate::slot::QueuedRequest;
+use crate::slot::RunningSlot;
 use crate::target_call;
 use crate::target_call::WholeRequest;
 
@@ -64,9 +66,9 @@
 const FORMER_TARGETS: usize = 64;
 
 /// What is known of the target, and what runs at it.
-struct OwnerState {
-    admission: LocalAdmission,
-    waiters: HashMap<WaitKey, oneshot::Sender<Result<(), OfferRefusal>>>,
+pub(crate) struct OwnerState {
+    pub(crate) admission: LocalAdmission,
+    pub(crate) waiters: HashMap<WaitKey, oneshot::Sender<Result<(), OfferRefusal>>>,
     /// The targets that registered with this host's target address.
     records: Vec<TargetRecord>,
     former: VecDeque<SmolStr>,
@@ -81,7 +83,7 @@
 
 /// The target of this host.
 pub struct TargetOwner {
-    clock: Arc<dyn ProcessClock>,
+    pub(crate) clock: Arc<dyn ProcessClock>,
     client: ArcSwap<TargetClient>,
     state: Mutex<OwnerState>,
     /// Asks for a health check of the target.
@@ -293,7 +295,7 @@
         waiter.wait().await
     }
 
-    fn slot(self: &Arc<Self>, route: &SmolStr) -> RunningSlot {
+    pub(crate) fn slot(self: &Arc<Self>, route: &SmolStr) -> RunningSlot {
         RunningSlot {
             owner: Arc::clone(self),
             route: route.clone(),
@@ -303,7 +305,7 @@
     }
 
     /// Makes the decisions that are due on waiting requests.
-    fn decide(self: &Arc<Self>, state: &mut OwnerState) {
+    pub(crate) fn decide(self: &Arc<Self>, state: &mut OwnerState) {
         let now = self.clock.now();
         while let Some(popped) = state.admission.pop(now) {
             let sent = state
@@ -339,7 +341,7 @@
         });
     }
 
-    fn state(&self) -> MutexGuard<'_, OwnerState> {
+    pub(crate) fn state(&self) -> MutexGuard<'_, OwnerState> {
         lock(&self.state)
     }
 }
@@ -422,67 +424,7 @@
     }
 }
 
-/// A request in the queue; dropping it takes it out.
-struct QueuedRequest<'a> {
-    owner: &'a Arc<TargetOwner>,
-    key: Option<WaitKey>,
-    route: &'a SmolStr,
-    /// When to refuse it, while its caller can still be told.
-    until: Duration,
-    decision: oneshot::Receiver<Result<(), OfferRefusal>>,
-}
-
-impl QueuedRequest<'_> {
-    async fn wait(mut self) -> Result<RunningSlot, NotRun> {
-        let time = self.until.saturating_sub(self.owner.clock.now());
-        let decision = tokio::time::timeout(time, &mut self.decision).await;
-        match decision {
-            Ok(Ok(Ok(()))) => {
-                self.key = None;
-                Ok(self.owner.slot(self.route))
-            }
-            Ok(Ok(Err(refusal))) => {
-                self.key = None;
-                Err(not_run(refusal))
-            }
-            // The owner drops a sender only with its own end.
-            Ok(Err(_)) => Err(NotRun::unseen(HopReason::Stopping)),
-            Err(_) => Err(NotRun::unseen(HopReason::Expired)),
-        }
-    }
-}
-
-impl Drop for QueuedRequest<'_> {
-    fn drop(&mut self) {
-        let Some(key) = self.key else {
-            return;
-        };
-        let mut state = self.owner.state();
-        state.waiters.remove(&key);
-        if !state.admission.abandon(key) && matches!(self.decision.try_recv(), Ok(Ok(()))) {
-            state.admission.finish(self.route, None);
-            self.owner.decide(&mut state);
-        }
-    }
-}
-
-/// A request that runs at the target; dropping it gives the slot back.
-struct RunningSlot {
-    owner: Arc<TargetOwner>,
-    route: SmolStr,
-    started: Duration,
-    took: Option<Duration>,
-}
-
-impl Drop for RunningSlot {
-    fn drop(&mut self) {
-        let mut state = self.owner.state();
-        state.admission.finish(&self.route, self.took);
-        self.owner.decide(&mut state);
-    }
-}
-
-fn not_run(refusal: OfferRefusal) -> NotRun {
+pub(crate) fn not_run(refusal: OfferRefusal) -> NotRun {
     let reason = match refusal.reason {
         RefuseReason::Full => HopReason::Full,
         RefuseReason::Cold => HopReason::Cold,
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -20,6 +20,7 @@
 use radishgauge_schema::hop::HopReport;
 use radishgauge_schema::hop::HopVerdict;
 
+use crate::answer::GREATEST_ANSWER;
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::answer::WholeAnswer;
@@ -41,9 +42,6 @@
 /// retransmissions between regions, and shorter than callers wait.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(1);
 
-/// The greatest body of an answer that is held, in bytes.
-const GREATEST_ANSWER: usize = 16 * 1024 * 1024;
-
 /// How an exchange with an owner ended.
 pub struct HopOutcome {
     /// What became of the request.
--- a/crates/sidecar/src/share.rs
+++ b/crates/sidecar/src/share.rs
@@ -30,6 +30,7 @@
 use radishgauge_schema::hop::StateSnapshot;
 use smol_str::SmolStr;
 
+use crate::answer;
 use crate::hop::micros;
 use crate::node::SidecarNode;
 
@@ -63,18 +64,18 @@
     mut body: HttpBody,
 ) -> HttpAnswer {
     if uri.path() != STATE_PATH {
-        return plain(StatusCode::NOT_FOUND);
+        return answer::bare(StatusCode::NOT_FOUND);
     }
     if *method == Method::POST {
         let Ok(body) = body.whole(GREATEST_STATE as u64).await else {
-            return plain(StatusCode::BAD_REQUEST);
+            return answer::bare(StatusCode::BAD_REQUEST);
         };
         return match decode(&body) {
             Ok(snapshot) => {
                 take(node, snapshot, "told");
-                plain(StatusCode::OK)
+                answer::bare(StatusCode::OK)
             }
-            Err(_) => plain(StatusCode::BAD_REQUEST),
+            Err(_) => answer::bare(StatusCode::BAD_REQUEST),
         };
     }
     let after = parameter(uri, "after").unwrap_or_default();
@@ -84,7 +85,7 @@
         Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
         Err(error) => {
             events::PEER_STATE_FAILED.emit(format_args!("peer=self error={error}"));
-            plain(StatusCode::INTERNAL_SERVER_ERROR)
+            answer::bare(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
@@ -187,12 +188,6 @@
     }
 }
 
-fn plain(status: StatusCode) -> HttpAnswer {
-    let mut response = Response::new(AnswerBody::default());
-    *response.status_mut() = status;
-    response
-}
-
 impl SidecarNode {
     /// Takes note of the revision that an owner reported; one that knows no
     /// state is told.
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -19,6 +19,7 @@
 use radishgauge_platform::StoreClient;
 use radishgauge_platform::message;
 
+use crate::answer;
 use crate::entry;
 use crate::exchange;
 use crate::follow;
@@ -172,9 +173,7 @@
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     };
-    let mut response = Response::new(AnswerBody::default());
-    *response.status_mut() = status;
-    response
+    answer::bare(status)
 }
 
 async fn upkeep(node: Arc<SidecarNode>) {
--- /dev/null
+++ b/crates/sidecar/src/slot.rs
@@ -0,0 +1,76 @@
+//! A request's place at the target: in the queue, then running.
+//!
+//! Both give their place back when they are dropped, as when a caller goes away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use radishgauge_mesh::admission::OfferRefusal;
+use radishgauge_mesh::admission::WaitKey;
+use radishgauge_schema::hop::HopReason;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use crate::answer::NotRun;
+use crate::owner;
+use crate::owner::TargetOwner;
+
+/// A request in the queue; dropping it takes it out.
+pub(crate) struct QueuedRequest<'a> {
+    pub(crate) owner: &'a Arc<TargetOwner>,
+    pub(crate) key: Option<WaitKey>,
+    pub(crate) route: &'a SmolStr,
+    /// When to refuse it, while its caller can still be told.
+    pub(crate) until: Duration,
+    pub(crate) decision: oneshot::Receiver<Result<(), OfferRefusal>>,
+}
+
+impl QueuedRequest<'_> {
+    pub(crate) async fn wait(mut self) -> Result<RunningSlot, NotRun> {
+        let time = self.until.saturating_sub(self.owner.clock.now());
+        let decision = tokio::time::timeout(time, &mut self.decision).await;
+        match decision {
+            Ok(Ok(Ok(()))) => {
+                self.key = None;
+                Ok(self.owner.slot(self.route))
+            }
+            Ok(Ok(Err(refusal))) => {
+                self.key = None;
+                Err(owner::not_run(refusal))
+            }
+            // The owner drops a sender only with its own end.
+            Ok(Err(_)) => Err(NotRun::unseen(HopReason::Stopping)),
+            Err(_) => Err(NotRun::unseen(HopReason::Expired)),
+        }
+    }
+}
+
+impl Drop for QueuedRequest<'_> {
+    fn drop(&mut self) {
+        let Some(key) = self.key else {
+            return;
+        };
+        let mut state = self.owner.state();
+        state.waiters.remove(&key);
+        if !state.admission.abandon(key) && matches!(self.decision.try_recv(), Ok(Ok(()))) {
+            state.admission.finish(self.route, None);
+            self.owner.decide(&mut state);
+        }
+    }
+}
+
+/// A request that runs at the target; dropping it gives the slot back.
+pub(crate) struct RunningSlot {
+    pub(crate) owner: Arc<TargetOwner>,
+    pub(crate) route: SmolStr,
+    pub(crate) started: Duration,
+    pub(crate) took: Option<Duration>,
+}
+
+impl Drop for RunningSlot {
+    fn drop(&mut self) {
+        let mut state = self.owner.state();
+        state.admission.finish(&self.route, self.took);
+        self.owner.decide(&mut state);
+    }
+}
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -17,13 +17,11 @@
 use radishgauge_platform::message::TargetWord;
 use radishgauge_schema::hop::HopReason;
 
+use crate::answer::GREATEST_ANSWER;
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::answer::WholeAnswer;
 
-/// The greatest body of an answer that is held, in bytes.
-const GREATEST_ANSWER: usize = 16 * 1024 * 1024;
-
 /// A caller's request with its whole body.
 #[derive(Debug, Clone)]
 pub struct WholeRequest {
