Keep long bodies off hosts whose links are full; bound the connections to each daemon

A sender now counts how long a body takes at the rate that the host's link showed, leaves a host where it would be late, and refuses what would be late everywhere.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -45,6 +45,12 @@
 /// Bodies of this length or more tell how fast a host's link is, in bytes.
 const LONG_BODY: u64 = 16 * 1024;
 
+/// Weight of one long body in the rate of a host's link; links fill up fast.
+const RATE_WEIGHT: f64 = 0.3;
+
+/// By how much an old rate grows a second.
+const RATE_RECOVERY: f64 = 1.5;
+
 /// How long a target is passed over that does not accept connections.
 const DOWN_PAUSE: Duration = Duration::from_millis(400);
 
@@ -154,25 +160,28 @@
     failures: f64,
     failures_at: Duration,
     paused_until: Duration,
-    /// How fast long bodies lately went there, in bytes a second.
-    rate: Option<f64>,
+    /// How fast long bodies lately went there, in bytes a second, and when.
+    rate: Option<(f64, Duration)>,
 }
 
 impl TargetBelief {
-    /// Returns how long a body takes to the target's host.
-    fn transfer_time(&self, body_bytes: u64) -> Duration {
+    /// Returns how long a body takes to the target's host. A rate that was seen
+    /// some time ago counts for more, so that a link which was full is tried
+    /// again.
+    fn transfer_time(&self, body_bytes: u64, now: Duration) -> Duration {
         match self.rate {
-            Some(rate) if body_bytes >= LONG_BODY => {
-                Duration::from_secs_f64(body_bytes as f64 / rate)
+            Some((rate, at)) if body_bytes >= LONG_BODY => {
+                let age = now.saturating_sub(at).as_secs_f64();
+                Duration::from_secs_f64(body_bytes as f64 / (rate * RATE_RECOVERY.powf(age)))
             }
             _ => Duration::ZERO,
         }
     }
 
-    fn record_transfer(&mut self, body_bytes: u64, hop: Duration) {
+    fn record_transfer(&mut self, body_bytes: u64, hop: Duration, now: Duration) {
         let rate = body_bytes as f64 / hop.as_secs_f64().max(1e-3);
-        let average = self.rate.get_or_insert(rate);
-        *average += (rate - *average) * ANSWER_WEIGHT;
+        let average = self.rate.map_or(rate, |(average, _)| average);
+        self.rate = Some((average + (rate - average) * RATE_WEIGHT, now));
     }
 
     fn failure_share(&self, now: Duration) -> f64 {
@@ -327,7 +336,7 @@
                 if distance == TargetDistance::Host {
                     // Nothing was sent over a link.
                 } else if body_bytes >= LONG_BODY {
-                    belief.record_transfer(body_bytes, hop);
+                    belief.record_transfer(body_bytes, hop, now);
                 } else {
                     let average = &mut self.hops[distance as usize];
                     *average += (hop.as_secs_f64() - *average) * ANSWER_WEIGHT;
@@ -384,7 +393,7 @@
             TargetDistance::Far => REGION_PART,
         };
         let saving = saving * bytes.min(GREATEST_BYTES_FACTOR) * objective;
-        let transfer = belief.transfer_time(request.body_bytes);
+        let transfer = belief.transfer_time(request.body_bytes, now);
         let hop = self.hops[candidate.distance as usize] + transfer.as_secs_f64();
         // Of about equal targets, senders should not all choose the same.
         let spread = service_time.as_secs_f64() / f64::from(candidate.capacity.max(1));
@@ -404,5 +413,6 @@
     let service_time = belief.service_time(fastest, now);
     let wait = belief.wait(candidate.capacity, service_time, now);
     let allowed = order::allowed_wait(request.objective, service_time, request.priority);
-    wait.saturating_sub(allowed)
+    let transfer = belief.transfer_time(request.body_bytes, now);
+    (wait + transfer).saturating_sub(allowed)
 }
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -187,3 +187,27 @@
     let mut placer = placer(&[]);
     assert_eq!(placer.place(&[], &REQUEST, ms(1)), Err(Unplaced::NoTarget));
 }
+
+/// Guards against long bodies that pile up on the full link of a near host,
+/// until nothing arrives there in time; short requests still go there.
+#[test]
+fn long_bodies_leave_a_host_whose_link_is_full() {
+    let mut placer = placer(&[]);
+    let long = PlaceRequest {
+        body_bytes: 280_000,
+        ..REQUEST
+    };
+    for tick in 0..10 {
+        let id: SmolStr = "domain".into();
+        let slow = SendOutcome::Served { hop: ms(1_500) };
+        placer.finish(&id, TargetDistance::Domain, long.body_bytes, slow, ms(tick));
+    }
+    let chosen = placer.place(&candidates(), &long, ms(10)).unwrap();
+    assert_eq!(chosen, "region");
+    assert_eq!(place(&mut placer, 10).unwrap(), "domain");
+    let only = [candidate("domain", TargetDistance::Domain)];
+    let refused = placer.place(&only, &long, ms(10));
+    assert!(matches!(refused, Err(Unplaced::Full { .. })), "{refused:?}");
+    // The link is tried again after a time.
+    assert!(placer.place(&only, &long, ms(6_000)).is_ok());
+}
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -28,8 +28,10 @@
 use crate::node::lock;
 use crate::target_call::WholeRequest;
 
-/// The connections to one daemon; requests beyond them wait.
-const CONNECTIONS: usize = 96;
+/// The connections to one daemon; requests beyond them wait. More than a target
+/// runs at once, and few enough for a hundred daemons within the descriptors of
+/// a small host.
+const CONNECTIONS: usize = 36;
 
 /// How long a connection to a daemon may take to open: several times the way
 /// between regions, and less than a caller's objective.
