--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -15,9 +15,13 @@
 use crate::node::SidecarNode;
 use crate::share;
 
-/// How long one watch waits for a change. A store that has gone silent is
-/// noticed after that time.
-const WATCH_TIME: Duration = Duration::from_millis(4_000);
+/// The part of the bound for changes that one watch of the store waits. A store
+/// that has gone silent is noticed after it, and another daemon reads in time.
+const WATCH_PART: f64 = 0.55;
+
+/// The part of the bound for changes that one question to the daemon that this
+/// one follows waits; one that has gone silent is noticed after it.
+pub const FOLLOW_PART: f64 = 0.25;
 
 /// The least time between two watches: changes that come together are read by
 /// one call.
@@ -102,7 +106,8 @@
 ) -> Result<FollowStep, FollowFault> {
     if let ReaderRole::Follow(host) = node.role() {
         let peer = SocketAddr::new(host, node.settings().peers.port());
-        let away = share::follow(node, peer, WATCH_TIME)
+        let wait = node.settings().apply_bound.mul_f64(FOLLOW_PART);
+        let away = share::follow(node, peer, wait)
             .await
             .map_err(|error| FollowFault::Peer(host, error))?;
         node.ranking().mark_answer(host, away, node.now());
@@ -129,7 +134,11 @@
 async fn watch(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
     let away = node.known().book.store_away();
     // After an outage the store is asked at once whether it is back.
-    let wait = if away { Duration::ZERO } else { WATCH_TIME };
+    let wait = if away {
+        Duration::ZERO
+    } else {
+        node.settings().apply_bound.mul_f64(WATCH_PART)
+    };
     let changes = store.watch(node.revision(), wait).await?;
     if away {
         // Entries that lapsed during the outage may still come back.
--- a/crates/sidecar/src/share.rs
+++ b/crates/sidecar/src/share.rs
@@ -53,8 +53,9 @@
 /// How often peers are asked while the store cannot be read.
 const ASK_INTERVAL: Duration = Duration::from_millis(700);
 
-/// How long a peer may take to tell its state, beyond the wait asked for.
-const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a peer may take to tell its state, beyond the wait asked for. A
+/// peer that is only slow is asked again; one that is silent must be left soon.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Serves a request for the state, or takes over one that is told.
 pub async fn serve(
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -6,8 +6,10 @@
 
 use radishgauge_net::clock::SystemClock;
 use radishgauge_platform::HostSettings;
+use radishgauge_sidecar::follow;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
+use radishgauge_sidecar::share;
 
 const SETTINGS: &str = "\
 node=host-1
@@ -21,6 +23,8 @@
 appAddr=127.0.0.1:4
 provider.address=127.0.0.1:5
 bounds.grace=6s
+bounds.configApply=2000ms
+bounds.drain=2s
 bounds.retryBudgetRatio=0.2
 bounds.budgetExtra=60
 bounds.budgetWindow=10s
@@ -90,3 +94,17 @@
     question.await.unwrap();
     assert_eq!(begun.elapsed(), Duration::ZERO);
 }
+
+/// Guards against a follower that holds on to a reader which was cut off, and
+/// misses a target that leaves: it has to notice in half of the bound, so that
+/// the next reader can be asked in time.
+#[tokio::test(start_paused = true)]
+async fn a_silent_reader_is_left_in_time() {
+    let node = node();
+    let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let peer = silent.local_addr().unwrap();
+    let wait = node.settings().apply_bound.mul_f64(follow::FOLLOW_PART);
+    let asked = tokio::time::Instant::now();
+    assert!(share::follow(&node, peer, wait).await.is_err());
+    assert!(asked.elapsed() <= node.settings().apply_bound / 2);
+}
