Wait until a peer has the whole answer before its call counts as ended

Cause: AnswerSender finished the stream and returned; the call then no longer counted as under way, and the stop closed the session with up to 1.6 MB of answers still on their way. Ruled out: the flush time of 500 ms; it bounds only the close itself, which discards what was not acknowledged. Test: a_session_that_closes_after_an_answer_cuts_nothing_off fails before and passes after.

--- a/crates/net/src/call.rs
+++ b/crates/net/src/call.rs
@@ -47,7 +47,8 @@
     ///
     /// As [`CallSender::send`].
     pub async fn finish(mut self) -> Result<(), PeerError> {
-        send_end(&mut self.writer, &mut self.digest, Bytes::new()).await
+        send_end(&mut self.writer, &mut self.digest, Bytes::new()).await?;
+        self.writer.finish().map_err(PeerError::sent)
     }
 }
 
@@ -220,25 +221,19 @@
         send_data(&mut self.writer, &mut self.digest, data).await
     }
 
-    /// Sends the end of the body, which makes it whole.
+    /// Sends the end of the body, which makes it whole, and waits until the
+    /// peer has it; the session may be closed then.
     ///
     /// # Errors
     ///
     /// As [`AnswerSender::send`].
     pub async fn finish(mut self) -> Result<(), PeerError> {
-        send_end(&mut self.writer, &mut self.digest, Bytes::new()).await
-    }
-
-    /// Sends the last piece and the end of the body in one go.
-    ///
-    /// # Errors
-    ///
-    /// As [`AnswerSender::send`].
-    pub async fn finish_with(mut self, data: Bytes) -> Result<(), PeerError> {
-        send_end(&mut self.writer, &mut self.digest, data).await
+        send_end(&mut self.writer, &mut self.digest, Bytes::new()).await?;
+        self.writer.deliver().await.map_err(PeerError::sent)
     }
 
-    /// Sends a whole answer in one go; the usual way for refusals and small bodies.
+    /// Sends a whole answer in one go, and waits until the peer has it; the
+    /// usual way for refusals and small bodies.
     ///
     /// # Errors
     ///
@@ -251,7 +246,7 @@
             .write(&mut frames)
             .await
             .map_err(PeerError::sent)?;
-        self.writer.finish().map_err(PeerError::sent)
+        self.writer.deliver().await.map_err(PeerError::sent)
     }
 
     /// Completes when the caller gave up the call or its session ended; never
@@ -322,6 +317,5 @@
     let mut frames = Vec::with_capacity(3);
     digest.push_data(data, &mut frames);
     digest.push_end(&mut frames);
-    writer.write(&mut frames).await.map_err(PeerError::sent)?;
-    writer.finish().map_err(PeerError::sent)
+    writer.write(&mut frames).await.map_err(PeerError::sent)
 }
--- a/crates/net/src/frame.rs
+++ b/crates/net/src/frame.rs
@@ -273,6 +273,16 @@
             .map_err(|error| PeerFault::Closed(error.to_string()))
     }
 
+    /// Ends the stream in order, and waits until the peer has all of it.
+    pub(crate) async fn deliver(&mut self) -> Result<(), PeerFault> {
+        self.finish()?;
+        match self.stream.stopped().await {
+            Ok(None) => Ok(()),
+            Ok(Some(code)) => Err(PeerFault::Closed(format!("stopped with code {code}"))),
+            Err(error) => Err(PeerFault::Closed(error.to_string())),
+        }
+    }
+
     /// Ends the stream abnormally; the peer sees the code.
     pub(crate) fn reset(&mut self, code: VarInt) {
         if !std::mem::replace(&mut self.ended, true) {
--- a/crates/net/tests/calls.rs
+++ b/crates/net/tests/calls.rs
@@ -205,3 +205,30 @@
         drop(second);
     });
 }
+
+/// Guards against a stop that cuts off an answer which was written and has not
+/// arrived: the end of sending has to mean that the peer has it all.
+#[tokio::test]
+async fn a_session_that_closes_after_an_answer_cuts_nothing_off() {
+    // Many times what the transport sends before the first acknowledgement.
+    const BODY: usize = 1 << 20;
+    let pair = common::pair().await;
+    let far = pair.far.clone();
+    let closing = pair.far.clone();
+    tokio::spawn(async move {
+        far.serve(move |inbound| {
+            let session = closing.clone();
+            async move {
+                if let InboundStream::Call { answer, .. } = inbound {
+                    let body = Bytes::from(vec![7; BODY]);
+                    answer.whole(AnswerHead::default(), body).await.unwrap();
+                    session.close("stopped");
+                }
+            }
+        })
+        .await
+    });
+    let receiver = pair.near.call_whole(head(1), Bytes::new()).await.unwrap();
+    let (_, mut body) = receiver.answer().await.unwrap();
+    assert_eq!(body.whole(2 * BODY).await.unwrap().len(), BODY);
+}
