Pass notices of leaving hosts by peers that do not confirm them

Cause: a notice travels over open sessions only. Members have sessions with their relays, and one reader of a region has those to the other regions; when these are paused, nobody tells the rest until silence is noticed after 3 s and new roles are dialled. Change: a notice has to be confirmed within 1 s; otherwise up to eight other hosts of the peer's failure domain are dialled, and of the other regions when the peer is the first reader; new sessions get the recent notices.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -39,6 +39,7 @@
 mod apply;
 mod follow;
 mod hosting;
+mod notice;
 mod pull;
 mod read;
 mod roster;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -36,6 +36,8 @@
 use crate::ledger::VersionLedger;
 use crate::log::ControlLog;
 use crate::member::HostBook;
+use crate::notice;
+use crate::notice::RecentNotices;
 use crate::parts::PartStore;
 use crate::peers::PeerTable;
 use crate::platform::CallBudget;
@@ -90,6 +92,16 @@
     Notice,
 }
 
+impl Ask {
+    /// How long the peer may take to answer.
+    fn patience(&self) -> Duration {
+        match self {
+            Ask::Notice => notice::CONFIRM_TIME,
+            Ask::Head | Ask::Hosts | Ask::Pull | Ask::Audit => SILENT_AFTER,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(crate) struct Pending {
     pub(crate) peer: PeerKey,
@@ -124,6 +136,7 @@
     pub(crate) lists: HostLists,
     pub(crate) book: HostBook,
     pub(crate) sessions: Sessions,
+    pub(crate) notices: RecentNotices,
     pub(crate) roles: RoleSet,
     pub(crate) plan: ReadPlan,
     pub(crate) budget: CallBudget,
@@ -167,6 +180,7 @@
             lists: HostLists::default(),
             book: HostBook::default(),
             sessions: Sessions::default(),
+            notices: RecentNotices::default(),
             roles: RoleSet::default(),
             plan: ReadPlan::default(),
             budget: CallBudget::default(),
@@ -370,7 +384,7 @@
 
     pub(crate) fn send(&mut self, peer: PeerKey, ask: Ask, request: Request) -> RequestId {
         let id = self.id();
-        let deadline = self.now + SILENT_AFTER;
+        let deadline = self.now + ask.patience();
         self.pending.insert(
             id,
             Pending {
--- a/crates/control/src/pull.rs
+++ b/crates/control/src/pull.rs
@@ -355,8 +355,10 @@
                 self.give_up(peer);
             }
         }
-        if failure == PeerFailure::Silent {
-            self.peer_silent(peer);
+        match (failure, pending.ask) {
+            (PeerFailure::Silent, Ask::Notice) => self.pass_by(peer),
+            (PeerFailure::Silent, _) => self.peer_silent(peer),
+            _ => {}
         }
         self.advance();
     }
--- a/crates/control/src/serve.rs
+++ b/crates/control/src/serve.rs
@@ -14,7 +14,6 @@
 use radishgauge_schema::peer::Hello;
 use radishgauge_schema::peer::HostsReply;
 use radishgauge_schema::peer::HostsRequest;
-use radishgauge_schema::peer::LeavingNotice;
 use radishgauge_schema::peer::PageReply;
 use radishgauge_schema::peer::PageRequest;
 use radishgauge_schema::peer::PartReply;
@@ -25,14 +24,11 @@
 use radishgauge_schema::peer::StatusReply;
 use radishgauge_schema::peer::peer_reply::Reply;
 use radishgauge_schema::peer::peer_request::Request;
-use smol_str::SmolStr;
 
 use crate::event::ControlAction;
 use crate::event::PeerKey;
 use crate::event::RequestId;
 use crate::hosts::ListAnswer;
-use crate::log::ControlLog;
-use crate::machine::Ask;
 use crate::machine::ControlMachine;
 use crate::rank;
 use crate::view;
@@ -241,28 +237,6 @@
         FAR_LIST.mul_f64((rank::weight("far list", host) % 1000) as f64 / 100.0)
     }
 
-    fn hear_leaving(&mut self, from: PeerKey, notice: LeavingNotice) {
-        let host = SmolStr::new(&notice.host);
-        if host == self.config.host || !self.book.leave(&host, notice.incarnation, self.now) {
-            return;
-        }
-        self.roles_dirty = true;
-        self.share_dirty |= self.shares_host(&host);
-        self.log(ControlLog::HostLeaving {
-            host,
-            incarnation: notice.incarnation,
-        });
-        let peers: Vec<_> = self
-            .peers
-            .iter()
-            .map(|(key, _)| key)
-            .filter(|key| *key != from)
-            .collect();
-        for peer in peers {
-            self.send(peer, Ask::Notice, Request::Leaving(notice.clone()));
-        }
-    }
-
     /// Returns what the operator page and peers see.
     pub fn status(&self) -> StatusReply {
         let record = self.ledger.record();
--- a/crates/control/src/sessions.rs
+++ b/crates/control/src/sessions.rs
@@ -6,8 +6,6 @@
 use indexmap::IndexMap;
 use radishgauge_schema::config::HostState;
 use radishgauge_schema::peer::Hello;
-use radishgauge_schema::peer::LeavingNotice;
-use radishgauge_schema::peer::peer_request::Request;
 use rand::seq::IndexedRandom;
 use smol_str::SmolStr;
 
@@ -15,7 +13,6 @@
 use crate::event::PeerKey;
 use crate::event::PeerLink;
 use crate::log::ControlLog;
-use crate::machine::Ask;
 use crate::machine::ControlMachine;
 use crate::machine::Work;
 use crate::neighbour;
@@ -157,6 +154,14 @@
         self.sessions.relays.iter().any(|relay| relay == host)
     }
 
+    /// Returns whether a host is the first reader of the own region.
+    pub(crate) fn is_first_reader(&self, host: &str) -> bool {
+        self.sessions
+            .readers
+            .first()
+            .is_some_and(|reader| reader == host)
+    }
+
     /// Returns an open session with a relay of the own failure domain; each host
     /// has an order of its own, so that askers spread over the relays.
     pub(crate) fn any_relay(&self) -> Option<PeerKey> {
@@ -320,9 +325,7 @@
             let soon = self.now + Duration::from_secs(1);
             self.audit_at = self.audit_at.map(|at| at.min(soon));
         }
-        if self.leaving {
-            self.send_notice(peer);
-        }
+        self.repeat_notices(peer);
         self.advance();
     }
 
@@ -392,17 +395,6 @@
         }
         self.share_dirty = true;
         self.roles_dirty = true;
-        let peers: Vec<_> = self.peers.iter().map(|(key, _)| key).collect();
-        for peer in peers {
-            self.send_notice(peer);
-        }
-    }
-
-    fn send_notice(&mut self, peer: PeerKey) {
-        let notice = LeavingNotice {
-            host: self.config.host.to_string(),
-            incarnation: self.config.incarnation,
-        };
-        self.send(peer, Ask::Notice, Request::Leaving(notice));
+        self.tell_leaving();
     }
 }
