Take no outage for granted that only a daemon which was cut off speaks of

Change: only an outage that a daemon saw itself lets entries lapse; entries expire at their time; a reader that did not answer is followed again once it is heard, not tried again every 3 s.

--- a/crates/mesh/src/book.rs
+++ b/crates/mesh/src/book.rs
@@ -3,7 +3,9 @@
 //! The store's revision orders all states, so of two the one with the greater
 //! revision holds, whoever told it. An entry may lapse while the store is away
 //! although its target lives; for a short time after the store's return, a
-//! missing entry is therefore kept.
+//! missing entry is therefore kept. A daemon that is cut off says that the store
+//! is away too, so its word alone does not make an outage: when this daemon then
+//! reads the store without a failure, nothing has lapsed.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -114,6 +116,8 @@
     targets: IndexMap<SmolStr, TargetEntry>,
     domains_out: IndexSet<SmolStr>,
     health: StoreHealth,
+    /// Whether this daemon itself failed to read the store that is away.
+    witnessed: bool,
 }
 
 impl Default for StateBook {
@@ -123,6 +127,7 @@
             targets: IndexMap::new(),
             domains_out: IndexSet::new(),
             health: StoreHealth::Reachable,
+            witnessed: false,
         }
     }
 }
@@ -159,10 +164,10 @@
     }
 
     /// Takes over what the daemon that this one follows says of the store.
-    pub fn follow_health(&mut self, health: StoreHealth) {
+    pub fn follow_health(&mut self, health: StoreHealth, now: Duration) {
         match health {
-            StoreHealth::Reachable => self.health = StoreHealth::Reachable,
-            StoreHealth::Away => self.lose_store(),
+            StoreHealth::Reachable => self.settle(now),
+            StoreHealth::Away => self.health = StoreHealth::Away,
             StoreHealth::Regained(at) => {
                 self.lose_store();
                 self.regain_store(at);
@@ -175,19 +180,36 @@
         self.health == StoreHealth::Away
     }
 
-    /// Records that the store cannot be read.
+    /// Records that this daemon cannot read the store.
     pub fn lose_store(&mut self) {
         self.health = StoreHealth::Away;
+        self.witnessed = true;
     }
 
-    /// Records that the store can be read again.
+    /// Records that this daemon can read the store again.
     pub fn regain_store(&mut self, now: Duration) {
         if self.health != StoreHealth::Away {
             return;
         }
+        if !self.witnessed {
+            self.settle(now);
+            return;
+        }
         self.health = StoreHealth::Regained(now);
+        self.witnessed = false;
+        self.bound_lapses(now + LAPSE_GRACE);
+    }
+
+    /// The store was well: what is missing has not lapsed.
+    fn settle(&mut self, now: Duration) {
+        self.health = StoreHealth::Reachable;
+        self.witnessed = false;
+        self.bound_lapses(now);
+    }
+
+    fn bound_lapses(&mut self, latest: Duration) {
         for entry in self.targets.values_mut() {
-            entry.lapses = entry.lapses.map(|until| until.min(now + LAPSE_GRACE));
+            entry.lapses = entry.lapses.map(|until| until.min(latest));
         }
     }
 
--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -13,9 +13,9 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::Xxh3;
 
-/// How long a host that did not answer is left out of the ranking: about the
-/// time in which a daemon starts again.
-const UNREACHABLE_TIME: Duration = Duration::from_secs(3);
+/// How long a host that did not answer is left out of the ranking, unless it is
+/// heard before: several times the time in which a daemon starts again.
+const UNREACHABLE_TIME: Duration = Duration::from_secs(9);
 
 /// How long a host's word that it cannot read the store holds.
 const AWAY_TIME: Duration = Duration::from_secs(2);
@@ -47,6 +47,13 @@
         self.marks.entry(host).or_default().unreachable_until = now + UNREACHABLE_TIME;
     }
 
+    /// Records that a host sent or answered a request.
+    pub fn mark_heard(&mut self, host: IpAddr) {
+        if let Some(mark) = self.marks.get_mut(&host) {
+            mark.unreachable_until = Duration::ZERO;
+        }
+    }
+
     /// Records whether a host can read the store.
     pub fn mark_answer(&mut self, host: IpAddr, away: bool, now: Duration) {
         let mark = self.marks.entry(host).or_default();
--- a/crates/mesh/tests/mesh/book.rs
+++ b/crates/mesh/tests/mesh/book.rs
@@ -9,6 +9,7 @@
 use radishgauge_mesh::book::LAPSE_GRACE;
 use radishgauge_mesh::book::StateChange;
 use radishgauge_mesh::book::StateSource;
+use radishgauge_mesh::book::StoreHealth;
 use radishgauge_mesh::config::RequestLimits;
 
 const STORE: StateSource = StateSource::Store;
@@ -130,3 +131,43 @@
     assert_eq!(known(&book), ["two"]);
     assert!(book.is_out("b") && !book.is_out("a"));
 }
+
+/// Guards against a target that leaves and stays in use, since the daemon that
+/// this one followed was cut off from a store that was well all the while.
+#[test]
+fn entries_do_not_lapse_by_the_word_of_a_daemon_that_was_cut_off() {
+    let mut book = book_with(&["early", "late", "stays"]);
+    book.follow_health(StoreHealth::Away, s(1));
+    book.apply(StateChange::TargetGone("early".into()), STORE, s(2));
+    // This daemon reads the store itself from here on, and it answers at once.
+    book.regain_store(s(3));
+    book.expire(s(3));
+    assert_eq!(known(&book), ["late", "stays"]);
+    book.apply(StateChange::TargetGone("late".into()), STORE, s(4));
+    assert_eq!(known(&book), ["stays"]);
+}
+
+/// Guards against an entry that lapsed by the word of one daemon and is kept for
+/// good, since the next daemon that is followed knows of no newer state.
+#[test]
+fn a_lapsed_entry_goes_when_another_daemon_reads_the_store() {
+    let mut book = book_with(&["one", "two"]);
+    book.follow_health(StoreHealth::Away, s(1));
+    book.apply(StateChange::TargetGone("one".into()), STORE, s(2));
+    book.follow_health(StoreHealth::Reachable, s(3));
+    book.expire(s(3));
+    assert_eq!(known(&book), ["two"]);
+}
+
+/// Guards against an outage that this daemon saw itself and that a daemon's word
+/// hides: entries may then still come back.
+#[test]
+fn an_outage_that_was_seen_counts_beside_the_word_of_others() {
+    let mut book = book_with(&["back"]);
+    book.lose_store();
+    book.follow_health(StoreHealth::Away, s(1));
+    book.apply(StateChange::TargetGone("back".into()), STORE, s(2));
+    book.regain_store(s(3));
+    book.expire(s(4));
+    assert_eq!(known(&book), ["back"]);
+}
--- a/crates/mesh/tests/mesh/reader.rs
+++ b/crates/mesh/tests/mesh/reader.rs
@@ -54,6 +54,26 @@
     assert_eq!(readers(&rankings, &hosts, s(10)), [first]);
 }
 
+/// Guards against a domain that goes back to a reader which is still cut off, and
+/// learns nothing while it waits for it: a reader is followed again once it is
+/// heard, and a silent one is not tried again soon.
+#[test]
+fn a_silent_reader_is_followed_again_once_it_is_heard() {
+    let hosts = hosts(3);
+    let mut ranking = ReaderRanking::default();
+    let rankings: Vec<_> = hosts.iter().map(|_| ReaderRanking::default()).collect();
+    let first = readers(&rankings, &hosts, s(0))[0];
+    let own = *hosts.iter().find(|host| **host != first).unwrap();
+    ranking.mark_unreachable(first, s(0));
+    let role = ranking.role(own, "a", &hosts, s(5));
+    assert_ne!(role, ReaderRole::Follow(first));
+    ranking.mark_heard(first);
+    assert_eq!(
+        ranking.role(own, "a", &hosts, s(5)),
+        ReaderRole::Follow(first)
+    );
+}
+
 /// Guards against a domain that misses changes since its reader is turned away,
 /// and against all its hosts asking a store that is down.
 #[test]
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -143,6 +143,7 @@
     if away {
         // Entries that lapsed during the outage may still come back.
         node.regain_store();
+        node.expire_targets();
     }
     node.update_state(changes.items, changes.revision);
     Ok(())
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -255,6 +255,11 @@
         self.conclude(&mut known, &faults, beliefs, source, now);
     }
 
+    /// Returns when [`SidecarNode::expire_targets`] has something to do next.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        self.known().book.next_expiry()
+    }
+
     /// Drops the targets whose entries did not come back after an outage.
     pub fn expire_targets(&self) {
         let now = self.now();
@@ -294,6 +299,7 @@
 
     /// Records a revision that a peer knows.
     pub fn hear_revision(&self, peer: SocketAddr, revision: u64) {
+        self.ranking().mark_heard(peer.ip());
         if revision <= self.revision() {
             return;
         }
--- a/crates/sidecar/src/share.rs
+++ b/crates/sidecar/src/share.rs
@@ -181,7 +181,8 @@
         }
         hop::StoreHealth::Away | hop::StoreHealth::Unspecified => StoreHealth::Away,
     };
-    node.known().book.follow_health(health);
+    node.known().book.follow_health(health, node.now());
+    node.expire_targets();
     let revision = snapshot.revision;
     if revision > node.revision() {
         let items = store_items(snapshot.items);
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -178,7 +178,10 @@
 
 async fn upkeep(node: Arc<SidecarNode>) {
     loop {
-        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        // An entry that expires must not be used until the next upkeep.
+        let expiry = node.next_expiry().map(|at| at.saturating_sub(node.now()));
+        let wait = expiry.map_or(UPKEEP_INTERVAL, |expiry| expiry.min(UPKEEP_INTERVAL));
+        tokio::time::sleep(wait).await;
         node.expire_targets();
         node.peers.sweep();
         node.owner.client().sweep();
