--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -6,6 +6,10 @@
 //! cold, and none once it leaves or its failure domain is out. A request waits
 //! only while its answer can come in time; otherwise it is refused at once, so
 //! that its sender can try another target.
+//!
+//! A queue absorbs a short burst. When more requests come for longer than the
+//! target runs, a long queue serves no more of them than a short one and makes
+//! all of them late, so it is kept short until a slot is free again.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -110,6 +114,8 @@
     cold: ColdLimit,
     queue: BTreeMap<WaitKey, WaitingRequest>,
     numbers: u64,
+    /// Since when each request found all slots taken.
+    busy_since: Option<Duration>,
     /// The mean service time by route, in seconds.
     routes: IndexMap<SmolStr, f64>,
     /// The mean service time of all runs, in seconds.
@@ -126,6 +132,7 @@
             cold: ColdLimit::default(),
             queue: BTreeMap::new(),
             numbers: 0,
+            busy_since: None,
             routes: IndexMap::new(),
             mean: None,
         }
@@ -168,9 +175,11 @@
         }
         let free = self.running < self.limit && self.cold.next_at(now) <= now;
         if free && self.queue.is_empty() {
+            self.busy_since = None;
             self.start(now);
             return Offer::Run;
         }
+        let busy = now.saturating_sub(*self.busy_since.get_or_insert(now));
         let service_time = self.service_time(&request.route, request.objective);
         let order = order::order_time(now, request.objective, request.priority);
         let ahead = self
@@ -180,7 +189,7 @@
             .count();
         let wait = self.wait_behind(ahead, now);
         let objective = request.objective.min(request.time_left);
-        let allowed = order::allowed_wait(objective, service_time, request.priority);
+        let allowed = order::allowed_wait_after(busy, objective, service_time, request.priority);
         if wait > allowed {
             let reason = if self.cold.is_cold(now) {
                 RefuseReason::Cold
--- a/crates/mesh/src/order.rs
+++ b/crates/mesh/src/order.rs
@@ -20,6 +20,10 @@
 /// targets still absorb a short burst.
 const LEAST_WAIT_PART: f64 = 0.1;
 
+/// How long all slots may be taken for a burst, as a part of the objective; a
+/// longer time is an overload, in which waiting gains nothing.
+const BURST_PART: f64 = 0.25;
+
 /// By how much each step of priority shortens the wait that is allowed.
 const PRIORITY_STEP: f64 = 0.15;
 
@@ -39,6 +43,20 @@
     objective.saturating_sub(margin).max(least).mul_f64(part)
 }
 
+/// As [`allowed_wait`], at a target whose slots have been taken for a time.
+pub fn allowed_wait_after(
+    busy: Duration,
+    objective: Duration,
+    service_time: Duration,
+    priority: u32,
+) -> Duration {
+    let allowed = allowed_wait(objective, service_time, priority);
+    if busy < objective.mul_f64(BURST_PART) {
+        return allowed;
+    }
+    allowed.min(objective.mul_f64(LEAST_WAIT_PART))
+}
+
 /// Returns the time that orders waiting requests: the least runs first.
 pub fn order_time(now: Duration, objective: Duration, priority: u32) -> Duration {
     now + objective.mul_f64(1.0 + ORDER_STEP * f64::from(priority))
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -22,7 +22,50 @@
 const SLOTS: u32 = 10;
 const OBJECTIVE: Duration = Duration::from_millis(500);
 const TIME_LIMIT: Duration = Duration::from_secs(2);
-const SERVICE_TIME: Duration = Duration::from_millis(100);
+
+/// From when to when, in seconds, more requests come than the target bears.
+const PEAK: std::ops::Range<f64> = 3.0..7.0;
+
+/// A load on one target.
+#[derive(Debug, Clone, Copy)]
+struct LoadPlan {
+    /// The mean time of a run.
+    service_time: Duration,
+    /// By how much runs differ: the standard deviation of their logarithm.
+    spread: f64,
+    /// Requests come so many times as fast as the target runs them.
+    peak: f64,
+}
+
+/// Runs that take a fifth of the objective, and twice as many as are run.
+const SHORT_RUNS: LoadPlan = LoadPlan {
+    service_time: Duration::from_millis(100),
+    spread: 0.3,
+    peak: 2.0,
+};
+
+/// Runs that take half of the objective, and far more than are run: who waits
+/// here long is late.
+const LONG_RUNS: LoadPlan = LoadPlan {
+    service_time: Duration::from_millis(250),
+    spread: 0.5,
+    peak: 2.5,
+};
+
+impl LoadPlan {
+    /// The runs a second that the target bears.
+    fn bearable(&self) -> f64 {
+        f64::from(SLOTS) / self.service_time.as_secs_f64()
+    }
+
+    /// Returns the time of one run; most are short and a few are long.
+    fn draw_work(&self, random: &mut Pcg32) -> Duration {
+        // The sum of twelve uniform numbers is nearly normal.
+        let normal = (0..12).map(|_| random.random_range(0.0..1.0)).sum::<f64>() - 6.0;
+        let factor = (normal * self.spread - self.spread * self.spread / 2.0).exp();
+        self.service_time.mul_f64(factor)
+    }
+}
 
 /// A request's arrival, its work and its priority.
 type Arrival = (Duration, Duration, u32);
@@ -39,20 +82,17 @@
     longest_refused: Duration,
 }
 
-/// 10 s of requests: 100 a second are what the target runs, and from second 3 to
-/// 7 twice as many come. Each second one is urgent.
-fn arrivals(seed: u64) -> Vec<Arrival> {
+/// 10 s of requests: seven tenths of what the target runs, and far more during
+/// the peak. Each second one is urgent.
+fn arrivals(plan: &LoadPlan, seed: u64) -> Vec<Arrival> {
     let mut random = Pcg32::seed_from_u64(seed);
     let mut now = 0.0;
     let mut all = Vec::new();
     while now < 10.0 {
-        let rate = if (3.0..7.0).contains(&now) {
-            200.0
-        } else {
-            70.0
-        };
+        let part = if PEAK.contains(&now) { plan.peak } else { 0.7 };
+        let rate = plan.bearable() * part;
         now += -random.random_range(0.0_f64..1.0).max(1e-9).ln() / rate;
-        let work = SERVICE_TIME.mul_f64(random.random_range(0.5..1.5));
+        let work = plan.draw_work(&mut random);
         all.push((Duration::from_secs_f64(now), work, (all.len() % 2) as u32));
     }
     all
@@ -137,14 +177,14 @@
 #[test]
 fn an_overloaded_target_answers_what_it_can_in_time() {
     for seed in 1..=5 {
-        let arrivals = arrivals(seed);
+        let arrivals = arrivals(&SHORT_RUNS, seed);
         let ours = play_admission(&arrivals);
         let baseline = play_baseline(&arrivals);
         let in_time = |view: &CallerView| view.in_time.iter().sum::<u32>();
         // The target runs about 100 a second.
         let room = arrivals
             .iter()
-            .filter(|arrival| !(3.0..7.0).contains(&arrival.0.as_secs_f64()));
+            .filter(|arrival| !PEAK.contains(&arrival.0.as_secs_f64()));
         let bearable = room.count() as f64 + 4.0 * 100.0;
         assert!(
             f64::from(in_time(&ours)) >= 0.9 * bearable,
@@ -159,11 +199,34 @@
     }
 }
 
+/// Guards against a queue that stays full through a peak: it serves no more
+/// than a short one, and all who wait in it are late.
+#[test]
+fn runs_that_take_half_of_the_objective_are_not_late_in_a_peak() {
+    for seed in 1..=5 {
+        let arrivals = arrivals(&LONG_RUNS, seed);
+        let ours = play_admission(&arrivals);
+        let calm = arrivals
+            .iter()
+            .filter(|arrival| !PEAK.contains(&arrival.0.as_secs_f64()));
+        let peak = (PEAK.end - PEAK.start) * LONG_RUNS.bearable();
+        // Some runs alone take longer than the objective.
+        let short = arrivals.iter().filter(|arrival| arrival.1 <= OBJECTIVE);
+        let short = short.count() as f64 / arrivals.len() as f64;
+        let bearable = (calm.count() as f64 + peak) * short;
+        let in_time = f64::from(ours.in_time.iter().sum::<u32>());
+        assert!(
+            in_time >= 0.9 * bearable,
+            "seed {seed}: {ours:?} of {bearable}"
+        );
+    }
+}
+
 /// Guards against less urgent requests that crowd out more urgent ones.
 #[test]
 fn urgent_requests_are_served_first() {
     for seed in 1..=5 {
-        let ours = play_admission(&arrivals(seed));
+        let ours = play_admission(&arrivals(&SHORT_RUNS, seed));
         let [urgent, other] = ours.in_time;
         assert!(urgent > other, "seed {seed}: {ours:?}");
     }
