--- a/crates/mesh/src/book.rs
+++ b/crates/mesh/src/book.rs
@@ -207,6 +207,11 @@
         self.bound_lapses(now);
     }
 
+    /// Lets go what is missing here and in the settled state of a peer.
+    pub fn drop_lapsed(&mut self, now: Duration) {
+        self.bound_lapses(now);
+    }
+
     fn bound_lapses(&mut self, latest: Duration) {
         for entry in self.targets.values_mut() {
             entry.lapses = entry.lapses.map(|until| until.min(latest));
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -145,7 +145,7 @@
         node.regain_store();
         node.expire_targets();
     }
-    node.update_state(changes.items, changes.revision);
+    node.update_state(changes.items, changes.revision, StateSource::Store);
     Ok(())
 }
 
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -242,16 +242,19 @@
     }
 
     /// Takes over changes after the known revision.
-    pub fn update_state(&self, items: Vec<StoreItem>, revision: u64) {
+    pub fn update_state(&self, items: Vec<StoreItem>, revision: u64, source: StateSource) {
         let now = self.now();
-        let source = StateSource::Store;
         let mut known = self.known();
         let ViewChanges { changes, faults } = known.view.update(items, revision);
         let book = &mut known.book;
-        let beliefs = changes
+        let mut beliefs: Vec<BeliefChange> = changes
             .into_iter()
             .filter_map(|change| book.apply(change, source, now))
             .collect();
+        if source == StateSource::Peer {
+            book.drop_lapsed(now);
+            beliefs.extend(book.expire(now));
+        }
         self.conclude(&mut known, &faults, beliefs, source, now);
     }
 
--- a/crates/sidecar/src/share.rs
+++ b/crates/sidecar/src/share.rs
@@ -25,6 +25,7 @@
 use radishgauge_net::TargetBody;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::StoreItem;
+use radishgauge_platform::view::ViewDifference;
 use radishgauge_schema::hop;
 use radishgauge_schema::hop::StateItem;
 use radishgauge_schema::hop::StateSnapshot;
@@ -103,17 +104,13 @@
     let now = node.now();
     let known = node.known();
     let revision = known.view.revision();
-    let items: Vec<StateItem> = if revision > after {
-        let items = known.view.items();
-        items
-            .map(|item| StateItem {
-                key: item.key.to_string(),
-                value: Bytes::from(item.value.clone().unwrap_or_default()),
-                revision: item.revision,
-            })
-            .collect()
+    let difference = if revision > after {
+        known.view.difference(after)
     } else {
-        Vec::new()
+        ViewDifference {
+            since: Some(after),
+            items: Vec::new(),
+        }
     };
     let (health, regained) = match known.book.health() {
         // A daemon that stops reads the store no longer.
@@ -125,9 +122,10 @@
     drop(known);
     let snapshot = StateSnapshot {
         revision,
-        items,
+        items: difference.items.into_iter().map(state_item).collect(),
         health: health.into(),
         regained_us: micros(regained),
+        since: difference.since.unwrap_or_default(),
     };
     zstd::bulk::compress(&snapshot.encode_to_vec(), COMPRESSION_LEVEL)
 }
@@ -137,15 +135,32 @@
     Ok(StateSnapshot::decode(bytes.as_slice())?)
 }
 
-fn store_items(items: Vec<StateItem>) -> Vec<StoreItem> {
-    let items = items.into_iter();
-    items
-        .map(|item| StoreItem {
-            key: SmolStr::from(item.key),
-            value: Some(item.value.to_vec()),
-            revision: item.revision,
-        })
-        .collect()
+fn state_item(item: StoreItem) -> StateItem {
+    StateItem {
+        key: item.key.to_string(),
+        deleted: item.value.is_none(),
+        value: Bytes::from(item.value.unwrap_or_default()),
+        revision: item.revision,
+    }
+}
+
+fn store_item(item: StateItem) -> StoreItem {
+    StoreItem {
+        key: SmolStr::from(item.key),
+        value: (!item.deleted).then(|| item.value.to_vec()),
+        revision: item.revision,
+    }
+}
+
+/// Takes over the items of a snapshot that is newer than the own state. The
+/// changes after a revision need the state of that revision.
+fn take_items(node: &SidecarNode, snapshot: StateSnapshot, source: StateSource) {
+    let items: Vec<StoreItem> = snapshot.items.into_iter().map(store_item).collect();
+    if snapshot.since == 0 {
+        node.replace_state(items, snapshot.revision, source);
+    } else if snapshot.since <= node.revision() {
+        node.update_state(items, snapshot.revision, source);
+    }
 }
 
 /// Takes over the state of any peer when it is newer.
@@ -166,7 +181,7 @@
         return;
     }
     let revision = snapshot.revision;
-    node.replace_state(store_items(snapshot.items), revision, source);
+    take_items(node, snapshot, source);
     events::STATE_TOLD.emit(format_args!("peer={peer} from={before} to={revision}"));
 }
 
@@ -183,10 +198,8 @@
     };
     node.known().book.follow_health(health, node.now());
     node.expire_targets();
-    let revision = snapshot.revision;
-    if revision > node.revision() {
-        let items = store_items(snapshot.items);
-        node.replace_state(items, revision, StateSource::Store);
+    if snapshot.revision > node.revision() {
+        take_items(node, snapshot, StateSource::Store);
     }
 }
 
