Count the calls of repeated runs as repeats, and keep repeats for calls

Change: a call is told from a caller's request by the run that its identity names, when that run is known here; the head of a hop says whether a run is a repeat; calls of repeated runs are counted in the budget of the called service. Callers' refused requests use half of the allowance at most, since callers come back themselves; calls that targets make may use seven tenths. The attempts of a request and its origin have files of their own. Tests: all_daemons_together_stay_within_the_bound has the calls enter at another daemon, with the same bound; two new ones.

--- a/crates/mesh/src/budget.rs
+++ b/crates/mesh/src/budget.rs
@@ -4,6 +4,10 @@
 //! fixed number besides, within a sliding window. Without shared state, each
 //! daemon takes the part of its own requests and an equal share of the fixed
 //! number, so the sum stays within the bound whatever the others do.
+//!
+//! A run that is itself a repeat makes its calls again, and these count as
+//! repeats of the services that are called. They cannot be refused without
+//! wasting the run, so they are counted and leave less for others.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -12,23 +16,38 @@
 use smol_str::SmolStr;
 
 /// The part of the allowance that all repeats of a service may use. The rest is
-/// for the calls that repeated requests make: they count as repeats at the
-/// service that is called, and its daemons cannot tell them from others.
-const USED_PART: f64 = 0.6;
+/// for the calls of repeated runs, which are counted after the fact.
+const USED_PART: f64 = 0.7;
+
+/// The part that repeats of callers' refused requests may use. Callers can come
+/// back themselves; a call that a target makes has no other chance.
+const CALLER_PART: f64 = 0.5;
 
-/// The part of the allowance that repeats of requests which ran may use: each
-/// makes its calls again, one or two in most services.
+/// The part that repeats of requests which ran may use: each makes its calls
+/// again, one or two in most services.
 const RAN_PART: f64 = 0.25;
 
-/// What became of the request that is sent again.
+/// What became of the request that is sent again, and who made it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RepeatKind {
-    /// A target refused it.
-    NotRun,
+    /// A target refused a call that another target makes.
+    RefusedCall,
+    /// A target refused a caller's request.
+    Refused,
     /// It ran, or may have, and made its calls.
     Ran,
 }
 
+impl RepeatKind {
+    fn part(self) -> f64 {
+        match self {
+            RepeatKind::RefusedCall => USED_PART,
+            RepeatKind::Refused => CALLER_PART,
+            RepeatKind::Ran => RAN_PART,
+        }
+    }
+}
+
 /// The bounds of repeats, as the platform states them.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RepeatBounds {
@@ -77,6 +96,14 @@
         expire(&mut counts.requests, window, now);
     }
 
+    /// Counts a call that a run makes which is itself a repeat.
+    pub fn record_repeat(&mut self, service: &SmolStr, now: Duration) {
+        let window = self.bounds.window;
+        let counts = self.services.entry(service.clone()).or_default();
+        counts.repeats.push_back(now);
+        expire(&mut counts.repeats, window, now);
+    }
+
     /// Takes one repeat, when the budget allows it with so many daemons.
     pub fn take(
         &mut self,
@@ -94,8 +121,10 @@
         let share = bounds.extra / daemons.max(1) as f64;
         let allowed = own + share;
         let fits = |taken: &VecDeque<Duration>, part| taken.len() as f64 + 1.0 <= allowed * part;
-        let taken = fits(&counts.repeats, USED_PART)
-            && (kind == RepeatKind::NotRun || fits(&counts.ran, RAN_PART));
+        let taken = match kind {
+            RepeatKind::RefusedCall | RepeatKind::Refused => fits(&counts.repeats, kind.part()),
+            RepeatKind::Ran => fits(&counts.repeats, USED_PART) && fits(&counts.ran, kind.part()),
+        };
         if taken {
             counts.repeats.push_back(now);
             if kind == RepeatKind::Ran {
--- a/crates/mesh/tests/mesh/budget.rs
+++ b/crates/mesh/tests/mesh/budget.rs
@@ -12,7 +12,8 @@
 };
 
 /// Guards against repeats over the bound, summed over all daemons, in any window;
-/// those of requests that ran count with the call that each makes again.
+/// those of requests that ran count with the call that each makes again, which
+/// enters at the daemon of another host.
 #[test]
 fn all_daemons_together_stay_within_the_bound() {
     let daemons = 13;
@@ -22,17 +23,22 @@
     let mut repeats = Vec::new();
     for tick in 0..40_000_u64 {
         let now = Duration::from_millis(tick);
-        let budget = &mut budgets[(tick % daemons) as usize];
+        let entry = (tick % daemons) as usize;
+        let other = ((tick + 1) % daemons) as usize;
+        let budget = &mut budgets[entry];
         // Bursts of requests; each is sent again as often as allowed.
         if tick % 3 == 0 && (tick / 5_000) % 2 == 0 {
             budget.record_request(&service, now);
             requests.push(now);
         }
-        while budget.take(&service, RepeatKind::Ran, daemons as usize, now) {
+        while budgets[entry].take(&service, RepeatKind::Ran, daemons as usize, now) {
             repeats.extend([now, now]);
+            budgets[other].record_repeat(&service, now);
         }
-        while budget.take(&service, RepeatKind::NotRun, daemons as usize, now) {
-            repeats.push(now);
+        for kind in [RepeatKind::Refused, RepeatKind::RefusedCall] {
+            while budgets[entry].take(&service, kind, daemons as usize, now) {
+                repeats.push(now);
+            }
         }
     }
     assert!(!repeats.is_empty());
@@ -55,7 +61,7 @@
     let mut budget = RepeatBudget::new(BOUNDS);
     let taken = |budget: &mut RepeatBudget, now| {
         (0..100)
-            .filter(|_| budget.take(&service, RepeatKind::NotRun, 1, now))
+            .filter(|_| budget.take(&service, RepeatKind::RefusedCall, 1, now))
             .count()
     };
     let first = taken(&mut budget, Duration::ZERO);
@@ -63,3 +69,26 @@
     assert_eq!(taken(&mut budget, Duration::from_secs(9)), 0);
     assert_eq!(taken(&mut budget, Duration::from_secs(10)), first);
 }
+
+/// Guards against callers' requests that use up what calls of running targets
+/// need: those callers come back, the calls cannot.
+#[test]
+fn calls_are_repeated_when_callers_have_used_their_part() {
+    let service = SmolStr::new("desk");
+    let mut budget = RepeatBudget::new(BOUNDS);
+    let now = Duration::ZERO;
+    while budget.take(&service, RepeatKind::Refused, 1, now) {}
+    assert!(budget.take(&service, RepeatKind::RefusedCall, 1, now));
+}
+
+/// Guards against repeats that are allowed beside the calls of repeated runs
+/// which have used up the bound.
+#[test]
+fn calls_of_repeated_runs_leave_less_for_others() {
+    let service = SmolStr::new("desk");
+    let mut budget = RepeatBudget::new(BOUNDS);
+    for _ in 0..60 {
+        budget.record_repeat(&service, Duration::ZERO);
+    }
+    assert!(!budget.take(&service, RepeatKind::RefusedCall, 1, Duration::ZERO));
+}
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -12,7 +12,6 @@
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::budget::RepeatKind;
 use radishgauge_mesh::placement::PlaceCandidate;
-use radishgauge_mesh::placement::SendOutcome;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::placement::Unplaced;
 use radishgauge_net::BodyFault;
@@ -22,16 +21,18 @@
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
 use radishgauge_schema::hop::HopHead;
-use radishgauge_schema::hop::HopReason;
 use rand::Rng;
 use smol_str::SmolStr;
 
-use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::answer::WholeAnswer;
+use crate::attempt;
+use crate::attempt::AttemptLog;
+use crate::attempt::UnderWay;
 use crate::hop;
 use crate::node::Candidate;
 use crate::node::SidecarNode;
+use crate::origin::RequestOrigin;
 use crate::target_call::WholeRequest;
 
 /// The least time after which a refused caller may come back. Less would only
@@ -53,29 +54,13 @@
     node: &'a Arc<SidecarNode>,
     route: &'a MeshRoute,
     service: SmolStr,
+    origin: RequestOrigin,
     request: WholeRequest,
     arrived: Duration,
     deadline: Duration,
     version: u64,
 }
 
-/// What the attempts of a request came to.
-#[derive(Default)]
-struct AttemptLog {
-    /// The targets that were tried.
-    tried: Vec<SmolStr>,
-    /// The targets that saw the request.
-    reached: u32,
-    /// Why it may have run, when it may.
-    uncertain: Option<&'static str>,
-    /// The last refusal.
-    refusal: Option<NotRun>,
-    /// A failure that a target answered.
-    failure: Option<WholeAnswer>,
-    /// What became of the attempt under way at another host.
-    progress: Option<Arc<RequestProgress>>,
-}
-
 /// Serves one request.
 pub async fn serve(node: Arc<SidecarNode>, request: HttpRequest) -> HttpAnswer {
     let arrived = node.now();
@@ -118,6 +103,7 @@
         node: &node,
         route,
         service,
+        origin: RequestOrigin::of(&node, &id),
         request: WholeRequest {
             id,
             method: head.method,
@@ -140,7 +126,7 @@
 impl EntryCall<'_> {
     async fn run(&self) -> HttpAnswer {
         let now = self.node.now();
-        self.node.budget().record_request(&self.service, now);
+        self.record_request(now);
         let mut log = AttemptLog::default();
         let left = self.deadline.saturating_sub(now);
         let answer = tokio::select! {
@@ -152,6 +138,14 @@
         answer.unwrap_or_else(|| self.timed_out(&mut log))
     }
 
+    fn record_request(&self, now: Duration) {
+        let mut budget = self.node.budget();
+        budget.record_request(&self.service, now);
+        if self.origin == (RequestOrigin::Run { repeated: true }) {
+            budget.record_repeat(&self.service, now);
+        }
+    }
+
     /// Offers the request to targets until one answers, or none may get it.
     async fn attempts(&self, log: &mut AttemptLog) -> HttpAnswer {
         loop {
@@ -174,7 +168,7 @@
                     let again = if refusal.reached_target {
                         log.reached += 1;
                         log.reached < self.route.attempts
-                            && self.take_repeat(RepeatKind::NotRun, &id, "refused")
+                            && self.take_repeat(self.refused_kind(), &id, "refused")
                     } else {
                         log.tried.len() < MOST_OFFERS
                     };
@@ -201,6 +195,13 @@
             && self.take_repeat(RepeatKind::Ran, id, reason)
     }
 
+    fn refused_kind(&self) -> RepeatKind {
+        match self.origin {
+            RequestOrigin::Caller => RepeatKind::Refused,
+            RequestOrigin::Run { .. } => RepeatKind::RefusedCall,
+        }
+    }
+
     fn take_repeat(&self, kind: RepeatKind, id: &str, reason: &str) -> bool {
         let now = self.node.now();
         let daemons = self.node.peer_addresses().len() + 1;
@@ -243,7 +244,7 @@
         self.route.objective.saturating_sub(spent).min(left)
     }
 
-    fn head(&self, id: &str) -> HopHead {
+    fn head(&self, id: &str, log: &AttemptLog) -> HopHead {
         let now = self.node.now();
         HopHead {
             target: id.to_owned(),
@@ -254,13 +255,14 @@
             priority: self.route.priority,
             idempotent: self.route.idempotent,
             revision: self.node.revision(),
+            repeated: log.reached > 0 || self.origin == (RequestOrigin::Run { repeated: true }),
         }
     }
 
     async fn send(&self, candidate: &Candidate, log: &mut AttemptLog) -> TargetOutcome {
         let started = self.node.now();
         let id = &candidate.place.id;
-        let head = self.head(id);
+        let head = self.head(id, log);
         let mut under_way = UnderWay {
             node: self.node,
             id,
@@ -292,7 +294,7 @@
             (hop.outcome, spent)
         };
         let took = self.node.now().saturating_sub(started);
-        under_way.outcome = Some(send_outcome(&outcome, took, spent));
+        under_way.outcome = Some(attempt::send_outcome(&outcome, took, spent));
         log.progress = None;
         outcome
     }
@@ -414,52 +416,6 @@
     }
 }
 
-/// A request under way at a target; ends there when it is dropped.
-struct UnderWay<'a> {
-    node: &'a Arc<SidecarNode>,
-    id: &'a SmolStr,
-    distance: TargetDistance,
-    body_bytes: u64,
-    deadline: Duration,
-    /// `None` while it is under way.
-    outcome: Option<SendOutcome>,
-}
-
-impl Drop for UnderWay<'_> {
-    fn drop(&mut self) {
-        let now = self.node.now();
-        let outcome = self.outcome.unwrap_or(if now >= self.deadline {
-            SendOutcome::Unheard
-        } else {
-            SendOutcome::Cancelled
-        });
-        self.node
-            .placer()
-            .finish(self.id, self.distance, self.body_bytes, outcome, now);
-    }
-}
-
-fn send_outcome(outcome: &TargetOutcome, took: Duration, spent: Option<Duration>) -> SendOutcome {
-    match outcome {
-        TargetOutcome::Answered(answer) if answer.status.is_server_error() => SendOutcome::Failed,
-        TargetOutcome::Answered(_) => SendOutcome::Served {
-            hop: spent.map_or(Duration::ZERO, |spent| took.saturating_sub(spent)),
-        },
-        TargetOutcome::MayHaveRun(_) => SendOutcome::Failed,
-        TargetOutcome::NotRun(refusal) => match refusal.reason {
-            HopReason::Full | HopReason::Cold | HopReason::Expired | HopReason::Unspecified => {
-                SendOutcome::Full
-            }
-            HopReason::Shed => SendOutcome::Failed,
-            HopReason::Stopping
-            | HopReason::Draining
-            | HopReason::DomainOut
-            | HopReason::OtherTarget => SendOutcome::Closed,
-            HopReason::Down => SendOutcome::Down,
-        },
-    }
-}
-
 fn refuse(
     node: &SidecarNode,
     id: Option<&str>,
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -7,12 +7,14 @@
 //! decisions are made by `radishgauge-mesh`.
 
 pub mod answer;
+mod attempt;
 pub mod entry;
 pub mod exchange;
 pub mod follow;
 pub mod hop;
 pub mod metrics;
 pub mod node;
+mod origin;
 pub mod owner;
 pub mod peers;
 pub mod probe;
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -76,6 +76,8 @@
     stopping: bool,
     domain_out: bool,
     down: bool,
+    /// The requests that run at the target, and whether each is a repeat.
+    runs: HashMap<SmolStr, bool>,
     /// How often the target had ended all its connections.
     losses: u64,
     timer: Option<Duration>,
@@ -105,6 +107,7 @@
                 stopping: false,
                 domain_out: false,
                 down: false,
+                runs: HashMap::new(),
                 losses: 0,
                 timer: None,
             }),
@@ -144,6 +147,12 @@
         self.state().down
     }
 
+    /// Returns whether a request that runs at the target is a repeat; `None`
+    /// when none of that identity runs.
+    pub fn is_repeated_run(&self, request: &str) -> Option<bool> {
+        self.state().runs.get(request).copied()
+    }
+
     /// Takes no new work from here on.
     pub fn stop(self: &Arc<Self>) {
         let mut state = self.state();
@@ -233,6 +242,7 @@
             Ok(slot) => slot,
             Err(refusal) => return TargetOutcome::NotRun(refusal),
         };
+        let _run = KnownRun::begin(self, &request.id, head.repeated);
         let left = deadline.saturating_sub(self.clock.now());
         let orders = TargetOrders {
             target: &head.target,
@@ -346,6 +356,25 @@
     }
 }
 
+/// Lets a run be found by the identity of its request until it is dropped.
+struct KnownRun<'a> {
+    owner: &'a TargetOwner,
+    request: &'a SmolStr,
+}
+
+impl KnownRun<'_> {
+    fn begin<'a>(owner: &'a TargetOwner, request: &'a SmolStr, repeated: bool) -> KnownRun<'a> {
+        owner.state().runs.insert(request.clone(), repeated);
+        KnownRun { owner, request }
+    }
+}
+
+impl Drop for KnownRun<'_> {
+    fn drop(&mut self) {
+        self.owner.state().runs.remove(self.request);
+    }
+}
+
 fn client(address: SocketAddr) -> TargetClient {
     TargetClient::new(
         address,
