Send less to hosts that fall behind, keep fewer idle connections, watch less often

Change: the time that the owner does not account for, beyond the usual way, and requests of which nothing is heard count as a wait of that target. Changes that come within a tenth of the bound are read by one call of the store. Tests: a_host_that_falls_behind_gets_less, nothing_is_sent_to_hosts_that_are_all_behind.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -4,6 +4,11 @@
 //! answer. A sender adds what it has sent since, and prefers near targets:
 //! bytes to another failure domain or region are slow and paid for. A farther
 //! target is used when it saves more of the latency objective than it costs.
+//!
+//! An owner cannot tell what keeps requests from it: too little processor time
+//! on its host, or a full link. That shows in the time that it does not account
+//! for, and in requests of which nothing is heard. It counts as a wait, so that
+//! a host which falls behind gets less until it answers promptly again.
 
 use std::time::Duration;
 
@@ -57,6 +62,17 @@
 /// How long a target is passed over whose owner refuses all work.
 const CLOSED_PAUSE: Duration = Duration::from_millis(700);
 
+/// Weight of one request in the delay of a target's host; a host that falls
+/// behind fails all its requests within a second.
+const DELAY_WEIGHT: f64 = 0.3;
+
+/// The time after which an old delay counts a third.
+const DELAY_TIME: Duration = Duration::from_secs(1);
+
+/// By how much one answer may raise the average time there and back, as a
+/// multiple, so that a host which falls behind does not pass for far away.
+const GREATEST_HOP_STEP: f64 = 2.0;
+
 /// The first estimate of the time to a target and back, by distance.
 const FIRST_HOP: [Duration; 4] = [
     Duration::ZERO,
@@ -138,7 +154,10 @@
     /// The target failed it, or its answer was lost.
     Failed,
     /// Nothing was heard of it in time.
-    Unheard,
+    Unheard {
+        /// For how long.
+        after: Duration,
+    },
     /// The owner refused it for lack of room.
     Full,
     /// The owner refuses all work, or is not the target's owner.
@@ -162,6 +181,9 @@
     paused_until: Duration,
     /// How fast long bodies lately went there, in bytes a second, and when.
     rate: Option<(f64, Duration)>,
+    /// How much longer than usual short requests lately took there and back, in
+    /// seconds, and when.
+    delay: Option<(f64, Duration)>,
 }
 
 impl TargetBelief {
@@ -178,6 +200,20 @@
         }
     }
 
+    /// Returns how long requests lately took beside the usual way and their run.
+    fn delay(&self, now: Duration) -> Duration {
+        self.delay.map_or(Duration::ZERO, |(delay, at)| {
+            let age = now.saturating_sub(at).as_secs_f64();
+            Duration::from_secs_f64(delay * (-age / DELAY_TIME.as_secs_f64()).exp())
+        })
+    }
+
+    fn record_delay(&mut self, delay: Duration, now: Duration) {
+        let before = self.delay(now).as_secs_f64();
+        let after = before + (delay.as_secs_f64() - before) * DELAY_WEIGHT;
+        self.delay = Some((after, now));
+    }
+
     fn record_transfer(&mut self, body_bytes: u64, hop: Duration, now: Duration) {
         let rate = body_bytes as f64 / hop.as_secs_f64().max(1e-3);
         let average = self.rate.map_or(rate, |(average, _)| average);
@@ -324,7 +360,7 @@
         if distance == TargetDistance::Far {
             match outcome {
                 SendOutcome::Served { hop } => self.far.record_trip(hop, body_bytes, now),
-                SendOutcome::Unheard => self.far.record_lost(now),
+                SendOutcome::Unheard { .. } => self.far.record_lost(now),
                 _ => {}
             }
         }
@@ -339,10 +375,17 @@
                     belief.record_transfer(body_bytes, hop, now);
                 } else {
                     let average = &mut self.hops[distance as usize];
+                    let usual = Duration::from_secs_f64(*average);
+                    belief.record_delay(hop.saturating_sub(usual), now);
+                    let hop = hop.min(usual.mul_f64(GREATEST_HOP_STEP));
                     *average += (hop.as_secs_f64() - *average) * ANSWER_WEIGHT;
                 }
             }
-            SendOutcome::Failed | SendOutcome::Unheard => belief.record_failure(true, now),
+            SendOutcome::Failed => belief.record_failure(true, now),
+            SendOutcome::Unheard { after } => {
+                belief.record_failure(true, now);
+                belief.record_delay(after, now);
+            }
             SendOutcome::Closed => belief.paused_until = now + CLOSED_PAUSE,
             SendOutcome::Down => belief.paused_until = now + DOWN_PAUSE,
             SendOutcome::Full | SendOutcome::Cancelled => {}
@@ -394,7 +437,8 @@
         };
         let saving = saving * bytes.min(GREATEST_BYTES_FACTOR) * objective;
         let transfer = belief.transfer_time(request.body_bytes, now);
-        let hop = self.hops[candidate.distance as usize] + transfer.as_secs_f64();
+        let late = (transfer + belief.delay(now)).as_secs_f64();
+        let hop = self.hops[candidate.distance as usize] + late;
         // Of about equal targets, senders should not all choose the same.
         let spread = service_time.as_secs_f64() / f64::from(candidate.capacity.max(1));
         let noise = self.random.random_range(0.0..1.0) * spread;
@@ -414,5 +458,5 @@
     let wait = belief.wait(candidate.capacity, service_time, now);
     let allowed = order::allowed_wait(request.objective, service_time, request.priority);
     let transfer = belief.transfer_time(request.body_bytes, now);
-    (wait + transfer).saturating_sub(allowed)
+    (wait + transfer + belief.delay(now)).saturating_sub(allowed)
 }
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -211,3 +211,46 @@
     // The link is tried again after a time.
     assert!(placer.place(&only, &long, ms(6_000)).is_ok());
 }
+
+/// Ends a request at a target as one that took so long beside its run.
+fn finish_delayed(placer: &mut TargetPlacer, id: &str, delay: u64, now: u64) {
+    let outcome = SendOutcome::Served { hop: ms(delay) };
+    placer.finish(&id.into(), TargetDistance::Domain, 0, outcome, ms(now));
+}
+
+/// Guards against a host that has too little processor time and gets all the
+/// requests of its failure domain, since its target is idle.
+#[test]
+fn a_host_that_falls_behind_gets_less() {
+    let mut placer = placer(&[]);
+    for now in 1..4 {
+        if place(&mut placer, now).unwrap() == "domain" {
+            finish_delayed(&mut placer, "domain", 300, now);
+        }
+    }
+    assert_eq!(place(&mut placer, 6).unwrap(), "region");
+    // It is tried again after some seconds, and is the first choice again once
+    // it answers promptly.
+    for now in [4000, 4001, 4002] {
+        assert_eq!(place(&mut placer, now).unwrap(), "domain");
+        finish_delayed(&mut placer, "domain", 1, now);
+    }
+}
+
+/// Guards against hosts that answer nothing in time and get ever more requests,
+/// which keeps them from answering any: callers are refused at once instead.
+#[test]
+fn nothing_is_sent_to_hosts_that_are_all_behind() {
+    let mut placer = placer(&[]);
+    let unheard = SendOutcome::Unheard { after: ms(2000) };
+    for now in 1..20 {
+        if let Ok(chosen) = place(&mut placer, now) {
+            let all = candidates();
+            let found = all.iter().find(|candidate| candidate.id == chosen);
+            let distance = found.unwrap().distance;
+            placer.finish(&chosen, distance, 0, unheard, ms(now));
+        }
+    }
+    assert!(matches!(place(&mut placer, 20), Err(Unplaced::Full { .. })));
+    assert!(place(&mut placer, 5000).is_ok());
+}
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -37,6 +37,7 @@
     pub(crate) id: &'a SmolStr,
     pub(crate) distance: TargetDistance,
     pub(crate) body_bytes: u64,
+    pub(crate) started: Duration,
     pub(crate) deadline: Duration,
     /// `None` while it is under way.
     pub(crate) outcome: Option<SendOutcome>,
@@ -46,7 +47,9 @@
     fn drop(&mut self) {
         let now = self.node.now();
         let outcome = self.outcome.unwrap_or(if now >= self.deadline {
-            SendOutcome::Unheard
+            SendOutcome::Unheard {
+                after: now.saturating_sub(self.started),
+            }
         } else {
             SendOutcome::Cancelled
         });
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -268,6 +268,7 @@
             id,
             distance: candidate.place.distance,
             body_bytes: self.request.body.len() as u64,
+            started,
             deadline: self.deadline,
             outcome: None,
         };
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -23,9 +23,9 @@
 /// one follows waits; one that has gone silent is noticed after it.
 pub const FOLLOW_PART: f64 = 0.25;
 
-/// The least time between two watches: changes that come together are read by
-/// one call.
-const WATCH_PAUSE: Duration = Duration::from_millis(120);
+/// The least time between two watches, as a part of the bound for changes:
+/// changes that come together are read by one call.
+const PAUSE_PART: f64 = 0.1;
 
 /// The least time between two questions to the daemon that this one follows.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
@@ -72,7 +72,7 @@
                 if let Some(at) = lost_at.take() {
                     regain(&node, at);
                 }
-                tokio::time::sleep(WATCH_PAUSE).await;
+                tokio::time::sleep(node.settings().apply_bound.mul_f64(PAUSE_PART)).await;
             }
             Err(FollowFault::Peer(peer, error)) => {
                 node.ranking().mark_unreachable(peer, node.now());
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -37,8 +37,9 @@
 /// between regions, and less than a caller's objective.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How long an unused connection is kept; daemons keep theirs for longer.
-const CONNECTION_IDLE: Duration = Duration::from_secs(20);
+/// How long an unused connection is kept. Each costs memory at both ends, with
+/// some hundred daemons more than all else; a new one costs one round trip.
+const CONNECTION_IDLE: Duration = Duration::from_secs(3);
 
 /// How long bytes to a daemon may stay unacknowledged. Longer than some
 /// retransmissions between regions, and shorter than callers wait.
