Let owners take in a few long bodies at a time

After scale-in, 28 to 37 MB/s met five links of 4.4 MB/s: each body took seconds, and calls, answers and connections of these hosts waited behind them (bookings 65% served, from second 26 on about half). Change: an entry asks for leave before it sends a long body; an owner lets four in at a time and refuses the others before a byte was sent. Ruled out: too little processor time (counters above); lost slots; the rate of long bodies that each sender estimates by itself, which was in force all the time: 67 senders have a sample each few seconds; refusing at the owner after the head, since closing with unread bytes resets the connection and the refusal.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod book;
 pub mod budget;
 pub mod config;
+pub mod intake;
 pub mod link;
 pub mod order;
 pub mod placement;
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -17,6 +17,7 @@
 use rand_pcg::Pcg32;
 use smol_str::SmolStr;
 
+use crate::intake::LONG_BODY;
 use crate::link::FarBudget;
 use crate::order;
 
@@ -47,9 +48,6 @@
 /// save.
 const GREATEST_BYTES_FACTOR: f64 = 3.0;
 
-/// Bodies of this length or more tell how fast a host's link is, in bytes.
-const LONG_BODY: u64 = 16 * 1024;
-
 /// Weight of one long body in the rate of a host's link; links fill up fast.
 const RATE_WEIGHT: f64 = 0.3;
 
--- /dev/null
+++ b/crates/mesh/tests/mesh/intake.rs
@@ -0,0 +1,109 @@
+//! Plays uploads that exceed the link of a host, and looks at what its callers
+//! get.
+
+use std::time::Duration;
+
+use radishgauge_mesh::intake::BodyIntake;
+use radishgauge_mesh::intake::BodyLease;
+
+/// The bytes that the link carries each millisecond.
+const LINK: f64 = 4_000.0;
+const BODY: f64 = 280_000.0;
+const OBJECTIVE: Duration = Duration::from_secs(1);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[derive(Debug, Default)]
+struct UploadView {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+    /// The greatest number of bodies that shared the link.
+    most_at_once: usize,
+}
+
+/// 10 s in which twice as many bodies come as the link carries; it is shared
+/// evenly. Without an intake, all bodies are sent at once, as the baseline.
+fn play(mut intake: Option<BodyIntake>) -> UploadView {
+    let mut view = UploadView::default();
+    let mut under_way: Vec<(Duration, f64, BodyLease)> = Vec::new();
+    let interval = (BODY / LINK / 2.0) as u64;
+    for tick in 0..10_000 {
+        let now = ms(tick);
+        if tick % interval == 0 {
+            match intake.as_mut().map(|intake| intake.offer(now)) {
+                Some(Ok(lease)) => {
+                    intake.as_mut().unwrap().begin(lease, now);
+                    under_way.push((now, BODY, lease));
+                }
+                Some(Err(_)) => view.refused += 1,
+                None => under_way.push((now, BODY, BodyLease(tick))),
+            }
+        }
+        view.most_at_once = view.most_at_once.max(under_way.len());
+        let share = LINK / under_way.len().max(1) as f64;
+        under_way.retain_mut(|(since, left, lease)| {
+            *left -= share;
+            if *left > 0.0 {
+                return true;
+            }
+            if now - *since <= OBJECTIVE {
+                view.in_time += 1;
+            } else {
+                view.late += 1;
+            }
+            if let Some(intake) = &mut intake {
+                intake.end(*lease, now);
+            }
+            false
+        });
+    }
+    view
+}
+
+/// Guards against uploads that fill a link until all are late: what the link
+/// carries arrives in time, the rest is refused before it is sent.
+#[test]
+fn a_full_link_carries_what_it_can_in_time() {
+    let ours = play(Some(BodyIntake::default()));
+    let baseline = play(None);
+    let bearable = 10_000.0 * LINK / BODY;
+    assert!(f64::from(ours.in_time) >= 0.9 * bearable, "{ours:?}");
+    assert!(
+        ours.in_time >= 2 * baseline.in_time,
+        "{ours:?}, {baseline:?}"
+    );
+    assert_eq!(ours.late, 0, "{ours:?}");
+    // Short requests wait behind few bodies only.
+    assert!(
+        ours.most_at_once * 10 <= baseline.most_at_once,
+        "{baseline:?}"
+    );
+}
+
+/// Guards against leave that is never given again, since its sender died before
+/// it sent the body.
+#[test]
+fn unused_leave_ends() {
+    let mut intake = BodyIntake::default();
+    while intake.offer(ms(0)).is_ok() {}
+    assert!(intake.offer(ms(400)).is_err());
+    assert!(intake.offer(ms(500)).is_ok());
+}
+
+/// Guards against a refusal that tells its caller to come back long before a
+/// body has ended.
+#[test]
+fn a_refusal_names_the_time_of_a_transfer() {
+    let mut intake = BodyIntake::default();
+    for _ in 0..20 {
+        let lease = intake.offer(ms(0)).unwrap();
+        intake.begin(lease, ms(0));
+        intake.end(lease, ms(800));
+    }
+    while intake.offer(ms(0)).is_ok() {}
+    let retry_after = intake.offer(ms(0)).unwrap_err();
+    assert!((ms(700)..ms(900)).contains(&retry_after), "{retry_after:?}");
+}
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -4,6 +4,7 @@
 mod book;
 mod budget;
 mod config;
+mod intake;
 mod link;
 mod load;
 mod placement;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -1,5 +1,6 @@
 //! Requests of callers, and of the target of this host.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::budget::RepeatKind;
+use radishgauge_mesh::intake::LONG_BODY;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::placement::Unplaced;
@@ -30,9 +32,11 @@
 use crate::attempt::AttemptLog;
 use crate::attempt::UnderWay;
 use crate::hop;
+use crate::intake;
 use crate::node::Candidate;
 use crate::node::SidecarNode;
 use crate::origin::RequestOrigin;
+use crate::peers::HopOutcome;
 use crate::target_call::WholeRequest;
 
 /// The least time after which a refused caller may come back. Less would only
@@ -255,6 +259,7 @@
             priority: self.route.priority,
             idempotent: self.route.idempotent,
             revision: self.node.revision(),
+            lease: 0,
             repeated: log.reached > 0 || self.origin == (RequestOrigin::Run { repeated: true }),
         }
     }
@@ -280,10 +285,7 @@
         } else {
             let progress = Arc::new(RequestProgress::default());
             log.progress = Some(Arc::clone(&progress));
-            let peers = &self.node.peers;
-            let hop = peers
-                .send(candidate.peer, &self.request, &head, &progress)
-                .await;
+            let hop = self.send_to_peer(candidate.peer, head, &progress).await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
                 self.node.placer().report(id, hop::load_of(report), now);
@@ -300,6 +302,29 @@
         outcome
     }
 
+    /// Sends the request to the owner on another host, a long body only with its
+    /// leave.
+    async fn send_to_peer(
+        &self,
+        peer: SocketAddr,
+        mut head: HopHead,
+        progress: &RequestProgress,
+    ) -> HopOutcome {
+        let peers = &self.node.peers;
+        if self.request.body.len() as u64 >= LONG_BODY {
+            match intake::ask(&peers.client(peer)).await {
+                Ok(lease) => head.lease = lease,
+                Err(refusal) => {
+                    return HopOutcome {
+                        outcome: TargetOutcome::NotRun(refusal),
+                        report: None,
+                    };
+                }
+            }
+        }
+        peers.send(peer, &self.request, &head, progress).await
+    }
+
     fn deliver(&self, answer: WholeAnswer, id: &str, log: &AttemptLog) -> HttpAnswer {
         let now = self.node.now();
         let took_ms = now.saturating_sub(self.arrived).as_millis();
--- a/crates/sidecar/src/exchange.rs
+++ b/crates/sidecar/src/exchange.rs
@@ -16,6 +16,8 @@
 use crate::answer;
 use crate::answer::TargetOutcome;
 use crate::hop;
+use crate::intake;
+use crate::intake::BodyReading;
 use crate::node::SidecarNode;
 use crate::share;
 use crate::target_call::WholeRequest;
@@ -30,14 +32,19 @@
         ..
     } = request;
     let Some(hop_head) = hop::take_head(&mut head.headers) else {
+        if head.uri.path() == intake::INTAKE_PATH {
+            return intake::serve(&node);
+        }
         return share::serve(&node, &head.method, &head.uri, body).await;
     };
     let peer = SocketAddr::new(remote.ip(), node.settings().peers.port());
     node.hear_revision(peer, hop_head.revision);
     // A daemon reads the caller's whole body first, so this one is at hand.
+    let reading = BodyReading::begin(&node, hop_head.lease);
     let Ok(body) = body.whole(u64::MAX).await else {
         return answer::bare(StatusCode::BAD_REQUEST);
     };
+    drop(reading);
     message::strip_connection_fields(&mut head.headers);
     let request = WholeRequest {
         id: message::request_id(&head.headers).unwrap_or_default(),
--- /dev/null
+++ b/crates/sidecar/src/intake.rs
@@ -0,0 +1,104 @@
+//! Leave to send long bodies to other hosts.
+//!
+//! The owner of a link decides how many bodies it takes in at a time; see
+//! [`radishgauge_mesh::intake`]. The question is a short request of its own, so
+//! that a refusal is true: nothing of the caller's request was sent.
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::header;
+use prost::Message;
+use radishgauge_mesh::intake::BodyLease;
+use radishgauge_net::HttpAnswer;
+use radishgauge_net::TargetBody;
+use radishgauge_net::TargetClient;
+use radishgauge_net::TargetError;
+use radishgauge_net::exchange::AnswerBody;
+use radishgauge_schema::hop::HopReason;
+use radishgauge_schema::hop::IntakeReply;
+
+use crate::answer::GREATEST_ANSWER;
+use crate::answer::NotRun;
+use crate::hop::micros;
+use crate::node::SidecarNode;
+
+/// The path of questions for leave.
+pub const INTAKE_PATH: &str = "/intake";
+
+/// Answers a question for leave to send a long body to this host.
+pub fn serve(node: &SidecarNode) -> HttpAnswer {
+    let offer = node.intake().offer(node.now());
+    let reply = match offer {
+        Ok(lease) => IntakeReply {
+            lease: lease.0,
+            retry_after_us: 0,
+        },
+        Err(retry_after) => {
+            node.metrics.count("bodies_refused");
+            IntakeReply {
+                lease: 0,
+                retry_after_us: micros(retry_after),
+            }
+        }
+    };
+    Response::new(AnswerBody::whole(reply.encode_to_vec()))
+}
+
+/// A long body that is taken in, until it is dropped.
+pub struct BodyReading<'a> {
+    node: &'a SidecarNode,
+    lease: BodyLease,
+}
+
+impl BodyReading<'_> {
+    /// Begins with the body of a lease; 0 is none.
+    pub fn begin(node: &SidecarNode, lease: u64) -> Option<BodyReading<'_>> {
+        if lease == 0 {
+            return None;
+        }
+        let lease = BodyLease(lease);
+        node.intake().begin(lease, node.now());
+        Some(BodyReading { node, lease })
+    }
+}
+
+impl Drop for BodyReading<'_> {
+    fn drop(&mut self) {
+        self.node.intake().end(self.lease, self.node.now());
+    }
+}
+
+/// Asks a host for leave to send it a long body; returns the lease.
+///
+/// # Errors
+///
+/// The refusal, or that the host does not answer. Nothing was sent.
+pub async fn ask(client: &TargetClient) -> Result<u64, NotRun> {
+    let reply = question(client)
+        .await
+        .map_err(|_| NotRun::unseen(HopReason::Down))?;
+    if reply.lease == 0 {
+        return Err(NotRun {
+            reason: HopReason::Full,
+            retry_after: Some(std::time::Duration::from_micros(reply.retry_after_us)),
+            reached_target: false,
+        });
+    }
+    Ok(reply.lease)
+}
+
+async fn question(client: &TargetClient) -> anyhow::Result<IntakeReply> {
+    let request = Request::builder()
+        .method(Method::GET)
+        .uri(INTAKE_PATH)
+        .header(header::HOST, client.address().to_string())
+        .body(TargetBody::whole(Bytes::new()))?;
+    let mut body = client
+        .send(request)
+        .await
+        .map_err(|error: TargetError| anyhow::anyhow!("{error}"))?
+        .into_body();
+    Ok(IntakeReply::decode(body.whole(GREATEST_ANSWER).await?)?)
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod exchange;
 pub mod follow;
 pub mod hop;
+pub mod intake;
 pub mod metrics;
 pub mod node;
 mod origin;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -20,6 +20,7 @@
 use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::book::BeliefChange;
 use radishgauge_mesh::book::StateSource;
+use radishgauge_mesh::intake::BodyIntake;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::reader::ReaderRanking;
@@ -74,6 +75,7 @@
     /// ends.
     cut: watch::Sender<bool>,
     ranking: Mutex<ReaderRanking>,
+    intake: Mutex<BodyIntake>,
     stopping: AtomicBool,
 }
 
@@ -101,6 +103,7 @@
             changes: watch::Sender::new(0),
             cut: watch::Sender::new(false),
             ranking: Mutex::default(),
+            intake: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -227,6 +230,11 @@
         lock(&self.placer)
     }
 
+    /// Locks the intake of long bodies; never held across I/O.
+    pub fn intake(&self) -> MutexGuard<'_, BodyIntake> {
+        lock(&self.intake)
+    }
+
     /// Locks the repeat budget; never held across I/O.
     pub fn budget(&self) -> MutexGuard<'_, RepeatBudget> {
         lock(&self.budget)
