--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -83,11 +83,13 @@
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_UNSURE = 6203, Info, "target is taken for cold until it was asked", "reason", "None; it may have crashed and started again.";
     REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
-    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, version, revision", "If many: see the page on overload.";
+    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, left_ms, version, revision", "If many: see the page on overload.";
     REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, status, attempts, took_ms, version, revision", "Look for the request's lines at the target's host.";
     REQUEST_REPEATED = 6304, Info, "request sent again", "route, target, reason, attempt", "None; counts against the retry budget.";
     OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; its sender tries another target.";
     OWNER_FAILED = 6306, Warn, "target did not answer a request well", "target, reason, took_ms", "Look at the target's own logs.";
+    BODY_REFUSED = 6307, Info, "owner refused a long body, not sent", "retry_after_ms", "None; its sender tries another target. If many: the host's link is full.";
+    BODY_UNASKED = 6308, Info, "no leave for a long body, not sent", "peer, error", "None; its sender tries another target. Look at the peer's host.";
     LINES_LEFT_OUT = 6401, Info, "log lines left out", "served, other", "None; the volume of the log is bounded.";
 }
 
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -312,7 +312,7 @@
     ) -> HopOutcome {
         let peers = &self.node.peers;
         if self.request.body.len() as u64 >= LONG_BODY {
-            match intake::ask(&peers.client(peer)).await {
+            match intake::ask(self.node, peer, &self.request.id).await {
                 Ok(lease) => head.lease = lease,
                 Err(refusal) => {
                     return HopOutcome {
--- a/crates/sidecar/src/intake.rs
+++ b/crates/sidecar/src/intake.rs
@@ -4,18 +4,23 @@
 //! [`radishgauge_mesh::intake`]. The question is a short request of its own, so
 //! that a refusal is true: nothing of the caller's request was sent.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use bytes::Bytes;
+use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
 use http::header;
 use prost::Message;
+use radishgauge_events::events;
 use radishgauge_mesh::intake::BodyLease;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::TargetBody;
 use radishgauge_net::TargetClient;
-use radishgauge_net::TargetError;
 use radishgauge_net::exchange::AnswerBody;
+use radishgauge_platform::message;
 use radishgauge_schema::hop::HopReason;
 use radishgauge_schema::hop::IntakeReply;
 
@@ -28,15 +33,23 @@
 pub const INTAKE_PATH: &str = "/intake";
 
 /// Answers a question for leave to send a long body to this host.
-pub fn serve(node: &SidecarNode) -> HttpAnswer {
-    let offer = node.intake().offer(node.now());
+pub fn serve(node: &SidecarNode, headers: &HeaderMap) -> HttpAnswer {
+    let now = node.now();
+    let offer = node.intake().offer(now);
     let reply = match offer {
         Ok(lease) => IntakeReply {
             lease: lease.0,
             retry_after_us: 0,
         },
         Err(retry_after) => {
+            let id = message::request_id(headers).unwrap_or_default();
             node.metrics.count("bodies_refused");
+            node.record.other(
+                &events::BODY_REFUSED,
+                &id,
+                format_args!("retry_after_ms={}", retry_after.as_millis()),
+                now,
+            );
             IntakeReply {
                 lease: 0,
                 retry_after_us: micros(retry_after),
@@ -70,35 +83,40 @@
     }
 }
 
-/// Asks a host for leave to send it a long body; returns the lease.
+/// Asks a host for leave to send it the body of a request; returns the lease.
 ///
 /// # Errors
 ///
 /// The refusal, or that the host does not answer. Nothing was sent.
-pub async fn ask(client: &TargetClient) -> Result<u64, NotRun> {
-    let reply = question(client)
-        .await
-        .map_err(|_| NotRun::unseen(HopReason::Down))?;
+pub async fn ask(node: &SidecarNode, peer: SocketAddr, request: &str) -> Result<u64, NotRun> {
+    let reply = match question(&node.peers.client(peer), request).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            let fields = format_args!("peer={peer} error={error}");
+            let now = node.now();
+            node.record
+                .other(&events::BODY_UNASKED, request, fields, now);
+            return Err(NotRun::unseen(HopReason::Down));
+        }
+    };
     if reply.lease == 0 {
         return Err(NotRun {
             reason: HopReason::Full,
-            retry_after: Some(std::time::Duration::from_micros(reply.retry_after_us)),
+            retry_after: Some(Duration::from_micros(reply.retry_after_us)),
             reached_target: false,
         });
     }
     Ok(reply.lease)
 }
 
-async fn question(client: &TargetClient) -> anyhow::Result<IntakeReply> {
-    let request = Request::builder()
+async fn question(client: &TargetClient, request: &str) -> anyhow::Result<IntakeReply> {
+    let question = Request::builder()
         .method(Method::GET)
         .uri(INTAKE_PATH)
         .header(header::HOST, client.address().to_string())
+        .header(message::REQUEST_ID, request)
         .body(TargetBody::whole(Bytes::new()))?;
-    let mut body = client
-        .send(request)
-        .await
-        .map_err(|error: TargetError| anyhow::anyhow!("{error}"))?
-        .into_body();
+    let answer = client.send(question).await?;
+    let mut body = answer.into_body();
     Ok(IntakeReply::decode(body.whole(GREATEST_ANSWER).await?)?)
 }
