Renew the time that is left after a question for leave, and bound the question

Cause: read in the diff; a hop's head was made before the question, so a target could be told more time than its caller has when the question took long, and a clogged link kept the question open until the caller's time was over. Test: none of its own; the whole path tests pass.

--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -313,7 +313,12 @@
         let peers = &self.node.peers;
         if self.request.body.len() as u64 >= LONG_BODY {
             match intake::ask(self.node, peer, &self.request.id).await {
-                Ok(lease) => head.lease = lease,
+                Ok(lease) => {
+                    let now = self.node.now();
+                    head.lease = lease;
+                    head.objective_us = hop::micros(self.objective_left(now));
+                    head.time_left_us = hop::micros(self.deadline.saturating_sub(now));
+                }
                 Err(refusal) => {
                     return HopOutcome {
                         outcome: TargetOutcome::NotRun(refusal),
--- a/crates/sidecar/src/intake.rs
+++ b/crates/sidecar/src/intake.rs
@@ -29,6 +29,10 @@
 use crate::hop::micros;
 use crate::node::SidecarNode;
 
+/// How long a question for leave may take: several times the way between
+/// regions. A host whose link takes longer has no room for a long body.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// The path of questions for leave.
 pub const INTAKE_PATH: &str = "/intake";
 
@@ -89,24 +93,31 @@
 ///
 /// The refusal, or that the host does not answer. Nothing was sent.
 pub async fn ask(node: &SidecarNode, peer: SocketAddr, request: &str) -> Result<u64, NotRun> {
-    let reply = match question(&node.peers.client(peer), request).await {
-        Ok(reply) => reply,
-        Err(error) => {
-            let fields = format_args!("peer={peer} error={error}");
-            let now = node.now();
-            node.record
-                .other(&events::BODY_UNASKED, request, fields, now);
-            return Err(NotRun::unseen(HopReason::Down));
-        }
-    };
-    if reply.lease == 0 {
-        return Err(NotRun {
+    let client = node.peers.client(peer);
+    let answer = tokio::time::timeout(QUESTION_TIMEOUT, question(&client, request)).await;
+    match answer {
+        Ok(Ok(reply)) if reply.lease > 0 => Ok(reply.lease),
+        Ok(Ok(reply)) => Err(NotRun {
             reason: HopReason::Full,
             retry_after: Some(Duration::from_micros(reply.retry_after_us)),
             reached_target: false,
-        });
+        }),
+        Ok(Err(error)) => {
+            log_unasked(node, peer, request, &error.to_string());
+            Err(NotRun::unseen(HopReason::Down))
+        }
+        Err(_) => {
+            log_unasked(node, peer, request, "timeout");
+            Err(NotRun::unseen(HopReason::Full))
+        }
     }
-    Ok(reply.lease)
+}
+
+fn log_unasked(node: &SidecarNode, peer: SocketAddr, request: &str, error: &str) {
+    let fields = format_args!("peer={peer} error={error}");
+    let now = node.now();
+    node.record
+        .other(&events::BODY_UNASKED, request, fields, now);
 }
 
 async fn question(client: &TargetClient, request: &str) -> anyhow::Result<IntakeReply> {
@@ -116,7 +127,6 @@
         .header(header::HOST, client.address().to_string())
         .header(message::REQUEST_ID, request)
         .body(TargetBody::whole(Bytes::new()))?;
-    let answer = client.send(question).await?;
-    let mut body = answer.into_body();
+    let mut body = client.send(question).await?.into_body();
     Ok(IntakeReply::decode(body.whole(GREATEST_ANSWER).await?)?)
 }
