--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -89,7 +89,7 @@
     OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; its sender tries another target.";
     OWNER_FAILED = 6306, Warn, "target did not answer a request well", "target, reason, took_ms", "Look at the target's own logs.";
     BODY_REFUSED = 6307, Info, "owner refused a long body, not sent", "retry_after_ms", "None; its sender tries another target. If many: the host's link is full.";
-    BODY_UNASKED = 6308, Info, "no leave for a long body, not sent", "peer, error", "None; its sender tries another target. Look at the peer's host.";
+    BODY_UNASKED = 6308, Info, "no lease for a long body, not sent", "peer, error", "None; its sender tries another target. Look at the peer's host.";
     LINES_LEFT_OUT = 6401, Info, "log lines left out", "served, other", "None; the volume of the log is bounded.";
 }
 
--- a/crates/mesh/src/intake.rs
+++ b/crates/mesh/src/intake.rs
@@ -3,15 +3,15 @@
 //! The load for which this was made: callers upload more than the links of one
 //! service's hosts carry. Each body then takes seconds, all are late, and the
 //! short requests to these hosts wait behind them. A sender therefore asks for
-//! leave before it sends a long body. The owner of the link lets a few in at a
-//! time, which is enough to fill the link, and refuses the others before a byte
-//! was sent, so that they can go to another host.
+//! a lease before it sends a long body. The owner of the link lets a few in at
+//! a time, which is enough to fill the link, and refuses the others before a
+//! byte was sent, so that they can go to another host.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-/// Bodies of this length or more need leave, in bytes: shorter ones take less
+/// Bodies of this length or more need a lease, in bytes: shorter ones take less
 /// time than a further message.
 pub const LONG_BODY: u64 = 16 * 1024;
 
@@ -29,7 +29,7 @@
 /// The time of a transfer that is assumed before one was seen.
 const FIRST_TRANSFER: Duration = Duration::from_millis(100);
 
-/// Leave to send one body.
+/// Permission to send one body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct BodyLease(pub u64);
 
@@ -60,7 +60,7 @@
 }
 
 impl BodyIntake {
-    /// Gives leave to send a body.
+    /// Gives a lease for one body.
     ///
     /// # Errors
     ///
--- a/crates/mesh/tests/mesh/intake.rs
+++ b/crates/mesh/tests/mesh/intake.rs
@@ -83,10 +83,10 @@
     );
 }
 
-/// Guards against leave that is never given again, since its sender died before
+/// Guards against a lease that never ends, since its sender died before
 /// it sent the body.
 #[test]
-fn unused_leave_ends() {
+fn an_unused_lease_ends() {
     let mut intake = BodyIntake::default();
     while intake.offer(ms(0)).is_ok() {}
     assert!(intake.offer(ms(400)).is_err());
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -303,7 +303,7 @@
     }
 
     /// Sends the request to the owner on another host, a long body only with its
-    /// leave.
+    /// lease.
     async fn send_to_peer(
         &self,
         peer: SocketAddr,
--- a/crates/sidecar/src/intake.rs
+++ b/crates/sidecar/src/intake.rs
@@ -1,4 +1,4 @@
-//! Leave to send long bodies to other hosts.
+//! Leases for long bodies that are sent to other hosts.
 //!
 //! The owner of a link decides how many bodies it takes in at a time; see
 //! [`radishgauge_mesh::intake`]. The question is a short request of its own, so
@@ -29,14 +29,14 @@
 use crate::hop::micros;
 use crate::node::SidecarNode;
 
-/// How long a question for leave may take: several times the way between
+/// How long a question for a lease may take: several times the way between
 /// regions. A host whose link takes longer has no room for a long body.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The path of questions for leave.
+/// The path of questions for a lease.
 pub const INTAKE_PATH: &str = "/intake";
 
-/// Answers a question for leave to send a long body to this host.
+/// Answers a question for a lease to send a long body to this host.
 pub fn serve(node: &SidecarNode, headers: &HeaderMap) -> HttpAnswer {
     let now = node.now();
     let offer = node.intake().offer(now);
@@ -87,7 +87,7 @@
     }
 }
 
-/// Asks a host for leave to send it the body of a request; returns the lease.
+/// Asks a host for a lease for the body of a request.
 ///
 /// # Errors
 ///
