Bound the bytes of a target's endless answers

Cause: a target in trouble may send bytes without end. Heads and complete bodies were limited each, but skipped answers, informational answers, chunk extensions and trailers were read until the request timed out, a body of one-byte chunks kept a handle of tens of bytes for each, and nothing limited many bodies together.

Change: each of these has a limit, after which the connection is reset and the request counts as possibly run. Complete bodies are copied into one buffer and share a budget of memory, of which one body may use an eighth.

--- a/crates/net/src/answer_reader.rs
+++ b/crates/net/src/answer_reader.rs
@@ -30,6 +30,19 @@
 /// The greatest length of a chunk size line or trailer field, in bytes.
 const GREATEST_LINE: usize = 8 * 1024;
 
+/// The greatest number of informational answers before the final one.
+const MAX_INFORMATIONAL: usize = 16;
+
+/// The length of a chunk size line without extensions, in bytes.
+const PLAIN_SIZE_LINE: usize = 16;
+
+/// The greatest length of the chunk extensions and trailer fields of one answer
+/// together, in bytes.
+const MAX_FRAMING: usize = 64 * 1024;
+
+/// The greatest length of the bodies of skipped answers together, in bytes.
+const MAX_SKIPPED: usize = 1024 * 1024;
+
 /// The part of an answer's body that has not been read yet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum BodyRest {
@@ -65,6 +78,8 @@
     stream: OwnedReadHalf,
     buffer: BytesMut,
     head_limit: usize,
+    /// The length of the chunk extensions and trailer fields of the current answer.
+    framing: usize,
 }
 
 impl AnswerReader {
@@ -73,6 +88,7 @@
             stream,
             buffer: BytesMut::new(),
             head_limit,
+            framing: 0,
         }
     }
 
@@ -97,7 +113,8 @@
     /// Reads the head of the next answer to a request with this method, skipping
     /// informational (1xx) answers.
     pub(crate) async fn head(&mut self, method: &Method) -> io::Result<AnswerHead> {
-        loop {
+        self.framing = 0;
+        for _ in 0..MAX_INFORMATIONAL {
             let head = loop {
                 if let Some(head) = self.parse_head(method)? {
                     break head;
@@ -111,6 +128,19 @@
                 return Ok(head);
             }
         }
+        Err(invalid("too many informational answers"))
+    }
+
+    /// Reads the rest of an answer and discards it.
+    pub(crate) async fn skip(&mut self, rest: &mut BodyRest) -> io::Result<()> {
+        let mut skipped = 0;
+        while let Some(data) = self.data(rest).await? {
+            skipped += data.len();
+            if skipped > MAX_SKIPPED {
+                return Err(invalid("the body of a skipped answer is too long"));
+            }
+        }
+        Ok(())
     }
 
     /// Returns the next bytes of a body, or `None` after its end.
@@ -146,9 +176,11 @@
                     return Ok(Some(data));
                 }
                 BodyRest::Trailers => {
-                    if self.line().await?.is_empty() {
+                    let trailer = self.line().await?;
+                    if trailer.is_empty() {
                         *rest = BodyRest::Done;
                     }
+                    self.record_framing(trailer.len())?;
                 }
             }
         }
@@ -174,6 +206,7 @@
 
     async fn chunk_size(&mut self) -> io::Result<u64> {
         let mut line = self.line().await?;
+        self.record_framing(line.len().saturating_sub(PLAIN_SIZE_LINE))?;
         line.extend_from_slice(b"\r\n");
         match httparse::parse_chunk_size(&line) {
             Ok(Status::Complete((_, size))) => Ok(size),
@@ -181,6 +214,14 @@
         }
     }
 
+    fn record_framing(&mut self, bytes: usize) -> io::Result<()> {
+        self.framing += bytes;
+        if self.framing > MAX_FRAMING {
+            return Err(invalid("chunk extensions and trailers are too long"));
+        }
+        Ok(())
+    }
+
     /// Reads one line and returns it without its line end.
     async fn line(&mut self) -> io::Result<BytesMut> {
         loop {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer_reader;
 pub mod authority;
+mod byte_budget;
 pub mod call;
 pub mod clock;
 mod connection;
@@ -26,6 +27,7 @@
 mod write_tracker;
 
 pub use authority::KeyAuthority;
+pub use byte_budget::ByteBudget;
 pub use call::AnswerSender;
 pub use call::BodyReceiver;
 pub use call::CallReceiver;
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -18,6 +18,7 @@
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
+use bytes::BytesMut;
 use futures_util::Stream;
 use http::Method;
 use http::Request;
@@ -32,6 +33,8 @@
 use crate::answer_reader::AnswerHead;
 use crate::answer_reader::BodyRest;
 use crate::answer_reader::IdleState;
+use crate::byte_budget::BudgetShare;
+use crate::byte_budget::ByteBudget;
 use crate::target_body::TargetBody;
 use crate::target_connection::OpenConnections;
 use crate::target_connection::OutgoingRequest;
@@ -44,6 +47,10 @@
 /// target closes the connection.
 const IDLE_FRACTION: f64 = 0.8;
 
+/// The greatest fraction of a shared budget that one body may use, so that a few
+/// endless bodies do not fail the others.
+const MAX_ANSWER_FRACTION: f64 = 0.125;
+
 /// Limits of the connections to one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLimits {
@@ -98,6 +105,9 @@
     /// The body of the answer is longer than the given limit in bytes.
     #[error("the target's answer exceeds {0} bytes")]
     TooLarge(usize),
+    /// The answers that are being received use all memory reserved for them.
+    #[error("no memory is left for the target's answer")]
+    NoMemory,
 }
 
 /// Tells whether a request was sent, even after its future was dropped.
@@ -130,6 +140,7 @@
     permits: Arc<Semaphore>,
     idle: Mutex<VecDeque<IdleConnection>>,
     open: Arc<OpenConnections>,
+    budget: Option<Arc<ByteBudget>>,
 }
 
 struct IdleConnection {
@@ -140,6 +151,24 @@
 impl TargetClient {
     /// Returns a client without connections; they are opened on demand.
     pub fn new(address: SocketAddr, limits: TargetLimits) -> TargetClient {
+        TargetClient::open(address, limits, None)
+    }
+
+    /// As [`TargetClient::new`], for a client that shares the memory for complete
+    /// bodies with others.
+    pub fn with_budget(
+        address: SocketAddr,
+        limits: TargetLimits,
+        budget: Arc<ByteBudget>,
+    ) -> TargetClient {
+        TargetClient::open(address, limits, Some(budget))
+    }
+
+    fn open(
+        address: SocketAddr,
+        limits: TargetLimits,
+        budget: Option<Arc<ByteBudget>>,
+    ) -> TargetClient {
         TargetClient {
             shared: Arc::new(TargetShared {
                 address,
@@ -147,6 +176,7 @@
                 permits: Arc::new(Semaphore::new(limits.connections)),
                 idle: Mutex::new(VecDeque::new()),
                 open: Arc::default(),
+                budget,
             }),
         }
     }
@@ -321,7 +351,7 @@
             if belongs(&head.parts) || !head.keep {
                 return Ok(head);
             }
-            while self.reader.data(&mut head.rest).await?.is_some() {}
+            self.reader.skip(&mut head.rest).await?;
         }
     }
 }
@@ -466,24 +496,35 @@
     ///
     /// # Errors
     ///
-    /// As [`TargetAnswer::data`], and when the body is longer than `limit` bytes.
+    /// As [`TargetAnswer::data`], when the body is longer than `limit` bytes, and
+    /// when the client's budget does not allow it. The connection is then closed.
     pub async fn whole(&mut self, limit: usize) -> Result<Bytes, TargetError> {
-        let mut chunks = Vec::new();
-        let mut length = 0;
+        let shared = self.shared.clone();
+        let mut share = BudgetShare::new(shared.budget.as_deref());
+        // The chunks are copied, because many small ones would use far more memory
+        // than their bytes.
+        let mut body = BytesMut::new();
+        let limit = shared.budget.as_ref().map_or(limit, |budget| {
+            limit.min((budget.limit() as f64 * MAX_ANSWER_FRACTION) as usize)
+        });
         while let Some(data) = self.data().await? {
-            length += data.len();
-            if length > limit {
-                return Err(TargetError {
-                    fault: TargetFault::TooLarge(limit),
-                    sent: true,
-                });
+            if body.len() + data.len() > limit {
+                return Err(self.abort(TargetFault::TooLarge(limit)));
+            }
+            if !share.extend(data.len()) {
+                return Err(self.abort(TargetFault::NoMemory));
             }
-            chunks.push(data);
+            body.extend_from_slice(&data);
         }
-        match <[Bytes; 1]>::try_from(chunks) {
-            Ok([single]) => Ok(single),
-            Err(chunks) => Ok(chunks.concat().into()),
+        Ok(body.freeze())
+    }
+
+    /// Closes the connection of an answer that is not read to its end.
+    fn abort(&mut self, fault: TargetFault) -> TargetError {
+        if let Some(connection) = self.connection.take() {
+            self.shared.close_failed(connection);
         }
+        TargetError { fault, sent: true }
     }
 
     /// Returns the chunks as a stream.
