Reserve a slot before a body is sent, and find the newest state at once

Its hosts have links of 10 Mbit/s, and a sender sent the whole body to up to four owners that refused it; 7,268 requests took over half their aim to reach a target. Now a sender offers a request with a body first, unless the part of both links that is free carries the body in about the time of an offer, and the owner refuses little. The owner decides as on the request and reserves the slot, or the place in its queue, until the request arrives (300 ms). This replaces the lease of long bodies, which is now a part of the offer. Calls of targets were refused when a target had been busy for 30 ms, which wasted the runs that waited for them. They now wait as long as their callers, and run first. 3. After one silence it now asks the three next readers at once; a daemon whose state is old asks three random peers each 0.7 s; and a request for a route that it does not know is refused as not run instead of answered 404 until the store confirms its state.

Answers that are being received share a quarter of the process's memory.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -88,8 +88,8 @@
     REQUEST_RETRIED = 6304, Info, "request retried", "route, target, reason, attempt", "None; the retry counts against the retry budget.";
     OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; the sender tries another target.";
     TARGET_REQUEST_FAILED = 6306, Warn, "request failed at the target, may have run", "target, reason, took_ms", "Check the target's own logs.";
-    BODY_LEASE_REFUSED = 6307, Info, "lease for a long body refused", "retry_after_ms", "None; the body was not sent, and the sender tries another target. If frequent, the host's link is fully used.";
-    BODY_LEASE_FAILED = 6308, Info, "request for a long-body lease failed", "peer, error", "The body was not sent, and the request goes to another target. Check the peer's host.";
+    OFFER_REFUSED = 6309, Info, "owner refused an offered request", "target, reason, retry_after_ms", "None; the body was not sent, and the sender tries another target. If frequent, the target or its host's link is fully used.";
+    OFFER_FAILED = 6310, Info, "offer of a request failed", "peer, error", "The body was not sent, and the request goes to another target. Check the peer's host.";
     LINES_DROPPED = 6401, Info, "log lines dropped", "served, other", "None; the rate of log lines about requests is limited.";
 }
 
--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -35,6 +35,10 @@
     pub time_left: Duration,
     /// The priority; 0 is the most urgent.
     pub priority: u32,
+    /// Whether a target makes the request on behalf of one that it runs. A call
+    /// that is refused or late wastes that run, so it may wait as long as its
+    /// caller does, and runs before all requests of callers.
+    pub is_call: bool,
 }
 
 /// The reason why the target admits no requests.
@@ -186,16 +190,23 @@
         }
         let busy = now.saturating_sub(*self.busy_since.get_or_insert(now));
         let service_time = self.service_time(&request.route, request.objective);
-        let sort_key = scheduling::virtual_deadline(now, request.objective, request.priority);
+        let sort_key = match request.is_call {
+            true => now,
+            false => scheduling::virtual_deadline(now, request.objective, request.priority),
+        };
         let ahead = self
             .queue
             .keys()
             .take_while(|key| key.sort_key <= sort_key)
             .count();
         let wait = self.expected_wait(ahead, now);
-        let objective = request.objective.min(request.time_left);
-        let allowed =
-            scheduling::allowed_wait_when_busy(busy, objective, service_time, request.priority);
+        let allowed = match request.is_call {
+            true => scheduling::allowed_wait(request.time_left, service_time, request.priority),
+            false => {
+                let objective = request.objective.min(request.time_left);
+                scheduling::allowed_wait_when_busy(busy, objective, service_time, request.priority)
+            }
+        };
         if wait > allowed {
             let reason = if self.cold.is_cold(now) {
                 RefuseReason::Cold
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -21,6 +21,7 @@
 
 use crate::body_admission::LONG_BODY;
 use crate::cross_region_budget::CrossRegionBudget;
+use crate::link_load;
 use crate::scheduling;
 
 /// The weight of one answer in the moving averages of a target.
@@ -36,6 +37,9 @@
 /// slower than others: it may have been cold, or slow for a while.
 const MAX_SERVICE_TIME_AGE: Duration = Duration::from_secs(2);
 
+/// The greatest age of a report that describes the load of a target's link.
+const MAX_LINK_REPORT_AGE: Duration = Duration::from_secs(2);
+
 /// The penalty for a target in another failure domain of the region, as a
 /// fraction of the objective.
 const OTHER_DOMAIN_PENALTY: f64 = 0.08;
@@ -126,6 +130,9 @@
 pub struct PlaceRequest {
     /// The remaining part of the latency objective.
     pub objective: Duration,
+    /// The longest acceptable time until the answer; for a call of a target it
+    /// may exceed the objective.
+    pub patience: Duration,
     /// The priority; 0 is the most urgent.
     pub priority: u32,
     /// The length of the request body in bytes.
@@ -188,6 +195,9 @@
     /// The transfer rate of recent long bodies in bytes a second, and when it was
     /// updated.
     transfer_rate: Option<(f64, Duration)>,
+    /// The rate at which the target's host can still receive bodies that were not
+    /// offered, in bytes a second, and when it was reported.
+    unoffered_rate: Option<(f64, Duration)>,
     /// By how much recent short requests exceeded the usual round-trip time, in
     /// seconds, and when it was updated.
     delay: Option<(f64, Duration)>,
@@ -363,6 +373,34 @@
         estimate.report = Some((report, now));
     }
 
+    /// Records the rate at which a target's host can still receive bodies that
+    /// were not offered first, in bytes a second.
+    pub fn record_unoffered_rate(&mut self, id: &SmolStr, rate: f64, now: Duration) {
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.unoffered_rate = Some((rate, now));
+    }
+
+    /// Returns whether a request must be offered to a target's owner before its
+    /// body is sent. `send_rate` is what this host's link can still send, in bytes
+    /// a second. A target without a recent report may be fully occupied.
+    pub fn needs_offer(
+        &self,
+        id: &SmolStr,
+        distance: TargetDistance,
+        body_bytes: u64,
+        send_rate: f64,
+        now: Duration,
+    ) -> bool {
+        let estimate = self.estimates.get(id);
+        let reported = estimate.and_then(|estimate| estimate.unoffered_rate);
+        let recent = reported.filter(|(_, at)| now.saturating_sub(*at) <= MAX_LINK_REPORT_AGE);
+        let mut rate = recent.map_or(0.0, |(rate, _)| rate.min(send_rate));
+        if distance == TargetDistance::OtherRegion {
+            rate = rate.min(self.cross_region.rate());
+        }
+        link_load::needs_offer(body_bytes, rate)
+    }
+
     /// Records the outcome of a request that was placed on a target.
     pub fn finish(
         &mut self,
@@ -484,7 +522,7 @@
 ) -> Duration {
     let service_time = estimate.service_time(fastest, now);
     let wait = estimate.wait(candidate.capacity, service_time, now);
-    let allowed = scheduling::allowed_wait(request.objective, service_time, request.priority);
+    let allowed = scheduling::allowed_wait(request.patience, service_time, request.priority);
     let transfer = estimate.transfer_time(request.body_bytes, now);
     (wait + transfer + estimate.delay(now)).saturating_sub(allowed)
 }
--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -75,8 +75,15 @@
         self.statuses.retain(|host, _| known(*host));
     }
 
-    /// Returns the role of the host `own` among the hosts of its failure domain.
-    pub fn role(&self, own: IpAddr, domain: &str, hosts: &[IpAddr], now: Duration) -> ReaderRole {
+    /// Returns the hosts of a failure domain in the order in which they are
+    /// readers: `own` and those that are not excluded.
+    pub fn ranked(
+        &self,
+        own: IpAddr,
+        domain: &str,
+        hosts: &[IpAddr],
+        now: Duration,
+    ) -> Vec<IpAddr> {
         let mut ranked: Vec<IpAddr> = hosts
             .iter()
             .copied()
@@ -86,6 +93,12 @@
             ranked.push(own);
         }
         ranked.sort_by_key(|host| (std::cmp::Reverse(rendezvous_hash(domain, *host)), *host));
+        ranked
+    }
+
+    /// Returns the role of the host `own` among the hosts of its failure domain.
+    pub fn role(&self, own: IpAddr, domain: &str, hosts: &[IpAddr], now: Duration) -> ReaderRole {
+        let ranked = self.ranked(own, domain, hosts, now);
         let [first, second] = [ranked.first(), ranked.get(1)].map(|host| host.copied());
         match (first, second) {
             (Some(first), _) if first == own => ReaderRole::Read,
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -18,6 +18,7 @@
         objective: ms(objective),
         time_left: ms(objective * 4),
         priority,
+        is_call: false,
     }
 }
 
@@ -179,3 +180,34 @@
     assert_eq!(next, ms(2_500));
     assert_eq!(admission.decide_next(next).unwrap().key, key);
 }
+
+/// Guards against wasted runs: a call that a running request waits for is
+/// admitted although the target is busy, and runs before callers' requests.
+#[test]
+fn call_waits_for_next_slot_before_other_requests() {
+    let mut admission = admission(1);
+    let other = request("read", 1000, 0);
+    assert_eq!(admission.decide(&other, ms(0)), AdmissionDecision::Run);
+    let first = wait_key(&mut admission, &other);
+    let call = AdmissionRequest {
+        time_left: ms(400),
+        is_call: true,
+        ..request("call", 100, 2)
+    };
+    // A request with this objective is refused, as all slots are busy.
+    let without_run = AdmissionRequest {
+        is_call: false,
+        ..call.clone()
+    };
+    assert!(matches!(
+        admission.decide(&without_run, ms(300)),
+        AdmissionDecision::Refuse(_)
+    ));
+    let AdmissionDecision::Wait(key) = admission.decide(&call, ms(300)) else {
+        panic!("the call must wait");
+    };
+    admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    assert_eq!(admission.decide_next(ms(350)).unwrap().key, key);
+    admission.finish(&SmolStr::new("call"), Some(ms(20)));
+    assert_eq!(admission.decide_next(ms(400)).unwrap().key, first);
+}
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -11,6 +11,7 @@
 
 const REQUEST: PlaceRequest = PlaceRequest {
     objective: Duration::from_millis(500),
+    patience: Duration::from_millis(500),
     priority: 0,
     body_bytes: 0,
 };
--- a/crates/mesh/tests/mesh/reader.rs
+++ b/crates/mesh/tests/mesh/reader.rs
@@ -99,3 +99,21 @@
     }
     assert_eq!(readers(&rankings, &hosts, s(1)).len(), 2);
 }
+
+/// Guards against a domain that asks one unreachable host after the other while a
+/// part of its hosts is cut off: the next readers are known in their order.
+#[test]
+fn next_readers_are_ranked_without_unreachable_hosts() {
+    let hosts = hosts(10);
+    let mut ranking = ReaderRanking::default();
+    let all = ranking.ranked(hosts[0], "a", &hosts, s(0));
+    assert_eq!(all.len(), 10);
+    let first = all[0];
+    ranking.mark_unreachable(first, s(0));
+    let own = all[5];
+    let ranked = ranking.ranked(own, "a", &hosts, s(1));
+    assert_eq!(ranked, all[1..]);
+    // A host never excludes itself.
+    ranking.mark_unreachable(own, s(1));
+    assert!(ranking.ranked(own, "a", &hosts, s(1)).contains(&own));
+}
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -1,6 +1,5 @@
 //! Serves requests of callers on this host and of this host's target.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +10,6 @@
 use radishgauge_events::events;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
-use radishgauge_mesh::body_admission::LONG_BODY;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
@@ -31,12 +29,12 @@
 use crate::attempt;
 use crate::attempt::AttemptHistory;
 use crate::attempt::PendingAttempt;
-use crate::body_lease;
 use crate::hop;
 use crate::node::Candidate;
 use crate::node::SidecarNode;
 use crate::origin::RequestOrigin;
 use crate::peers::HopOutcome;
+use crate::slot_offer;
 use crate::target_call::BufferedRequest;
 
 /// The least time after which a refused caller may retry. An earlier retry
@@ -86,6 +84,14 @@
     let host = head.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = config.find(host, head.uri.path()) else {
+        if node.may_lack_changes() {
+            return refuse(
+                &node,
+                Some(&id),
+                "no route in an old state",
+                DEFAULT_RETRY_AFTER,
+            );
+        }
         return error_answer(StatusCode::NOT_FOUND, Some(&id), "no route");
     };
     let body = match body.whole(config.limits().body_bytes).await {
@@ -238,8 +244,14 @@
             .iter()
             .map(|candidate| candidate.place.clone())
             .collect();
+        let objective = self.objective_left(now);
+        let patience = match self.is_call() {
+            true => self.deadline.saturating_sub(now),
+            false => objective,
+        };
         let request = PlaceRequest {
-            objective: self.objective_left(now),
+            objective,
+            patience,
             priority: self.route.priority,
             body_bytes: self.request.body.len() as u64,
         };
@@ -250,6 +262,10 @@
             .ok_or(PlacementError::NoTarget)
     }
 
+    fn is_call(&self) -> bool {
+        matches!(self.origin, RequestOrigin::Run { .. })
+    }
+
     fn objective_left(&self, now: Duration) -> Duration {
         let spent = now.saturating_sub(self.arrived);
         let left = self.deadline.saturating_sub(now);
@@ -267,7 +283,8 @@
             priority: self.route.priority,
             idempotent: self.route.idempotent,
             revision: self.node.revision(),
-            lease: 0,
+            reservation: 0,
+            call: self.is_call(),
             repeated: history.reached > 0 || self.origin == (RequestOrigin::Run { retried: true }),
         }
     }
@@ -286,19 +303,20 @@
             outcome: None,
         };
         let (outcome, spent) = if candidate.place.distance == TargetDistance::SameHost {
-            let outcome = self.node.owner.run(&self.request, &head).await;
+            let outcome = self.node.owner.run(&self.request, &head, None).await;
             let load = self.node.owner.report();
             self.node.placer().report(id, load, self.node.now());
             (outcome, None)
         } else {
             let progress = Arc::new(RequestProgress::default());
             history.progress = Some(Arc::clone(&progress));
-            let hop = self.send_to_peer(candidate.peer, head, &progress).await;
+            let hop = self.send_to_peer(candidate, head, &progress).await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
-                self.node
-                    .placer()
-                    .report(id, hop::load_from_report(report), now);
+                let mut placer = self.node.placer();
+                placer.report(id, hop::load_from_report(report), now);
+                placer.record_unoffered_rate(id, report.unoffered_rate as f64, now);
+                drop(placer);
                 self.node
                     .handle_owner_revision(candidate.peer, report.revision);
             }
@@ -313,32 +331,50 @@
         outcome
     }
 
-    /// Sends the request to the owner on another host. A long body first needs
-    /// a lease.
+    /// Sends the request to the owner on another host, and offers it first if its
+    /// body would load a link.
     async fn send_to_peer(
         &self,
-        peer: SocketAddr,
+        candidate: &Candidate,
         mut head: HopHead,
         progress: &RequestProgress,
     ) -> HopOutcome {
-        let peers = &self.node.peers;
-        if self.request.body.len() as u64 >= LONG_BODY {
-            match body_lease::request_lease(self.node, peer, &self.request.id).await {
-                Ok(lease) => {
-                    let now = self.node.now();
-                    head.lease = lease;
+        let node = self.node;
+        let peer = candidate.peer;
+        let body_bytes = self.request.body.len() as u64;
+        if self.needs_offer(candidate, body_bytes) {
+            let offer = slot_offer::send(node, peer, &head, &self.request.id, body_bytes).await;
+            match offer.decision {
+                Ok(reservation) => {
+                    let now = node.now();
+                    head.reservation = reservation;
                     head.objective_us = hop::micros(self.objective_left(now));
                     head.time_left_us = hop::micros(self.deadline.saturating_sub(now));
                 }
                 Err(refusal) => {
                     return HopOutcome {
                         outcome: TargetOutcome::NotRun(refusal),
-                        report: None,
+                        report: offer.report,
                     };
                 }
             }
         }
-        peers.send(peer, &self.request, &head, progress).await
+        node.link().record_sent(body_bytes, node.now());
+        let hop = node.peers.send(peer, &self.request, &head, progress).await;
+        if let TargetOutcome::Answered(answer) = &hop.outcome {
+            node.link()
+                .record_received(answer.body.len() as u64, node.now());
+        }
+        hop
+    }
+
+    fn needs_offer(&self, candidate: &Candidate, body_bytes: u64) -> bool {
+        let now = self.node.now();
+        let send_rate = self.node.link().free_send_rate(now);
+        let place = &candidate.place;
+        self.node
+            .placer()
+            .needs_offer(&place.id, place.distance, body_bytes, send_rate, now)
     }
 
     fn deliver(&self, answer: BufferedAnswer, id: &str, history: &AttemptHistory) -> HttpAnswer {
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -32,6 +32,10 @@
 /// The least time between two requests to the followed daemon.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
 
+/// The number of possible readers that are asked at once after the followed
+/// daemon did not answer.
+const NEXT_READERS: usize = 3;
+
 /// The delay after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 
@@ -80,6 +84,10 @@
             Err(FollowFault::Peer(peer, error)) => {
                 node.ranking().mark_unreachable(peer, node.now());
                 events::STATE_EXCHANGE_FAILED.emit(format_args!("peer={peer} error={error}"));
+                // Several hosts may be unreachable; asking one after the other
+                // would take too long.
+                let next_readers = node.next_readers(NEXT_READERS);
+                state_exchange::fetch_from_all(&node, &next_readers).await;
             }
             Err(FollowFault::Store(StoreError::HistoryLost)) => {
                 events::STORE_LOST.emit(format_args!(
@@ -127,11 +135,13 @@
 }
 
 async fn read_all(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
+    let asked = node.now();
     let page = store.read_all().await?;
     // A peer may have sent a newer state in the meantime.
     if page.revision >= node.revision() {
         node.replace_state(page.items, page.revision, StateSource::Store);
     }
+    node.confirm_state(asked);
     Ok(())
 }
 
@@ -151,6 +161,7 @@
         node.expire_targets();
     }
     node.update_state(changes.items, changes.revision, StateSource::Store);
+    node.confirm_state(node.now());
     Ok(())
 }
 
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -44,8 +44,8 @@
     take(headers, REPORT)
 }
 
-/// Removes both fields from a caller's request, since callers must not set
-/// them.
+/// Removes both fields from a caller's request or a target's answer, since
+/// only daemons set them.
 pub fn remove_fields(headers: &mut HeaderMap) {
     headers.remove(HEAD);
     headers.remove(REPORT);
@@ -88,6 +88,11 @@
     }
 }
 
+/// Returns the time after which the owner may have capacity, if it reported one.
+pub fn retry_after(report: &HopReport) -> Option<Duration> {
+    (report.retry_after_us > 0).then(|| Duration::from_micros(report.retry_after_us))
+}
+
 /// Returns a hop report with the given load; its other fields have their
 /// defaults.
 pub fn report_from_load(load: &LoadReport) -> HopReport {
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,7 +10,6 @@
 
 pub mod answer;
 mod attempt;
-pub mod body_lease;
 pub mod entry;
 pub mod follow;
 pub mod hop;
@@ -22,8 +21,10 @@
 pub mod peers;
 pub mod probe;
 pub mod request_log;
+pub mod reservation;
 pub mod sidecar;
 mod slot;
+pub mod slot_offer;
 pub mod state_exchange;
 pub mod target_call;
 
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -165,6 +165,11 @@
         let _: Result<cadence::Counter, _> = self.client.incr(name);
     }
 
+    /// Adds `amount` to the counter with this name, which has no labels.
+    pub fn add(&self, name: &str, amount: u64) {
+        let _: Result<cadence::Counter, _> = self.client.count(name, amount);
+    }
+
     /// Returns the metrics page: all series, including gauges of the daemon's
     /// current state.
     pub fn page(&self, node: &SidecarNode) -> String {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -15,10 +15,12 @@
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::RetryBudget;
+use radishgauge_mesh::StateFreshness;
 use radishgauge_mesh::StateTable;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::body_admission::BodyAdmission;
+use radishgauge_mesh::link_load::LinkLoad;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::reader::ReaderRanking;
@@ -30,14 +32,18 @@
 use radishgauge_platform::StoreItem;
 use radishgauge_platform::StoreView;
 use radishgauge_platform::view::ViewChanges;
+use radishgauge_schema::hop::HopReport;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::answer::TargetOutcome;
+use crate::hop;
 use crate::metrics::SidecarMetrics;
 use crate::owner::TargetOwner;
 use crate::peers::PeerClients;
 use crate::request_log::RequestLog;
+use crate::reservation::SlotReservations;
 
 /// The state of the platform as this daemon knows it.
 #[derive(Default)]
@@ -78,6 +84,9 @@
     timeout_requested: watch::Sender<bool>,
     ranking: Mutex<ReaderRanking>,
     body_admission: Mutex<BodyAdmission>,
+    reservations: Mutex<SlotReservations>,
+    link: Mutex<LinkLoad>,
+    freshness: Mutex<StateFreshness>,
     stopping: AtomicBool,
 }
 
@@ -90,8 +99,12 @@
         owner: Arc<TargetOwner>,
         seed: u64,
     ) -> SidecarNode {
+        let link = LinkLoad::new(settings.link_rate);
         SidecarNode {
-            peers: PeerClients::new(settings.peer_address.port()),
+            peers: PeerClients::new(
+                settings.peer_address.port(),
+                Arc::clone(owner.answer_budget()),
+            ),
             budget: Mutex::new(RetryBudget::new(settings.retry_limits)),
             settings: ArcSwap::from_pointee(settings),
             clock,
@@ -107,6 +120,9 @@
             timeout_requested: watch::Sender::new(false),
             ranking: Mutex::default(),
             body_admission: Mutex::default(),
+            reservations: Mutex::default(),
+            link: Mutex::new(link),
+            freshness: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -125,6 +141,7 @@
             self.owner.set_target(settings.target_address);
         }
         self.budget().configure(settings.retry_limits);
+        self.link().set_capacity(settings.link_rate);
         self.settings.store(Arc::new(settings));
         let known = self.known();
         self.owner.refresh(&self.settings(), &known.table, now);
@@ -187,18 +204,37 @@
         lock(&self.ranking)
     }
 
+    /// Returns the hosts of this host's failure domain.
+    fn domain_hosts(&self) -> Vec<IpAddr> {
+        let settings = self.settings();
+        let known = self.known();
+        let targets = known.table.targets();
+        targets
+            .filter(|target| target.failure_domain == settings.failure_domain)
+            .map(|target| target.address.ip())
+            .collect()
+    }
+
+    /// Returns the first `count` other hosts in the ranking of readers that are
+    /// not known to be unreachable.
+    pub fn next_readers(&self, count: usize) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let own = settings.peer_address.ip();
+        let hosts = self.domain_hosts();
+        let ranked = self
+            .ranking()
+            .ranked(own, &settings.failure_domain, &hosts, self.now());
+        let others = ranked.into_iter().filter(|host| *host != own).take(count);
+        others
+            .map(|host| SocketAddr::new(host, settings.peer_address.port()))
+            .collect()
+    }
+
     /// Returns whether this daemon reads the store itself or follows another
     /// daemon.
     pub fn role(&self) -> ReaderRole {
         let settings = self.settings();
-        let hosts: Vec<IpAddr> = {
-            let known = self.known();
-            let targets = known.table.targets();
-            targets
-                .filter(|target| target.failure_domain == settings.failure_domain)
-                .map(|target| target.address.ip())
-                .collect()
-        };
+        let hosts = self.domain_hosts();
         let mut ranking = self.ranking();
         ranking.retain(|host| hosts.contains(&host));
         ranking.role(
@@ -209,6 +245,23 @@
         )
     }
 
+    /// Records that the known state was the store's state at the time `at`.
+    pub fn confirm_state(&self, at: Duration) {
+        self.freshness().confirm(at);
+    }
+
+    /// Locks the record of when the store last confirmed the known state.
+    pub fn freshness(&self) -> MutexGuard<'_, StateFreshness> {
+        lock(&self.freshness)
+    }
+
+    /// Returns whether the known state may lack a change that has taken effect
+    /// elsewhere.
+    pub fn may_lack_changes(&self) -> bool {
+        let bound = self.settings().apply_bound;
+        self.freshness().may_lack_changes(bound, self.now())
+    }
+
     /// Returns the current configuration, if one is known.
     pub fn config(&self) -> Option<Arc<MeshConfig>> {
         self.known().table.config().cloned()
@@ -248,6 +301,42 @@
         lock(&self.body_admission)
     }
 
+    /// Locks the reservations; callers must not keep the lock across I/O.
+    pub fn reservations(&self) -> MutexGuard<'_, SlotReservations> {
+        lock(&self.reservations)
+    }
+
+    /// Locks the load of this host's link; callers must not keep the lock across
+    /// I/O.
+    pub fn link(&self) -> MutexGuard<'_, LinkLoad> {
+        lock(&self.link)
+    }
+
+    /// Records the bytes of a request from another host, whose body is counted as
+    /// received already.
+    pub fn record_hop(&self, body_bytes: u64, outcome: &TargetOutcome) {
+        let now = self.now();
+        match outcome {
+            TargetOutcome::Answered(answer) => {
+                self.link().record_sent(answer.body.len() as u64, now);
+            }
+            TargetOutcome::NotRun(_) => {
+                self.link().record_refused(body_bytes, now);
+                self.metrics.add("refused_body_bytes", body_bytes);
+            }
+            TargetOutcome::MayHaveRun(_) => {}
+        }
+    }
+
+    /// Returns a report of the load and state of this host, for the sender of a
+    /// request.
+    pub fn hop_report(&self) -> HopReport {
+        let mut report = hop::report_from_load(&self.owner.report());
+        report.unoffered_rate = self.link().unoffered_rate(self.now()) as u64;
+        report.revision = self.revision();
+        report
+    }
+
     /// Locks the retry budget; callers must not keep the lock across I/O.
     pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.budget)
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -25,6 +25,7 @@
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
 use radishgauge_mesh::admission::WaitKey;
+use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
 use radishgauge_net::clock::ProcessClock;
@@ -39,6 +40,7 @@
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::node::lock;
+use crate::slot::AdmittedRequest;
 use crate::slot::QueuedRequest;
 use crate::slot::RunningSlot;
 use crate::target_call;
@@ -64,6 +66,10 @@
 /// the refusal arrives in time even in another region.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
+/// The fraction of the process's memory that answers which are being received may
+/// use.
+const ANSWER_MEMORY_FRACTION: f64 = 0.25;
+
 /// The greatest number of former target IDs that are remembered. A sender with
 /// an older state that names one of them is refused.
 const MAX_FORMER_TARGETS: usize = 64;
@@ -92,6 +98,8 @@
 pub struct TargetOwner {
     pub(crate) clock: Arc<dyn ProcessClock>,
     client: ArcSwap<TargetClient>,
+    /// The memory for the answers of targets and of other daemons.
+    answer_budget: Arc<ByteBudget>,
     state: Mutex<OwnerState>,
     /// Requests a health check of the target.
     pub check_requested: Notify,
@@ -100,9 +108,12 @@
 impl TargetOwner {
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
+        let budget = (settings.memory_limit as f64 * ANSWER_MEMORY_FRACTION) as usize;
+        let answer_budget = Arc::new(ByteBudget::new(budget));
         TargetOwner {
             clock,
-            client: ArcSwap::from_pointee(client(settings.target_address)),
+            client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
+            answer_budget,
             state: Mutex::new(OwnerState {
                 admission: LocalAdmission::new(INITIAL_CAPACITY),
                 waiters: HashMap::new(),
@@ -125,9 +136,16 @@
         self.client.load_full()
     }
 
+    /// Returns the budget of memory for answers, which all clients of this daemon
+    /// share.
+    pub fn answer_budget(&self) -> &Arc<ByteBudget> {
+        &self.answer_budget
+    }
+
     /// Changes the address of the target.
     pub fn set_target(&self, address: SocketAddr) {
-        self.client.store(Arc::new(client(address)));
+        let client = client(address, &self.answer_budget);
+        self.client.store(Arc::new(client));
         self.check_requested.notify_one();
     }
 
@@ -241,21 +259,28 @@
         self.deliver_decisions(&mut state);
     }
 
-    /// Runs a request at the target as soon as it is admitted.
-    pub async fn run(self: &Arc<Self>, request: &BufferedRequest, head: &HopHead) -> TargetOutcome {
-        let arrived = self.clock.now();
-        let time_left = Duration::from_micros(head.time_left_us);
-        let deadline = arrived + time_left;
-        let admission_request = AdmissionRequest {
-            route: SmolStr::from(head.route.as_str()),
-            objective: Duration::from_micros(head.objective_us),
-            time_left,
-            priority: head.priority,
+    /// Runs a request at the target as soon as it is admitted. `admitted` is the
+    /// reservation of a request that was offered first.
+    pub async fn run(
+        self: &Arc<Self>,
+        request: &BufferedRequest,
+        head: &HopHead,
+        admitted: Option<AdmittedRequest>,
+    ) -> TargetOutcome {
+        let deadline = self.clock.now() + Duration::from_micros(head.time_left_us);
+        let admitted = match admitted {
+            Some(admitted) => Ok(admitted),
+            None => self.admit(head),
+        };
+        let slot = match admitted {
+            Ok(admitted) => admitted.slot().await,
+            Err(refusal) => Err(refusal),
         };
-        let slot = match self.acquire(&head.target, &admission_request).await {
+        let mut slot = match slot {
             Ok(slot) => slot,
             Err(refusal) => return TargetOutcome::NotRun(refusal),
         };
+        slot.started = self.clock.now();
         let _run = RunRegistration::begin(self, &request.id, head.repeated);
         let left = deadline.saturating_sub(self.clock.now());
         let mesh_headers = MeshHeaders {
@@ -281,42 +306,47 @@
         }
     }
 
-    async fn acquire(
-        self: &Arc<Self>,
-        target: &str,
-        admission_request: &AdmissionRequest,
-    ) -> Result<RunningSlot, NotRun> {
+    /// Decides on a request whose body may not have arrived yet.
+    ///
+    /// # Errors
+    ///
+    /// When the request is refused.
+    pub fn admit(self: &Arc<Self>, head: &HopHead) -> Result<AdmittedRequest, NotRun> {
+        let request = AdmissionRequest {
+            route: SmolStr::from(head.route.as_str()),
+            objective: Duration::from_micros(head.objective_us),
+            time_left: Duration::from_micros(head.time_left_us),
+            priority: head.priority,
+            is_call: head.call,
+        };
         let connection_losses = self.client().connection_losses();
-        let queued_request = {
-            let now = self.clock.now();
-            let mut state = self.state();
-            if state.is_former(target) {
-                return Err(NotRun::before_target(HopReason::Draining));
-            }
-            if state.connection_losses != connection_losses {
-                state.connection_losses = connection_losses;
-                events::TARGET_RESTART_SUSPECTED.emit(format_args!("reason=all connections ended"));
-                state.assume_cold(now);
-                self.check_requested.notify_one();
-            }
-            match state.admission.decide(admission_request, now) {
-                AdmissionDecision::Run => return Ok(self.slot(&admission_request.route)),
-                AdmissionDecision::Refuse(refusal) => return Err(not_run(refusal)),
-                AdmissionDecision::Wait(key) => {
-                    let (sender, decision) = oneshot::channel();
-                    state.waiters.insert(key, sender);
-                    self.arm_timer(&mut state, now);
-                    QueuedRequest {
-                        owner: self,
-                        key: Some(key),
-                        route: &admission_request.route,
-                        refuse_at: now + admission_request.time_left.saturating_sub(REFUSAL_MARGIN),
-                        decision,
-                    }
-                }
+        let now = self.clock.now();
+        let mut state = self.state();
+        if state.is_former(&head.target) {
+            return Err(NotRun::before_target(HopReason::Draining));
+        }
+        if state.connection_losses != connection_losses {
+            state.connection_losses = connection_losses;
+            events::TARGET_RESTART_SUSPECTED.emit(format_args!("reason=all connections ended"));
+            state.assume_cold(now);
+            self.check_requested.notify_one();
+        }
+        match state.admission.decide(&request, now) {
+            AdmissionDecision::Run => Ok(AdmittedRequest::Running(self.slot(&request.route))),
+            AdmissionDecision::Refuse(refusal) => Err(not_run(refusal)),
+            AdmissionDecision::Wait(key) => {
+                let (sender, decision) = oneshot::channel();
+                state.waiters.insert(key, sender);
+                self.arm_timer(&mut state, now);
+                Ok(AdmittedRequest::Queued(QueuedRequest {
+                    owner: Arc::clone(self),
+                    key: Some(key),
+                    route: request.route,
+                    refuse_at: now + request.time_left.saturating_sub(REFUSAL_MARGIN),
+                    decision,
+                }))
             }
-        };
-        queued_request.wait().await
+        }
     }
 
     pub(crate) fn slot(self: &Arc<Self>, route: &SmolStr) -> RunningSlot {
@@ -395,16 +425,14 @@
     }
 }
 
-fn client(address: SocketAddr) -> TargetClient {
-    TargetClient::new(
-        address,
-        TargetLimits {
-            connections: MAX_CONNECTIONS,
-            connect: CONNECT_TIMEOUT,
-            idle: CONNECTION_IDLE,
-            ..TargetLimits::default()
-        },
-    )
+fn client(address: SocketAddr, answer_budget: &Arc<ByteBudget>) -> TargetClient {
+    let limits = TargetLimits {
+        connections: MAX_CONNECTIONS,
+        connect: CONNECT_TIMEOUT,
+        idle: CONNECTION_IDLE,
+        ..TargetLimits::default()
+    };
+    TargetClient::with_budget(address, limits, Arc::clone(answer_budget))
 }
 
 impl OwnerState {
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -1,5 +1,5 @@
-//! Serves requests of other daemons: requests for this host's target, for a
-//! body lease and for the platform's state.
+//! Serves requests of other daemons: offers and requests for this host's target,
+//! and requests for the platform's state.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,10 +16,10 @@
 
 use crate::answer;
 use crate::answer::TargetOutcome;
-use crate::body_lease;
-use crate::body_lease::IncomingBody;
 use crate::hop;
 use crate::node::SidecarNode;
+use crate::reservation;
+use crate::slot_offer;
 use crate::state_exchange;
 use crate::target_call::BufferedRequest;
 
@@ -33,8 +33,9 @@
         ..
     } = request;
     let Some(hop_head) = hop::take_head(&mut head.headers) else {
-        if head.uri.path() == body_lease::LEASE_PATH {
-            return body_lease::serve(&node, &head.headers);
+        if head.uri.path() == slot_offer::OFFER_PATH {
+            let id = message::request_id(&head.headers).unwrap_or_default();
+            return slot_offer::serve(&node, &id, body).await;
         }
         return state_exchange::serve(&node, &head.method, &head.uri, body).await;
     };
@@ -42,11 +43,13 @@
     node.record_peer_revision(peer, hop_head.revision);
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
-    let incoming_body = IncomingBody::begin(&node, hop_head.lease);
+    let (admitted, incoming_body) = reservation::claim(&node, hop_head.reservation);
     let Ok(body) = body.whole(u64::MAX).await else {
         return answer::empty(StatusCode::BAD_REQUEST);
     };
     drop(incoming_body);
+    let body_bytes = body.len() as u64;
+    node.link().record_received(body_bytes, node.now());
     message::strip_connection_fields(&mut head.headers);
     let request = BufferedRequest {
         id: message::request_id(&head.headers).unwrap_or_default(),
@@ -55,11 +58,10 @@
         headers: head.headers,
         body,
     };
-    let outcome = node.owner.run(&request, &hop_head).await;
-    let now = node.now();
-    let mut report = hop::report_from_load(&node.owner.report());
-    report.spent_us = hop::micros(now.saturating_sub(arrived));
-    report.revision = node.revision();
+    let outcome = node.owner.run(&request, &hop_head, admitted).await;
+    node.record_hop(body_bytes, &outcome);
+    let mut report = node.hop_report();
+    report.spent_us = hop::micros(node.now().saturating_sub(arrived));
     log_outcome(&node, &request.id, &hop_head.target, &outcome, &report);
     hop_answer(outcome, report)
 }
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -1,6 +1,7 @@
 //! Sends requests to the daemons of other hosts.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use http::Request;
 use http::StatusCode;
 use indexmap::IndexMap;
+use radishgauge_net::ByteBudget;
 use radishgauge_net::RequestProgress;
 use radishgauge_net::TargetBody;
 use radishgauge_net::TargetClient;
@@ -67,14 +69,16 @@
 /// The HTTP clients for other daemons, one for each address.
 pub struct PeerClients {
     port: u16,
+    answer_budget: Arc<ByteBudget>,
     clients: Mutex<IndexMap<SocketAddr, TargetClient>>,
 }
 
 impl PeerClients {
     /// Returns an empty set of clients for daemons that all listen on `port`.
-    pub fn new(port: u16) -> PeerClients {
+    pub fn new(port: u16, answer_budget: Arc<ByteBudget>) -> PeerClients {
         PeerClients {
             port,
+            answer_budget,
             clients: Mutex::default(),
         }
     }
@@ -96,16 +100,14 @@
     pub fn client(&self, address: SocketAddr) -> TargetClient {
         let mut clients = lock(&self.clients);
         let client = clients.entry(address).or_insert_with(|| {
-            TargetClient::new(
-                address,
-                TargetLimits {
-                    connections: MAX_CONNECTIONS,
-                    connect: CONNECT_TIMEOUT,
-                    idle: CONNECTION_IDLE,
-                    unacknowledged: Some(UNACKNOWLEDGED_TIMEOUT),
-                    ..TargetLimits::default()
-                },
-            )
+            let limits = TargetLimits {
+                connections: MAX_CONNECTIONS,
+                connect: CONNECT_TIMEOUT,
+                idle: CONNECTION_IDLE,
+                unacknowledged: Some(UNACKNOWLEDGED_TIMEOUT),
+                ..TargetLimits::default()
+            };
+            TargetClient::with_budget(address, limits, Arc::clone(&self.answer_budget))
         });
         client.clone()
     }
@@ -172,8 +174,7 @@
         }
         HopVerdict::NotRun => TargetOutcome::NotRun(NotRun {
             reason: report.reason(),
-            retry_after: (report.retry_after_us > 0)
-                .then(|| Duration::from_micros(report.retry_after_us)),
+            retry_after: hop::retry_after(&report),
             reached_target: matches!(report.reason(), HopReason::Shed | HopReason::OtherTarget),
         }),
         HopVerdict::MayHaveRun | HopVerdict::Unspecified => {
--- a/crates/sidecar/src/slot_offer.rs
+++ b/crates/sidecar/src/slot_offer.rs
@@ -1,141 +1,178 @@
-//! Leases for long bodies that are sent to other hosts.
+//! Offers of requests to owners on other hosts, before the bodies are sent.
 //!
-//! The receiving daemon limits how many long bodies it receives at a time; see
-//! [`radishgauge_mesh::body_admission`]. The sender requests the lease in a
-//! short request of its own. If the lease is refused, nothing of the caller's
-//! request was sent, so it cannot have run.
+//! The sender describes the request in a short message. The owner decides on it
+//! as on the request itself, and reserves a slot or a place in its queue until
+//! the body arrives. If it refuses, nothing of the caller's request was sent, so
+//! the request cannot have run. [`radishgauge_mesh::link_load`] decides which
+//! requests are offered.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::Method;
 use http::Request;
 use http::Response;
+use http::StatusCode;
 use http::header;
 use prost::Message;
 use radishgauge_events::events;
-use radishgauge_mesh::body_admission::BodyLease;
 use radishgauge_net::HttpAnswer;
+use radishgauge_net::HttpBody;
 use radishgauge_net::TargetBody;
 use radishgauge_net::TargetClient;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
+use radishgauge_schema::hop::HopHead;
 use radishgauge_schema::hop::HopReason;
-use radishgauge_schema::hop::IntakeReply;
+use radishgauge_schema::hop::HopReport;
+use radishgauge_schema::hop::HopVerdict;
+use radishgauge_schema::hop::SlotOffer;
+use radishgauge_schema::hop::SlotReply;
 
+use crate::answer;
 use crate::answer::MAX_ANSWER_BYTES;
 use crate::answer::NotRun;
-use crate::hop::micros;
+use crate::hop;
 use crate::node::SidecarNode;
+use crate::reservation;
 
-/// How long a request for a lease may take: several times the latency between
-/// regions. A host that takes longer has an overloaded link and cannot receive
-/// a long body.
-const LEASE_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long an offer may take: several times the latency between regions. A host
+/// that takes longer has an overloaded link and cannot receive the body.
+const OFFER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The path of requests for a lease.
-pub const LEASE_PATH: &str = "/intake";
+/// The greatest length of an encoded offer in bytes.
+const MAX_OFFER_BYTES: u64 = 16 * 1024;
 
-/// Answers a request for a lease to send a long body to this host.
-pub fn serve(node: &SidecarNode, headers: &HeaderMap) -> HttpAnswer {
-    let now = node.now();
-    let granted = node.body_admission().grant(now);
-    let reply = match granted {
-        Ok(lease) => IntakeReply {
-            lease: lease.0,
-            retry_after_us: 0,
-        },
-        Err(retry_after) => {
-            let id = message::request_id(headers).unwrap_or_default();
-            node.metrics.count("bodies_refused");
-            node.request_log.log_other(
-                &events::BODY_LEASE_REFUSED,
-                &id,
-                format_args!("retry_after_ms={}", retry_after.as_millis()),
-                now,
-            );
-            IntakeReply {
-                lease: 0,
-                retry_after_us: micros(retry_after),
-            }
+/// The path of offers.
+pub const OFFER_PATH: &str = "/offer";
+
+/// Answers an offer of another daemon.
+pub async fn serve(node: &Arc<SidecarNode>, request: &str, mut body: HttpBody) -> HttpAnswer {
+    let Ok(body) = body.whole(MAX_OFFER_BYTES).await else {
+        return answer::empty(StatusCode::BAD_REQUEST);
+    };
+    let Ok(SlotOffer {
+        head: Some(head),
+        body_bytes,
+    }) = SlotOffer::decode(body)
+    else {
+        return answer::empty(StatusCode::BAD_REQUEST);
+    };
+    let outcome = reservation::reserve(node, &head, body_bytes);
+    let mut report = node.hop_report();
+    let reservation = match outcome {
+        Ok(reservation) => reservation,
+        Err(refusal) => {
+            node.metrics.count("offers_refused");
+            log_refusal(node, request, &head, refusal);
+            report.set_verdict(HopVerdict::NotRun);
+            report.set_reason(refusal.reason);
+            report.retry_after_us = refusal.retry_after.map_or(0, hop::micros);
+            0
         }
     };
+    let reply = SlotReply {
+        reservation,
+        report: Some(report),
+    };
     Response::new(AnswerBody::whole(reply.encode_to_vec()))
 }
 
-/// A long body that is being received; dropping it ends its lease.
-pub struct IncomingBody<'a> {
-    node: &'a SidecarNode,
-    lease: BodyLease,
+fn log_refusal(node: &SidecarNode, request: &str, head: &HopHead, refusal: NotRun) {
+    node.request_log.log_other(
+        &events::OFFER_REFUSED,
+        request,
+        format_args!(
+            "target={} reason={} retry_after_ms={}",
+            head.target,
+            refusal.reason.as_str_name(),
+            refusal.retry_after.unwrap_or_default().as_millis()
+        ),
+        node.now(),
+    );
 }
 
-impl IncomingBody<'_> {
-    /// Starts to receive the body of a lease. Returns `None` for lease 0, which
-    /// stands for no lease.
-    pub fn begin(node: &SidecarNode, lease: u64) -> Option<IncomingBody<'_>> {
-        if lease == 0 {
-            return None;
-        }
-        let lease = BodyLease(lease);
-        node.body_admission().begin(lease, node.now());
-        Some(IncomingBody { node, lease })
-    }
+/// The owner's reply to an offer.
+pub struct OfferOutcome {
+    /// The reservation, or the owner's refusal. After a refusal the request has
+    /// not run, because it was not sent.
+    pub decision: Result<u64, NotRun>,
+    /// The owner's report, if it replied.
+    pub report: Option<HopReport>,
 }
 
-impl Drop for IncomingBody<'_> {
-    fn drop(&mut self) {
-        self.node.body_admission().end(self.lease, self.node.now());
+impl OfferOutcome {
+    fn without_report(reason: HopReason) -> OfferOutcome {
+        OfferOutcome {
+            decision: Err(NotRun::before_target(reason)),
+            report: None,
+        }
     }
 }
 
-/// Requests a lease from the daemon at `peer` for the body of a request.
-///
-/// # Errors
-///
-/// When the daemon refuses the lease or does not answer. The request itself was
-/// not sent.
-pub async fn request_lease(
+/// Offers a request with a body of `body_bytes` to the owner at `peer`.
+pub async fn send(
     node: &SidecarNode,
     peer: SocketAddr,
+    head: &HopHead,
     request: &str,
-) -> Result<u64, NotRun> {
+    body_bytes: u64,
+) -> OfferOutcome {
     let client = node.peers.client(peer);
-    let answer =
-        tokio::time::timeout(LEASE_REQUEST_TIMEOUT, send_lease_request(&client, request)).await;
-    match answer {
-        Ok(Ok(reply)) if reply.lease > 0 => Ok(reply.lease),
-        Ok(Ok(reply)) => Err(NotRun {
-            reason: HopReason::Full,
-            retry_after: Some(Duration::from_micros(reply.retry_after_us)),
-            reached_target: false,
-        }),
+    let offer = SlotOffer {
+        head: Some(head.clone()),
+        body_bytes,
+    };
+    let exchange = exchange(&client, request, &offer);
+    match tokio::time::timeout(OFFER_TIMEOUT, exchange).await {
+        Ok(Ok(reply)) => read_reply(&reply),
         Ok(Err(error)) => {
-            log_lease_failure(node, peer, request, &error.to_string());
-            Err(NotRun::before_target(HopReason::Down))
+            log_failure(node, peer, request, &error.to_string());
+            OfferOutcome::without_report(HopReason::Down)
         }
         Err(_) => {
-            log_lease_failure(node, peer, request, "timeout");
-            Err(NotRun::before_target(HopReason::Full))
+            log_failure(node, peer, request, "timeout");
+            OfferOutcome::without_report(HopReason::Full)
         }
     }
 }
 
-fn log_lease_failure(node: &SidecarNode, peer: SocketAddr, request: &str, error: &str) {
+fn read_reply(reply: &SlotReply) -> OfferOutcome {
+    let report = reply.report;
+    let decision = match reply.reservation {
+        0 => Err(
+            report.map_or(NotRun::before_target(HopReason::Full), |report| NotRun {
+                reason: report.reason(),
+                retry_after: hop::retry_after(&report),
+                reached_target: false,
+            }),
+        ),
+        reservation => Ok(reservation),
+    };
+    OfferOutcome { decision, report }
+}
+
+fn log_failure(node: &SidecarNode, peer: SocketAddr, request: &str, error: &str) {
     let fields = format_args!("peer={peer} error={error}");
     let now = node.now();
     node.request_log
-        .log_other(&events::BODY_LEASE_FAILED, request, fields, now);
+        .log_other(&events::OFFER_FAILED, request, fields, now);
 }
 
-async fn send_lease_request(client: &TargetClient, request: &str) -> anyhow::Result<IntakeReply> {
-    let lease_request = Request::builder()
-        .method(Method::GET)
-        .uri(LEASE_PATH)
+async fn exchange(
+    client: &TargetClient,
+    request: &str,
+    offer: &SlotOffer,
+) -> anyhow::Result<SlotReply> {
+    let http_request = Request::builder()
+        .method(Method::POST)
+        .uri(OFFER_PATH)
         .header(header::HOST, client.address().to_string())
         .header(message::REQUEST_ID, request)
-        .body(TargetBody::whole(Bytes::new()))?;
-    let mut body = client.send(lease_request).await?.into_body();
-    Ok(IntakeReply::decode(body.whole(MAX_ANSWER_BYTES).await?)?)
+        .body(TargetBody::whole(Bytes::from(offer.encode_to_vec())))?;
+    let (head, mut body) = client.send(http_request).await?.into_parts();
+    anyhow::ensure!(head.status == StatusCode::OK, "status {}", head.status);
+    Ok(SlotReply::decode(body.whole(MAX_ANSWER_BYTES).await?)?)
 }
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -30,6 +30,7 @@
 use radishgauge_schema::hop;
 use radishgauge_schema::hop::StateItem;
 use radishgauge_schema::hop::StateSnapshot;
+use rand::seq::IndexedRandom;
 use smol_str::SmolStr;
 
 use crate::answer;
@@ -54,9 +55,14 @@
 /// requests the state from a peer.
 const OWN_UPDATE_WAIT: Duration = Duration::from_millis(300);
 
-/// The interval of requests to peers while the store cannot be read.
+/// The interval of requests to random peers while the known state may be out of
+/// date.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(700);
 
+/// The number of random peers that are asked at once. While a part of the hosts
+/// is cut off, one of them is probably reachable.
+const RANDOM_PEERS: usize = 3;
+
 /// How long a peer may take to answer, in addition to the wait that was
 /// requested. A peer that is only slow is asked again; a follower must switch
 /// away from a silent one soon.
@@ -127,12 +133,14 @@
         StoreHealth::Recovered(at) => (hop::StoreHealth::Regained, now.saturating_sub(at)),
     };
     drop(known);
+    let confirmed = node.freshness().age(now);
     let snapshot = StateSnapshot {
         revision,
         items: difference.items.into_iter().map(state_item).collect(),
         health: health.into(),
         regained_us: micros(since_recovery),
         since: difference.since.unwrap_or_default(),
+        confirmed_us: confirmed.map_or(0, |age| micros(age).max(1)),
     };
     zstd::bulk::compress(&snapshot.encode_to_vec(), COMPRESSION_LEVEL)
 }
@@ -191,7 +199,9 @@
         return;
     }
     let revision = snapshot.revision;
+    let confirmed_us = snapshot.confirmed_us;
     apply_snapshot_items(node, snapshot, source);
+    confirm(node, revision, confirmed_us);
     events::STATE_RECEIVED.emit(format_args!("peer={peer} from={before} to={revision}"));
 }
 
@@ -208,9 +218,20 @@
     };
     node.known().table.apply_peer_health(health, node.now());
     node.expire_targets();
-    if snapshot.revision > node.revision() {
+    let (revision, confirmed_us) = (snapshot.revision, snapshot.confirmed_us);
+    if revision > node.revision() {
         apply_snapshot_items(node, snapshot, StateSource::Store);
     }
+    confirm(node, revision, confirmed_us);
+}
+
+/// Records when the store confirmed a peer's state, if this daemon's state is
+/// that of the peer or a newer one.
+fn confirm(node: &SidecarNode, revision: u64, confirmed_us: u64) {
+    if confirmed_us > 0 && node.revision() >= revision {
+        let age = Duration::from_micros(confirmed_us);
+        node.confirm_state(node.now().saturating_sub(age));
+    }
 }
 
 impl SidecarNode {
@@ -289,33 +310,50 @@
         .context("timeout")?
 }
 
-/// Fetches the state from peers that reported a newer revision, and from each
-/// peer in turn while the store cannot be read. Never returns.
+/// Requests the state from several peers at once, applies what they send, and
+/// records which of them answered.
+pub async fn fetch_from_all(node: &SidecarNode, peers: &[SocketAddr]) {
+    let requests = peers.iter().map(|peer| fetch_from(node, *peer));
+    futures_util::future::join_all(requests).await;
+}
+
+async fn fetch_from(node: &SidecarNode, peer: SocketAddr) {
+    match fetch(node, peer, Duration::ZERO).await {
+        Ok(snapshot) => {
+            let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
+            node.ranking()
+                .mark_store_report(peer.ip(), store_unreachable, node.now());
+            apply_peer_snapshot(node, snapshot, &peer.to_string());
+        }
+        Err(error) => {
+            node.ranking().mark_unreachable(peer.ip(), node.now());
+            events::STATE_EXCHANGE_FAILED.emit(format_args!("peer={peer} error={error}"));
+        }
+    }
+}
+
+/// Fetches the state from peers that reported a newer revision, and from some
+/// random peers while the known state may be out of date. Never returns.
 pub async fn run(node: Arc<SidecarNode>) {
-    let mut peer_index = 0;
     loop {
         let notified =
             tokio::time::timeout(PEER_POLL_INTERVAL, node.newer_revision.notified()).await;
         if notified.is_ok() {
             tokio::time::sleep(OWN_UPDATE_WAIT).await;
         }
-        let peer = match node.newer_peer() {
-            Some(peer) => Some(peer),
-            None if node.known().table.store_unreachable() => {
-                let peers = node.peer_addresses();
-                peer_index += 1;
-                peers.get(peer_index % peers.len().max(1)).copied()
-            }
-            None => None,
-        };
-        let Some(peer) = peer else {
-            continue;
-        };
-        match fetch(&node, peer, Duration::ZERO).await {
-            Ok(snapshot) => apply_peer_snapshot(&node, snapshot, &peer.to_string()),
-            Err(error) => {
-                events::STATE_EXCHANGE_FAILED.emit(format_args!("peer={peer} error={error}"))
-            }
+        let mut peers: Vec<SocketAddr> = node.newer_peer().into_iter().collect();
+        if node.known().table.store_unreachable() || node.may_lack_changes() {
+            peers.extend(random_peers(&node));
         }
+        fetch_from_all(&node, &peers).await;
     }
 }
+
+fn random_peers(node: &SidecarNode) -> Vec<SocketAddr> {
+    let peers = node.peer_addresses();
+    let mut random = rand::rng();
+    peers
+        .choose_multiple(&mut random, RANDOM_PEERS)
+        .copied()
+        .collect()
+}
