Leave out ended targets, and give each host its state soon after a start

All targets start again under new identities, but the registrations of the ended ones remain until their leases expire, and every sender finds that out alone, each time at the cost of an attempt, of the retry budget and of the request's only try. Then: daemons that could not read the store had no state for up to 1.8 s, as nobody knew of them, and refused what came; a dead host cost each sender its connection timeout of 300 ms every 0.4 s.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -61,9 +61,14 @@
 /// age.
 const TRANSFER_RATE_GROWTH: f64 = 1.5;
 
-/// How long a target is skipped after it did not accept a connection.
+/// How long a target is skipped after it did not accept a connection. The time
+/// doubles with each further failure, since each one costs a request its
+/// connection timeout.
 const DOWN_PAUSE: Duration = Duration::from_millis(400);
 
+/// The longest time for which a target is skipped that accepts no connections.
+const MAX_DOWN_PAUSE: Duration = Duration::from_millis(3_200);
+
 /// How long a target is skipped after its owner refused all requests.
 const CLOSED_PAUSE: Duration = Duration::from_millis(700);
 
@@ -192,6 +197,9 @@
     failures: f64,
     failures_at: Duration,
     paused_until: Duration,
+    /// The last pause of a target that accepts no connections; zero after it has
+    /// answered.
+    down_pause: Duration,
     /// The transfer rate of recent long bodies in bytes a second, and when it was
     /// updated.
     transfer_rate: Option<(f64, Duration)>,
@@ -368,6 +376,7 @@
     /// Records a load report from the owner of a target.
     pub fn report(&mut self, id: &SmolStr, report: LoadReport, now: Duration) {
         let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.down_pause = Duration::ZERO;
         // The request whose answer carries the report is no longer in flight.
         estimate.in_flight_at_report = estimate.in_flight.saturating_sub(1);
         estimate.report = Some((report, now));
@@ -442,7 +451,14 @@
                 estimate.record_delay(after, now);
             }
             SendOutcome::Closed => estimate.paused_until = now + CLOSED_PAUSE,
-            SendOutcome::Down => estimate.paused_until = now + DOWN_PAUSE,
+            SendOutcome::Down => {
+                // Requests that were sent at the same time fail together.
+                if estimate.paused_until <= now {
+                    let next = (estimate.down_pause * 2).max(DOWN_PAUSE);
+                    estimate.down_pause = next.min(MAX_DOWN_PAUSE);
+                    estimate.paused_until = now + estimate.down_pause;
+                }
+            }
             SendOutcome::Full | SendOutcome::Cancelled => {}
         }
     }
--- a/crates/mesh/src/state_table.rs
+++ b/crates/mesh/src/state_table.rs
@@ -11,6 +11,7 @@
 //! not evidence of an outage: if this daemon then reads the store without a
 //! failure, missing entries were removed and did not lapse.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -121,6 +122,8 @@
 pub struct StateTable {
     config: Option<Arc<MeshConfig>>,
     targets: IndexMap<SmolStr, TargetEntry>,
+    /// The greatest incarnation that is registered at each address.
+    latest_incarnations: IndexMap<SocketAddr, u64>,
     evacuated_domains: IndexSet<SmolStr>,
     health: StoreHealth,
     /// Whether this daemon itself failed to read the unreachable store, rather
@@ -133,6 +136,7 @@
         StateTable {
             config: None,
             targets: IndexMap::new(),
+            latest_incarnations: IndexMap::new(),
             evacuated_domains: IndexSet::new(),
             health: StoreHealth::Reachable,
             own_read_failed: false,
@@ -151,6 +155,13 @@
         self.targets.values().map(|entry| &entry.record)
     }
 
+    /// Returns whether another target has started at the target's address since;
+    /// see [`TargetRecord::is_superseded_by`].
+    pub fn is_superseded(&self, record: &TargetRecord) -> bool {
+        let latest = self.latest_incarnations.get(&record.address);
+        matches!((record.incarnation, latest), (Some(own), Some(latest)) if own < *latest)
+    }
+
     /// Returns the record of a target.
     pub fn target(&self, id: &str) -> Option<&TargetRecord> {
         self.targets.get(id).map(|entry| &entry.record)
@@ -287,15 +298,20 @@
     /// Removes the lapsed targets that did not register again in time.
     pub fn expire(&mut self, now: Duration) -> Vec<StateEvent> {
         let mut gone = Vec::new();
+        let mut addresses = Vec::new();
         self.targets.retain(|id, entry| {
             let lapsed = entry
                 .removal_due
                 .is_some_and(|removal_due| removal_due <= now);
             if lapsed {
                 gone.push(StateEvent::TargetGone { id: id.clone() });
+                addresses.push(entry.record.address);
             }
             !lapsed
         });
+        for address in addresses {
+            self.update_latest_incarnation(address);
+        }
         if matches!(self.health, StoreHealth::Recovered(at) if at + LAPSE_GRACE <= now) {
             self.health = StoreHealth::Reachable;
         }
@@ -326,6 +342,7 @@
     fn apply_target(&mut self, record: TargetRecord) -> Option<StateEvent> {
         let id = record.id.clone();
         let draining = record.draining;
+        let address = record.address;
         let known = self.targets.insert(
             id.clone(),
             TargetEntry {
@@ -333,7 +350,13 @@
                 removal_due: None,
             },
         );
-        let before = known.map(|entry| entry.record.draining);
+        self.update_latest_incarnation(address);
+        let before = known.map(|entry| {
+            if entry.record.address != address {
+                self.update_latest_incarnation(entry.record.address);
+            }
+            entry.record.draining
+        });
         match (before, draining) {
             (Some(true), true) | (Some(false), false) => None,
             (_, true) => Some(StateEvent::TargetDraining { id }),
@@ -366,9 +389,27 @@
                 Some(StateEvent::TargetLapsed { id })
             }
             _ => {
-                self.targets.shift_remove(&id);
+                let removed = self.targets.shift_remove(&id);
+                if let Some(entry) = removed {
+                    self.update_latest_incarnation(entry.record.address);
+                }
                 Some(StateEvent::TargetGone { id })
             }
         }
     }
+
+    fn update_latest_incarnation(&mut self, address: SocketAddr) {
+        let at_address = self
+            .targets()
+            .filter(|target| target.address == address)
+            .filter_map(|target| target.incarnation);
+        match at_address.max() {
+            Some(latest) => {
+                self.latest_incarnations.insert(address, latest);
+            }
+            None => {
+                self.latest_incarnations.swap_remove(&address);
+            }
+        }
+    }
 }
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -34,4 +34,12 @@
     pub fn same_incarnation(&self, other: &TargetRecord) -> bool {
         self.id == other.id && self.incarnation == other.incarnation
     }
+
+    /// Returns whether another target has started at the same address since. Only
+    /// one target runs at an address, so this one has ended, although its
+    /// registration may remain until its lease expires.
+    pub fn is_superseded_by(&self, other: &TargetRecord) -> bool {
+        self.address == other.address
+            && matches!((self.incarnation, other.incarnation), (Some(own), Some(other)) if own < other)
+    }
 }
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -277,3 +277,42 @@
     ));
     assert!(place(&mut placer, 5000).is_ok());
 }
+
+/// Guards against senders that pay the connection timeout for the same dead host
+/// again and again: the pauses grow until the host answers.
+#[test]
+fn pauses_of_unreachable_host_grow() {
+    let mut placer = TargetPlacer::new(1);
+    let one = [candidate("domain", TargetDistance::SameDomain)];
+    let others = [
+        candidate("domain", TargetDistance::SameDomain),
+        candidate("far", TargetDistance::OtherRegion),
+    ];
+    let mut timeouts = 0;
+    for tick in 0..100 {
+        let now = ms(tick * 100);
+        let id = placer.place(&others, &REQUEST, now).unwrap();
+        let outcome = if id == "domain" {
+            timeouts += 1;
+            SendOutcome::Down
+        } else {
+            SendOutcome::Cancelled
+        };
+        placer.finish(&id, TargetDistance::SameDomain, 0, outcome, now);
+    }
+    assert!(timeouts <= 6, "{timeouts} timeouts in 10 s");
+    // After it has answered, the next pause is short again.
+    placer.report(&one[0].id, load(0, 0, 100), ms(20_000));
+    let id = placer.place(&one, &REQUEST, ms(20_000)).unwrap();
+    placer.finish(
+        &id,
+        TargetDistance::SameDomain,
+        0,
+        SendOutcome::Down,
+        ms(20_000),
+    );
+    assert_eq!(
+        placer.place(&others, &REQUEST, ms(20_500)).unwrap(),
+        "domain"
+    );
+}
--- a/crates/mesh/tests/mesh/state_table.rs
+++ b/crates/mesh/tests/mesh/state_table.rs
@@ -171,3 +171,34 @@
     table.expire(s(4));
     assert_eq!(target_ids(&table), ["back"]);
 }
+
+/// Guards against requests to targets that have ended, after all of them were
+/// killed: their registrations remain until their leases expire, beside those of
+/// the targets that have started at the same addresses.
+#[test]
+fn registration_is_superseded_by_later_start_at_same_address() {
+    let mut table = StateTable::default();
+    let record = |id: &str, incarnation| TargetRecord {
+        incarnation,
+        ..record(id)
+    };
+    let apply = |table: &mut StateTable, record: TargetRecord| {
+        table.apply(StateChange::Target(record), StateSource::Store, s(0));
+    };
+    let old = record("old", Some(1));
+    apply(&mut table, old.clone());
+    assert!(!table.is_superseded(&old));
+    let new = record("new", Some(2));
+    apply(&mut table, new.clone());
+    assert!(table.is_superseded(&old));
+    assert!(!table.is_superseded(&new));
+    // The heartbeat of a target that has not ended does not change the order.
+    apply(&mut table, old.clone());
+    assert!(!table.is_superseded(&new));
+    let gone = StateChange::TargetGone("new".into());
+    table.apply(gone, StateSource::Store, s(1));
+    assert!(!table.is_superseded(&old));
+    // Without a start time, nothing is known about the order.
+    apply(&mut table, record("other", None));
+    assert!(!table.is_superseded(&old));
+}
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -19,6 +19,8 @@
 pub(crate) struct AttemptHistory {
     /// The targets to which the request was offered, in order.
     pub(crate) tried: Vec<SmolStr>,
+    /// The number of owners that refused the request for lack of capacity.
+    pub(crate) refused_offers: usize,
     /// The number of targets that received the request.
     pub(crate) reached: u32,
     /// Why the request may have run, if an attempt has ended without a complete
@@ -60,6 +62,23 @@
     }
 }
 
+/// Returns whether a refusal is due to the load of a target, which the caller's
+/// retry would only add to.
+pub(crate) fn is_for_lack_of_capacity(refusal: &NotRun) -> bool {
+    match refusal.reason {
+        HopReason::Full
+        | HopReason::Cold
+        | HopReason::Expired
+        | HopReason::Shed
+        | HopReason::Unspecified => true,
+        HopReason::Stopping
+        | HopReason::Draining
+        | HopReason::DomainOut
+        | HopReason::OtherTarget
+        | HopReason::Down => false,
+    }
+}
+
 /// Returns the outcome of an attempt for the placer. `spent` is the time
 /// between the request's arrival at the owner and the owner's answer, if the
 /// owner reported it.
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -45,14 +45,22 @@
 /// the time in which a target starts or a state arrives.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// How long a request waits for the first configuration of a daemon that has just
+/// started; most get it within this time.
+const FIRST_CONFIG_WAIT: Duration = Duration::from_millis(150);
+
 /// The greatest fraction by which the retry time of a refused caller is
 /// randomly extended, so that callers do not all retry at once.
 const RETRY_JITTER: f64 = 0.5;
 
 /// The greatest number of targets to which one request is offered while owners
-/// refuse it.
+/// refuse it for lack of capacity.
 const MAX_OFFERS: usize = 4;
 
+/// The greatest number of targets that one request tries, including those that
+/// have ended or cannot be reached.
+const MAX_TRIED: usize = 12;
+
 /// One request with the data that its attempts need.
 struct EntryCall<'a> {
     node: &'a Arc<SidecarNode>,
@@ -70,7 +78,7 @@
     let arrived = node.now();
     let HttpRequest { head, mut body, .. } = request;
     let id = message::request_id(&head.headers);
-    let Some(config) = node.config() else {
+    let Some(config) = node.first_config(FIRST_CONFIG_WAIT).await else {
         return refuse(
             &node,
             id.as_deref(),
@@ -184,7 +192,10 @@
                         history.reached < self.route.attempts
                             && self.try_spend_retry(self.refusal_retry_kind(), &id, "refused")
                     } else {
-                        history.tried.len() < MAX_OFFERS
+                        if attempt::is_for_lack_of_capacity(&refusal) {
+                            history.refused_offers += 1;
+                        }
+                        history.refused_offers < MAX_OFFERS && history.tried.len() < MAX_TRIED
                     };
                     if !try_another {
                         let retry_after = refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -67,6 +67,7 @@
     // known revision. The first read is always a full one.
     let mut full_read_due = false;
     loop {
+        let has_state = node.revision() > 0;
         match step(&node, &store, full_read_due).await {
             Ok(FollowStep::Followed) => {
                 // The received state is newer than an outage noticed before.
@@ -74,6 +75,9 @@
                 tokio::time::sleep(FOLLOW_PAUSE).await;
             }
             Ok(FollowStep::Read) => {
+                if !has_state && node.role() == ReaderRole::Read {
+                    tokio::spawn(state_exchange::push_to_silent_hosts(Arc::clone(&node)));
+                }
                 full_read_due = false;
                 backoff = INITIAL_BACKOFF;
                 if let Some(at) = outage_start.take() {
@@ -111,7 +115,7 @@
 }
 
 async fn step(
-    node: &SidecarNode,
+    node: &Arc<SidecarNode>,
     store: &StoreClient,
     full_read_due: bool,
 ) -> Result<FollowStep, FollowFault> {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use indexmap::IndexSet;
 use radishgauge_events::events;
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MeshRoute;
@@ -87,6 +88,8 @@
     reservations: Mutex<SlotReservations>,
     link: Mutex<LinkLoad>,
     freshness: Mutex<StateFreshness>,
+    /// The hosts whose daemons have sent a request to this one.
+    contacts: Mutex<IndexSet<IpAddr>>,
     stopping: AtomicBool,
 }
 
@@ -123,6 +126,7 @@
             reservations: Mutex::default(),
             link: Mutex::new(link),
             freshness: Mutex::default(),
+            contacts: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
     }
@@ -215,6 +219,28 @@
             .collect()
     }
 
+    /// Records that a daemon sent a request to this one.
+    pub fn record_contact(&self, peer: IpAddr) {
+        lock(&self.contacts).insert(peer);
+    }
+
+    /// Returns the daemons of this host's failure domain that have sent no request
+    /// to this one so far.
+    pub fn silent_domain_hosts(&self) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let mut hosts = self.domain_hosts();
+        hosts.sort_unstable();
+        hosts.dedup();
+        let contacts = lock(&self.contacts);
+        let own = settings.peer_address.ip();
+        let silent = |host: &IpAddr| *host != own && !contacts.contains(host);
+        hosts
+            .into_iter()
+            .filter(silent)
+            .map(|host| SocketAddr::new(host, settings.peer_address.port()))
+            .collect()
+    }
+
     /// Returns the first `count` other hosts in the ranking of readers that are
     /// not known to be unreachable.
     pub fn next_readers(&self, count: usize) -> Vec<SocketAddr> {
@@ -267,6 +293,16 @@
         self.known().table.config().cloned()
     }
 
+    /// Returns the current configuration, and waits at most `time` for the first
+    /// one.
+    pub async fn first_config(&self, time: Duration) -> Option<Arc<MeshConfig>> {
+        let mut changes = self.changes.subscribe();
+        let first = async { while self.config().is_none() && changes.changed().await.is_ok() {} };
+        // The wait ends with a configuration or without one; both are returned.
+        let _ = tokio::time::timeout(time, first).await;
+        self.config()
+    }
+
     /// Whether the daemon has begun to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
@@ -446,6 +482,7 @@
             .targets()
             .filter(|target| target.service == service && !target.draining)
             .filter(|target| !table.is_evacuated(&target.failure_domain))
+            .filter(|target| !table.is_superseded(target))
             .filter_map(|target| self.candidate(target, &settings))
             .filter(|candidate| route.allows_region(&candidate.region))
             .collect()
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -80,6 +80,9 @@
     pub(crate) waiters: HashMap<WaitKey, oneshot::Sender<Result<(), AdmissionRefusal>>>,
     /// The registrations with the address of this host's target.
     records: Vec<TargetRecord>,
+    /// The ID with which the target answered the last health check; `None` if it
+    /// may have restarted since.
+    checked_id: Option<SmolStr>,
     former: VecDeque<SmolStr>,
     policy: Option<ServicePolicy>,
     stopping: bool,
@@ -118,6 +121,7 @@
                 admission: LocalAdmission::new(INITIAL_CAPACITY),
                 waiters: HashMap::new(),
                 records: Vec::new(),
+                checked_id: None,
                 former: VecDeque::new(),
                 policy: None,
                 stopping: false,
@@ -222,6 +226,7 @@
             events::TARGET_DOWN.emit(format_args!("error={error}"));
         }
         state.down = true;
+        state.checked_id = None;
         // Connections that are still open belong to the target's previous
         // incarnation.
         self.client().close_idle();
@@ -247,6 +252,7 @@
             events::TARGET_UP.emit(format_args!("target={id} cold_ms={cold_ms}"));
         }
         state.down = false;
+        state.checked_id = target.map(SmolStr::from);
         state.connection_losses = connection_losses;
         if cold_left.is_zero() {
             state.admission.cold_mut().set_warm();
@@ -442,6 +448,7 @@
 
     /// Treats the target as cold until a health check reports otherwise.
     fn assume_cold(&mut self, now: Duration) {
+        self.checked_id = None;
         let time = self
             .policy
             .as_ref()
@@ -459,6 +466,11 @@
         while self.former.len() > MAX_FORMER_TARGETS {
             self.former.pop_front();
         }
+        let is_new = |record: &TargetRecord| !self.records.iter().any(|old| old.id == record.id);
+        if records.iter().any(is_new) {
+            // The target may have restarted since the last health check.
+            self.checked_id = None;
+        }
         for record in &records {
             self.former.retain(|id| *id != record.id);
             let known = self.records.iter().find(|old| old.same_incarnation(record));
@@ -469,20 +481,22 @@
                 self.admission.cold_mut().set_cold(until, rate);
             }
         }
-        if let Some(record) = records.iter().find(|record| !record.draining) {
+        let serving = records.iter().filter(|record| !record.draining);
+        if let Some(record) = serving.max_by_key(|record| record.incarnation) {
             self.admission.set_limit(record.capacity);
         }
         self.records = records;
     }
 
-    /// Returns whether the target that a sender names is draining or was
-    /// removed.
+    /// Returns whether the target that a sender names is draining, was removed, or
+    /// has been replaced by another one.
     fn is_former(&self, target: &str) -> bool {
-        let record = self.records.iter().find(|record| record.id == target);
-        match record {
-            Some(record) => record.draining,
-            None => self.former.iter().any(|id| id == target),
-        }
+        let Some(record) = self.records.iter().find(|record| record.id == target) else {
+            return self.former.iter().any(|id| id == target);
+        };
+        let is_replaced = self.checked_id.as_ref().is_some_and(|id| id != target);
+        let is_superseded = |other| record.is_superseded_by(other);
+        record.draining || is_replaced || self.records.iter().any(is_superseded)
     }
 
     fn update_closed(&mut self) {
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -32,6 +32,8 @@
         remote,
         ..
     } = request;
+    let peer = SocketAddr::new(remote.ip(), node.settings().peer_address.port());
+    node.record_contact(peer.ip());
     let Some(hop_head) = hop::take_head(&mut head.headers) else {
         if head.uri.path() == slot_offer::OFFER_PATH {
             let id = message::request_id(&head.headers).unwrap_or_default();
@@ -39,7 +41,6 @@
         }
         return state_exchange::serve(&node, &head.method, &head.uri, body).await;
     };
-    let peer = SocketAddr::new(remote.ip(), node.settings().peer_address.port());
     node.record_peer_revision(peer, hop_head.revision);
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -55,6 +55,10 @@
 /// requests the state from a peer.
 const OWN_UPDATE_WAIT: Duration = Duration::from_millis(300);
 
+/// How long the hosts of a failure domain have to contact a daemon that has just
+/// read its first state.
+const FIRST_CONTACT_TIME: Duration = Duration::from_millis(250);
+
 /// The interval of requests to random peers while the known state may be out of
 /// date.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(700);
@@ -247,6 +251,16 @@
     }
 }
 
+/// Pushes the state to the hosts of this failure domain that have sent nothing so
+/// far. A daemon that has just started and cannot read the store knows no other
+/// daemon that it could ask.
+pub async fn push_to_silent_hosts(node: Arc<SidecarNode>) {
+    tokio::time::sleep(FIRST_CONTACT_TIME).await;
+    let silent_hosts = node.silent_domain_hosts();
+    let pushes = silent_hosts.into_iter().map(|peer| push_state(&node, peer));
+    futures_util::future::join_all(pushes).await;
+}
+
 async fn push_state(node: &SidecarNode, peer: SocketAddr) {
     let push = async {
         let body = encode(node, 0)?;
@@ -280,8 +294,15 @@
 /// # Errors
 ///
 /// When the daemon does not answer in time or its answer is invalid.
-pub async fn follow(node: &SidecarNode, peer: SocketAddr, wait: Duration) -> anyhow::Result<bool> {
+pub async fn follow(
+    node: &Arc<SidecarNode>,
+    peer: SocketAddr,
+    wait: Duration,
+) -> anyhow::Result<bool> {
     let snapshot = fetch(node, peer, wait).await?;
+    if snapshot.revision == 0 {
+        node.handle_owner_revision(peer, snapshot.revision);
+    }
     let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
     apply_followed_snapshot(node, snapshot);
     Ok(store_unreachable)
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -101,7 +101,7 @@
 /// the time limit, so that the next reader can be asked in time.
 #[tokio::test(start_paused = true)]
 async fn following_a_silent_reader_fails_within_half_the_apply_bound() {
-    let node = node();
+    let node = Arc::new(node());
     let silent = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
     let peer = silent.local_addr().unwrap();
     let wait = node.settings().apply_bound.mul_f64(follow::FOLLOW_FRACTION);
