Leave busy targets in home regions to requests that need them

Change: a target in a home region of another route of its service costs an unrestricted request more the busier it is, so that these go to another region before the target is full.

Tests: placement and config, which fail without it.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use smol_str::SmolStr;
 
 /// The limits on the requests of callers.
@@ -116,6 +117,8 @@
     /// The routes by `Host` header, the longest prefix first.
     hosts: IndexMap<SmolStr, Vec<RouteKey>>,
     services: IndexMap<SmolStr, ServicePolicy>,
+    /// The regions to which some route of a service is restricted, by service.
+    home_regions: IndexMap<SmolStr, IndexSet<SmolStr>>,
 }
 
 impl MeshConfig {
@@ -134,15 +137,24 @@
         for keys in hosts.values_mut() {
             keys.sort_by_key(|key| std::cmp::Reverse(routes[key.0 as usize].prefix.len()));
         }
+        let home_regions = home_regions(&routes);
         MeshConfig {
             version,
             limits,
             routes,
             hosts,
             services,
+            home_regions,
         }
     }
 
+    /// Returns whether some route of a service may be handled only in a few
+    /// regions, and `region` is one of them.
+    pub fn is_home_region(&self, service: &str, region: &str) -> bool {
+        let regions = self.home_regions.get(service);
+        regions.is_some_and(|regions| regions.contains(region))
+    }
+
     /// Returns the number of the version; a greater one is newer.
     pub fn version(&self) -> u64 {
         self.version
@@ -172,3 +184,14 @@
         self.services.get(name)
     }
 }
+
+fn home_regions(routes: &[MeshRoute]) -> IndexMap<SmolStr, IndexSet<SmolStr>> {
+    let mut home_regions: IndexMap<SmolStr, IndexSet<SmolStr>> = IndexMap::new();
+    for route in routes.iter().filter(|route| !route.regions.is_empty()) {
+        for weighted in &route.split {
+            let regions = home_regions.entry(weighted.service.clone()).or_default();
+            regions.extend(route.regions.iter().cloned());
+        }
+    }
+    home_regions
+}
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -47,6 +47,10 @@
 /// The penalty for a target in another region, as a fraction of the objective.
 const OTHER_REGION_PENALTY: f64 = 0.3;
 
+/// The penalty for a fully occupied target that other requests need more, as a
+/// fraction of the objective. It exceeds the cost of another region.
+const SCARCE_PENALTY: f64 = 0.9;
+
 /// The length of a body that doubles the distance penalty, in bytes.
 const PENALTY_DOUBLING_BYTES: f64 = 32_768.0;
 
@@ -128,6 +132,9 @@
     pub distance: TargetDistance,
     /// The number of requests that it runs concurrently, as registered.
     pub capacity: u32,
+    /// Whether some other requests may be handled in this region only, while this
+    /// one may be handled elsewhere too.
+    pub is_scarce: bool,
 }
 
 /// The properties of a request that determine its placement.
@@ -281,19 +288,23 @@
     /// Returns the expected wait of one more request.
     fn wait(&self, capacity: u32, service_time: Duration, now: Duration) -> Duration {
         let limit = f64::from(capacity.max(1));
-        let (others, reported_wait) = match self.report {
-            None => (0.0, Duration::ZERO),
-            Some((report, at)) => {
-                let age = now.saturating_sub(at);
-                let decay = (-age.as_secs_f64() / REPORT_DECAY_TIME.as_secs_f64()).exp();
-                let others = f64::from(report.occupied.saturating_sub(self.in_flight_at_report));
-                (others * decay, report.wait.saturating_sub(age))
-            }
-        };
-        let excess = others + f64::from(self.in_flight) + 1.0 - limit;
+        let reported_wait = self.report.map_or(Duration::ZERO, |(report, at)| {
+            report.wait.saturating_sub(now.saturating_sub(at))
+        });
+        let excess = self.occupied(now) + 1.0 - limit;
         let slot_wait = service_time.mul_f64(excess.max(0.0) / limit);
         slot_wait.max(reported_wait)
     }
+
+    /// Returns the expected number of requests that run or wait at the target.
+    fn occupied(&self, now: Duration) -> f64 {
+        let others = self.report.map_or(0.0, |(report, at)| {
+            let age = now.saturating_sub(at).as_secs_f64();
+            let others = f64::from(report.occupied.saturating_sub(self.in_flight_at_report));
+            others * (-age / REPORT_DECAY_TIME.as_secs_f64()).exp()
+        });
+        others + f64::from(self.in_flight)
+    }
 }
 
 /// Chooses targets for the requests of one host, from its observations of them.
@@ -512,6 +523,12 @@
             TargetDistance::OtherRegion => OTHER_REGION_PENALTY,
         };
         let distance_penalty = distance_penalty * body_factor.min(MAX_PENALTY_FACTOR) * objective;
+        let scarce_penalty = if candidate.is_scarce {
+            let occupied = estimate.occupied(now) / f64::from(candidate.capacity.max(1));
+            SCARCE_PENALTY * occupied.min(1.0) * objective
+        } else {
+            0.0
+        };
         let transfer = estimate.transfer_time(request.body_bytes, now);
         let added_delay = (transfer + estimate.delay(now)).as_secs_f64();
         let round_trip = self.round_trips[candidate.distance as usize] + added_delay;
@@ -524,6 +541,7 @@
             + wait.as_secs_f64()
             + failures
             + distance_penalty
+            + scarce_penalty
             + noise
     }
 }
--- a/crates/mesh/tests/mesh/config.rs
+++ b/crates/mesh/tests/mesh/config.rs
@@ -72,3 +72,17 @@
     assert!(route.allows_region("bahir"));
     assert!(!route.allows_region("addis"));
 }
+
+/// Guards against a service whose targets in a home region are used by requests
+/// that may be handled anywhere.
+#[test]
+fn home_regions_are_those_of_restricted_routes() {
+    let restricted = MeshRoute {
+        regions: vec!["south".into()],
+        ..route("sale", "a", "/s/", &[("desk", 1), ("shop", 0)])
+    };
+    let config = config(vec![restricted, route("read", "a", "/r/", &[("book", 1)])]);
+    assert!(config.is_home_region("desk", "south"));
+    assert!(!config.is_home_region("desk", "north"));
+    assert!(!config.is_home_region("book", "south"));
+}
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -25,6 +25,7 @@
         id: id.into(),
         distance,
         capacity: 10,
+        is_scarce: false,
     }
 }
 
@@ -316,3 +317,27 @@
         "domain"
     );
 }
+
+/// Guards against requests that displace others which may be handled in this
+/// region only: a busy target is left to them, although another one is farther.
+/// While it is idle, the near target is used.
+#[test]
+fn busy_target_is_left_to_requests_that_need_it() {
+    let call = PlaceRequest {
+        objective: ms(120),
+        patience: ms(300),
+        ..REQUEST
+    };
+    let candidates = [
+        PlaceCandidate {
+            is_scarce: true,
+            ..candidate("domain", TargetDistance::SameDomain)
+        },
+        candidate("far", TargetDistance::OtherRegion),
+    ];
+    for (occupied, expected) in [(0, "domain"), (9, "far")] {
+        let mut placer = placer(&[("domain", load(occupied, 0, 30)), ("far", load(0, 0, 30))]);
+        let id = placer.place(&candidates, &call, ms(1)).unwrap();
+        assert_eq!(id, expected, "{occupied} of 10 slots occupied");
+    }
+}
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -208,6 +208,7 @@
                 id: target_id(target),
                 distance: TargetDistance::SameRegion,
                 capacity: SLOTS,
+                is_scarce: false,
             })
             .collect();
         let objective = self.objective_left(index, now);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -485,6 +485,13 @@
             .filter(|target| !table.is_superseded(target))
             .filter_map(|target| self.candidate(target, &settings))
             .filter(|candidate| route.allows_region(&candidate.region))
+            .map(|mut candidate| {
+                candidate.place.is_scarce = route.regions.is_empty()
+                    && table
+                        .config()
+                        .is_some_and(|config| config.is_home_region(service, &candidate.region));
+                candidate
+            })
             .collect()
     }
 
@@ -504,6 +511,7 @@
                 id: target.id.clone(),
                 distance,
                 capacity: target.capacity,
+                is_scarce: false,
             },
             region,
             peer: self.peers.address_of(target.address),
