Split the sidecar's entry, node and owner by their jobs

Answers of the daemon itself go to local_reply, the hosts that it knows to known_hosts, the owner's state to owner_state. Moved as they were; no decision changed.

--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -30,7 +30,8 @@
 use crate::attempt::AttemptHistory;
 use crate::attempt::PendingAttempt;
 use crate::hop;
-use crate::node::Candidate;
+use crate::known_hosts::Candidate;
+use crate::local_reply;
 use crate::node::SidecarNode;
 use crate::origin::RequestOrigin;
 use crate::peers::HopOutcome;
@@ -79,7 +80,7 @@
     let HttpRequest { head, mut body, .. } = request;
     let id = message::request_id(&head.headers);
     let Some(config) = node.first_config(FIRST_CONFIG_WAIT).await else {
-        return refuse(
+        return local_reply::refuse(
             &node,
             id.as_deref(),
             "no configuration",
@@ -87,28 +88,28 @@
         );
     };
     let Some(id) = id else {
-        return error_answer(StatusCode::BAD_REQUEST, None, "no request id");
+        return local_reply::error(StatusCode::BAD_REQUEST, None, "no request id");
     };
     let host = head.headers.get(header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
     let Some(route) = config.find(host, head.uri.path()) else {
         if node.may_lack_changes() {
-            return refuse(
+            return local_reply::refuse(
                 &node,
                 Some(&id),
                 "no route in an old state",
                 DEFAULT_RETRY_AFTER,
             );
         }
-        return error_answer(StatusCode::NOT_FOUND, Some(&id), "no route");
+        return local_reply::error(StatusCode::NOT_FOUND, Some(&id), "no route");
     };
     let body = match body.whole(config.limits().body_bytes).await {
         Ok(body) => body,
         Err(BodyFault::TooLarge { .. }) => {
-            return error_answer(StatusCode::PAYLOAD_TOO_LARGE, Some(&id), "body too large");
+            return local_reply::error(StatusCode::PAYLOAD_TOO_LARGE, Some(&id), "body too large");
         }
         Err(BodyFault::Cut(_)) => {
-            return error_answer(StatusCode::BAD_REQUEST, Some(&id), "body was cut off");
+            return local_reply::error(StatusCode::BAD_REQUEST, Some(&id), "body was cut off");
         }
     };
     let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
@@ -117,7 +118,7 @@
     hop::remove_fields(&mut headers);
     let draw = rand::rng().random_range(0.0..1.0);
     let Some(service) = route.service(draw).cloned() else {
-        return refuse(&node, Some(&id), "no service", DEFAULT_RETRY_AFTER);
+        return local_reply::refuse(&node, Some(&id), "no service", DEFAULT_RETRY_AFTER);
     };
     let call = EntryCall {
         node: &node,
@@ -460,12 +461,7 @@
             ),
             now,
         );
-        daemon_answer(
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(&self.request.id),
-            "not run",
-            Some(retry_after),
-        )
+        local_reply::refused(Some(&self.request.id), "not run", retry_after)
     }
 
     fn timed_out(&self, history: &mut AttemptHistory) -> HttpAnswer {
@@ -509,42 +505,6 @@
             ),
             now,
         );
-        error_answer(status, Some(&self.request.id), reason)
+        local_reply::error(status, Some(&self.request.id), reason)
     }
 }
-
-fn refuse(
-    node: &SidecarNode,
-    id: Option<&str>,
-    reason: &'static str,
-    retry_after: Duration,
-) -> HttpAnswer {
-    node.request_log.log_other(
-        &events::REQUEST_REFUSED,
-        id.unwrap_or_default(),
-        format_args!("reason={reason}"),
-        node.now(),
-    );
-    daemon_answer(
-        StatusCode::SERVICE_UNAVAILABLE,
-        id,
-        reason,
-        Some(retry_after),
-    )
-}
-
-fn error_answer(status: StatusCode, id: Option<&str>, reason: &'static str) -> HttpAnswer {
-    daemon_answer(status, id, reason, None)
-}
-
-fn daemon_answer(
-    status: StatusCode,
-    id: Option<&str>,
-    reason: &'static str,
-    retry_after: Option<Duration>,
-) -> HttpAnswer {
-    let mut response = Response::new(AnswerBody::whole(reason));
-    *response.status_mut() = status;
-    message::set_local_reply_headers(response.headers_mut(), id, retry_after);
-    response
-}
--- /dev/null
+++ b/crates/sidecar/src/known_hosts.rs
@@ -0,0 +1,141 @@
+//! The other hosts as a daemon knows them: the targets to which a request may be
+//! sent, and the daemons beside them.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+
+use radishgauge_mesh::MeshRoute;
+use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::placement::PlaceCandidate;
+use radishgauge_mesh::placement::TargetDistance;
+use radishgauge_platform::HostSettings;
+use smol_str::SmolStr;
+
+use crate::node::SidecarNode;
+use crate::node::lock;
+
+/// A target to which a request may be sent.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The properties of the target on which its placement depends.
+    pub place: PlaceCandidate,
+    /// The region of the target's host.
+    pub region: SmolStr,
+    /// The address of the daemon on the target's host.
+    pub peer: SocketAddr,
+}
+
+impl SidecarNode {
+    /// Returns the targets of `service` to which a request of the route may be
+    /// sent.
+    pub fn candidates(&self, route: &MeshRoute, service: &str) -> Vec<Candidate> {
+        let settings = self.settings();
+        let known = self.known();
+        let table = &known.table;
+        table
+            .targets()
+            .filter(|target| target.service == service && !target.draining)
+            .filter(|target| !table.is_evacuated(&target.failure_domain))
+            .filter(|target| !table.is_superseded(target))
+            .filter_map(|target| self.candidate(target, &settings))
+            .filter(|candidate| route.allows_region(&candidate.region))
+            .map(|mut candidate| {
+                candidate.place.is_scarce = route.regions.is_empty()
+                    && table
+                        .config()
+                        .is_some_and(|config| config.is_home_region(service, &candidate.region));
+                candidate
+            })
+            .collect()
+    }
+
+    fn candidate(&self, target: &TargetRecord, settings: &HostSettings) -> Option<Candidate> {
+        let region = settings.domain_regions.get(&target.failure_domain)?.clone();
+        let distance = if target.address == settings.target_address {
+            TargetDistance::SameHost
+        } else if target.failure_domain == settings.failure_domain {
+            TargetDistance::SameDomain
+        } else if region == settings.region {
+            TargetDistance::SameRegion
+        } else {
+            TargetDistance::OtherRegion
+        };
+        Some(Candidate {
+            place: PlaceCandidate {
+                id: target.id.clone(),
+                distance,
+                capacity: target.capacity,
+                is_scarce: false,
+            },
+            region,
+            peer: self.peers.address_of(target.address),
+        })
+    }
+
+    /// Returns the addresses of the other daemons, starting with those in this
+    /// host's failure domain.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let known = self.known();
+        let mut peers: Vec<(bool, SocketAddr)> = known
+            .table
+            .targets()
+            .map(|target| {
+                let other_domain = target.failure_domain != settings.failure_domain;
+                (other_domain, self.peers.address_of(target.address))
+            })
+            .filter(|(_, peer)| peer.ip() != settings.peer_address.ip())
+            .collect();
+        peers.sort_unstable();
+        peers.dedup();
+        peers.into_iter().map(|(_, peer)| peer).collect()
+    }
+
+    /// Records that a daemon sent a request to this one.
+    pub fn record_contact(&self, peer: IpAddr) {
+        lock(&self.contacts).insert(peer);
+    }
+
+    /// Returns the daemons of this host's failure domain that have sent no request
+    /// to this one so far.
+    pub fn silent_domain_hosts(&self) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let mut hosts = self.domain_hosts();
+        hosts.sort_unstable();
+        hosts.dedup();
+        let contacts = lock(&self.contacts);
+        let own = settings.peer_address.ip();
+        let silent = |host: &IpAddr| *host != own && !contacts.contains(host);
+        hosts
+            .into_iter()
+            .filter(silent)
+            .map(|host| SocketAddr::new(host, settings.peer_address.port()))
+            .collect()
+    }
+
+    /// Returns the first `count` other hosts in the ranking of readers that are
+    /// not known to be unreachable.
+    pub fn next_readers(&self, count: usize) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let own = settings.peer_address.ip();
+        let hosts = self.domain_hosts();
+        let ranked = self
+            .ranking()
+            .ranked(own, &settings.failure_domain, &hosts, self.now());
+        let others = ranked.into_iter().filter(|host| *host != own).take(count);
+        others
+            .map(|host| SocketAddr::new(host, settings.peer_address.port()))
+            .collect()
+    }
+
+    /// Returns the hosts of this host's failure domain.
+    pub(crate) fn domain_hosts(&self) -> Vec<IpAddr> {
+        let settings = self.settings();
+        let known = self.known();
+        let targets = known.table.targets();
+        targets
+            .filter(|target| target.failure_domain == settings.failure_domain)
+            .map(|target| target.address.ip())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/sidecar/src/local_reply.rs
@@ -0,0 +1,57 @@
+//! Answers that the daemon itself gives to callers, without a target.
+
+use std::time::Duration;
+
+use http::Response;
+use http::StatusCode;
+use radishgauge_events::events;
+use radishgauge_net::HttpAnswer;
+use radishgauge_net::exchange::AnswerBody;
+use radishgauge_platform::message;
+
+use crate::node::SidecarNode;
+
+/// Logs a refusal that precedes the choice of a target, and returns the answer: the
+/// request has not run.
+pub(crate) fn refuse(
+    node: &SidecarNode,
+    id: Option<&str>,
+    reason: &'static str,
+    retry_after: Duration,
+) -> HttpAnswer {
+    node.request_log.log_other(
+        &events::REQUEST_REFUSED,
+        id.unwrap_or_default(),
+        format_args!("reason={reason}"),
+        node.now(),
+    );
+    refused(id, reason, retry_after)
+}
+
+/// Returns the answer to a request that has not run and may be sent again after
+/// `retry_after`.
+pub(crate) fn refused(id: Option<&str>, reason: &'static str, retry_after: Duration) -> HttpAnswer {
+    answer(
+        StatusCode::SERVICE_UNAVAILABLE,
+        id,
+        reason,
+        Some(retry_after),
+    )
+}
+
+/// Returns an answer without a time after which the request may be sent again.
+pub(crate) fn error(status: StatusCode, id: Option<&str>, reason: &'static str) -> HttpAnswer {
+    answer(status, id, reason, None)
+}
+
+fn answer(
+    status: StatusCode,
+    id: Option<&str>,
+    reason: &'static str,
+    retry_after: Option<Duration>,
+) -> HttpAnswer {
+    let mut response = Response::new(AnswerBody::whole(reason));
+    *response.status_mut() = status;
+    message::set_local_reply_headers(response.headers_mut(), id, retry_after);
+    response
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -14,16 +14,12 @@
 use indexmap::IndexSet;
 use radishgauge_events::events;
 use radishgauge_mesh::MeshConfig;
-use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::RetryBudget;
 use radishgauge_mesh::StateFreshness;
 use radishgauge_mesh::StateTable;
 use radishgauge_mesh::TargetPlacer;
-use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::body_admission::BodyAdmission;
 use radishgauge_mesh::link_load::LinkLoad;
-use radishgauge_mesh::placement::PlaceCandidate;
-use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::reader::ReaderRanking;
 use radishgauge_mesh::reader::ReaderRole;
 use radishgauge_mesh::state_table::StateEvent;
@@ -34,7 +30,6 @@
 use radishgauge_platform::StoreView;
 use radishgauge_platform::view::ViewChanges;
 use radishgauge_schema::hop::HopReport;
-use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
@@ -89,7 +84,7 @@
     link: Mutex<LinkLoad>,
     freshness: Mutex<StateFreshness>,
     /// The hosts whose daemons have sent a request to this one.
-    contacts: Mutex<IndexSet<IpAddr>>,
+    pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
     stopping: AtomicBool,
 }
 
@@ -208,54 +203,6 @@
         lock(&self.ranking)
     }
 
-    /// Returns the hosts of this host's failure domain.
-    fn domain_hosts(&self) -> Vec<IpAddr> {
-        let settings = self.settings();
-        let known = self.known();
-        let targets = known.table.targets();
-        targets
-            .filter(|target| target.failure_domain == settings.failure_domain)
-            .map(|target| target.address.ip())
-            .collect()
-    }
-
-    /// Records that a daemon sent a request to this one.
-    pub fn record_contact(&self, peer: IpAddr) {
-        lock(&self.contacts).insert(peer);
-    }
-
-    /// Returns the daemons of this host's failure domain that have sent no request
-    /// to this one so far.
-    pub fn silent_domain_hosts(&self) -> Vec<SocketAddr> {
-        let settings = self.settings();
-        let mut hosts = self.domain_hosts();
-        hosts.sort_unstable();
-        hosts.dedup();
-        let contacts = lock(&self.contacts);
-        let own = settings.peer_address.ip();
-        let silent = |host: &IpAddr| *host != own && !contacts.contains(host);
-        hosts
-            .into_iter()
-            .filter(silent)
-            .map(|host| SocketAddr::new(host, settings.peer_address.port()))
-            .collect()
-    }
-
-    /// Returns the first `count` other hosts in the ranking of readers that are
-    /// not known to be unreachable.
-    pub fn next_readers(&self, count: usize) -> Vec<SocketAddr> {
-        let settings = self.settings();
-        let own = settings.peer_address.ip();
-        let hosts = self.domain_hosts();
-        let ranked = self
-            .ranking()
-            .ranked(own, &settings.failure_domain, &hosts, self.now());
-        let others = ranked.into_iter().filter(|host| *host != own).take(count);
-        others
-            .map(|host| SocketAddr::new(host, settings.peer_address.port()))
-            .collect()
-    }
-
     /// Returns whether this daemon reads the store itself or follows another
     /// daemon.
     pub fn role(&self) -> ReaderRole {
@@ -471,82 +418,6 @@
             .filter(|(revision, _)| *revision > self.revision())
             .map(|(_, peer)| peer)
     }
-
-    /// Returns the targets of `service` to which a request of the route may be
-    /// sent.
-    pub fn candidates(&self, route: &MeshRoute, service: &str) -> Vec<Candidate> {
-        let settings = self.settings();
-        let known = self.known();
-        let table = &known.table;
-        table
-            .targets()
-            .filter(|target| target.service == service && !target.draining)
-            .filter(|target| !table.is_evacuated(&target.failure_domain))
-            .filter(|target| !table.is_superseded(target))
-            .filter_map(|target| self.candidate(target, &settings))
-            .filter(|candidate| route.allows_region(&candidate.region))
-            .map(|mut candidate| {
-                candidate.place.is_scarce = route.regions.is_empty()
-                    && table
-                        .config()
-                        .is_some_and(|config| config.is_home_region(service, &candidate.region));
-                candidate
-            })
-            .collect()
-    }
-
-    fn candidate(&self, target: &TargetRecord, settings: &HostSettings) -> Option<Candidate> {
-        let region = settings.domain_regions.get(&target.failure_domain)?.clone();
-        let distance = if target.address == settings.target_address {
-            TargetDistance::SameHost
-        } else if target.failure_domain == settings.failure_domain {
-            TargetDistance::SameDomain
-        } else if region == settings.region {
-            TargetDistance::SameRegion
-        } else {
-            TargetDistance::OtherRegion
-        };
-        Some(Candidate {
-            place: PlaceCandidate {
-                id: target.id.clone(),
-                distance,
-                capacity: target.capacity,
-                is_scarce: false,
-            },
-            region,
-            peer: self.peers.address_of(target.address),
-        })
-    }
-
-    /// Returns the addresses of the other daemons, starting with those in this
-    /// host's failure domain.
-    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
-        let settings = self.settings();
-        let known = self.known();
-        let mut peers: Vec<(bool, SocketAddr)> = known
-            .table
-            .targets()
-            .map(|target| {
-                let other_domain = target.failure_domain != settings.failure_domain;
-                (other_domain, self.peers.address_of(target.address))
-            })
-            .filter(|(_, peer)| peer.ip() != settings.peer_address.ip())
-            .collect();
-        peers.sort_unstable();
-        peers.dedup();
-        peers.into_iter().map(|(_, peer)| peer).collect()
-    }
-}
-
-/// A target to which a request may be sent.
-#[derive(Debug, Clone)]
-pub struct Candidate {
-    /// The properties of the target on which its placement depends.
-    pub place: PlaceCandidate,
-    /// The region of the target's host.
-    pub region: SmolStr,
-    /// The address of the daemon on the target's host.
-    pub peer: SocketAddr,
 }
 
 /// Locks a mutex, ignoring poisoning. Code that holds one of these locks leaves
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -4,8 +4,6 @@
 //! Requests from this host and from others pass the same admission, so the
 //! target's limits hold even when senders have outdated information.
 
-use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -17,14 +15,11 @@
 use radishgauge_mesh::AdmissionDecision;
 use radishgauge_mesh::AdmissionRequest;
 use radishgauge_mesh::LoadReport;
-use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::ServicePolicy;
 use radishgauge_mesh::StateTable;
-use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
-use radishgauge_mesh::admission::WaitKey;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -40,15 +35,13 @@
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::node::lock;
+use crate::owner_state::OwnerState;
 use crate::slot::AdmittedRequest;
 use crate::slot::QueuedRequest;
 use crate::slot::RunningSlot;
 use crate::target_call;
 use crate::target_call::BufferedRequest;
 
-/// The capacity that is assumed of a target before its registration is known.
-const INITIAL_CAPACITY: u32 = 4;
-
 /// How long a connection to the target may take to open. It is short because
 /// the target is on this host.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -70,33 +63,6 @@
 /// use.
 const ANSWER_MEMORY_FRACTION: f64 = 0.25;
 
-/// The greatest number of former target IDs that are remembered. A sender with
-/// an older state that names one of them is refused.
-const MAX_FORMER_TARGETS: usize = 64;
-
-/// The known state of the target, and the requests that run or wait.
-pub(crate) struct OwnerState {
-    pub(crate) admission: LocalAdmission,
-    pub(crate) waiters: HashMap<WaitKey, oneshot::Sender<Result<(), AdmissionRefusal>>>,
-    /// The registrations with the address of this host's target.
-    records: Vec<TargetRecord>,
-    /// The ID with which the target answered the last health check; `None` if it
-    /// may have restarted since.
-    checked_id: Option<SmolStr>,
-    former: VecDeque<SmolStr>,
-    policy: Option<ServicePolicy>,
-    stopping: bool,
-    domain_evacuated: bool,
-    down: bool,
-    /// The IDs of the requests that run at the target, and whether each run is
-    /// a retry.
-    runs: HashMap<SmolStr, bool>,
-    /// The last known count of how often the target closed its last remaining
-    /// connection.
-    connection_losses: u64,
-    timer: Option<Duration>,
-}
-
 /// The owner of this host's target.
 pub struct TargetOwner {
     pub(crate) clock: Arc<dyn ProcessClock>,
@@ -117,20 +83,7 @@
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
             answer_budget,
-            state: Mutex::new(OwnerState {
-                admission: LocalAdmission::new(INITIAL_CAPACITY),
-                waiters: HashMap::new(),
-                records: Vec::new(),
-                checked_id: None,
-                former: VecDeque::new(),
-                policy: None,
-                stopping: false,
-                domain_evacuated: false,
-                down: false,
-                runs: HashMap::new(),
-                connection_losses: 0,
-                timer: None,
-            }),
+            state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
         }
     }
@@ -441,81 +394,6 @@
     TargetClient::with_budget(address, limits, Arc::clone(answer_budget))
 }
 
-impl OwnerState {
-    fn cold_rate(&self) -> f64 {
-        self.policy.as_ref().map_or(1.0, |policy| policy.cold_rate)
-    }
-
-    /// Treats the target as cold until a health check reports otherwise.
-    fn assume_cold(&mut self, now: Duration) {
-        self.checked_id = None;
-        let time = self
-            .policy
-            .as_ref()
-            .map_or(Duration::ZERO, |policy| policy.cold_time);
-        let rate = self.cold_rate();
-        self.admission.cold_mut().set_cold(now + time, rate);
-    }
-
-    fn update_records(&mut self, records: Vec<TargetRecord>, now: Duration) {
-        for old in &self.records {
-            if !records.iter().any(|record| record.id == old.id) {
-                self.former.push_back(old.id.clone());
-            }
-        }
-        while self.former.len() > MAX_FORMER_TARGETS {
-            self.former.pop_front();
-        }
-        let is_new = |record: &TargetRecord| !self.records.iter().any(|old| old.id == record.id);
-        if records.iter().any(is_new) {
-            // The target may have restarted since the last health check.
-            self.checked_id = None;
-        }
-        for record in &records {
-            self.former.retain(|id| *id != record.id);
-            let known = self.records.iter().find(|old| old.same_incarnation(record));
-            let newly_cold = known.is_none_or(|old| old.cold_left != record.cold_left);
-            if newly_cold && !record.cold_left.is_zero() {
-                let rate = self.cold_rate();
-                let until = now + record.cold_left;
-                self.admission.cold_mut().set_cold(until, rate);
-            }
-        }
-        let serving = records.iter().filter(|record| !record.draining);
-        if let Some(record) = serving.max_by_key(|record| record.incarnation) {
-            self.admission.set_limit(record.capacity);
-        }
-        self.records = records;
-    }
-
-    /// Returns whether the target that a sender names is draining, was removed, or
-    /// has been replaced by another one.
-    fn is_former(&self, target: &str) -> bool {
-        let Some(record) = self.records.iter().find(|record| record.id == target) else {
-            return self.former.iter().any(|id| id == target);
-        };
-        let is_replaced = self.checked_id.as_ref().is_some_and(|id| id != target);
-        let is_superseded = |other| record.is_superseded_by(other);
-        record.draining || is_replaced || self.records.iter().any(is_superseded)
-    }
-
-    fn update_closed(&mut self) {
-        let drained = !self.records.is_empty() && self.records.iter().all(|record| record.draining);
-        let closed = if self.stopping {
-            Some(CloseReason::Stopping)
-        } else if self.domain_evacuated {
-            Some(CloseReason::DomainOut)
-        } else if drained {
-            Some(CloseReason::Draining)
-        } else if self.down {
-            Some(CloseReason::Down)
-        } else {
-            None
-        };
-        self.admission.set_closed(closed);
-    }
-}
-
 pub(crate) fn not_run(refusal: AdmissionRefusal) -> NotRun {
     let reason = match refusal.reason {
         RefuseReason::Full => HopReason::Full,
--- /dev/null
+++ b/crates/sidecar/src/owner_state.rs
@@ -0,0 +1,139 @@
+//! What an owner knows of its target, and the requests that run or wait there.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use radishgauge_mesh::LocalAdmission;
+use radishgauge_mesh::ServicePolicy;
+use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::admission::AdmissionRefusal;
+use radishgauge_mesh::admission::CloseReason;
+use radishgauge_mesh::admission::WaitKey;
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+/// The capacity that is assumed of a target before its registration is known.
+const INITIAL_CAPACITY: u32 = 4;
+
+/// The greatest number of former target IDs that are remembered. A sender with
+/// an older state that names one of them is refused.
+const MAX_FORMER_TARGETS: usize = 64;
+
+/// The known state of the target, and the requests that run or wait.
+pub(crate) struct OwnerState {
+    pub(crate) admission: LocalAdmission,
+    pub(crate) waiters: HashMap<WaitKey, oneshot::Sender<Result<(), AdmissionRefusal>>>,
+    /// The registrations with the address of this host's target.
+    pub(crate) records: Vec<TargetRecord>,
+    /// The ID with which the target answered the last health check; `None` if it
+    /// may have restarted since.
+    pub(crate) checked_id: Option<SmolStr>,
+    pub(crate) former: VecDeque<SmolStr>,
+    pub(crate) policy: Option<ServicePolicy>,
+    pub(crate) stopping: bool,
+    pub(crate) domain_evacuated: bool,
+    pub(crate) down: bool,
+    /// The IDs of the requests that run at the target, and whether each run is
+    /// a retry.
+    pub(crate) runs: HashMap<SmolStr, bool>,
+    /// The last known count of how often the target closed its last remaining
+    /// connection.
+    pub(crate) connection_losses: u64,
+    pub(crate) timer: Option<Duration>,
+}
+
+impl OwnerState {
+    /// Returns the state of a target whose registration is not known yet.
+    pub(crate) fn new() -> OwnerState {
+        OwnerState {
+            admission: LocalAdmission::new(INITIAL_CAPACITY),
+            waiters: HashMap::new(),
+            records: Vec::new(),
+            checked_id: None,
+            former: VecDeque::new(),
+            policy: None,
+            stopping: false,
+            domain_evacuated: false,
+            down: false,
+            runs: HashMap::new(),
+            connection_losses: 0,
+            timer: None,
+        }
+    }
+
+    pub(crate) fn cold_rate(&self) -> f64 {
+        self.policy.as_ref().map_or(1.0, |policy| policy.cold_rate)
+    }
+
+    /// Treats the target as cold until a health check reports otherwise.
+    pub(crate) fn assume_cold(&mut self, now: Duration) {
+        self.checked_id = None;
+        let time = self
+            .policy
+            .as_ref()
+            .map_or(Duration::ZERO, |policy| policy.cold_time);
+        let rate = self.cold_rate();
+        self.admission.cold_mut().set_cold(now + time, rate);
+    }
+
+    /// Applies the registrations with the address of the target.
+    pub(crate) fn update_records(&mut self, records: Vec<TargetRecord>, now: Duration) {
+        for old in &self.records {
+            if !records.iter().any(|record| record.id == old.id) {
+                self.former.push_back(old.id.clone());
+            }
+        }
+        while self.former.len() > MAX_FORMER_TARGETS {
+            self.former.pop_front();
+        }
+        let is_new = |record: &TargetRecord| !self.records.iter().any(|old| old.id == record.id);
+        if records.iter().any(is_new) {
+            // The target may have restarted since the last health check.
+            self.checked_id = None;
+        }
+        for record in &records {
+            self.former.retain(|id| *id != record.id);
+            let known = self.records.iter().find(|old| old.same_incarnation(record));
+            let newly_cold = known.is_none_or(|old| old.cold_left != record.cold_left);
+            if newly_cold && !record.cold_left.is_zero() {
+                let rate = self.cold_rate();
+                let until = now + record.cold_left;
+                self.admission.cold_mut().set_cold(until, rate);
+            }
+        }
+        let serving = records.iter().filter(|record| !record.draining);
+        if let Some(record) = serving.max_by_key(|record| record.incarnation) {
+            self.admission.set_limit(record.capacity);
+        }
+        self.records = records;
+    }
+
+    /// Returns whether the target that a sender names is draining, was removed, or
+    /// has been replaced by another one.
+    pub(crate) fn is_former(&self, target: &str) -> bool {
+        let Some(record) = self.records.iter().find(|record| record.id == target) else {
+            return self.former.iter().any(|id| id == target);
+        };
+        let is_replaced = self.checked_id.as_ref().is_some_and(|id| id != target);
+        let is_superseded = |other| record.is_superseded_by(other);
+        record.draining || is_replaced || self.records.iter().any(is_superseded)
+    }
+
+    /// Closes the target for new requests, or opens it, as its state requires.
+    pub(crate) fn update_closed(&mut self) {
+        let drained = !self.records.is_empty() && self.records.iter().all(|record| record.draining);
+        let closed = if self.stopping {
+            Some(CloseReason::Stopping)
+        } else if self.domain_evacuated {
+            Some(CloseReason::DomainOut)
+        } else if drained {
+            Some(CloseReason::Draining)
+        } else if self.down {
+            Some(CloseReason::Down)
+        } else {
+            None
+        };
+        self.admission.set_closed(closed);
+    }
+}
