Take targets without a recent report to be as busy as the others

Cause: a target of which a sender has no recent report was taken to be idle. With many senders and targets that is most of them, so that a busy region's targets refused a request one after the other while another region had room.

Change: a report decays to the mean load of the recently reported targets at the same distance instead of to nothing. Refusing is not affected: a target that may have room is still asked.

Ruled out: more offers to a request.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -286,22 +286,23 @@
     }
 
     /// Returns the expected wait of one more request.
-    fn wait(&self, capacity: u32, service_time: Duration, now: Duration) -> Duration {
+    fn wait(&self, capacity: u32, usual: f64, service_time: Duration, now: Duration) -> Duration {
         let limit = f64::from(capacity.max(1));
         let reported_wait = self.report.map_or(Duration::ZERO, |(report, at)| {
             report.wait.saturating_sub(now.saturating_sub(at))
         });
-        let excess = self.occupied(now) + 1.0 - limit;
+        let excess = self.occupied(usual, now) + 1.0 - limit;
         let slot_wait = service_time.mul_f64(excess.max(0.0) / limit);
         slot_wait.max(reported_wait)
     }
 
-    /// Returns the expected number of requests that run or wait at the target.
-    fn occupied(&self, now: Duration) -> f64 {
-        let others = self.report.map_or(0.0, |(report, at)| {
-            let age = now.saturating_sub(at).as_secs_f64();
+    /// Returns the expected number of requests that run or wait at the target. With
+    /// its age, the last report says less than the `usual` number at other targets.
+    fn occupied(&self, usual: f64, now: Duration) -> f64 {
+        let others = self.report.map_or(usual, |(report, at)| {
+            let weight = report_weight(now.saturating_sub(at));
             let others = f64::from(report.occupied.saturating_sub(self.in_flight_at_report));
-            others * (-age / REPORT_DECAY_TIME.as_secs_f64()).exp()
+            others * weight + usual * (1.0 - weight)
         });
         others + f64::from(self.in_flight)
     }
@@ -342,12 +343,14 @@
         now: Duration,
     ) -> Result<SmolStr, PlacementError> {
         let fastest = self.fastest(candidates, request, now);
+        let usual_load = self.usual_load(candidates, now);
         let link_wait = self.cross_region.wait(request.body_bytes, now);
         let mut best: Option<(f64, &PlaceCandidate)> = None;
         let mut best_paused: Option<(f64, &PlaceCandidate)> = None;
         let mut min_excess: Option<Duration> = None;
         for candidate in candidates {
-            let cost = self.cost(candidate, request, fastest, now);
+            let usual = usual_load[candidate.distance as usize];
+            let cost = self.cost(candidate, request, fastest, usual, now);
             let estimate = self.estimates.entry(candidate.id.clone()).or_default();
             if estimate.paused_until > now {
                 let until = Duration::as_secs_f64(&estimate.paused_until);
@@ -504,17 +507,40 @@
         )
     }
 
+    /// Returns the mean load of the recently reported candidates as a fraction of
+    /// their capacity, indexed by [`TargetDistance`].
+    fn usual_load(&self, candidates: &[PlaceCandidate], now: Duration) -> [f64; 4] {
+        let mut loads = [0.0; 4];
+        let mut weights = [0.0; 4];
+        for candidate in candidates {
+            let estimate = self.estimates.get(&candidate.id);
+            let Some((report, at)) = estimate.and_then(|estimate| estimate.report) else {
+                continue;
+            };
+            let weight = report_weight(now.saturating_sub(at));
+            let load = f64::from(report.occupied) / f64::from(candidate.capacity.max(1));
+            loads[candidate.distance as usize] += load * weight;
+            weights[candidate.distance as usize] += weight;
+        }
+        std::array::from_fn(|distance| match weights[distance] {
+            weight if weight > 0.0 => loads[distance] / f64::max(weight, 1.0),
+            _ => 0.0,
+        })
+    }
+
     fn cost(
         &mut self,
         candidate: &PlaceCandidate,
         request: &PlaceRequest,
         fastest: Duration,
+        usual_load: f64,
         now: Duration,
     ) -> f64 {
         let estimate = self.estimates.entry(candidate.id.clone()).or_default();
         let objective = request.objective.as_secs_f64();
         let service_time = estimate.service_time(fastest, now);
-        let wait = estimate.wait(candidate.capacity, service_time, now);
+        let usual = usual_load * f64::from(candidate.capacity);
+        let wait = estimate.wait(candidate.capacity, usual, service_time, now);
         let failures = estimate.failure_rate(now) * objective;
         let body_factor = 1.0 + request.body_bytes as f64 / PENALTY_DOUBLING_BYTES;
         let distance_penalty = match candidate.distance {
@@ -524,7 +550,7 @@
         };
         let distance_penalty = distance_penalty * body_factor.min(MAX_PENALTY_FACTOR) * objective;
         let scarce_penalty = if candidate.is_scarce {
-            let occupied = estimate.occupied(now) / f64::from(candidate.capacity.max(1));
+            let occupied = estimate.occupied(usual, now) / f64::from(candidate.capacity.max(1));
             SCARCE_PENALTY * occupied.min(1.0) * objective
         } else {
             0.0
@@ -546,6 +572,11 @@
     }
 }
 
+/// Returns the weight of a report of this age.
+fn report_weight(age: Duration) -> f64 {
+    (-age.as_secs_f64() / REPORT_DECAY_TIME.as_secs_f64()).exp()
+}
+
 /// Returns by how much the expected wait exceeds the allowed wait.
 fn excess_wait(
     estimate: &TargetEstimate,
@@ -555,7 +586,8 @@
     now: Duration,
 ) -> Duration {
     let service_time = estimate.service_time(fastest, now);
-    let wait = estimate.wait(candidate.capacity, service_time, now);
+    // A target that may have room is tried.
+    let wait = estimate.wait(candidate.capacity, 0.0, service_time, now);
     let allowed = scheduling::allowed_wait(request.patience, service_time, request.priority);
     let transfer = estimate.transfer_time(request.body_bytes, now);
     (wait + transfer + estimate.delay(now)).saturating_sub(allowed)
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -32,6 +32,7 @@
 const OBJECTIVE: Duration = Duration::from_millis(600);
 const TIME_LIMIT: Duration = Duration::from_secs(3);
 const LATENCY: Duration = Duration::from_micros(900);
+const REGION_LATENCY: Duration = Duration::from_millis(12);
 
 /// What a host's link carries in each direction, in bytes a second.
 const LINK_RATE: f64 = 1_250_000.0;
@@ -94,7 +95,46 @@
     refused_body_bytes: u64,
 }
 
+/// Where the hosts are, and where requests arrive.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Layout {
+    /// All hosts are in one region.
+    OneRegion,
+    /// Half of the senders and 6 of the targets are in the first region, at which
+    /// this fraction of the requests arrives.
+    TwoRegions(f64),
+}
+
+impl Layout {
+    fn sender_region(self, sender: usize) -> usize {
+        usize::from(self != Layout::OneRegion && sender >= SENDERS / 2)
+    }
+
+    fn target_region(self, target: usize) -> usize {
+        usize::from(self != Layout::OneRegion && target >= 6)
+    }
+
+    fn distance(self, sender: usize, target: usize) -> TargetDistance {
+        if self.sender_region(sender) == self.target_region(target) {
+            TargetDistance::SameRegion
+        } else {
+            TargetDistance::OtherRegion
+        }
+    }
+
+    fn draw_sender(self, random: &mut Pcg32) -> usize {
+        match self {
+            Layout::OneRegion => random.random_range(0..SENDERS),
+            Layout::TwoRegions(first) if random.random_range(0.0..1.0) < first => {
+                random.random_range(0..SENDERS / 2)
+            }
+            Layout::TwoRegions(_) => random.random_range(SENDERS / 2..SENDERS),
+        }
+    }
+}
+
 struct Simulation {
+    layout: Layout,
     with_offers: bool,
     random: Pcg32,
     /// The links of the senders, then those of the targets.
@@ -118,7 +158,12 @@
 
 impl Simulation {
     fn new(load: f64, seed: u64, with_offers: bool) -> Simulation {
+        Simulation::with_layout(Layout::OneRegion, load, seed, with_offers)
+    }
+
+    fn with_layout(layout: Layout, load: f64, seed: u64, with_offers: bool) -> Simulation {
         let mut simulation = Simulation {
+            layout,
             with_offers,
             random: Pcg32::seed_from_u64(seed),
             links: vec![LinkQueue::default(); SENDERS + TARGETS],
@@ -146,7 +191,7 @@
         while now < LENGTH.as_secs_f64() {
             now += -self.random.random_range(0.0_f64..1.0).max(1e-9).ln() / rate;
             let arrived = Duration::from_secs_f64(now);
-            let sender = self.random.random_range(0..SENDERS);
+            let sender = self.layout.draw_sender(&mut self.random);
             self.events
                 .push(Reverse((arrived, self.requests.len(), Step::Arrive)));
             self.requests.push(RequestState {
@@ -162,11 +207,21 @@
         let took = Duration::from_secs_f64(bytes as f64 / LINK_RATE);
         let sent = self.links[from].sending_until.max(now) + took;
         self.links[from].sending_until = sent;
-        let received = self.links[to].receiving_until.max(sent + LATENCY - took) + took;
+        let latency = self.latency(from, to);
+        let received = self.links[to].receiving_until.max(sent + latency - took) + took;
         self.links[to].receiving_until = received;
         self.events.push(Reverse((received, event.0, event.1)));
     }
 
+    fn latency(&self, from: usize, to: usize) -> Duration {
+        // One of the hosts is a sender, and the other one is a target's.
+        let (sender, target) = (from.min(to), from.max(to) - SENDERS);
+        match self.layout.distance(sender, target) {
+            TargetDistance::OtherRegion => REGION_LATENCY,
+            _ => LATENCY,
+        }
+    }
+
     fn host(target: usize) -> usize {
         SENDERS + target
     }
@@ -206,7 +261,7 @@
             .filter(|target| !state.tried.contains(target))
             .map(|target| PlaceCandidate {
                 id: target_id(target),
-                distance: TargetDistance::SameRegion,
+                distance: self.layout.distance(state.sender, target),
                 capacity: SLOTS,
                 is_scarce: false,
             })
@@ -228,7 +283,7 @@
         let needs_offer = self.with_offers
             && self.placers[state.sender].needs_offer(
                 &chosen,
-                TargetDistance::SameRegion,
+                self.layout.distance(state.sender, target),
                 BODY_BYTES,
                 send_rate,
                 now,
@@ -363,13 +418,8 @@
     fn finish(&mut self, index: usize, outcome: SendOutcome, now: Duration) {
         let state = &self.requests[index];
         let id = target_id(state.target);
-        self.placers[state.sender].finish(
-            &id,
-            TargetDistance::SameRegion,
-            BODY_BYTES,
-            outcome,
-            now,
-        );
+        let distance = self.layout.distance(state.sender, state.target);
+        self.placers[state.sender].finish(&id, distance, BODY_BYTES, outcome, now);
     }
 
     fn refused(&mut self, index: usize, now: Duration) {
@@ -473,3 +523,18 @@
     placer.record_unoffered_rate(&id, refusing.unoffered_rate(now), now);
     assert!(needs_offer(&placer, 1_000, now));
 }
+
+/// Guards against requests that are refused by the busy targets of their own
+/// region, one after the other, while another region has room.
+#[test]
+fn requests_move_to_the_region_with_room() {
+    for seed in 1..=3 {
+        // 1.17 times what the first region can run arrives there.
+        let layout = Layout::TwoRegions(0.75);
+        let ours = Simulation::with_layout(layout, 0.85, seed, true).run();
+        assert!(
+            ours.in_time * 100 >= ours.offered * 97 && ours.refused * 100 <= ours.offered * 2,
+            "seed {seed}: {ours:?}"
+        );
+    }
+}
