Count a target as scarce only when it is nearly full

Change: the penalty begins at 0.7 of the capacity. A peer's confirmation also counts when it sends no newer state: a daemon that the store turns away has its state confirmed by others. What was reserved for a request has a type.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -51,6 +51,10 @@
 /// fraction of the objective. It exceeds the cost of another region.
 const SCARCE_PENALTY: f64 = 0.9;
 
+/// The load from which a target counts as scarce, as a fraction of its capacity.
+/// Below it, there is room for all.
+const SCARCE_LOAD: f64 = 0.7;
+
 /// The length of a body that doubles the distance penalty, in bytes.
 const PENALTY_DOUBLING_BYTES: f64 = 32_768.0;
 
@@ -551,7 +555,8 @@
         let distance_penalty = distance_penalty * body_factor.min(MAX_PENALTY_FACTOR) * objective;
         let scarce_penalty = if candidate.is_scarce {
             let occupied = estimate.occupied(usual, now) / f64::from(candidate.capacity.max(1));
-            SCARCE_PENALTY * occupied.min(1.0) * objective
+            let scarcity = (occupied.min(1.0) - SCARCE_LOAD).max(0.0) / (1.0 - SCARCE_LOAD);
+            SCARCE_PENALTY * scarcity * objective
         } else {
             0.0
         };
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -44,11 +44,11 @@
     node.record_peer_revision(peer, hop_head.revision);
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
-    let (admitted, incoming_body) = reservation::claim(&node, hop_head.reservation);
+    let claimed_slot = reservation::claim(&node, hop_head.reservation);
     let Ok(body) = body.whole(u64::MAX).await else {
         return answer::empty(StatusCode::BAD_REQUEST);
     };
-    drop(incoming_body);
+    let admitted = claimed_slot.map(|claimed_slot| claimed_slot.admitted);
     let body_bytes = body.len() as u64;
     node.link().record_received(body_bytes, node.now());
     message::strip_connection_fields(&mut head.headers);
--- a/crates/sidecar/src/reservation.rs
+++ b/crates/sidecar/src/reservation.rs
@@ -86,16 +86,19 @@
     }
 }
 
-/// Returns what was reserved for an arriving request. Both parts are `None` if
-/// there is no such reservation, or if it has expired.
-pub fn claim(
-    node: &Arc<SidecarNode>,
-    number: u64,
-) -> (Option<AdmittedRequest>, Option<IncomingBody>) {
+/// What was reserved for a request that has arrived.
+pub struct ClaimedSlot {
+    /// The request's place at the target.
+    pub admitted: AdmittedRequest,
+    /// The lease of a long body.
+    pub incoming_body: Option<IncomingBody>,
+}
+
+/// Returns what was reserved for an arriving request; `None` if there is no such
+/// reservation, or if it has expired.
+pub fn claim(node: &Arc<SidecarNode>, number: u64) -> Option<ClaimedSlot> {
     let reservation = node.reservations().reservations.swap_remove(&number);
-    let Some(SlotReservation { admitted, lease }) = reservation else {
-        return (None, None);
-    };
+    let SlotReservation { admitted, lease } = reservation?;
     let incoming_body = lease.map(|lease| {
         node.body_admission().begin(lease, node.now());
         IncomingBody {
@@ -103,5 +106,8 @@
             lease,
         }
     });
-    (Some(admitted), incoming_body)
+    Some(ClaimedSlot {
+        admitted,
+        incoming_body,
+    })
 }
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -187,6 +187,7 @@
 fn apply_peer_snapshot(node: &SidecarNode, snapshot: StateSnapshot, peer: &str) {
     let before = node.revision();
     if snapshot.revision <= before {
+        confirm(node, snapshot.revision, snapshot.confirmed_us);
         return;
     }
     let is_authoritative = snapshot.health() == hop::StoreHealth::Reachable;
@@ -230,7 +231,7 @@
 }
 
 /// Records when the store confirmed a peer's state, if this daemon's state is
-/// that of the peer or a newer one.
+/// that one or a newer one, which has all changes up to that time.
 fn confirm(node: &SidecarNode, revision: u64, confirmed_us: u64) {
     if confirmed_us > 0 && node.revision() >= revision {
         let age = Duration::from_micros(confirmed_us);
