--- a/crates/mesh/src/body_admission.rs
+++ b/crates/mesh/src/body_admission.rs
@@ -2,17 +2,18 @@
 //!
 //! When callers upload more than the links of a service's hosts can carry, each
 //! body takes seconds, all of them are late, and short requests to these hosts
-//! queue behind them. A sender therefore requests a lease before it sends a long
-//! body. The daemon at the receiving end of the link grants a few leases at a
-//! time, which is enough to fill the link, and refuses the others before any
-//! byte is sent, so that the sender can choose another host.
+//! queue behind them. A sender therefore offers a long body before it sends
+//! it. The daemon at the receiving end of the link grants a few leases at a time,
+//! which is enough to fill the link, and refuses the other offers before any byte
+//! is sent, so that the sender can choose another host. [`crate::link_load`] decides
+//! which bodies are offered.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-/// The least length of a body that needs a lease, in bytes. Sending a shorter
-/// body takes less time than requesting a lease.
+/// The least length of a body that needs a lease, in bytes; shorter ones do not fill
+/// a link.
 pub const LONG_BODY: u64 = 16 * 1024;
 
 /// The greatest number of leases at a time. Some senders are slow or distant, so
--- a/crates/mesh/src/link_load.rs
+++ b/crates/mesh/src/link_load.rs
@@ -24,8 +24,8 @@
 /// The fraction of a link that refused bodies may use.
 const MAX_REFUSED_FRACTION: f64 = 0.1;
 
-/// The share of that fraction from which on all bodies are offered first; the
-/// rest is used by the bodies that senders have already sent.
+/// The share of that fraction from which on all bodies are offered first. The rest
+/// is left for the bodies that are on their way when senders learn of it.
 const OFFER_ALL_SHARE: f64 = 0.5;
 
 /// A decaying average of a rate, in bytes a second.
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -27,7 +27,7 @@
 /// The weight of one answer in the moving averages of a target.
 const ANSWER_WEIGHT: f64 = 0.15;
 
-/// The time constant with which the reported load of other senders decays.
+/// The time constant with which a load report loses its weight.
 const REPORT_DECAY_TIME: Duration = Duration::from_secs(1);
 
 /// The time constant with which the failure rate decays.
@@ -300,8 +300,9 @@
         slot_wait.max(reported_wait)
     }
 
-    /// Returns the expected number of requests that run or wait at the target. With
-    /// its age, the last report says less than the `usual` number at other targets.
+    /// Returns the expected number of requests that run or wait at the target. The
+    /// older the last report is, the nearer the result is to `usual`, the number at
+    /// other targets.
     fn occupied(&self, usual: f64, now: Duration) -> f64 {
         let others = self.report.map_or(usual, |(report, at)| {
             let weight = report_weight(now.saturating_sub(at));
@@ -512,7 +513,8 @@
     }
 
     /// Returns the mean load of the recently reported candidates as a fraction of
-    /// their capacity, indexed by [`TargetDistance`].
+    /// their capacity, indexed by [`TargetDistance`]. Few or old reports are not
+    /// taken for the load of all, so with them the result tends to zero.
     fn usual_load(&self, candidates: &[PlaceCandidate], now: Duration) -> [f64; 4] {
         let mut loads = [0.0; 4];
         let mut weights = [0.0; 4];
@@ -591,7 +593,7 @@
     now: Duration,
 ) -> Duration {
     let service_time = estimate.service_time(fastest, now);
-    // A target that may have room is tried.
+    // Without a recent report the target may have room, so it is not ruled out.
     let wait = estimate.wait(candidate.capacity, 0.0, service_time, now);
     let allowed = scheduling::allowed_wait(request.patience, service_time, request.priority);
     let transfer = estimate.transfer_time(request.body_bytes, now);
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -302,6 +302,7 @@
 ) -> anyhow::Result<bool> {
     let snapshot = fetch(node, peer, wait).await?;
     if snapshot.revision == 0 {
+        // The followed daemon has no state yet.
         node.handle_owner_revision(peer, snapshot.revision);
     }
     let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
