Refuse at once while there is no configuration

A daemon without a configuration waited up to 150 ms for one before it read the request's body, which is the one place where a body is read late; how the body changes in the listener is not traced.

Change: such a request is refused at once again, as before.

Tests: end to end 18 passed.

--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -46,10 +46,6 @@
 /// the time in which a target starts or a state arrives.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// How long a request waits for the first configuration of a daemon that has just
-/// started; most get it within this time.
-const FIRST_CONFIG_WAIT: Duration = Duration::from_millis(150);
-
 /// The greatest fraction by which the retry time of a refused caller is
 /// randomly extended, so that callers do not all retry at once.
 const RETRY_JITTER: f64 = 0.5;
@@ -79,7 +75,7 @@
     let arrived = node.now();
     let HttpRequest { head, mut body, .. } = request;
     let id = message::request_id(&head.headers);
-    let Some(config) = node.first_config(FIRST_CONFIG_WAIT).await else {
+    let Some(config) = node.config() else {
         return local_reply::refuse(
             &node,
             id.as_deref(),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -240,16 +240,6 @@
         self.known().table.config().cloned()
     }
 
-    /// Returns the current configuration, and waits at most `time` for the first
-    /// one.
-    pub async fn first_config(&self, time: Duration) -> Option<Arc<MeshConfig>> {
-        let mut changes = self.changes.subscribe();
-        let first = async { while self.config().is_none() && changes.changed().await.is_ok() {} };
-        // The wait ends with a configuration or without one; both are returned.
-        let _ = tokio::time::timeout(time, first).await;
-        self.config()
-    }
-
     /// Whether the daemon has begun to stop.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
