Log which daemon a host's state comes from, and the store's health with each change

RG6104 said that an entry lapsed, but not why: whether this daemon, or the one that it follows, took the store for unreachable. It now has the health, and RG6107 tells each change between reading the store and following a host.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -76,9 +76,10 @@
     STORE_LOST = 6101, Warn, "store cannot be read", "error, revision", "Check the platform's store; the daemon keeps its state, or receives it from peers.";
     STORE_REGAINED = 6102, Info, "store can be read again", "revision, away_ms", "None.";
     ITEM_UNREADABLE = 6103, Warn, "store item cannot be decoded", "item", "None; another program wrote the item, and it is ignored.";
-    PLATFORM_STATE_CHANGED = 6104, Info, "platform state changed", "change, source, revision", "None.";
+    PLATFORM_STATE_CHANGED = 6104, Info, "platform state changed", "change, source, health, revision", "None.";
     STATE_RECEIVED = 6105, Info, "state received from a peer", "peer, from, to", "None; the store could not be read in time.";
     STATE_EXCHANGE_FAILED = 6106, Debug, "state exchange with a peer failed", "peer, error", "None while other peers answer.";
+    STATE_SOURCE_CHANGED = 6107, Info, "daemon receives the platform's state in another way", "role, revision", "None; the daemon reads the store itself, or follows the daemon on the named host.";
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_RESTART_SUSPECTED = 6203, Info, "target is treated as cold until its next health check", "reason", "None; it may have crashed and restarted.";
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -66,9 +66,15 @@
     // A full read is needed when the store no longer has the history since the
     // known revision. The first read is always a full one.
     let mut full_read_due = false;
+    let mut logged_role = None;
     loop {
         let has_state = node.revision() > 0;
-        match step(&node, &store, full_read_due).await {
+        let role = node.role();
+        if logged_role.replace(role) != Some(role) {
+            let revision = node.revision();
+            events::STATE_SOURCE_CHANGED.emit(format_args!("role={role:?} revision={revision}"));
+        }
+        match step(&node, &store, role, full_read_due).await {
             Ok(FollowStep::Followed) => {
                 // The received state is newer than an outage noticed before.
                 outage_start = None;
@@ -117,9 +123,10 @@
 async fn step(
     node: &Arc<SidecarNode>,
     store: &StoreClient,
+    role: ReaderRole,
     full_read_due: bool,
 ) -> Result<FollowStep, FollowFault> {
-    if let ReaderRole::Follow(host) = node.role() {
+    if let ReaderRole::Follow(host) = role {
         let peer = SocketAddr::new(host, node.settings().peer_address.port());
         let wait = node.settings().apply_bound.mul_f64(FOLLOW_FRACTION);
         let store_unreachable = state_exchange::follow(node, peer, wait)
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -367,6 +367,7 @@
         now: Duration,
     ) {
         let revision = known.view.revision();
+        let health = known.table.health();
         self.revision.send_replace(revision);
         self.changes.send_modify(|count| *count += 1);
         for fault in faults {
@@ -377,7 +378,7 @@
                 continue;
             }
             events::PLATFORM_STATE_CHANGED.emit(format_args!(
-                "change={state_event:?} source={source:?} revision={revision}"
+                "change={state_event:?} source={source:?} health={health:?} revision={revision}"
             ));
         }
         let table = &known.table;
