Pass on with a removal that it was read from a store that could be read

Cause: a daemon judged a removal by whether it, or the daemon that it follows, can read the store at the moment. When both readers of a failure domain are cut off, all who follow them took true removals for lapses in an outage, and kept the targets without a time limit. The class: an observation is judged by the receiver's state in place of what its observer knew.

Change: the daemon that reads a removal while no entry may have lapsed marks it so, and the mark goes with the removal to all daemons. Only removals without the mark may be kept.

Ruled out: a draining state hidden by a difference of revisions. None of 86 daemons, readers of the store among them, logged that i-1d5759cdd3 drains; it left without saying so.

The new test failed before the change (the follower kept the target).

--- a/crates/mesh/src/state_table.rs
+++ b/crates/mesh/src/state_table.rs
@@ -9,7 +9,9 @@
 //! short time after the store is reachable again. A peer that is partitioned
 //! from the store also reports it as unreachable, so a peer's report alone is
 //! not evidence of an outage: if this daemon then reads the store without a
-//! failure, missing entries were removed and did not lapse.
+//! failure, missing entries were removed and did not lapse. What the daemon that
+//! read a removal from the store knew is passed on with it, so that a daemon
+//! behind a partition does not take it for a lapse.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,8 +35,11 @@
     Config(Arc<MeshConfig>),
     /// A target registered or updated its registration.
     Target(TargetRecord),
-    /// The entry of a target was removed, or no longer describes a target.
+    /// The entry of a target is missing or no longer describes a target. If there
+    /// was an outage of the store, it may have lapsed.
     TargetGone(SmolStr),
+    /// The entry of a target was removed and did not lapse.
+    TargetRemoved(SmolStr),
     /// A failure domain was evacuated.
     DomainOut(SmolStr),
     /// The evacuation of a failure domain ended.
@@ -255,7 +260,8 @@
         match change {
             StateChange::Config(config) => Some(self.apply_config(config)),
             StateChange::Target(record) => self.apply_target(record),
-            StateChange::TargetGone(id) => self.apply_removal(id, source, now),
+            StateChange::TargetGone(id) => self.apply_missing(id, source, now),
+            StateChange::TargetRemoved(id) => self.remove(id),
             StateChange::DomainOut(domain) => self
                 .evacuated_domains
                 .insert(domain.clone())
@@ -285,7 +291,10 @@
                 StateChange::DomainOut(domain) => {
                     ended_evacuations.shift_remove(domain);
                 }
-                StateChange::Config(_) | StateChange::TargetGone(_) | StateChange::DomainIn(_) => {}
+                StateChange::Config(_)
+                | StateChange::TargetGone(_)
+                | StateChange::TargetRemoved(_)
+                | StateChange::DomainIn(_) => {}
             }
         }
         let gone = missing.into_iter().map(StateChange::TargetGone);
@@ -364,7 +373,7 @@
         }
     }
 
-    fn apply_removal(
+    fn apply_missing(
         &mut self,
         id: SmolStr,
         source: StateSource,
@@ -388,16 +397,16 @@
                 entry.removal_due = Some(until);
                 Some(StateEvent::TargetLapsed { id })
             }
-            _ => {
-                let removed = self.targets.shift_remove(&id);
-                if let Some(entry) = removed {
-                    self.update_latest_incarnation(entry.record.address);
-                }
-                Some(StateEvent::TargetGone { id })
-            }
+            _ => self.remove(id),
         }
     }
 
+    fn remove(&mut self, id: SmolStr) -> Option<StateEvent> {
+        let entry = self.targets.shift_remove(&id)?;
+        self.update_latest_incarnation(entry.record.address);
+        Some(StateEvent::TargetGone { id })
+    }
+
     fn update_latest_incarnation(&mut self, address: SocketAddr) {
         let at_address = self
             .targets()
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -28,6 +28,7 @@
 use radishgauge_platform::HostSettings;
 use radishgauge_platform::StoreItem;
 use radishgauge_platform::StoreView;
+use radishgauge_platform::view;
 use radishgauge_platform::view::ViewChanges;
 use radishgauge_schema::hop::HopReport;
 use tokio::sync::Notify;
@@ -325,9 +326,12 @@
     }
 
     /// Applies changes that follow the known revision.
-    pub fn update_state(&self, items: Vec<StoreItem>, revision: u64, source: StateSource) {
+    pub fn update_state(&self, mut items: Vec<StoreItem>, revision: u64, source: StateSource) {
         let now = self.now();
         let mut known = self.known();
+        if source == StateSource::Peer || known.table.is_authoritative() {
+            view::confirm_removals(&mut items);
+        }
         let ViewChanges { changes, faults } = known.view.update(items, revision);
         let table = &mut known.table;
         let mut state_events: Vec<StateEvent> = changes
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -26,6 +26,7 @@
 use radishgauge_net::TargetBody;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::StoreItem;
+use radishgauge_platform::view;
 use radishgauge_platform::view::ViewDifference;
 use radishgauge_schema::hop;
 use radishgauge_schema::hop::StateItem;
@@ -136,11 +137,16 @@
         StoreHealth::Unreachable => (hop::StoreHealth::Away, Duration::ZERO),
         StoreHealth::Recovered(at) => (hop::StoreHealth::Regained, now.saturating_sub(at)),
     };
+    let rules_out_lapses = known.table.is_authoritative();
     drop(known);
     let confirmed = node.freshness().age(now);
+    let mut items = difference.items;
+    if rules_out_lapses {
+        view::confirm_removals(&mut items);
+    }
     let snapshot = StateSnapshot {
         revision,
-        items: difference.items.into_iter().map(state_item).collect(),
+        items: items.into_iter().map(state_item).collect(),
         health: health.into(),
         regained_us: micros(since_recovery),
         since: difference.since.unwrap_or_default(),
@@ -158,6 +164,7 @@
     StateItem {
         key: item.key.to_string(),
         deleted: item.value.is_none(),
+        confirmed_removal: item.is_confirmed_removal,
         value: Bytes::from(item.value.unwrap_or_default()),
         revision: item.revision,
     }
@@ -168,6 +175,7 @@
         key: SmolStr::from(item.key),
         value: (!item.deleted).then(|| item.value.to_vec()),
         revision: item.revision,
+        is_confirmed_removal: item.confirmed_removal,
     }
 }
 
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -4,8 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use radishgauge_mesh::state_table::StateSource;
+use radishgauge_net::CallerListener;
+use radishgauge_net::ListenLimits;
 use radishgauge_net::clock::SystemClock;
 use radishgauge_platform::HostSettings;
+use radishgauge_platform::StoreItem;
 use radishgauge_sidecar::follow;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
@@ -109,3 +113,59 @@
     assert!(state_exchange::follow(&node, peer, wait).await.is_err());
     assert!(started.elapsed() <= node.settings().apply_bound / 2);
 }
+
+/// The registration of the target `leaving` at a revision, or its removal.
+fn registration(value: Option<&str>, revision: u64) -> StoreItem {
+    StoreItem {
+        key: "servers/leaving".into(),
+        value: value.map(|value| value.as_bytes().to_vec()),
+        revision,
+        is_confirmed_removal: false,
+    }
+}
+
+/// Returns a daemon that knows the target `leaving` at revision 5.
+fn node_with_target() -> Arc<SidecarNode> {
+    let record = r#"{"service": "shop", "address": "127.0.0.1:4", "zone": "north-a",
+        "version": "1", "capacity": 8, "state": "ready", "coldLeft": "0ms", "sequence": 1}"#;
+    let node = Arc::new(node());
+    let items = vec![registration(Some(record), 5)];
+    node.replace_state(items, 5, StateSource::Store);
+    assert!(knows_target(&node));
+    node
+}
+
+fn knows_target(node: &SidecarNode) -> bool {
+    node.known().table.target("leaving").is_some()
+}
+
+fn serve_state(node: &Arc<SidecarNode>) -> CallerListener {
+    let node = Arc::clone(node);
+    let address = "127.0.0.1:0".parse().unwrap();
+    let handler = move |request: radishgauge_net::HttpRequest| {
+        let node = Arc::clone(&node);
+        async move {
+            let head = request.head;
+            state_exchange::serve(&node, &head.method, &head.uri, request.body).await
+        }
+    };
+    CallerListener::bind(address, ListenLimits::default(), handler).unwrap()
+}
+
+/// Guards against requests to a target that has left: the followed daemon cannot
+/// read the store, and learned of the removal from a peer that can.
+#[tokio::test]
+async fn removal_read_by_a_peer_is_not_a_lapse_for_followers() {
+    let followed = node_with_target();
+    followed.mark_store_unreachable();
+    let removal = vec![registration(None, 6)];
+    followed.update_state(removal, 6, StateSource::Peer);
+    assert!(!knows_target(&followed));
+    let listener = serve_state(&followed);
+    let follower = node_with_target();
+    let peer = listener.local_address();
+    let store_unreachable = state_exchange::follow(&follower, peer, Duration::ZERO).await;
+    assert!(store_unreachable.unwrap());
+    assert_eq!(follower.revision(), 6);
+    assert!(!knows_target(&follower));
+}
