Drop lapsed entries that a peer with the same revision knows to be removed

Cause: the state of a peer that reads the store was thrown away when it had no newer revision, with what it says of lapses. The class: evidence is used only together with news.

Change: an authoritative state of the same revision removes the entries that are kept as lapsed.

The new test failed before the change (the target was kept). Ruled out: a peer behind in revision; it may be authoritative and not know the removal, so only the same or a newer revision counts.

--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -351,6 +351,14 @@
         self.known().table.next_expiry()
     }
 
+    /// Removes the targets whose entries are missing, because a peer whose state is
+    /// authoritative knows the same revision without them.
+    pub fn drop_lapsed_targets(&self) {
+        let now = self.now();
+        self.known().table.drop_lapsed(now);
+        self.expire_targets();
+    }
+
     /// Removes the targets whose entries lapsed in an outage of the store and
     /// were not registered again within the grace period.
     pub fn expire_targets(&self) {
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -194,11 +194,14 @@
 /// Applies the state of any peer if it is newer than the known state.
 fn apply_peer_snapshot(node: &SidecarNode, snapshot: StateSnapshot, peer: &str) {
     let before = node.revision();
+    let is_authoritative = snapshot.health() == hop::StoreHealth::Reachable;
     if snapshot.revision <= before {
+        if is_authoritative && snapshot.revision == before {
+            node.drop_lapsed_targets();
+        }
         confirm(node, snapshot.revision, snapshot.confirmed_us);
         return;
     }
-    let is_authoritative = snapshot.health() == hop::StoreHealth::Reachable;
     // An entry missing from a state that is not authoritative may have lapsed
     // in an outage of the store. A daemon that has a state and can reach the
     // store therefore ignores such a state, and any other daemon keeps the
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -169,3 +169,19 @@
     assert_eq!(follower.revision(), 6);
     assert!(!knows_target(&follower));
 }
+
+/// Guards against requests to a target that has left, when the daemon took its
+/// removal for a lapse and a peer that reads the store has no newer state.
+#[tokio::test]
+async fn peer_with_equal_revision_rules_out_a_lapse() {
+    let removal = || vec![registration(None, 6)];
+    let reader = node_with_target();
+    reader.update_state(removal(), 6, StateSource::Store);
+    let listener = serve_state(&reader);
+    let cut_off = node_with_target();
+    cut_off.mark_store_unreachable();
+    cut_off.update_state(removal(), 6, StateSource::Store);
+    assert!(knows_target(&cut_off));
+    state_exchange::fetch_from_all(&cut_off, &[listener.local_address()]).await;
+    assert!(!knows_target(&cut_off));
+}
