Check once more that a target is open before an admitted request is sent to it

A slot may be reserved before the body of its request is sent; the body then takes as long as the link needs. The target may drain, be removed or lie in an evacuated failure domain by then, and the request was sent to it all the same.

Cause: an effect takes place later than the check that allowed it.

Change: the owner checks after the wait for the slot and the body, directly before the call. A request that is withdrawn there has not run. A stop of the daemon takes back nothing that it admitted.

Looked at besides: a waiting request is refused when the target closes, but not when only the named target ends while another one has its address; the same check covers it. A request sent to another host is checked there.

--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -239,6 +239,9 @@
             Ok(slot) => slot,
             Err(refusal) => return TargetOutcome::NotRun(refusal),
         };
+        if let Some(reason) = self.state().withdrawal(&head.target) {
+            return TargetOutcome::NotRun(NotRun::before_target(hop_reason(reason)));
+        }
         slot.started = self.clock.now();
         let _run = RunRegistration::begin(self, &request.id, head.repeated);
         let left = deadline.saturating_sub(self.clock.now());
@@ -394,15 +397,21 @@
     TargetClient::with_budget(address, limits, Arc::clone(answer_budget))
 }
 
+fn hop_reason(reason: CloseReason) -> HopReason {
+    match reason {
+        CloseReason::Stopping => HopReason::Stopping,
+        CloseReason::Draining => HopReason::Draining,
+        CloseReason::DomainOut => HopReason::DomainOut,
+        CloseReason::Down => HopReason::Down,
+    }
+}
+
 pub(crate) fn not_run(refusal: AdmissionRefusal) -> NotRun {
     let reason = match refusal.reason {
         RefuseReason::Full => HopReason::Full,
         RefuseReason::Cold => HopReason::Cold,
         RefuseReason::Expired => HopReason::Expired,
-        RefuseReason::Closed(CloseReason::Stopping) => HopReason::Stopping,
-        RefuseReason::Closed(CloseReason::Draining) => HopReason::Draining,
-        RefuseReason::Closed(CloseReason::DomainOut) => HopReason::DomainOut,
-        RefuseReason::Closed(CloseReason::Down) => HopReason::Down,
+        RefuseReason::Closed(reason) => hop_reason(reason),
     };
     NotRun {
         reason,
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -120,6 +120,17 @@
         record.draining || is_replaced || self.records.iter().any(is_superseded)
     }
 
+    /// Returns why a request for `target` must not be sent to it now, although it
+    /// was admitted: the target may have been closed since. A stop of this daemon
+    /// does not take back an admission.
+    pub(crate) fn withdrawal(&self, target: &str) -> Option<CloseReason> {
+        if self.is_former(target) {
+            return Some(CloseReason::Draining);
+        }
+        let closed = self.admission.closed();
+        closed.filter(|reason| *reason != CloseReason::Stopping)
+    }
+
     /// Closes the target for new requests, or opens it, as its state requires.
     pub(crate) fn update_closed(&mut self) {
         let drained = !self.records.is_empty() && self.records.iter().all(|record| record.draining);
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -1,6 +1,7 @@
 //! Tests of a daemon's shared state, without any other daemon.
 
-use std::path::Path;
+mod common;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,34 +9,14 @@
 use radishgauge_net::CallerListener;
 use radishgauge_net::ListenLimits;
 use radishgauge_net::clock::SystemClock;
-use radishgauge_platform::HostSettings;
 use radishgauge_platform::StoreItem;
 use radishgauge_sidecar::follow;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
 use radishgauge_sidecar::state_exchange;
 
-const SETTINGS: &str = "\
-node=host-1
-zone=north-a
-region=north
-zones.north-a=north
-listen.outbound=127.0.0.1:1
-listen.inbound=127.0.0.1:2
-listen.readiness=127.0.0.1:3
-service=shop
-appAddr=127.0.0.1:4
-provider.address=127.0.0.1:5
-bounds.grace=6s
-bounds.configApply=2000ms
-bounds.drain=2s
-bounds.retryBudgetRatio=0.2
-bounds.budgetExtra=60
-bounds.budgetWindow=10s
-";
-
 fn node() -> SidecarNode {
-    let settings = HostSettings::parse(SETTINGS, Path::new("test.conf")).unwrap();
+    let settings = common::settings();
     let clock = Arc::new(SystemClock::start());
     let owner = Arc::new(TargetOwner::new(&settings, clock.clone()));
     SidecarNode::new(settings, clock, owner, 1)
