Let further hosts read the store when the first two cannot

Cause: the ranking of readers took two that cannot read the store for proof that it is down. With two fifths of the hosts cut off, both are cut off in one domain of six.

Change: each host of the first six reads when those before it reported that they cannot. A daemon looks for one that can without a wait at each. The number of hosts that call a store which is down stays bounded.

Ruled out: all hosts read while the store seems down; at 6,000 daemons that is more than the store serves.

--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -2,11 +2,12 @@
 //!
 //! Calls to the store are limited and cost money, and its answers cross the link
 //! between regions. In each failure domain, the first host of a ranking reads
-//! the store, and the others follow that host. The second host reads too when
-//! the first cannot; a third reader would only add calls, since two failed
-//! readers already show that the store is unreachable. A host that does not
-//! answer is excluded from the ranking for some time, so a domain that loses its
-//! readers has new ones at once.
+//! the store, and the others follow that host. When it cannot read the store, the
+//! next one reads too, and so on: a few readers that are cut off do not show that
+//! the store is down for the others. Their number is bounded, so an outage does
+//! not cause calls from all hosts. A host that does not answer is excluded from
+//! the ranking for some time, so a domain that loses its readers has new ones at
+//! once.
 
 use std::net::IpAddr;
 use std::time::Duration;
@@ -21,6 +22,11 @@
 /// How long a host's report that it cannot read the store is valid.
 const STORE_UNREACHABLE_TIME: Duration = Duration::from_secs(2);
 
+/// The greatest number of hosts of a failure domain that try to read the store at
+/// the same time. While half of all hosts are cut off from it, all of these are
+/// once in 64 times.
+pub const MAX_READERS: usize = 6;
+
 /// How a daemon receives updates of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReaderRole {
@@ -99,25 +105,31 @@
     /// Returns the role of the host `own` among the hosts of its failure domain.
     pub fn role(&self, own: IpAddr, domain: &str, hosts: &[IpAddr], now: Duration) -> ReaderRole {
         let ranked = self.ranked(own, domain, hosts, now);
-        let [first, second] = [ranked.first(), ranked.get(1)].map(|host| host.copied());
-        match (first, second) {
-            (Some(first), _) if first == own => ReaderRole::Read,
-            (Some(first), _) if !self.is_store_unreachable(first, now) => ReaderRole::Follow(first),
-            (_, Some(second)) if second == own => ReaderRole::Read,
-            (_, Some(second)) if !self.is_store_unreachable(second, now) => {
-                ReaderRole::Follow(second)
-            }
-            (Some(first), _) => ReaderRole::Follow(first),
-            (None, _) => ReaderRole::Read,
+        let mut possible_readers = ranked.iter().copied().take(MAX_READERS);
+        let reader =
+            possible_readers.find(|host| *host == own || !self.is_store_unreachable(*host, now));
+        // If no reader is left, the first one is the most likely to read the store
+        // again soon.
+        match reader.or(ranked.first().copied()) {
+            Some(host) if host != own => ReaderRole::Follow(host),
+            _ => ReaderRole::Read,
         }
     }
 
+    /// Returns whether a host is asked only to find out whether it can read the
+    /// store again: its report that it cannot is no longer valid.
+    pub fn is_probed(&self, host: IpAddr, now: Duration) -> bool {
+        let status = self.statuses.get(&host).copied().unwrap_or_default();
+        status.store_unreachable_until > Duration::ZERO && status.store_unreachable_until <= now
+    }
+
     fn is_unreachable(&self, host: IpAddr, now: Duration) -> bool {
         let status = self.statuses.get(&host);
         status.is_some_and(|status| status.unreachable_until > now)
     }
 
-    fn is_store_unreachable(&self, host: IpAddr, now: Duration) -> bool {
+    /// Returns whether a host has reported lately that it cannot read the store.
+    pub fn is_store_unreachable(&self, host: IpAddr, now: Duration) -> bool {
         let status = self.statuses.get(&host);
         status.is_some_and(|status| status.store_unreachable_until > now)
     }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -128,7 +128,7 @@
 ) -> Result<FollowStep, FollowFault> {
     if let ReaderRole::Follow(host) = role {
         let peer = SocketAddr::new(host, node.settings().peer_address.port());
-        let wait = node.settings().apply_bound.mul_f64(FOLLOW_FRACTION);
+        let wait = follow_wait(node, host);
         let store_unreachable = state_exchange::follow(node, peer, wait)
             .await
             .map_err(|error| FollowFault::Peer(host, error))?;
@@ -145,6 +145,20 @@
     read.map(|()| FollowStep::Read).map_err(FollowFault::Store)
 }
 
+/// Returns how long the followed daemon may delay its answer. A daemon whose
+/// source of state cannot read the store looks for one that can without waiting
+/// at each of them.
+fn follow_wait(node: &SidecarNode, host: IpAddr) -> Duration {
+    let now = node.now();
+    let searches = node.known().table.store_unreachable();
+    let ranking = node.ranking();
+    let asks_first_time = searches && !ranking.is_store_unreachable(host, now);
+    if asks_first_time || ranking.is_probed(host, now) {
+        return Duration::ZERO;
+    }
+    node.settings().apply_bound.mul_f64(FOLLOW_FRACTION)
+}
+
 async fn read_all(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
     let asked = node.now();
     let page = store.read_all().await?;
