Keep to the rate limit that a target declares

Cause: the header is new on the platform's pages; nothing read it, and only the slots held requests back.

Change: the owner reads the limit from every answer that is the target's own, health checks and refusals included, and spaces the requests by it. All requests for a target pass its owner, so the limit holds for the sum over all hosts without shared state. Cold rate and declared rate are one mechanism (rate_limits).

Ruled out: a share of the limit for each sender.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -83,6 +83,9 @@
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_RESTART_SUSPECTED = 6203, Info, "target is treated as cold until its next health check", "reason", "None; it may have crashed and restarted.";
+    TARGET_RATE_LIMITED = 6204, Info, "target declares a rate limit", "target, per_second", "Find out what the target lacks; its owner sends it no more than this rate.";
+    TARGET_RATE_LIMIT_LIFTED = 6205, Info, "target declares no rate limit any more", "target", "None.";
+    TARGET_RATE_LIMIT_UNREADABLE = 6206, Warn, "target's rate limit cannot be read", "target, known", "Correct the target; the limit in `known` stays in force.";
     REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
     REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
     REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -2,8 +2,9 @@
 //!
 //! A target is reachable from its own host only, so its whole load passes through
 //! this module. The limits therefore hold whatever load the senders assume: the
-//! number of concurrent requests, the rate while the target is cold, and no
-//! requests at all once it drains or its failure domain is evacuated. A request
+//! number of concurrent requests, the rate while the target is cold or declares
+//! one, and no requests at all once it drains or its failure domain is evacuated.
+//! A request
 //! waits only if it is expected to be answered in time; otherwise it is refused
 //! at once, so that its sender can try another target.
 //!
@@ -18,12 +19,18 @@
 use smol_str::SmolStr;
 
 use crate::cold_rate_limit::ColdRateLimit;
+use crate::declared_rate_limit::DeclaredRateLimit;
 use crate::placement::LoadReport;
+use crate::rate_limits::RateLimitKind;
+use crate::rate_limits::RateLimits;
 use crate::scheduling;
 
 /// The weight of one run in the moving averages of service times.
 const RUN_WEIGHT: f64 = 0.1;
 
+/// The wait that is reported when no request may be sent.
+const MAX_REPORTED_WAIT: Duration = Duration::from_secs(60);
+
 /// The properties of a request that determine its admission.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdmissionRequest {
@@ -61,6 +68,8 @@
     Full,
     /// As `Full`, while the rate of the cold target is limited.
     Cold,
+    /// As `Full`, while the target declares a rate limit.
+    RateLimited,
     /// Too little time was left to run the request when a slot became free.
     Expired,
     /// The target admits no requests.
@@ -117,7 +126,7 @@
     limit: u32,
     running: u32,
     closed: Option<CloseReason>,
-    cold: ColdRateLimit,
+    rates: RateLimits,
     queue: BTreeMap<WaitKey, WaitingRequest>,
     next_number: u64,
     /// The start of the current period without a free slot; `None` if an arriving
@@ -137,7 +146,7 @@
             limit: limit.max(1),
             running: 0,
             closed: None,
-            cold: ColdRateLimit::default(),
+            rates: RateLimits::default(),
             queue: BTreeMap::new(),
             next_number: 0,
             busy_since: None,
@@ -164,7 +173,17 @@
 
     /// Returns the rate limiter that is active while the target is cold.
     pub fn cold_mut(&mut self) -> &mut ColdRateLimit {
-        &mut self.cold
+        &mut self.rates.cold
+    }
+
+    /// Returns the rate limit that the target declares.
+    pub fn declared(&self) -> &DeclaredRateLimit {
+        &self.rates.declared
+    }
+
+    /// Returns the rate limit that the target declares.
+    pub fn declared_mut(&mut self) -> &mut DeclaredRateLimit {
+        &mut self.rates.declared
     }
 
     /// Returns the number of running requests.
@@ -182,7 +201,7 @@
         if let Some(reason) = self.closed {
             return AdmissionDecision::Refuse(closed_refusal(reason));
         }
-        let free = self.running < self.limit && self.cold.next_allowed(now) <= now;
+        let free = self.running < self.limit && self.rates.next_allowed(now) <= now;
         if free && self.queue.is_empty() {
             self.busy_since = None;
             self.start(now);
@@ -207,15 +226,10 @@
                 scheduling::allowed_wait_when_busy(busy, objective, service_time, request.priority)
             }
         };
-        if wait > allowed {
-            let reason = if self.cold.is_cold(now) {
-                RefuseReason::Cold
-            } else {
-                RefuseReason::Full
-            };
+        if wait.is_none_or(|wait| wait > allowed) {
             return AdmissionDecision::Refuse(AdmissionRefusal {
-                reason,
-                retry_after: Some(wait - allowed),
+                reason: self.full_reason(now),
+                retry_after: wait.map(|wait| wait - allowed),
             });
         }
         let key = WaitKey {
@@ -245,7 +259,7 @@
                 decision: Err(closed_refusal(reason)),
             });
         }
-        if self.running >= self.limit || self.cold.next_allowed(now) > now {
+        if self.running >= self.limit || self.rates.next_allowed(now) > now {
             return None;
         }
         let waiting = self.queue.remove(&key)?;
@@ -281,7 +295,7 @@
         if self.queue.is_empty() || self.running >= self.limit {
             return None;
         }
-        Some(self.cold.next_allowed(now)).filter(|next| *next > now)
+        Some(self.rates.next_allowed(now)).filter(|next| *next > now)
     }
 
     /// Ends a run. `took` is its service time, or `None` if the time is not
@@ -302,16 +316,36 @@
     pub fn report(&self, now: Duration) -> LoadReport {
         LoadReport {
             occupied: self.running + self.queue.len() as u32,
-            limit: self.limit,
-            wait: self.expected_wait(self.queue.len(), now),
+            limit: self.concurrency(),
+            wait: self
+                .expected_wait(self.queue.len(), now)
+                .unwrap_or(MAX_REPORTED_WAIT),
             service_time: self.mean.map(Duration::from_secs_f64),
-            cold: self.cold.is_cold(now),
+            cold: self.rates.cold.is_cold(now),
         }
     }
 
     fn start(&mut self, now: Duration) {
         self.running += 1;
-        self.cold.record(now);
+        self.rates.record(now);
+    }
+
+    fn full_reason(&self, now: Duration) -> RefuseReason {
+        match self.rates.lowest(now) {
+            Some((_, RateLimitKind::Cold)) => RefuseReason::Cold,
+            Some((_, RateLimitKind::Declared)) => RefuseReason::RateLimited,
+            None => RefuseReason::Full,
+        }
+    }
+
+    /// Returns the number of requests that run concurrently when the target is
+    /// fully used: the slots, or what its declared rate keeps busy of them.
+    fn concurrency(&self) -> u32 {
+        let Some((rate, mean)) = self.rates.declared.per_second().zip(self.mean) else {
+            return self.limit;
+        };
+        let busy = (rate * mean).ceil().max(1.0);
+        f64::from(self.limit).min(busy) as u32
     }
 
     fn service_time(&self, route: &SmolStr, objective: Duration) -> Duration {
@@ -321,20 +355,15 @@
         )
     }
 
-    /// Returns the expected wait of a request with `ahead` others before it.
-    fn expected_wait(&self, ahead: usize, now: Duration) -> Duration {
+    /// Returns the expected wait of a request with `ahead` others before it; `None`
+    /// if a rate limit lets nothing pass.
+    fn expected_wait(&self, ahead: usize, now: Duration) -> Option<Duration> {
         let busy = self.running as usize + ahead + 1;
         let excess = busy.saturating_sub(self.limit as usize);
         let mean = Duration::from_secs_f64(self.mean.unwrap_or_default());
         let slot_wait = mean.mul_f64(excess as f64 / f64::from(self.limit));
-        let cold = match self.cold.rate(now) {
-            None => Duration::ZERO,
-            Some(rate) => {
-                let first = self.cold.next_allowed(now).saturating_sub(now);
-                first + Duration::from_secs_f64(ahead as f64 / rate)
-            }
-        };
-        slot_wait.max(cold)
+        let rate_wait = self.rates.expected_wait(ahead, now)?;
+        Some(slot_wait.max(rate_wait))
     }
 }
 
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -37,6 +37,9 @@
 /// slower than others: it may have been cold, or slow for a while.
 const MAX_SERVICE_TIME_AGE: Duration = Duration::from_secs(2);
 
+/// The greatest age of a report that limits a target's concurrent requests.
+const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
+
 /// The greatest age of a report that describes the load of a target's link.
 const MAX_LINK_REPORT_AGE: Duration = Duration::from_secs(2);
 
@@ -104,7 +107,7 @@
 pub struct LoadReport {
     /// The number of requests that are running or waiting.
     pub occupied: u32,
-    /// The number of requests that may run concurrently.
+    /// The number of requests that run concurrently when the target is fully used.
     pub limit: u32,
     /// The expected wait of one more request.
     pub wait: Duration,
@@ -289,9 +292,18 @@
         }
     }
 
+    /// Returns the number of requests that the target runs concurrently: as
+    /// registered, or fewer if its owner reported so recently.
+    fn capacity(&self, registered: u32, now: Duration) -> u32 {
+        let recent = self
+            .report
+            .filter(|(_, at)| now.saturating_sub(*at) <= MAX_LIMIT_AGE);
+        recent.map_or(registered, |(report, _)| registered.min(report.limit))
+    }
+
     /// Returns the expected wait of one more request.
-    fn wait(&self, capacity: u32, usual: f64, service_time: Duration, now: Duration) -> Duration {
-        let limit = f64::from(capacity.max(1));
+    fn wait(&self, registered: u32, usual: f64, service_time: Duration, now: Duration) -> Duration {
+        let limit = f64::from(self.capacity(registered, now).max(1));
         let reported_wait = self.report.map_or(Duration::ZERO, |(report, at)| {
             report.wait.saturating_sub(now.saturating_sub(at))
         });
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -5,6 +5,7 @@
 mod cold_rate_limit;
 mod config;
 mod cross_region_budget;
+mod declared_rate_limit;
 mod freshness;
 mod load;
 mod placement;
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -68,6 +68,7 @@
     match refusal.reason {
         HopReason::Full
         | HopReason::Cold
+        | HopReason::RateLimited
         | HopReason::Expired
         | HopReason::Shed
         | HopReason::Unspecified => true,
@@ -94,9 +95,11 @@
         },
         TargetOutcome::MayHaveRun(_) => SendOutcome::Failed,
         TargetOutcome::NotRun(refusal) => match refusal.reason {
-            HopReason::Full | HopReason::Cold | HopReason::Expired | HopReason::Unspecified => {
-                SendOutcome::Full
-            }
+            HopReason::Full
+            | HopReason::Cold
+            | HopReason::RateLimited
+            | HopReason::Expired
+            | HopReason::Unspecified => SendOutcome::Full,
             HopReason::Shed => SendOutcome::Failed,
             HopReason::Stopping
             | HopReason::Draining
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -174,6 +174,7 @@
     /// current state.
     pub fn page(&self, node: &SidecarNode) -> String {
         let load = node.owner.report();
+        let declared = node.owner.declared_rate().unwrap_or_default();
         let (config, targets, evacuated) = {
             let known = node.known();
             let table = &known.table;
@@ -192,6 +193,8 @@
             ("target_limit", u64::from(load.limit)),
             ("target_wait_ms", load.wait.as_millis() as u64),
             ("target_cold", u64::from(load.cold)),
+            // In requests per 1,000 s; 0 if the target declares no limit.
+            ("target_rate_limit_milli", (declared * 1000.0).ceil() as u64),
             ("target_down", u64::from(node.owner.is_down())),
             (
                 "store_away",
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -20,6 +20,7 @@
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
+use radishgauge_mesh::declared_rate_limit::RateAnswer;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -41,6 +42,7 @@
 use crate::slot::RunningSlot;
 use crate::target_call;
 use crate::target_call::BufferedRequest;
+use crate::target_call::TargetStatement;
 
 /// How long a connection to the target may take to open. It is short because
 /// the target is on this host.
@@ -204,6 +206,13 @@
             let cold_ms = cold_left.as_millis();
             events::TARGET_UP.emit(format_args!("target={id} cold_ms={cold_ms}"));
         }
+        let is_new_target = target.is_some_and(|id| state.declared_by.as_deref() != Some(id));
+        if state.down || is_new_target {
+            // The limit of a former target or incarnation does not hold for this
+            // one.
+            state.admission.declared_mut().reset();
+            state.declared_by = target.map(SmolStr::from);
+        }
         state.down = false;
         state.checked_id = target.map(SmolStr::from);
         state.connection_losses = connection_losses;
@@ -251,11 +260,45 @@
             time_left: left,
         };
         let client = self.client();
-        let outcome = target_call::call(&client, request, &mesh_headers, left).await;
+        let sent = slot.started;
+        let observe = |statement| self.record_statement(statement, sent);
+        let outcome = target_call::call(&client, request, &mesh_headers, left, observe).await;
         self.finish_run(slot, &outcome);
         outcome
     }
 
+    /// Records what the target states in an answer to a request that was sent at
+    /// the time `sent`.
+    pub fn record_statement(self: &Arc<Self>, statement: TargetStatement, sent: Duration) {
+        let now = self.clock.now();
+        let answer = RateAnswer {
+            statement: statement.rate,
+            sent,
+            is_success: statement.is_success,
+        };
+        let mut state = self.state();
+        let Some(change) = state.admission.declared_mut().observe(&answer, now) else {
+            return;
+        };
+        state.log_rate_change(change, now);
+        self.deliver_decisions(&mut state);
+    }
+
+    /// Counts a health check of the target, and returns the least time until the
+    /// next one.
+    pub fn record_check(&self) -> Duration {
+        let now = self.clock.now();
+        let mut state = self.state();
+        let declared = state.admission.declared_mut();
+        declared.record(now);
+        declared.check_interval()
+    }
+
+    /// Returns the rate limit that the target declares, in requests a second.
+    pub fn declared_rate(&self) -> Option<f64> {
+        self.state().admission.declared().per_second()
+    }
+
     fn finish_run(self: &Arc<Self>, mut slot: RunningSlot, outcome: &TargetOutcome) {
         match outcome {
             TargetOutcome::Answered(_) => {
@@ -410,6 +453,7 @@
     let reason = match refusal.reason {
         RefuseReason::Full => HopReason::Full,
         RefuseReason::Cold => HopReason::Cold,
+        RefuseReason::RateLimited => HopReason::RateLimited,
         RefuseReason::Expired => HopReason::Expired,
         RefuseReason::Closed(reason) => hop_reason(reason),
     };
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -4,12 +4,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use radishgauge_events::events;
 use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::ServicePolicy;
 use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::WaitKey;
+use radishgauge_mesh::declared_rate_limit::RateChange;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
@@ -20,6 +22,9 @@
 /// an older state that names one of them is refused.
 const MAX_FORMER_TARGETS: usize = 64;
 
+/// The least time between two log lines about changes of a declared rate limit.
+const RATE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The known state of the target, and the requests that run or wait.
 pub(crate) struct OwnerState {
     pub(crate) admission: LocalAdmission,
@@ -41,6 +46,9 @@
     /// connection.
     pub(crate) connection_losses: u64,
     pub(crate) timer: Option<Duration>,
+    /// The target whose rate limit the admission keeps.
+    pub(crate) declared_by: Option<SmolStr>,
+    rate_change_logged: Option<Duration>,
 }
 
 impl OwnerState {
@@ -59,6 +67,8 @@
             runs: HashMap::new(),
             connection_losses: 0,
             timer: None,
+            declared_by: None,
+            rate_change_logged: None,
         }
     }
 
@@ -77,6 +87,31 @@
         self.admission.cold_mut().set_cold(now + time, rate);
     }
 
+    /// Logs a change of the target's declared rate limit. A target may state another
+    /// limit in each answer, so changes of the number are logged at intervals.
+    pub(crate) fn log_rate_change(&mut self, change: RateChange, now: Duration) {
+        let target = self.declared_by.as_deref().unwrap_or("unknown");
+        match change {
+            RateChange::Limited(rate) => {
+                let logged = self.rate_change_logged;
+                if logged.is_some_and(|logged| now < logged + RATE_LOG_INTERVAL) {
+                    return;
+                }
+                events::TARGET_RATE_LIMITED.emit(format_args!("target={target} per_second={rate}"));
+                self.rate_change_logged = Some(now);
+            }
+            RateChange::Lifted => {
+                events::TARGET_RATE_LIMIT_LIFTED.emit(format_args!("target={target}"));
+                self.rate_change_logged = None;
+            }
+            RateChange::Unreadable => {
+                let rate = self.admission.declared().per_second();
+                events::TARGET_RATE_LIMIT_UNREADABLE
+                    .emit(format_args!("target={target} known={rate:?}"));
+            }
+        }
+    }
+
     /// Applies the registrations with the address of the target.
     pub(crate) fn update_records(&mut self, records: Vec<TargetRecord>, now: Duration) {
         for old in &self.records {
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -17,11 +17,16 @@
 use radishgauge_platform::message::HealthReport;
 
 use crate::node::SidecarNode;
+use crate::target_call::TargetStatement;
 
 /// The interval of regular checks. Each check occupies a slot of the target for
 /// several milliseconds and costs money.
 const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The longest interval of regular checks, at a target that declares a low rate
+/// limit.
+const MAX_CHECK_INTERVAL: Duration = Duration::from_secs(4);
+
 /// The interval of checks while the target is down.
 const DOWN_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -60,12 +65,19 @@
         };
         let client = node.owner.client();
         let connection_losses = client.connection_losses();
+        let sent = node.now();
+        let limited_interval = node.owner.record_check();
         match check(&client, &policy.health_path).await {
             CheckOutcome::Answered(report) => {
                 silent_checks = 0;
                 let target = report.target.as_deref();
                 node.owner
                     .record_up(target, report.cold_left, connection_losses);
+                let statement = TargetStatement {
+                    rate: report.rate_statement,
+                    is_success: report.is_healthy,
+                };
+                node.owner.record_statement(statement, sent);
             }
             CheckOutcome::Refused(error) => node.owner.record_down(&error),
             CheckOutcome::Silent => {
@@ -78,7 +90,7 @@
         let wait = if node.owner.is_down() || silent_checks > 0 {
             DOWN_INTERVAL
         } else {
-            CHECK_INTERVAL
+            limited_interval.clamp(CHECK_INTERVAL, MAX_CHECK_INTERVAL)
         };
         tokio::time::sleep(MIN_INTERVAL).await;
         // The wait ends when a check is requested or due; both lead to the next
@@ -105,7 +117,10 @@
         let answer = client.send(request).await?;
         let (head, mut body) = answer.into_parts();
         body.whole(MAX_ANSWER_BYTES).await?;
-        Ok::<_, radishgauge_net::TargetError>(message::read_health_report(&head.headers))
+        Ok::<_, radishgauge_net::TargetError>(message::read_health_report(
+            head.status,
+            &head.headers,
+        ))
     };
     match tokio::time::timeout(CHECK_TIMEOUT, exchange).await {
         Ok(Ok(report)) if report.target.is_some() => CheckOutcome::Answered(report),
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -8,6 +8,7 @@
 use http::Request;
 use http::Uri;
 use http::response::Parts;
+use radishgauge_mesh::declared_rate_limit::RateStatement;
 use radishgauge_net::RequestProgress;
 use radishgauge_net::TargetBody;
 use radishgauge_net::TargetClient;
@@ -22,6 +23,15 @@
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 
+/// What a target states about itself in the head of an answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TargetStatement {
+    /// The rate limit.
+    pub rate: RateStatement,
+    /// Whether the target served the request.
+    pub is_success: bool,
+}
+
 /// A caller's request with its complete body.
 #[derive(Debug, Clone)]
 pub struct BufferedRequest {
@@ -54,27 +64,41 @@
     }
 }
 
-/// Sends a request to the target and waits for its complete answer. Dropping
-/// the future closes the connection, on which the target abandons the request.
-pub async fn call(
+/// Sends a request to the target and waits for its complete answer. As soon as
+/// the head of the answer has arrived, `observe` is told what the target states
+/// there. Dropping the future closes the connection, on which the target abandons
+/// the request.
+pub async fn call<F>(
     client: &TargetClient,
     request: &BufferedRequest,
     mesh_headers: &MeshHeaders<'_>,
     time_left: Duration,
-) -> TargetOutcome {
+    observe: F,
+) -> TargetOutcome
+where
+    F: FnOnce(TargetStatement),
+{
     let mut headers = request.headers.clone();
     mesh_headers.apply(&mut headers);
     let Ok(http_request) = request.to_http(headers) else {
         return TargetOutcome::NotRun(NotRun::before_target(HopReason::Unspecified));
     };
-    let exchange = exchange(client, http_request, &request.id);
+    let exchange = exchange(client, http_request, &request.id, observe);
     match tokio::time::timeout(time_left, exchange).await {
         Ok(outcome) => outcome,
         Err(_) => TargetOutcome::MayHaveRun("timeout"),
     }
 }
 
-async fn exchange(client: &TargetClient, request: Request<TargetBody>, id: &str) -> TargetOutcome {
+async fn exchange<F>(
+    client: &TargetClient,
+    request: Request<TargetBody>,
+    id: &str,
+    observe: F,
+) -> TargetOutcome
+where
+    F: FnOnce(TargetStatement),
+{
     let belongs = |head: &Parts| message::belongs_to(&head.headers, id);
     let progress = RequestProgress::default();
     let answer = match client.send_matched(request, &progress, belongs).await {
@@ -83,6 +107,12 @@
     };
     let (head, mut body) = answer.into_parts();
     let kind = message::classify_response(head.status, &head.headers, id);
+    if matches!(kind, TargetResponseKind::Ran | TargetResponseKind::NotRun) {
+        observe(TargetStatement {
+            rate: message::read_rate_statement(&head.headers),
+            is_success: head.status.is_success(),
+        });
+    }
     let body = match body.whole(MAX_ANSWER_BYTES).await {
         Ok(body) => body,
         // A refusal is valid even if its body is incomplete.
