Close a target that says in an answer that it leaves

Cause: nothing read the header.

Ruled out: senders alone keep it; a sender that has not passed on such an answer would send on.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -50,6 +50,7 @@
     FRESHNESS_CONFIRMED = 1006, Info, "a neighbour answered after a pause", "", "None.";
     VERSION_IN_FORCE = 2001, Info, "configuration version in force", "revision, source, took_ms, unconfirmed", "None. An unconfirmed version came from the platform alone; no peer confirmed it.";
     VERSION_REFUSED = 2002, Error, "configuration version refused", "revision, reasons", "Correct the files and publish a greater revision; the last accepted version stays in force.";
+    TARGET_LEAVING = 6207, Info, "target says that it leaves", "target, incarnation, registered", "None; it gets no new requests, whatever its registration says.";
     VERSION_CONFLICT = 2003, Error, "one revision with two different contents", "revision, root, other", "Two operators published the same revision; publish a greater one.";
     VALUE_REJECTED = 2004, Warn, "value does not match its digest", "key, source", "Expected while the platform returns torn values; if it persists, check the platform or the named peer.";
     PLATFORM_FAILED = 2005, Warn, "platform does not answer", "key, error", "Check the platform; the version in force stays.";
--- /dev/null
+++ b/crates/mesh/tests/mesh/leaving_targets.rs
@@ -0,0 +1,57 @@
+use std::time::Duration;
+
+use radishgauge_mesh::LeavingTargets;
+use radishgauge_mesh::TargetRecord;
+
+fn record(id: &str, incarnation: Option<u64>) -> TargetRecord {
+    TargetRecord {
+        id: id.into(),
+        service: "shop".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        failure_domain: "a".into(),
+        capacity: 18,
+        draining: false,
+        cold_left: Duration::ZERO,
+        incarnation,
+    }
+}
+
+/// Guards against requests to a target that said that it leaves while its
+/// registration says that it is ready, and against a target that is not used after
+/// a restart under its former ID.
+#[test]
+fn word_of_a_target_holds_for_its_incarnation() {
+    let mut leaving = LeavingTargets::default();
+    assert!(!leaving.contains(&record("one", Some(1))));
+    assert!(leaving.mark("one", Some(1)));
+    assert!(!leaving.mark("one", Some(1)));
+    assert!(leaving.contains(&record("one", Some(1))));
+    assert!(!leaving.contains(&record("one", Some(2))));
+    assert!(!leaving.contains(&record("two", Some(1))));
+}
+
+/// Guards against requests to a leaving target that registers again after its
+/// entry was missing, and against a target of unknown incarnation that is never
+/// used again.
+#[test]
+fn only_unknown_incarnations_are_forgotten_with_their_registration() {
+    let mut leaving = LeavingTargets::default();
+    leaving.mark("known", Some(1));
+    leaving.mark("unknown", None);
+    assert!(leaving.contains(&record("unknown", None)));
+    assert!(leaving.contains(&record("unknown", Some(1))));
+    leaving.retain(|_| false);
+    assert!(leaving.contains(&record("known", Some(1))));
+    assert!(!leaving.contains(&record("unknown", None)));
+}
+
+/// Guards against memory that grows with each target that ever left.
+#[test]
+fn number_of_remembered_targets_is_bounded() {
+    let mut leaving = LeavingTargets::default();
+    for number in 0..10_000 {
+        leaving.mark(&format!("i-{number}"), Some(1));
+    }
+    assert!(!leaving.contains_id("i-0"));
+    assert!(leaving.contains_id("i-9999"));
+}
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -7,6 +7,7 @@
 mod cross_region_budget;
 mod declared_rate_limit;
 mod freshness;
+mod leaving_targets;
 mod load;
 mod placement;
 mod reader;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -314,6 +314,9 @@
             let outcome = self.node.owner.run(&self.request, &head, None).await;
             let load = self.node.owner.report();
             self.node.placer().report(id, load, self.node.now());
+            if self.node.owner.is_leaving(id) {
+                self.node.mark_leaving(id);
+            }
             (outcome, None)
         } else {
             let progress = Arc::new(RequestProgress::default());
@@ -325,6 +328,9 @@
                 placer.report(id, hop::load_from_report(report), now);
                 placer.record_unoffered_rate(id, report.unoffered_rate as f64, now);
                 drop(placer);
+                if report.leaving {
+                    self.node.mark_leaving(id);
+                }
                 self.node
                     .handle_owner_revision(candidate.peer, report.revision);
             }
--- a/crates/sidecar/src/known_hosts.rs
+++ b/crates/sidecar/src/known_hosts.rs
@@ -32,9 +32,11 @@
         let settings = self.settings();
         let known = self.known();
         let table = &known.table;
+        let leaving = self.leaving();
         table
             .targets()
             .filter(|target| target.service == service && !target.draining)
+            .filter(|target| !leaving.contains(target))
             .filter(|target| !table.is_evacuated(&target.failure_domain))
             .filter(|target| !table.is_superseded(target))
             .filter_map(|target| self.candidate(target, &settings))
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwap;
 use indexmap::IndexSet;
 use radishgauge_events::events;
+use radishgauge_mesh::LeavingTargets;
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::RetryBudget;
 use radishgauge_mesh::StateFreshness;
@@ -84,6 +85,8 @@
     reservations: Mutex<SlotReservations>,
     link: Mutex<LinkLoad>,
     freshness: Mutex<StateFreshness>,
+    /// The targets whose owners reported that they leave.
+    leaving: Mutex<LeavingTargets>,
     /// The hosts whose daemons have sent a request to this one.
     pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
     stopping: AtomicBool,
@@ -122,6 +125,7 @@
             reservations: Mutex::default(),
             link: Mutex::new(link),
             freshness: Mutex::default(),
+            leaving: Mutex::default(),
             contacts: Mutex::default(),
             stopping: AtomicBool::new(false),
         }
@@ -303,14 +307,32 @@
     }
 
     /// Returns a report of the load and state of this host, for the sender of a
-    /// request.
-    pub fn hop_report(&self) -> HopReport {
+    /// request for `target`.
+    pub fn hop_report(&self, target: &str) -> HopReport {
         let mut report = hop::report_from_load(&self.owner.report());
         report.unoffered_rate = self.link().unoffered_rate(self.now()) as u64;
         report.revision = self.revision();
+        report.leaving = self.owner.is_leaving(target);
         report
     }
 
+    /// Records that the owner of a target knows from the target's own answer that it
+    /// leaves.
+    pub fn mark_leaving(&self, id: &str) {
+        let incarnation = self
+            .known()
+            .table
+            .target(id)
+            .and_then(|record| record.incarnation);
+        lock(&self.leaving).mark(id, incarnation);
+    }
+
+    /// Locks the targets that said that they leave; callers must not keep the lock
+    /// across I/O.
+    pub(crate) fn leaving(&self) -> MutexGuard<'_, LeavingTargets> {
+        lock(&self.leaving)
+    }
+
     /// Locks the retry budget; callers must not keep the lock across I/O.
     pub fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         lock(&self.budget)
@@ -395,6 +417,7 @@
         }
         let table = &known.table;
         self.placer().retain(|id| table.target(id).is_some());
+        self.leaving().retain(|id| table.target(id).is_some());
         self.owner.refresh(&self.settings(), table, now);
     }
 
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -211,6 +211,9 @@
             // The limit of a former target or incarnation does not hold for this
             // one.
             state.admission.declared_mut().reset();
+            // A target that leaves says so in all its answers, so this is another
+            // incarnation, or is marked again at once.
+            state.leaving.remove(target.unwrap_or_default());
             state.declared_by = target.map(SmolStr::from);
         }
         state.down = false;
@@ -261,15 +264,20 @@
         };
         let client = self.client();
         let sent = slot.started;
-        let observe = |statement| self.record_statement(statement, sent);
+        let observe = |statement| self.record_statement(&head.target, statement, sent);
         let outcome = target_call::call(&client, request, &mesh_headers, left, observe).await;
         self.finish_run(slot, &outcome);
         outcome
     }
 
-    /// Records what the target states in an answer to a request that was sent at
-    /// the time `sent`.
-    pub fn record_statement(self: &Arc<Self>, statement: TargetStatement, sent: Duration) {
+    /// Records what `target` states in an answer to a request that was sent at the
+    /// time `sent`.
+    pub fn record_statement(
+        self: &Arc<Self>,
+        target: &str,
+        statement: TargetStatement,
+        sent: Duration,
+    ) {
         let now = self.clock.now();
         let answer = RateAnswer {
             statement: statement.rate,
@@ -277,11 +285,19 @@
             is_success: statement.is_success,
         };
         let mut state = self.state();
-        let Some(change) = state.admission.declared_mut().observe(&answer, now) else {
-            return;
-        };
-        state.log_rate_change(change, now);
-        self.deliver_decisions(&mut state);
+        let newly_leaving = statement.is_leaving && state.mark_leaving(target);
+        let rate_change = state.admission.declared_mut().observe(&answer, now);
+        if let Some(change) = rate_change {
+            state.log_rate_change(change, now);
+        }
+        if newly_leaving || rate_change.is_some() {
+            self.deliver_decisions(&mut state);
+        }
+    }
+
+    /// Returns whether a target has said in an answer that it leaves.
+    pub fn is_leaving(&self, target: &str) -> bool {
+        self.state().leaving.contains_id(target)
     }
 
     /// Counts a health check of the target, and returns the least time until the
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use radishgauge_events::events;
+use radishgauge_mesh::LeavingTargets;
 use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::ServicePolicy;
 use radishgauge_mesh::TargetRecord;
@@ -35,6 +36,8 @@
     /// may have restarted since.
     pub(crate) checked_id: Option<SmolStr>,
     pub(crate) former: VecDeque<SmolStr>,
+    /// The targets that said that they leave.
+    pub(crate) leaving: LeavingTargets,
     pub(crate) policy: Option<ServicePolicy>,
     pub(crate) stopping: bool,
     pub(crate) domain_evacuated: bool,
@@ -60,6 +63,7 @@
             records: Vec::new(),
             checked_id: None,
             former: VecDeque::new(),
+            leaving: LeavingTargets::default(),
             policy: None,
             stopping: false,
             domain_evacuated: false,
@@ -137,22 +141,44 @@
                 self.admission.cold_mut().set_cold(until, rate);
             }
         }
-        let serving = records.iter().filter(|record| !record.draining);
+        let serving = records.iter().filter(|record| !self.is_draining(record));
         if let Some(record) = serving.max_by_key(|record| record.incarnation) {
             self.admission.set_limit(record.capacity);
         }
         self.records = records;
     }
 
+    /// Records that a target says that it leaves, closes it, and returns whether
+    /// this is new.
+    pub(crate) fn mark_leaving(&mut self, target: &str) -> bool {
+        let record = self.records.iter().find(|record| record.id == target);
+        let incarnation = record.and_then(|record| record.incarnation);
+        let is_new = self.leaving.mark(target, incarnation);
+        if is_new {
+            let registered = record.is_some();
+            events::TARGET_LEAVING.emit(format_args!(
+                "target={target} incarnation={incarnation:?} registered={registered}"
+            ));
+            self.update_closed();
+        }
+        is_new
+    }
+
+    /// Returns whether a target with this registration accepts no new requests, by
+    /// its registration or by its own word.
+    fn is_draining(&self, record: &TargetRecord) -> bool {
+        record.draining || self.leaving.contains(record)
+    }
+
     /// Returns whether the target that a sender names is draining, was removed, or
     /// has been replaced by another one.
     pub(crate) fn is_former(&self, target: &str) -> bool {
         let Some(record) = self.records.iter().find(|record| record.id == target) else {
-            return self.former.iter().any(|id| id == target);
+            return self.leaving.contains_id(target) || self.former.iter().any(|id| id == target);
         };
         let is_replaced = self.checked_id.as_ref().is_some_and(|id| id != target);
         let is_superseded = |other| record.is_superseded_by(other);
-        record.draining || is_replaced || self.records.iter().any(is_superseded)
+        self.is_draining(record) || is_replaced || self.records.iter().any(is_superseded)
     }
 
     /// Returns why a request for `target` must not be sent to it now, although it
@@ -168,7 +194,8 @@
 
     /// Closes the target for new requests, or opens it, as its state requires.
     pub(crate) fn update_closed(&mut self) {
-        let drained = !self.records.is_empty() && self.records.iter().all(|record| record.draining);
+        let drained =
+            !self.records.is_empty() && self.records.iter().all(|record| self.is_draining(record));
         let closed = if self.stopping {
             Some(CloseReason::Stopping)
         } else if self.domain_evacuated {
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -61,7 +61,7 @@
     };
     let outcome = node.owner.run(&request, &hop_head, admitted).await;
     node.record_hop(body_bytes, &outcome);
-    let mut report = node.hop_report();
+    let mut report = node.hop_report(&hop_head.target);
     report.spent_us = hop::micros(node.now().saturating_sub(arrived));
     log_outcome(&node, &request.id, &hop_head.target, &outcome, &report);
     hop_answer(outcome, report)
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -75,9 +75,11 @@
                     .record_up(target, report.cold_left, connection_losses);
                 let statement = TargetStatement {
                     rate: report.rate_statement,
+                    is_leaving: report.is_leaving,
                     is_success: report.is_healthy,
                 };
-                node.owner.record_statement(statement, sent);
+                let target = target.unwrap_or_default();
+                node.owner.record_statement(target, statement, sent);
             }
             CheckOutcome::Refused(error) => node.owner.record_down(&error),
             CheckOutcome::Silent => {
--- a/crates/sidecar/src/slot_offer.rs
+++ b/crates/sidecar/src/slot_offer.rs
@@ -61,7 +61,7 @@
         return answer::empty(StatusCode::BAD_REQUEST);
     };
     let outcome = reservation::reserve(node, &head, body_bytes);
-    let mut report = node.hop_report();
+    let mut report = node.hop_report(&head.target);
     let reservation = match outcome {
         Ok(reservation) => reservation,
         Err(refusal) => {
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -28,6 +28,8 @@
 pub struct TargetStatement {
     /// The rate limit.
     pub rate: RateStatement,
+    /// Whether the target says that it leaves.
+    pub is_leaving: bool,
     /// Whether the target served the request.
     pub is_success: bool,
 }
@@ -110,6 +112,7 @@
     if matches!(kind, TargetResponseKind::Ran | TargetResponseKind::NotRun) {
         observe(TargetStatement {
             rate: message::read_rate_statement(&head.headers),
+            is_leaving: message::says_leaving(&head.headers),
             is_success: head.status.is_success(),
         });
     }
--- a/crates/sidecar/tests/owner.rs
+++ b/crates/sidecar/tests/owner.rs
@@ -10,6 +10,7 @@
 use http::Uri;
 use radishgauge_mesh::StateTable;
 use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::declared_rate_limit::RateStatement;
 use radishgauge_mesh::state_table::StateChange;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_net::clock::SystemClock;
@@ -19,6 +20,7 @@
 use radishgauge_sidecar::answer::TargetOutcome;
 use radishgauge_sidecar::owner::TargetOwner;
 use radishgauge_sidecar::target_call::BufferedRequest;
+use radishgauge_sidecar::target_call::TargetStatement;
 
 const TARGET: &str = "i-1";
 
@@ -80,6 +82,34 @@
     }
 }
 
+/// Guards against a request that is sent to a target after another answer of the
+/// target said that it leaves.
+#[tokio::test]
+async fn admitted_request_is_withdrawn_when_target_says_that_it_leaves() {
+    let mut setup = OwnerSetup::new();
+    let ready = setup.registration(false);
+    setup.apply(ready);
+    let admitted = setup.owner.admit(&head()).ok().unwrap();
+    let statement = TargetStatement {
+        rate: RateStatement::Absent,
+        is_leaving: true,
+        is_success: true,
+    };
+    setup
+        .owner
+        .record_statement(TARGET, statement, Duration::ZERO);
+    // The registration still says that the target is ready.
+    let ready = setup.registration(false);
+    setup.apply(ready);
+    let outcome = setup.owner.run(&request(), &head(), Some(admitted)).await;
+    let TargetOutcome::NotRun(refusal) = outcome else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(refusal.reason, HopReason::Draining);
+    let refusal = setup.owner.admit(&head()).err().unwrap();
+    assert_eq!(refusal.reason, HopReason::Draining);
+}
+
 /// Guards against a request that is sent to a target which has left, or whose
 /// failure domain was evacuated, while the body of the admitted request arrived.
 #[tokio::test]
