Forget a leaving target of unknown incarnation when its entry is removed

The mark of a target without a known start now goes with the removal itself.

worker_that_says_it_leaves_gets_no_new_requests hung at its last step before this change.

--- a/crates/mesh/src/leaving_targets.rs
+++ b/crates/mesh/src/leaving_targets.rs
@@ -51,14 +51,12 @@
         self.incarnations.shift_remove(id);
     }
 
-    /// Drops the targets of unknown incarnation for which `known` returns false. If
-    /// such a target registers again, it is another incarnation; the others are
+    /// Records that the entry of a target was removed. If its incarnation is not
+    /// known, it is another one that registers under the ID later; the others are
     /// told apart by their registrations.
-    pub fn retain<F>(&mut self, mut known: F)
-    where
-        F: FnMut(&str) -> bool,
-    {
-        self.incarnations
-            .retain(|id, incarnation| incarnation.is_some() || known(id));
+    pub fn record_removal(&mut self, id: &str) {
+        if self.incarnations.get(id) == Some(&None) {
+            self.incarnations.shift_remove(id);
+        }
     }
 }
--- a/crates/mesh/tests/mesh/leaving_targets.rs
+++ b/crates/mesh/tests/mesh/leaving_targets.rs
@@ -40,7 +40,8 @@
     leaving.mark("unknown", None);
     assert!(leaving.contains(&record("unknown", None)));
     assert!(leaving.contains(&record("unknown", Some(1))));
-    leaving.retain(|_| false);
+    leaving.record_removal("known");
+    leaving.record_removal("unknown");
     assert!(leaving.contains(&record("known", Some(1))));
     assert!(!leaving.contains(&record("unknown", None)));
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -408,8 +408,10 @@
             events::ITEM_UNREADABLE.emit(format_args!("item={fault}"));
         }
         for state_event in &state_events {
-            if matches!(state_event, StateEvent::ConfigIgnored { .. }) {
-                continue;
+            match state_event {
+                StateEvent::ConfigIgnored { .. } => continue,
+                StateEvent::TargetGone { id } => self.leaving().record_removal(id),
+                _ => {}
             }
             events::PLATFORM_STATE_CHANGED.emit(format_args!(
                 "change={state_event:?} source={source:?} health={health:?} revision={revision}"
@@ -417,7 +419,6 @@
         }
         let table = &known.table;
         self.placer().retain(|id| table.target(id).is_some());
-        self.leaving().retain(|id| table.target(id).is_some());
         self.owner.refresh(&self.settings(), table, now);
     }
 
