Believe a refusal only if it names the request

What callers saw, in a report of another operator: a faulty target wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that the target ran (REFUSED), or the request ran at a second target (TWICE). It happens here: a refusal without an identifier was taken for the request's own.

Cause: response without identifier counted as own, and its Not-Executed field or status 421 was believed.

Change: a response with exactly one identifier, the request's, is its own; one with another's is skipped; one with none or several leaves it open whether the request has run.

--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -15,6 +15,7 @@
 use radishgauge_net::TargetError;
 use radishgauge_platform::message;
 use radishgauge_platform::message::MeshHeaders;
+use radishgauge_platform::message::ResponseOwner;
 use radishgauge_platform::message::TargetResponseKind;
 use radishgauge_schema::hop::HopReason;
 
@@ -101,7 +102,7 @@
 where
     F: FnOnce(TargetStatement),
 {
-    let belongs = |head: &Parts| message::belongs_to(&head.headers, id);
+    let belongs = |head: &Parts| message::response_owner(&head.headers, id) != ResponseOwner::Other;
     let progress = RequestProgress::default();
     let answer = match client.send_matched(request, &progress, belongs).await {
         Ok(answer) => answer,
