Refuse at once what would outlast a planned stop

Report of another operator: in a planned stop, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST).

With 10 s (the large deployment), requests are taken until 3.8 s, and the platform excuses one that is still at work at the end only if it was sent within 3 s; a request of 6 s could be broken off.

Change: the times of a stop are one module, stop_plan, which decides whether a request that may last so long is still taken; the others are refused at once, not run.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod retry_budget;
 pub mod scheduling;
 pub mod state_table;
+pub mod stop_plan;
 pub mod target;
 
 pub use admission::AdmissionDecision;
@@ -47,4 +48,5 @@
 pub use rate_limits::RateLimits;
 pub use retry_budget::RetryBudget;
 pub use state_table::StateTable;
+pub use stop_plan::StopPlan;
 pub use target::TargetRecord;
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -14,3 +14,4 @@
 mod retry_budget;
 mod slow_links;
 mod state_table;
+mod stop_plan;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -109,6 +109,12 @@
         }
     };
     let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
+    let longest = time_left.min(route.timeout);
+    if !node.accepts(longest) {
+        let mut answer = local_reply::refuse(&node, Some(&id), "stopping", DEFAULT_RETRY_AFTER);
+        close_connection(&mut answer);
+        return answer;
+    }
     let mut headers = head.headers;
     message::strip_connection_fields(&mut headers);
     hop::remove_fields(&mut headers);
@@ -129,17 +135,22 @@
             body,
         },
         arrived,
-        deadline: arrived + time_left.min(route.timeout),
+        deadline: arrived + longest,
         version: config.version(),
     };
     let mut answer = call.run().await;
     if node.is_stopping() {
-        let close = HeaderValue::from_static("close");
-        answer.headers_mut().insert(header::CONNECTION, close);
+        close_connection(&mut answer);
     }
     answer
 }
 
+/// Makes the caller open its next connection at another daemon.
+fn close_connection(answer: &mut HttpAnswer) {
+    let close = HeaderValue::from_static("close");
+    answer.headers_mut().insert(header::CONNECTION, close);
+}
+
 impl EntryCall<'_> {
     async fn run(&self) -> HttpAnswer {
         let now = self.node.now();
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -6,11 +6,10 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use indexmap::IndexSet;
 use radishgauge_events::events;
 use radishgauge_mesh::LeavingTargets;
@@ -18,6 +17,7 @@
 use radishgauge_mesh::RetryBudget;
 use radishgauge_mesh::StateFreshness;
 use radishgauge_mesh::StateTable;
+use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::body_admission::BodyAdmission;
 use radishgauge_mesh::link_load::LinkLoad;
@@ -89,7 +89,8 @@
     leaving: Mutex<LeavingTargets>,
     /// The hosts whose daemons have sent a request to this one.
     pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
-    stopping: AtomicBool,
+    /// The times of the stop; `None` until it begins.
+    stop_plan: ArcSwapOption<StopPlan>,
 }
 
 impl SidecarNode {
@@ -127,7 +128,7 @@
             freshness: Mutex::default(),
             leaving: Mutex::default(),
             contacts: Mutex::default(),
-            stopping: AtomicBool::new(false),
+            stop_plan: ArcSwapOption::empty(),
         }
     }
 
@@ -247,12 +248,20 @@
 
     /// Whether the daemon has begun to stop.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stop_plan.load().is_some()
+    }
+
+    /// Returns whether a request that lasts for `longest` at most can be served
+    /// before the daemon stops.
+    pub fn accepts(&self, longest: Duration) -> bool {
+        let plan = self.stop_plan.load();
+        plan.as_ref()
+            .is_none_or(|plan| plan.accepts(self.now(), longest))
     }
 
     /// Records that the daemon has begun to stop.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+    pub fn begin_stop(&self, plan: StopPlan) {
+        self.stop_plan.store(Some(Arc::new(plan)));
         // Wakes waiting followers, so that they switch to another daemon.
         self.changes.send_modify(|count| *count += 1);
     }
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -9,6 +9,7 @@
 use http::Response;
 use http::StatusCode;
 use radishgauge_events::events;
+use radishgauge_mesh::StopPlan;
 use radishgauge_net::CallerListener;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
@@ -45,18 +46,6 @@
 /// Each of them keeps its body in memory.
 const MAX_REQUESTS: usize = 2048;
 
-/// The fraction of the stop time during which the daemon still serves all
-/// requests, so that callers can switch to other daemons before it refuses any.
-const SERVING_FRACTION: f64 = 0.38;
-
-/// The fraction of the stop time after which pending requests are answered as
-/// timed out. The platform allows this in the last sixth.
-const TIMEOUT_FRACTION: f64 = 0.86;
-
-/// The fraction of the stop time after which requests still pending are cut
-/// off.
-const CUT_OFF_FRACTION: f64 = 0.94;
-
 /// The interval at which the daemon removes expired targets and closes unused
 /// connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -137,23 +126,22 @@
 
     /// Stops the daemon within the stop time. It first serves all requests
     /// until callers have switched to other daemons, and then waits for the
-    /// pending requests. Requests that are still pending near the end of the
-    /// stop time are answered as timed out.
+    /// pending requests; [`StopPlan`] has the times. Requests that are still
+    /// pending near the end are answered as timed out.
     pub async fn stop(self) -> StopReport {
         let Sidecar { node, listener } = self;
         let stop_started = node.now();
         let (running, waiting) = node.owner.load();
         events::SIDECAR_STOPPING.emit(format_args!("running={running} waiting={waiting}"));
-        node.begin_stop();
-        let grace = node.settings().stop_grace;
-        tokio::time::sleep(grace.mul_f64(SERVING_FRACTION)).await;
+        let plan = StopPlan::new(stop_started, node.settings().stop_grace);
+        node.begin_stop(plan);
+        tokio::time::sleep(plan.serving_end().saturating_sub(node.now())).await;
         let owner = Arc::clone(&node.owner);
         listener.runtime().spawn(async move { owner.stop() });
-        let remaining = (stop_started + grace.mul_f64(CUT_OFF_FRACTION)).saturating_sub(node.now());
+        let remaining = plan.cut_off().saturating_sub(node.now());
         let running_count = listener.running_count();
         let timed_out_node = Arc::clone(&node);
-        let time_out_delay =
-            (stop_started + grace.mul_f64(TIMEOUT_FRACTION)).saturating_sub(node.now());
+        let time_out_delay = plan.timeout().saturating_sub(node.now());
         listener.runtime().spawn(async move {
             tokio::time::sleep(time_out_delay).await;
             timed_out_node.time_out_requests();
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_net::CallerListener;
 use radishgauge_net::ListenLimits;
@@ -76,7 +77,7 @@
     });
     tokio::time::sleep(Duration::from_secs(1)).await;
     let stop_started = tokio::time::Instant::now();
-    node.begin_stop();
+    node.begin_stop(StopPlan::new(node.now(), Duration::from_secs(6)));
     pending_wait.await.unwrap();
     assert_eq!(stop_started.elapsed(), Duration::ZERO);
 }
