Pass on no body that ended before it was complete

Cause: when a connection ends in the middle of a request body, the HTTP library ends the body as if it were complete. The handler took it so, and passed it on with its shorter length, both where a caller's connection ended and where a daemon that passed a request on was killed. The watch of the connection drops the handler only after that.

Change: HttpBody compares what it received with the declared length. In chunks the library leaves no trace of the difference, so a body that ends together with the caller's end of the connection counts as cut off; such a caller waits for no answer.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -7,6 +7,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
@@ -14,6 +15,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwapOption;
+use socket2::SockRef;
 use tokio::io::Interest;
 use tokio::net::UnixStream;
 use tokio::sync::Notify;
@@ -53,14 +55,34 @@
     }
 }
 
-/// The number of requests that run on a connection.
+/// The requests that run on a connection, and its socket.
 #[derive(Default)]
-struct ConnectionActivity {
+pub(crate) struct ConnectionActivity {
     requests: Cell<usize>,
     idle: Notify,
+    /// A second handle of the connection's socket.
+    watched: Option<Rc<tokio::net::TcpStream>>,
 }
 
 impl ConnectionActivity {
+    /// Returns the activity of the connection that the current task serves.
+    pub(crate) fn current() -> Rc<ConnectionActivity> {
+        CONNECTION.try_with(Rc::clone).unwrap_or_default()
+    }
+
+    /// Returns whether the caller has closed its end of the connection, and all that
+    /// it sent was read.
+    pub(crate) fn caller_has_closed(&self) -> bool {
+        let Some(watched) = &self.watched else {
+            return false;
+        };
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(watched.as_ref()).peek(&mut byte) {
+            Ok(received) => received == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     async fn wait_idle(&self) {
         while self.requests.get() > 0 {
             self.idle.notified().await;
@@ -74,7 +96,7 @@
 impl ConnectionGuard {
     /// Counts a request on the connection that the current task serves.
     pub(crate) fn begin() -> ConnectionGuard {
-        let activity = CONNECTION.try_with(Rc::clone).unwrap_or_default();
+        let activity = ConnectionActivity::current();
         activity.requests.set(activity.requests.get() + 1);
         ConnectionGuard(activity)
     }
@@ -105,7 +127,11 @@
     else {
         return Ok(());
     };
-    let activity = Rc::new(ConnectionActivity::default());
+    let watched = Rc::new(watched);
+    let activity = Rc::new(ConnectionActivity {
+        watched: Some(Rc::clone(&watched)),
+        ..ConnectionActivity::default()
+    });
     let mut served =
         std::pin::pin!(CONNECTION.scope(activity.clone(), service.call((stream, remote))));
     tokio::select! {
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -14,6 +15,8 @@
 use xitca_web::body::Frame;
 use xitca_web::body::RequestBody;
 
+use crate::connection::ConnectionActivity;
+
 /// An error of any type, as returned by body streams.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -49,14 +52,19 @@
 /// The body of a request, read in chunks.
 pub struct HttpBody {
     inner: RequestBody,
+    /// The length that the request declares; `None` for a body in chunks.
+    declared: Option<u64>,
+    connection: Rc<ConnectionActivity>,
     limit: u64,
     seen: u64,
 }
 
 impl HttpBody {
-    pub(crate) fn new(inner: RequestBody, limit: u64) -> HttpBody {
+    pub(crate) fn new(inner: RequestBody, declared: Option<u64>, limit: u64) -> HttpBody {
         HttpBody {
             inner,
+            declared,
+            connection: ConnectionActivity::current(),
             limit,
             seen: 0,
         }
@@ -70,7 +78,7 @@
     pub async fn data(&mut self) -> Result<Option<Bytes>, BodyFault> {
         loop {
             match self.inner.frame().await {
-                None => return Ok(None),
+                None => return self.end(),
                 Some(Err(error)) => return Err(BodyFault::Cut(error.to_string())),
                 Some(Ok(Frame::Trailers(_))) => {}
                 Some(Ok(Frame::Data(data))) => {
@@ -84,6 +92,23 @@
         }
     }
 
+    /// Checks that the body is complete. The library also ends a body when the
+    /// caller closes its end of the connection; in chunks, this cannot be told from
+    /// the last chunk. A caller that closes its end waits for no answer, so its
+    /// request need not be served.
+    fn end(&self) -> Result<Option<Bytes>, BodyFault> {
+        let seen = self.seen;
+        match self.declared {
+            Some(declared) if declared != seen => Err(BodyFault::Cut(format!(
+                "{seen} of {declared} bytes were received"
+            ))),
+            None if self.connection.caller_has_closed() => Err(BodyFault::Cut(format!(
+                "the connection ended after {seen} bytes in chunks"
+            ))),
+            _ => Ok(None),
+        }
+    }
+
     /// Receives the complete body.
     ///
     /// # Errors
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -378,7 +378,11 @@
             "request head too large",
         );
     }
-    if declared_length(&head).is_some_and(|length| length > limits.body) {
+    let declared = match head.headers.contains_key(header::TRANSFER_ENCODING) {
+        true => None,
+        false => Some(declared_length(&head).unwrap_or_default()),
+    };
+    if declared.is_some_and(|length| length > limits.body) {
         return refusal(StatusCode::PAYLOAD_TOO_LARGE, "request body too large");
     }
     let Some(running) = RunningRequest::begin(state, limits.requests) else {
@@ -391,7 +395,7 @@
         head,
         remote,
         address_index,
-        body: HttpBody::new(inner, limits.body),
+        body: HttpBody::new(inner, declared, limits.body),
     };
     let (mut head, body) = handler(request).await.into_parts();
     if state.stop.is_sent() {
