--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod state_table;
 pub mod stop_plan;
 pub mod target;
+mod target_estimate;
 
 pub use admission::AdmissionDecision;
 pub use admission::AdmissionRequest;
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -23,22 +23,8 @@
 use crate::cross_region_budget::CrossRegionBudget;
 use crate::link_load;
 use crate::scheduling;
-
-/// The weight of one answer in the moving averages of a target.
-const ANSWER_WEIGHT: f64 = 0.15;
-
-/// The time constant with which a load report loses its weight.
-const REPORT_DECAY_TIME: Duration = Duration::from_secs(1);
-
-/// The time constant with which the failure rate decays.
-const FAILURE_DECAY_TIME: Duration = Duration::from_secs(3);
-
-/// The greatest age of a reported service time that may make a target look
-/// slower than others: it may have been cold, or slow for a while.
-const MAX_SERVICE_TIME_AGE: Duration = Duration::from_secs(2);
-
-/// The greatest age of a report that limits a target's concurrent requests.
-const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
+use crate::target_estimate;
+use crate::target_estimate::TargetEstimate;
 
 /// The greatest age of a report that describes the load of a target's link.
 const MAX_LINK_REPORT_AGE: Duration = Duration::from_secs(2);
@@ -64,14 +50,6 @@
 /// The greatest factor by which a long body raises the distance penalty.
 const MAX_PENALTY_FACTOR: f64 = 3.0;
 
-/// The weight of one long body in the average transfer rate of a host's link;
-/// links fill up fast.
-const TRANSFER_RATE_WEIGHT: f64 = 0.3;
-
-/// The factor by which an estimated transfer rate grows for each second of its
-/// age.
-const TRANSFER_RATE_GROWTH: f64 = 1.5;
-
 /// How long a target is skipped after it did not accept a connection. The time
 /// doubles with each further failure, since each one costs a request its
 /// connection timeout.
@@ -83,13 +61,6 @@
 /// How long a target is skipped after its owner refused all requests.
 const CLOSED_PAUSE: Duration = Duration::from_millis(700);
 
-/// The weight of one request in the average delay of a target's host. It is high
-/// because an overloaded host fails all its requests within a second.
-const DELAY_WEIGHT: f64 = 0.3;
-
-/// The time constant with which a delay decays.
-const DELAY_DECAY_TIME: Duration = Duration::from_secs(1);
-
 /// The greatest sample of the round-trip time, as a multiple of the average, so
 /// that the delay of an overloaded host does not count as distance.
 const MAX_ROUND_TRIP_STEP: f64 = 2.0;
@@ -196,135 +167,6 @@
     Cancelled,
 }
 
-/// What one host has observed of a target.
-#[derive(Debug, Clone, Default)]
-struct TargetEstimate {
-    /// The requests that this host has in flight at the target.
-    in_flight: u32,
-    /// The value of `in_flight` at the time of the last report, less the request
-    /// whose answer carried it.
-    in_flight_at_report: u32,
-    /// The last report, and when it arrived.
-    report: Option<(LoadReport, Duration)>,
-    /// The moving average of failed requests, in `0.0..=1.0`, as of
-    /// `failures_at`.
-    failures: f64,
-    failures_at: Duration,
-    paused_until: Duration,
-    /// The last pause of a target that accepts no connections; zero after it has
-    /// answered.
-    down_pause: Duration,
-    /// The transfer rate of recent long bodies in bytes a second, and when it was
-    /// updated.
-    transfer_rate: Option<(f64, Duration)>,
-    /// The rate at which the target's host can still receive bodies that were not
-    /// offered, in bytes a second, and when it was reported.
-    unoffered_rate: Option<(f64, Duration)>,
-    /// By how much recent short requests exceeded the usual round-trip time, in
-    /// seconds, and when it was updated.
-    delay: Option<(f64, Duration)>,
-}
-
-impl TargetEstimate {
-    /// Returns the expected time to send a body to the target's host. The
-    /// estimated rate grows with its age, so that a link which was full is tried
-    /// again.
-    fn transfer_time(&self, body_bytes: u64, now: Duration) -> Duration {
-        match self.transfer_rate {
-            Some((transfer_rate, at)) if body_bytes >= LONG_BODY => {
-                let age = now.saturating_sub(at).as_secs_f64();
-                Duration::from_secs_f64(
-                    body_bytes as f64 / (transfer_rate * TRANSFER_RATE_GROWTH.powf(age)),
-                )
-            }
-            _ => Duration::ZERO,
-        }
-    }
-
-    /// Returns the recent delay beyond the usual round trip and the service time.
-    fn delay(&self, now: Duration) -> Duration {
-        self.delay.map_or(Duration::ZERO, |(delay, at)| {
-            let age = now.saturating_sub(at).as_secs_f64();
-            Duration::from_secs_f64(delay * (-age / DELAY_DECAY_TIME.as_secs_f64()).exp())
-        })
-    }
-
-    fn record_delay(&mut self, delay: Duration, now: Duration) {
-        let before = self.delay(now).as_secs_f64();
-        let after = before + (delay.as_secs_f64() - before) * DELAY_WEIGHT;
-        self.delay = Some((after, now));
-    }
-
-    fn record_transfer(&mut self, body_bytes: u64, round_trip: Duration, now: Duration) {
-        let transfer_rate = body_bytes as f64 / round_trip.as_secs_f64().max(1e-3);
-        let average = self
-            .transfer_rate
-            .map_or(transfer_rate, |(average, _)| average);
-        self.transfer_rate = Some((
-            average + (transfer_rate - average) * TRANSFER_RATE_WEIGHT,
-            now,
-        ));
-    }
-
-    fn failure_rate(&self, now: Duration) -> f64 {
-        let age = now.saturating_sub(self.failures_at).as_secs_f64();
-        self.failures * (-age / FAILURE_DECAY_TIME.as_secs_f64()).exp()
-    }
-
-    fn record_failure(&mut self, failed: bool, now: Duration) {
-        let decayed = self.failure_rate(now);
-        let sample = if failed { 1.0 } else { 0.0 };
-        self.failures = decayed + (sample - decayed) * ANSWER_WEIGHT;
-        self.failures_at = now;
-    }
-
-    /// Returns the expected service time. Without a recent report, a target is
-    /// assumed to be as fast as the fastest other candidate, so that it gets
-    /// requests and reports again.
-    fn service_time(&self, fastest: Duration, now: Duration) -> Duration {
-        let reported = self
-            .report
-            .and_then(|(report, at)| Some((report.service_time?, now.saturating_sub(at))));
-        match reported {
-            Some((time, age)) if age <= MAX_SERVICE_TIME_AGE => time,
-            Some((time, _)) => time.min(fastest),
-            None => fastest,
-        }
-    }
-
-    /// Returns the number of requests that the target runs concurrently: as
-    /// registered, or fewer if its owner reported so recently.
-    fn capacity(&self, registered: u32, now: Duration) -> u32 {
-        let recent = self
-            .report
-            .filter(|(_, at)| now.saturating_sub(*at) <= MAX_LIMIT_AGE);
-        recent.map_or(registered, |(report, _)| registered.min(report.limit))
-    }
-
-    /// Returns the expected wait of one more request.
-    fn wait(&self, registered: u32, usual: f64, service_time: Duration, now: Duration) -> Duration {
-        let limit = f64::from(self.capacity(registered, now).max(1));
-        let reported_wait = self.report.map_or(Duration::ZERO, |(report, at)| {
-            report.wait.saturating_sub(now.saturating_sub(at))
-        });
-        let excess = self.occupied(usual, now) + 1.0 - limit;
-        let slot_wait = service_time.mul_f64(excess.max(0.0) / limit);
-        slot_wait.max(reported_wait)
-    }
-
-    /// Returns the expected number of requests that run or wait at the target. The
-    /// older the last report is, the nearer the result is to `usual`, the number at
-    /// other targets.
-    fn occupied(&self, usual: f64, now: Duration) -> f64 {
-        let others = self.report.map_or(usual, |(report, at)| {
-            let weight = report_weight(now.saturating_sub(at));
-            let others = f64::from(report.occupied.saturating_sub(self.in_flight_at_report));
-            others * weight + usual * (1.0 - weight)
-        });
-        others + f64::from(self.in_flight)
-    }
-}
-
 /// Chooses targets for the requests of one host, from its observations of them.
 #[derive(Debug)]
 pub struct TargetPlacer {
@@ -473,7 +315,8 @@
                     let usual = Duration::from_secs_f64(*average);
                     estimate.record_delay(round_trip.saturating_sub(usual), now);
                     let round_trip = round_trip.min(usual.mul_f64(MAX_ROUND_TRIP_STEP));
-                    *average += (round_trip.as_secs_f64() - *average) * ANSWER_WEIGHT;
+                    *average +=
+                        (round_trip.as_secs_f64() - *average) * target_estimate::ANSWER_WEIGHT;
                 }
             }
             SendOutcome::Failed => estimate.record_failure(true, now),
@@ -514,7 +357,7 @@
     ) -> Duration {
         let reported = candidates.iter().filter_map(|candidate| {
             let (report, at) = self.estimates.get(&candidate.id)?.report?;
-            let recent = now.saturating_sub(at) <= MAX_SERVICE_TIME_AGE;
+            let recent = now.saturating_sub(at) <= target_estimate::MAX_SERVICE_TIME_AGE;
             report.service_time.filter(|_| recent)
         });
         reported.min().unwrap_or(
@@ -535,7 +378,7 @@
             let Some((report, at)) = estimate.and_then(|estimate| estimate.report) else {
                 continue;
             };
-            let weight = report_weight(now.saturating_sub(at));
+            let weight = target_estimate::report_weight(now.saturating_sub(at));
             let load = f64::from(report.occupied) / f64::from(candidate.capacity.max(1));
             loads[candidate.distance as usize] += load * weight;
             weights[candidate.distance as usize] += weight;
@@ -591,11 +434,6 @@
     }
 }
 
-/// Returns the weight of a report of this age.
-fn report_weight(age: Duration) -> f64 {
-    (-age.as_secs_f64() / REPORT_DECAY_TIME.as_secs_f64()).exp()
-}
-
 /// Returns by how much the expected wait exceeds the allowed wait.
 fn excess_wait(
     estimate: &TargetEstimate,
--- a/crates/mesh/tests/mesh/leaving_targets.rs
+++ b/crates/mesh/tests/mesh/leaving_targets.rs
@@ -1,18 +1,12 @@
-use std::time::Duration;
-
 use radishgauge_mesh::LeavingTargets;
 use radishgauge_mesh::TargetRecord;
 
+use crate::support;
+
 fn record(id: &str, incarnation: Option<u64>) -> TargetRecord {
     TargetRecord {
-        id: id.into(),
-        service: "shop".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        failure_domain: "a".into(),
-        capacity: 18,
-        draining: false,
-        cold_left: Duration::ZERO,
         incarnation,
+        ..support::record(id)
     }
 }
 
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -15,3 +15,4 @@
 mod slow_links;
 mod state_table;
 mod stop_plan;
+mod support;
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -341,3 +341,19 @@
         assert_eq!(id, expected, "{occupied} of 10 slots occupied");
     }
 }
+
+/// Guards against requests to a target whose slots are free only because its owner
+/// keeps to a declared rate limit, while another target has room.
+#[test]
+fn target_with_declared_rate_limit_is_full_with_free_slots() {
+    let limited = LoadReport {
+        limit: 2,
+        ..load(8, 0, 100)
+    };
+    let place = |report| {
+        let mut placer = placer(&[("domain", report)]);
+        placer.place(&candidates(), &REQUEST, ms(0)).unwrap()
+    };
+    assert_eq!(place(load(8, 0, 100)), "domain");
+    assert_eq!(place(limited), "region");
+}
--- a/crates/mesh/tests/mesh/state_table.rs
+++ b/crates/mesh/tests/mesh/state_table.rs
@@ -12,25 +12,14 @@
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_mesh::state_table::StoreHealth;
 
+use crate::support::record;
+
 const STORE: StateSource = StateSource::Store;
 
 fn s(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
 
-fn record(id: &str) -> TargetRecord {
-    TargetRecord {
-        id: id.into(),
-        service: "shop".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        failure_domain: "a".into(),
-        capacity: 18,
-        draining: false,
-        cold_left: Duration::ZERO,
-        incarnation: None,
-    }
-}
-
 fn version(number: u64) -> StateChange {
     let limits = RequestLimits::default();
     let config = MeshConfig::new(number, limits, Vec::new(), IndexMap::new());
