--- a/crates/mesh/src/state_table.rs
+++ b/crates/mesh/src/state_table.rs
@@ -35,10 +35,11 @@
     Config(Arc<MeshConfig>),
     /// A target registered or updated its registration.
     Target(TargetRecord),
-    /// The entry of a target is missing or no longer describes a target. If there
-    /// was an outage of the store, it may have lapsed.
+    /// The entry of a target is missing. If there was an outage of the store, it may
+    /// have lapsed.
     TargetGone(SmolStr),
-    /// The entry of a target was removed and did not lapse.
+    /// The entry of a target was removed and did not lapse, or no longer describes
+    /// a target.
     TargetRemoved(SmolStr),
     /// A failure domain was evacuated.
     DomainOut(SmolStr),
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -167,3 +167,14 @@
     state_exchange::fetch_from_all(&cut_off, &[listener.local_address()]).await;
     assert!(!knows_target(&cut_off));
 }
+
+/// Guards against requests to a target whose entry another writer has overwritten,
+/// while the daemon cannot read the store: such an entry did not lapse.
+#[test]
+fn unreadable_entry_is_not_a_lapse() {
+    let node = node_with_target();
+    node.mark_store_unreachable();
+    let overwritten = vec![registration(Some("no registration"), 6)];
+    node.update_state(overwritten, 6, StateSource::Store);
+    assert!(!knows_target(&node));
+}
