Report only the present incarnation of a target as leaving

After a restart under the same ID, senders would have marked the new incarnation, and left it out for good.

The statement of a health check is now applied before the target is opened, in one step with the check's other results; and the times of a stop have plainer names.

word_of_a_former_incarnation_is_not_reported failed before.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -4,9 +4,8 @@
 //! this module. The limits therefore hold whatever load the senders assume: the
 //! number of concurrent requests, the rate while the target is cold or declares
 //! one, and no requests at all once it drains or its failure domain is evacuated.
-//! A request
-//! waits only if it is expected to be answered in time; otherwise it is refused
-//! at once, so that its sender can try another target.
+//! A request waits only if it is expected to be answered in time; otherwise it is
+//! refused at once, so that its sender can try another target.
 //!
 //! A queue absorbs a short burst. In a longer overload, a long queue does not
 //! increase throughput over a short one but makes all requests late, so the
--- a/crates/mesh/src/stop_plan.rs
+++ b/crates/mesh/src/stop_plan.rs
@@ -20,9 +20,10 @@
 /// off.
 const CUT_OFF_FRACTION: f64 = 0.94;
 
-/// How long after the start of the stop a request may be sent that is under way
-/// in the last sixth; the platform specifies three seconds.
-const LATE_END: Duration = Duration::from_millis(2_800);
+/// How long after the start of the stop every request is accepted at most. The
+/// platform allows a request to be under way in the last sixth if it was sent
+/// within three seconds.
+const MAX_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
 
 /// The times of one planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,7 +58,7 @@
     /// `longest` at most is accepted. Until callers have switched to other daemons,
     /// all are; later only those that end before the stop does.
     pub fn accepts(&self, now: Duration, longest: Duration) -> bool {
-        let switched = self.serving_end().min(self.started + LATE_END);
-        now < switched || now + longest <= self.timeout()
+        let accepts_all = now < self.serving_end().min(self.started + MAX_ACCEPT_TIME);
+        accepts_all || now + longest <= self.timeout()
     }
 }
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -20,12 +20,12 @@
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
-use radishgauge_mesh::declared_rate_limit::RateAnswer;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
 use radishgauge_net::clock::ProcessClock;
 use radishgauge_platform::HostSettings;
+use radishgauge_platform::message::HealthReport;
 use radishgauge_platform::message::MeshHeaders;
 use radishgauge_schema::hop::HopHead;
 use radishgauge_schema::hop::HopReason;
@@ -190,15 +190,17 @@
         self.check_requested.notify_one();
     }
 
-    /// Records that the target answered a health check. `cold_left` is the time
-    /// for which it is still cold, and `connection_losses` is the target
-    /// client's count from before the check.
+    /// Records that the target answered a health check that was sent at the time
+    /// `sent`. `connection_losses` is the target client's count from before the
+    /// check.
     pub fn record_up(
         self: &Arc<Self>,
-        target: Option<&str>,
-        cold_left: Duration,
+        report: &HealthReport,
+        sent: Duration,
         connection_losses: u64,
     ) {
+        let target = report.target.as_deref();
+        let cold_left = report.cold_left;
         let now = self.clock.now();
         let mut state = self.state();
         if state.down {
@@ -211,11 +213,12 @@
             // The limit of a former target or incarnation does not hold for this
             // one.
             state.admission.declared_mut().reset();
-            // A target that leaves says so in all its answers, so this is another
-            // incarnation, or is marked again at once.
+            // A target that leaves says so in all its answers, this one included.
             state.leaving.remove(target.unwrap_or_default());
             state.declared_by = target.map(SmolStr::from);
         }
+        let statement = TargetStatement::of_check(report);
+        state.apply_statement(target.unwrap_or_default(), statement, sent, now);
         state.down = false;
         state.checked_id = target.map(SmolStr::from);
         state.connection_losses = connection_losses;
@@ -279,25 +282,16 @@
         sent: Duration,
     ) {
         let now = self.clock.now();
-        let answer = RateAnswer {
-            statement: statement.rate,
-            sent,
-            is_success: statement.is_success,
-        };
         let mut state = self.state();
-        let newly_leaving = statement.is_leaving && state.mark_leaving(target);
-        let rate_change = state.admission.declared_mut().observe(&answer, now);
-        if let Some(change) = rate_change {
-            state.log_rate_change(change, now);
-        }
-        if newly_leaving || rate_change.is_some() {
+        if state.apply_statement(target, statement, sent, now) {
+            state.update_closed();
             self.deliver_decisions(&mut state);
         }
     }
 
     /// Returns whether a target has said in an answer that it leaves.
     pub fn is_leaving(&self, target: &str) -> bool {
-        self.state().leaving.contains_id(target)
+        self.state().is_leaving(target)
     }
 
     /// Counts a health check of the target, and returns the least time until the
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -12,10 +12,13 @@
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::WaitKey;
+use radishgauge_mesh::declared_rate_limit::RateAnswer;
 use radishgauge_mesh::declared_rate_limit::RateChange;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::target_call::TargetStatement;
+
 /// The capacity that is assumed of a target before its registration is known.
 const INITIAL_CAPACITY: u32 = 4;
 
@@ -93,7 +96,7 @@
 
     /// Logs a change of the target's declared rate limit. A target may state another
     /// limit in each answer, so changes of the number are logged at intervals.
-    pub(crate) fn log_rate_change(&mut self, change: RateChange, now: Duration) {
+    fn log_rate_change(&mut self, change: RateChange, now: Duration) {
         let target = self.declared_by.as_deref().unwrap_or("unknown");
         match change {
             RateChange::Limited(rate) => {
@@ -148,9 +151,30 @@
         self.records = records;
     }
 
-    /// Records that a target says that it leaves, closes it, and returns whether
-    /// this is new.
-    pub(crate) fn mark_leaving(&mut self, target: &str) -> bool {
+    /// Applies what `target` states in an answer to a request that was sent at the
+    /// time `sent`, and returns whether that changes anything.
+    pub(crate) fn apply_statement(
+        &mut self,
+        target: &str,
+        statement: TargetStatement,
+        sent: Duration,
+        now: Duration,
+    ) -> bool {
+        let newly_leaving = statement.is_leaving && self.mark_leaving(target);
+        let answer = RateAnswer {
+            statement: statement.rate,
+            sent,
+            is_success: statement.is_success,
+        };
+        let rate_change = self.admission.declared_mut().observe(&answer, now);
+        if let Some(change) = rate_change {
+            self.log_rate_change(change, now);
+        }
+        newly_leaving || rate_change.is_some()
+    }
+
+    /// Records that a target says that it leaves, and returns whether this is new.
+    fn mark_leaving(&mut self, target: &str) -> bool {
         let record = self.records.iter().find(|record| record.id == target);
         let incarnation = record.and_then(|record| record.incarnation);
         let is_new = self.leaving.mark(target, incarnation);
@@ -159,11 +183,18 @@
             events::TARGET_LEAVING.emit(format_args!(
                 "target={target} incarnation={incarnation:?} registered={registered}"
             ));
-            self.update_closed();
         }
         is_new
     }
 
+    /// Returns whether the present incarnation of a target has said that it leaves.
+    pub(crate) fn is_leaving(&self, target: &str) -> bool {
+        match self.records.iter().find(|record| record.id == target) {
+            Some(record) => self.leaving.contains(record),
+            None => self.leaving.contains_id(target),
+        }
+    }
+
     /// Returns whether a target with this registration accepts no new requests, by
     /// its registration or by its own word.
     fn is_draining(&self, record: &TargetRecord) -> bool {
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -17,7 +17,6 @@
 use radishgauge_platform::message::HealthReport;
 
 use crate::node::SidecarNode;
-use crate::target_call::TargetStatement;
 
 /// The interval of regular checks. Each check occupies a slot of the target for
 /// several milliseconds and costs money.
@@ -70,16 +69,7 @@
         match check(&client, &policy.health_path).await {
             CheckOutcome::Answered(report) => {
                 silent_checks = 0;
-                let target = report.target.as_deref();
-                node.owner
-                    .record_up(target, report.cold_left, connection_losses);
-                let statement = TargetStatement {
-                    rate: report.rate_statement,
-                    is_leaving: report.is_leaving,
-                    is_success: report.is_healthy,
-                };
-                let target = target.unwrap_or_default();
-                node.owner.record_statement(target, statement, sent);
+                node.owner.record_up(&report, sent, connection_losses);
             }
             CheckOutcome::Refused(error) => node.owner.record_down(&error),
             CheckOutcome::Silent => {
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -14,6 +14,7 @@
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetError;
 use radishgauge_platform::message;
+use radishgauge_platform::message::HealthReport;
 use radishgauge_platform::message::MeshHeaders;
 use radishgauge_platform::message::ResponseOwner;
 use radishgauge_platform::message::TargetResponseKind;
@@ -35,6 +36,17 @@
     pub is_success: bool,
 }
 
+impl TargetStatement {
+    /// Returns what the target states in the answer to a health check.
+    pub fn of_check(report: &HealthReport) -> TargetStatement {
+        TargetStatement {
+            rate: report.rate_statement,
+            is_leaving: report.is_leaving,
+            is_success: report.is_healthy,
+        }
+    }
+}
+
 /// A caller's request with its complete body.
 #[derive(Debug, Clone)]
 pub struct BufferedRequest {
--- a/crates/sidecar/tests/owner.rs
+++ b/crates/sidecar/tests/owner.rs
@@ -49,6 +49,10 @@
     }
 
     fn registration(&self, draining: bool) -> StateChange {
+        self.incarnation(draining, None)
+    }
+
+    fn incarnation(&self, draining: bool, incarnation: Option<u64>) -> StateChange {
         StateChange::Target(TargetRecord {
             id: TARGET.into(),
             service: "shop".into(),
@@ -57,7 +61,7 @@
             capacity: 1,
             draining,
             cold_left: Duration::ZERO,
-            incarnation: None,
+            incarnation,
         })
     }
 }
@@ -110,6 +114,27 @@
     assert_eq!(refusal.reason, HopReason::Draining);
 }
 
+/// Guards against senders that leave out a target which has started again under its
+/// former ID, because its former incarnation said that it leaves.
+#[tokio::test]
+async fn word_of_a_former_incarnation_is_not_reported() {
+    let mut setup = OwnerSetup::new();
+    let former = setup.incarnation(false, Some(1));
+    setup.apply(former);
+    let statement = TargetStatement {
+        rate: RateStatement::Absent,
+        is_leaving: true,
+        is_success: true,
+    };
+    let owner = Arc::clone(&setup.owner);
+    owner.record_statement(TARGET, statement, Duration::ZERO);
+    assert!(owner.is_leaving(TARGET));
+    let present = setup.incarnation(false, Some(2));
+    setup.apply(present);
+    assert!(!owner.is_leaving(TARGET));
+    assert!(owner.admit(&head()).is_ok());
+}
+
 /// Guards against a request that is sent to a target which has left, or whose
 /// failure domain was evacuated, while the body of the admitted request arrived.
 #[tokio::test]
