--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -50,7 +50,6 @@
     FRESHNESS_CONFIRMED = 1006, Info, "a neighbour answered after a pause", "", "None.";
     VERSION_IN_FORCE = 2001, Info, "configuration version in force", "revision, source, took_ms, unconfirmed", "None. An unconfirmed version came from the platform alone; no peer confirmed it.";
     VERSION_REFUSED = 2002, Error, "configuration version refused", "revision, reasons", "Correct the files and publish a greater revision; the last accepted version stays in force.";
-    TARGET_LEAVING = 6207, Info, "target says that it leaves", "target, incarnation, registered", "None; it gets no new requests, whatever its registration says.";
     VERSION_CONFLICT = 2003, Error, "one revision with two different contents", "revision, root, other", "Two operators published the same revision; publish a greater one.";
     VALUE_REJECTED = 2004, Warn, "value does not match its digest", "key, source", "Expected while the platform returns torn values; if it persists, check the platform or the named peer.";
     PLATFORM_FAILED = 2005, Warn, "platform does not answer", "key, error", "Check the platform; the version in force stays.";
@@ -87,6 +86,7 @@
     TARGET_RATE_LIMITED = 6204, Info, "target declares a rate limit", "target, per_second", "Find out what the target lacks; its owner sends it no more than this rate.";
     TARGET_RATE_LIMIT_LIFTED = 6205, Info, "target declares no rate limit any more", "target", "None.";
     TARGET_RATE_LIMIT_UNREADABLE = 6206, Warn, "target's rate limit cannot be read", "target, known", "Correct the target; the limit in `known` stays in force.";
+    TARGET_LEAVING = 6207, Info, "target says that it leaves", "target, incarnation, registered", "None; it gets no new requests, whatever its registration says.";
     REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
     REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
     REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
