Log the fingerprint of requests that fail without an answer

A caller sends a request again under a new ID, so the log did not show that failures at several targets were of the same request. RG6303 and RG6306 now name a fingerprint of method, path and body. It is computed by the entry daemon and sent with the request. The fingerprint's type moves to the mesh crate, where both request paths can use it.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -89,10 +89,10 @@
     TARGET_LEAVING = 6207, Info, "target says that it leaves", "target, incarnation, registered", "None; it gets no new requests, whatever its registration says.";
     REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
     REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
-    REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
+    REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, fingerprint, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
     REQUEST_RETRIED = 6304, Info, "request retried", "route, target, reason, attempt", "None; the retry counts against the retry budget.";
     OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; the sender tries another target.";
-    TARGET_REQUEST_FAILED = 6306, Warn, "request failed at the target, may have run", "target, reason, took_ms", "Check the target's own logs.";
+    TARGET_REQUEST_FAILED = 6306, Warn, "request failed at the target, may have run", "target, reason, fingerprint, took_ms", "Check the target's own logs. Equal requests have the same fingerprint, whatever their IDs.";
     OFFER_REFUSED = 6309, Info, "owner refused an offered request", "target, reason, retry_after_ms", "None; the body was not sent, and the sender tries another target. If frequent, the target or its host's link is fully used.";
     OFFER_FAILED = 6310, Info, "offer of a request failed", "peer, error", "The body was not sent, and the request goes to another target. Check the peer's host.";
     LINES_DROPPED = 6401, Info, "log lines dropped", "served, other", "None; the rate of log lines about requests is limited.";
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -10,6 +10,7 @@
 use radishgauge_events::events;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
@@ -65,6 +66,7 @@
     service: SmolStr,
     origin: RequestOrigin,
     request: BufferedRequest,
+    prints: RequestPrints,
     arrived: Duration,
     deadline: Duration,
     version: u64,
@@ -122,18 +124,22 @@
     let Some(service) = route.service(draw).cloned() else {
         return local_reply::refuse(&node, Some(&id), "no service", DEFAULT_RETRY_AFTER);
     };
+    let origin = RequestOrigin::of(&node, &id);
+    let request = BufferedRequest {
+        id,
+        method: head.method,
+        uri: head.uri,
+        headers,
+        body,
+    };
+    let prints = request.prints(&node.settings().service, &service);
     let call = EntryCall {
         node: &node,
         route,
         service,
-        origin: RequestOrigin::of(&node, &id),
-        request: BufferedRequest {
-            id,
-            method: head.method,
-            uri: head.uri,
-            headers,
-            body,
-        },
+        origin,
+        request,
+        prints,
         arrived,
         deadline: arrived + longest,
         version: config.version(),
@@ -305,6 +311,8 @@
             reservation: 0,
             call: self.is_call(),
             repeated: history.reached > 0 || self.origin == (RequestOrigin::Run { retried: true }),
+            content_fingerprint: self.prints.content.0,
+            exact_fingerprint: self.prints.exact.0,
         }
     }
 
@@ -507,9 +515,10 @@
             &events::REQUEST_FAILED,
             &self.request.id,
             format_args!(
-                "route={} target={:?} reason={reason} status={} attempts={} took_ms={} version={} revision={}",
+                "route={} target={:?} reason={reason} fingerprint={:016x} status={} attempts={} took_ms={} version={} revision={}",
                 self.route.name,
                 history.tried.last(),
+                self.prints.content.0,
                 status.as_u16(),
                 history.tried.len(),
                 now.saturating_sub(self.arrived).as_millis(),
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -11,6 +11,7 @@
 use radishgauge_net::HttpRequest;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
+use radishgauge_schema::hop::HopHead;
 use radishgauge_schema::hop::HopReport;
 use radishgauge_schema::hop::HopVerdict;
 
@@ -63,18 +64,19 @@
     node.record_hop(body_bytes, &outcome);
     let mut report = node.hop_report(&hop_head.target);
     report.spent_us = hop::micros(node.now().saturating_sub(arrived));
-    log_outcome(&node, &request.id, &hop_head.target, &outcome, &report);
+    log_outcome(&node, &request.id, &hop_head, &outcome, &report);
     hop_answer(outcome, report)
 }
 
 fn log_outcome(
     node: &SidecarNode,
     id: &str,
-    target: &str,
+    head: &HopHead,
     outcome: &TargetOutcome,
     report: &HopReport,
 ) {
     let now = node.now();
+    let target = &head.target;
     match outcome {
         TargetOutcome::Answered(_) => {}
         TargetOutcome::NotRun(refusal) => {
@@ -96,7 +98,8 @@
             &events::TARGET_REQUEST_FAILED,
             id,
             format_args!(
-                "target={target} reason={reason} took_ms={}",
+                "target={target} reason={reason} fingerprint={:016x} took_ms={}",
+                head.content_fingerprint,
                 report.spent_us / 1000
             ),
             now,
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -8,6 +8,7 @@
 use http::Request;
 use http::Uri;
 use http::response::Parts;
+use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::declared_rate_limit::RateStatement;
 use radishgauge_net::RequestProgress;
 use radishgauge_net::TargetBody;
@@ -63,6 +64,19 @@
 }
 
 impl BufferedRequest {
+    /// Returns the fingerprints of the request, which `caller_service` sends to
+    /// `service`.
+    pub fn prints(&self, caller_service: &str, service: &str) -> RequestPrints {
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        RequestPrints::new(
+            self.method.as_str(),
+            path,
+            &self.body,
+            caller_service,
+            service,
+        )
+    }
+
     /// Returns the request for the next hop, with the given header fields
     /// instead of its own.
     ///
--- a/crates/traffic/src/suspect.rs
+++ b/crates/traffic/src/suspect.rs
@@ -16,14 +16,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::Xxh3;
+pub use radishgauge_mesh::fingerprint::FINGERPRINT_BODY;
+pub use radishgauge_mesh::fingerprint::Fingerprint;
 
 use crate::refusal::Refusal;
 use crate::refusal::RefusalReason;
 
-/// The number of bytes of a body that are included in the fingerprint.
-pub const FINGERPRINT_BODY: usize = 64 * 1024;
-
 /// The maximum number of suspect and quarantined requests in a daemon's table,
 /// which bounds its memory to about 300 KB.
 pub const MAX_SUSPECTS: usize = 4096;
@@ -35,34 +33,6 @@
 /// that can be evicted from a full table.
 const EVICTION_SCAN: usize = 8;
 
-/// A hash that is the same for equal requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Fingerprint(pub u64);
-
-impl Fingerprint {
-    /// Returns the fingerprint of a request. Only the first
-    /// [`FINGERPRINT_BODY`] bytes of the body are included.
-    pub fn new(
-        service: &str,
-        method: &str,
-        path: &str,
-        tenant: &str,
-        key: Option<&str>,
-        body: &[u8],
-    ) -> Fingerprint {
-        let mut hash = Xxh3::new();
-        let body = &body[..body.len().min(FINGERPRINT_BODY)];
-        let key = key.map_or(&[][..], str::as_bytes);
-        let texts = [service, method, path, tenant].map(str::as_bytes);
-        for field in texts.into_iter().chain([key, body]) {
-            // The length distinguishes `ab`, `c` from `a`, `bc`.
-            hash.update(&(field.len() as u64).to_le_bytes());
-            hash.update(field);
-        }
-        Fingerprint(hash.digest())
-    }
-}
-
 /// The state of a request in the [`SuspectTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SuspectState {
