Weigh the evidence against requests under which targets end

The table of suspects quarantined a request at the second end of a target with the request in flight. When several targets end at the same time, for example without power, a popular request is in flight at each of them, so it was refused although it had ended none. Seen by reading and by a test that fails before: simultaneous_ends_do_not_quarantine.

Ends are now counted by how often they followed on each other, a request that ran well at the incarnation that ended is not suspected, and a run that is answered clears the request. Daemons exchange records that can be merged in any order instead of notices. The table moves to the mesh crate, so that the platform's request path can use the same one; the limit is a parameter, two ends on this path as before.

The test notices_are_idempotent_in_any_order demanded that an answer does not end a quarantine. That was wrong: a request that runs well is not one that ends each target. It is replaced by records_can_be_merged_in_any_order, late_record_does_not_end_a_quarantine and good_run_clears_all_ends_before.

--- a/crates/daemon/src/body.rs
+++ b/crates/daemon/src/body.rs
@@ -6,7 +6,7 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use futures_util::stream::BoxStream;
-use radishgauge_traffic::suspect::FINGERPRINT_BODY;
+use radishgauge_mesh::fingerprint::FINGERPRINT_BODY;
 
 /// The number of bytes of a request body that are buffered, so that the request
 /// can be sent again and its fingerprint computed.
--- a/crates/daemon/src/keyed.rs
+++ b/crates/daemon/src/keyed.rs
@@ -14,6 +14,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
+use radishgauge_mesh::Fingerprint;
 use radishgauge_schema::peer::Header;
 use radishgauge_schema::peer::IssueKeyRequest;
 use radishgauge_schema::peer::PeerReply;
@@ -36,7 +37,6 @@
 use radishgauge_traffic::once_attempt::KeyedAttempt;
 use radishgauge_traffic::once_owner::KeyOwner;
 use radishgauge_traffic::route::RouteKey;
-use radishgauge_traffic::suspect::Fingerprint;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
--- a/crates/daemon/src/local_targets.rs
+++ b/crates/daemon/src/local_targets.rs
@@ -11,6 +11,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use radishgauge_mesh::suspect::SuspectRun;
+use radishgauge_mesh::suspect::WellRuns;
 use radishgauge_traffic::AdmissionDecision;
 use radishgauge_traffic::AdmissionRequest;
 use radishgauge_traffic::Refusal;
@@ -20,7 +22,6 @@
 use radishgauge_traffic::admit::RunOutcome;
 use radishgauge_traffic::admit::Waiter;
 use radishgauge_traffic::admit::Wake;
-use radishgauge_traffic::suspect::Fingerprint;
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
@@ -40,10 +41,12 @@
 struct RunningCalls {
     next: u64,
     calls: HashMap<u64, RunningCall>,
+    /// The requests that cannot be the cause if the target crashes.
+    well_runs: WellRuns,
 }
 
 struct RunningCall {
-    fingerprint: Fingerprint,
+    run: SuspectRun,
     /// Whether a crash that included this call has already been reported.
     crash_reported: bool,
 }
@@ -147,9 +150,9 @@
         }
     }
 
-    /// Returns the fingerprints of the requests in flight when the connection of
-    /// call `id` broke; `None` when the crash has already been reported.
-    fn report_crash(&self, id: u64) -> Option<Vec<Fingerprint>> {
+    /// Returns the runs that may have caused the crash when the connection of call
+    /// `id` broke; `None` when the crash has already been reported.
+    fn report_crash(&self, id: u64) -> Option<Vec<SuspectRun>> {
         let mut running = lock(&self.running);
         if running
             .calls
@@ -161,13 +164,12 @@
         for call in running.calls.values_mut() {
             call.crash_reported = true;
         }
-        Some(
-            running
-                .calls
-                .values()
-                .map(|call| call.fingerprint)
-                .collect(),
-        )
+        let runs = running.calls.values().map(|call| call.run);
+        let suspected = runs
+            .filter(|run| !running.well_runs.contains(run.fingerprint))
+            .collect();
+        running.well_runs.clear();
+        Some(suspected)
     }
 }
 
@@ -208,7 +210,7 @@
     /// # Panics
     ///
     /// Never: the ticket is removed only here and when the slot is dropped.
-    pub fn hand_over(mut self, fingerprint: Fingerprint) -> RunningSlot {
+    pub fn hand_over(mut self, run: SuspectRun) -> RunningSlot {
         let ticket = self.ticket.take().expect("a slot is handed over once");
         let id = {
             let mut running = lock(&self.target.running);
@@ -217,7 +219,7 @@
             running.calls.insert(
                 id,
                 RunningCall {
-                    fingerprint,
+                    run,
                     crash_reported: false,
                 },
             );
@@ -253,9 +255,9 @@
 }
 
 impl RunningSlot {
-    /// Returns the fingerprints of the requests in flight when the connection of
-    /// this call broke; `None` when another call has reported the crash.
-    pub fn report_crash(&self) -> Option<Vec<Fingerprint>> {
+    /// Returns the runs that may have caused the crash when the connection of this
+    /// call broke; `None` when another call has reported the crash.
+    pub fn report_crash(&self) -> Option<Vec<SuspectRun>> {
         self.target.report_crash(self.id)
     }
 
@@ -286,15 +288,22 @@
         let Some(ticket) = self.ticket.take() else {
             return;
         };
-        self.remove_running();
+        let call = self.remove_running();
+        if let Some(call) = call
+            && matches!(outcome, RunOutcome::Answered | RunOutcome::Failed)
+        {
+            lock(&self.target.running)
+                .well_runs
+                .record(call.run.fingerprint);
+        }
         let ticket = ticket.hand_over(self.started);
         let now = self.target.clock.now();
         let wakes = self.target.admission.finish(ticket, outcome, now);
         self.target.wake(wakes);
     }
 
-    fn remove_running(&self) {
-        lock(&self.target.running).calls.remove(&self.id);
+    fn remove_running(&self) -> Option<RunningCall> {
+        lock(&self.target.running).calls.remove(&self.id)
     }
 }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -10,13 +10,14 @@
 
 use opentelemetry::trace::SpanKind;
 use radishgauge_control::ControlEvent;
+use radishgauge_mesh::SuspectTable;
+use radishgauge_mesh::suspect::SuspectPolicy;
 use radishgauge_schema::settings::LimitSettings;
 use radishgauge_traffic::CallTree;
 use radishgauge_traffic::LocalHost;
 use radishgauge_traffic::Refusal;
 use radishgauge_traffic::RefusalReason;
 use radishgauge_traffic::RetryBudget;
-use radishgauge_traffic::SuspectTable;
 use radishgauge_traffic::TargetPicker;
 use radishgauge_traffic::staleness::StalenessDecision;
 use smol_str::SmolStr;
@@ -39,6 +40,9 @@
 /// be stale.
 const STALENESS_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The number of targets that end under a request before it is quarantined.
+const QUARANTINE_ENDS: usize = 2;
+
 /// The state of one daemon that its traffic threads share.
 pub struct DaemonNode {
     /// The host, the region and the failure domain of this daemon.
@@ -134,7 +138,7 @@
             picker: TargetPicker::new(resources.seed, policy.link_budget_kbit),
             budget: RetryBudget::new(policy.retry_percent),
             tree: CallTree::new(resources.seed),
-            suspects: SuspectTable::new(policy.quarantine),
+            suspects: SuspectTable::new(suspect_policy(policy.quarantine)),
             local_targets: LocalTargets::default(),
             targets: TargetClients::default(),
             runs: KeyRuns::default(),
@@ -241,7 +245,7 @@
     pub fn configure(&self, version: &PublishedVersion) {
         let policy = version.snapshot.policy();
         self.budget.configure(policy.retry_percent);
-        self.suspects.configure(policy.quarantine);
+        self.suspects.configure(suspect_policy(policy.quarantine));
         self.picker.link().configure(policy.link_budget_kbit);
         let services = version.fleet_state.model.services.values();
         let targets: Vec<(SocketAddr, u32)> = services
@@ -269,3 +273,10 @@
             .map(|tracer| tracer.start(name, kind, traceparent))
     }
 }
+
+fn suspect_policy(time: Duration) -> SuspectPolicy {
+    SuspectPolicy {
+        ends: QUARANTINE_ENDS,
+        time,
+    }
+}
--- a/crates/daemon/src/receive.rs
+++ b/crates/daemon/src/receive.rs
@@ -15,6 +15,8 @@
 use http::header::HOST;
 use opentelemetry::trace::SpanKind;
 use radishgauge_config::model::Criticality;
+use radishgauge_mesh::Fingerprint;
+use radishgauge_mesh::suspect::SuspectState;
 use radishgauge_net::RequestProgress;
 use radishgauge_net::TargetAnswer;
 use radishgauge_net::TargetBody;
@@ -28,8 +30,6 @@
 use radishgauge_traffic::RefusalReason;
 use radishgauge_traffic::admit::RunOutcome;
 use radishgauge_traffic::context::CONTEXT_HEADER;
-use radishgauge_traffic::suspect::Fingerprint;
-use radishgauge_traffic::suspect::SuspectState;
 use radishgauge_traffic::tree::CallKey;
 use smol_str::SmolStr;
 
@@ -137,20 +137,21 @@
             node: Arc::clone(&self.node),
             key,
         };
-        let running = slot.hand_over(self.fingerprint);
+        let now = self.node.clock.now();
+        let running = slot.hand_over(self.node.suspects.begin(self.fingerprint, now));
         self.send(head, body, running, call).await
     }
 
     async fn admit(&self) -> Result<crate::local_targets::ReservedSlot, Refusal> {
         let now = self.node.clock.now();
         let state = self.node.suspects.check(self.fingerprint, now);
-        if let Some(refusal) = state.refusal(now) {
+        if let Some(refusal) = quarantine_refusal(state, now) {
             return Err(refusal);
         }
         let request = AdmissionRequest {
             criticality: self.criticality,
             deadline: self.deadline,
-            suspect: state == SuspectState::Suspect,
+            suspect: matches!(state, SuspectState::Suspect { .. }),
         };
         if let Some(address) = self.address() {
             let losses = self.node.targets.get(address).connection_losses();
@@ -161,7 +162,8 @@
         let slot = self.target.acquire_slot(&request).await?;
         // The request may have been quarantined while it waited.
         let now = self.node.clock.now();
-        match self.node.suspects.check(self.fingerprint, now).refusal(now) {
+        let state = self.node.suspects.check(self.fingerprint, now);
+        match quarantine_refusal(state, now) {
             Some(refusal) => Err(refusal),
             None => Ok(slot),
         }
@@ -311,7 +313,9 @@
                     None => {
                         if let Some(guard) = guard.take() {
                             guard.finish();
-                            node.suspects.record_answer(fingerprint);
+                            let now = node.clock.now();
+                            // The daemons that run it next find out by themselves.
+                            let _ = node.suspects.record_answer(fingerprint, now);
                         }
                         None
                     }
@@ -342,6 +346,13 @@
     }
 }
 
+/// Returns the refusal of a quarantined request, and `None` in the other states.
+fn quarantine_refusal(state: SuspectState, now: Duration) -> Option<Refusal> {
+    let until = state.quarantined_until()?;
+    let left = until.saturating_sub(now);
+    Some(Refusal::new(RefusalReason::Quarantined).with_retry_after(left))
+}
+
 /// Returns the idempotency key that the caller sent.
 ///
 /// The key of the head is not used: a daemon may have issued it for this sending
--- a/crates/daemon/src/suspect_notice.rs
+++ b/crates/daemon/src/suspect_notice.rs
@@ -4,14 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::future::join_all;
+use radishgauge_mesh::suspect::SuspectRecord;
+use radishgauge_mesh::suspect::SuspectRun;
 use radishgauge_schema::peer::PeerRequest;
 use radishgauge_schema::peer::StrikeNotice;
 use radishgauge_schema::peer::peer_request::Request;
 use radishgauge_traffic::CallContext;
-use radishgauge_traffic::suspect::Fingerprint;
-use radishgauge_traffic::suspect::SuspectNotice;
 use smol_str::SmolStr;
 
 use crate::events;
@@ -29,15 +28,18 @@
     node: &Arc<DaemonNode>,
     version: &Arc<PublishedVersion>,
     service: &SmolStr,
-    in_flight: &[Fingerprint],
+    in_flight: &[SuspectRun],
     context: &CallContext,
 ) {
     events::TARGET_CRASHED.emit(format_args!("service={service} calls={}", in_flight.len()));
     let crash = node.next_number();
-    let records = node
-        .suspects
-        .record_crash(crash, in_flight, node.clock.now());
-    for record in records.iter().filter(|record| record.quarantine) {
+    let records = node.suspects.record_end(crash, in_flight, node.clock.now());
+    let now = node.clock.now();
+    let is_quarantined = |record: &&SuspectRecord| {
+        let state = node.suspects.check(record.fingerprint, now);
+        state.quarantined_until().is_some()
+    };
+    for record in records.iter().filter(is_quarantined) {
         events::REQUEST_QUARANTINED.emit(format_args!(
             "service={service} fingerprint={:016x}",
             record.fingerprint.0
@@ -64,7 +66,7 @@
             };
             for record in records {
                 let request = PeerRequest {
-                    request: Some(Request::Strike(notice(service, record))),
+                    request: Some(Request::Strike(notice(service, &record))),
                 };
                 // A daemon that misses the notice learns of the request only
                 // when the request crashes its own target.
@@ -78,24 +80,20 @@
     let _ = tokio::time::timeout(NOTICE_TIMEOUT, join_all(notices)).await;
 }
 
-/// Records a notice of another daemon; a malformed one is ignored.
+/// Records a notice of another daemon; one without a record is ignored.
 pub fn record_notice(node: &DaemonNode, notice: &StrikeNotice) {
-    let Ok(bytes) = <[u8; 8]>::try_from(notice.fingerprint.as_ref()) else {
+    let Some(record) = &notice.record else {
         return;
     };
-    let record = SuspectNotice {
-        fingerprint: Fingerprint(u64::from_le_bytes(bytes)),
-        crash: notice.crash,
-        quarantine: notice.quarantine,
-    };
-    node.suspects.receive(record, node.clock.now());
+    let record = SuspectRecord::from_message(record);
+    // A daemon that knows of a good run has no need to say so: the sender finds out
+    // at its own next run.
+    let _ = node.suspects.merge(&record, node.clock.now());
 }
 
-fn notice(service: &SmolStr, record: SuspectNotice) -> StrikeNotice {
+fn notice(service: &SmolStr, record: &SuspectRecord) -> StrikeNotice {
     StrikeNotice {
         service: service.to_string(),
-        fingerprint: Bytes::copy_from_slice(&record.fingerprint.0.to_le_bytes()),
-        crash: record.crash,
-        quarantine: record.quarantine,
+        record: Some(record.to_message()),
     }
 }
--- a/crates/generate/src/lib.rs
+++ b/crates/generate/src/lib.rs
@@ -11,10 +11,11 @@
 use anyhow::Result;
 
 /// The schema files, relative to `proto/` in the schema's package.
-const FILES: [&str; 5] = [
+const FILES: [&str; 6] = [
     "rules.proto",
     "config.proto",
     "settings.proto",
+    "suspect.proto",
     "peer.proto",
     "hop.proto",
 ];
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod scheduling;
 pub mod state_table;
 pub mod stop_plan;
+pub mod suspect;
 pub mod target;
 mod target_estimate;
 
@@ -53,4 +54,5 @@
 pub use retry_budget::RetryBudget;
 pub use state_table::StateTable;
 pub use stop_plan::StopPlan;
+pub use suspect::SuspectTable;
 pub use target::TargetRecord;
--- /dev/null
+++ b/crates/mesh/src/suspect.rs
@@ -0,0 +1,488 @@
+//! Detection and quarantine of requests under which targets end.
+//!
+//! Some requests end each target that begins to run them, and their callers send
+//! them again. An end shows little by itself: a target runs many requests at once
+//! and may have ended for another reason. The evidence is weighed as follows.
+//!
+//! * An end counts against each request that was in flight, except for those that
+//!   have run well at the same incarnation of the target; see [`WellRuns`].
+//! * A run that is answered clears its request of all ends before.
+//! * Several targets may end at the same time, with a popular request in flight at
+//!   each. Ends therefore count only as often as they followed on each other: an end
+//!   has a *round*, which is 1 plus the greatest round of the ends that were known
+//!   when the run began.
+//!
+//! A request is quarantined after enough ends in at least two rounds. Daemons tell
+//! each other what they know as records, which can be merged in any order and any
+//! number of times.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use radishgauge_schema::suspect;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::fingerprint::Fingerprint;
+
+/// The maximum number of requests in a daemon's table, which bounds its memory to
+/// about 1 MB.
+pub const MAX_SUSPECTS: usize = 4096;
+
+/// The greatest number of ends that are kept of one request.
+const MAX_ENDS: usize = 8;
+
+/// The number of rounds in which targets must end before a request is quarantined.
+const QUARANTINE_ROUNDS: usize = 2;
+
+/// The number of ends from which daemons that did not see them are told of a request.
+const SHARED_ENDS: usize = 2;
+
+/// The greatest number of records that one message holds.
+const MAX_SHARED_RECORDS: usize = 1024;
+
+/// The number of quarantined entries that are skipped, oldest first, to find one
+/// that can be evicted from a full table.
+const EVICTION_SCAN: usize = 8;
+
+/// The greatest number of requests that are remembered as having run well.
+const MAX_WELL_RUNS: usize = 1024;
+
+/// When a request is quarantined, and for how long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectPolicy {
+    /// The number of ends after which a request is quarantined.
+    pub ends: usize,
+    /// How long a quarantine lasts after the latest end. For the same time after it,
+    /// one more end renews it.
+    pub time: Duration,
+}
+
+impl SuspectPolicy {
+    /// Returns how long an entry is kept after its latest end.
+    fn retention(&self) -> Duration {
+        self.time * 2
+    }
+}
+
+/// One end of a target under a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TargetEnd {
+    /// Identifies the end among all of all targets.
+    pub id: u64,
+    /// 1 plus the greatest round among the ends that were known when the run began.
+    pub round: u32,
+    /// Whether the request has run well since.
+    pub cleared: bool,
+}
+
+/// What a daemon knows of one request, as it tells others.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SuspectRecord {
+    /// Identifies the request.
+    pub fingerprint: Fingerprint,
+    /// The ends of targets under the request.
+    pub ends: Vec<TargetEnd>,
+    /// For how much longer the record is kept.
+    pub left: Duration,
+}
+
+impl SuspectRecord {
+    /// Returns the message that holds the record.
+    pub fn to_message(&self) -> suspect::SuspectRecord {
+        let end = |end: &TargetEnd| suspect::TargetEnd {
+            id: end.id,
+            round: end.round,
+            cleared: end.cleared,
+        };
+        suspect::SuspectRecord {
+            fingerprint: self.fingerprint.0,
+            ends: self.ends.iter().map(end).collect(),
+            left_us: u64::try_from(self.left.as_micros()).unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Returns the record that a message holds.
+    pub fn from_message(message: &suspect::SuspectRecord) -> SuspectRecord {
+        let end = |end: &suspect::TargetEnd| TargetEnd {
+            id: end.id,
+            round: end.round,
+            cleared: end.cleared,
+        };
+        SuspectRecord {
+            fingerprint: Fingerprint(message.fingerprint),
+            ends: message.ends.iter().take(MAX_ENDS).map(end).collect(),
+            left: Duration::from_micros(message.left_us),
+        }
+    }
+
+    /// Returns how often a target ended under the request since it last ran well.
+    pub fn uncleared(&self) -> usize {
+        self.ends.iter().filter(|end| !end.cleared).count()
+    }
+}
+
+/// The state of a request in the [`SuspectTable`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum SuspectState {
+    /// No target has ended under the request since it last ran well.
+    Clear,
+    /// Targets have ended under the request, too few to tell whether it was the
+    /// cause.
+    Suspect {
+        /// The number of rounds in which targets ended.
+        rounds: usize,
+    },
+    /// The request is refused.
+    Quarantined {
+        /// The time at which the quarantine ends.
+        until: Duration,
+    },
+}
+
+impl SuspectState {
+    /// Returns when the quarantine ends; `None` if there is none.
+    pub fn quarantined_until(self) -> Option<Duration> {
+        match self {
+            SuspectState::Quarantined { until } => Some(until),
+            SuspectState::Clear | SuspectState::Suspect { .. } => None,
+        }
+    }
+}
+
+/// A run of a request, as it is known when it begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectRun {
+    /// Identifies the request.
+    pub fingerprint: Fingerprint,
+    /// The round of the end of the target, if it ends now.
+    pub round: u32,
+}
+
+/// A daemon's table of the requests under which targets have ended.
+#[derive(Debug)]
+pub struct SuspectTable {
+    /// The number of entries. It is read first, so that a check on an empty
+    /// table takes no lock.
+    count: AtomicUsize,
+    inner: Mutex<SuspectInner>,
+}
+
+#[derive(Debug)]
+struct SuspectInner {
+    policy: SuspectPolicy,
+    entries: HashMap<Fingerprint, SuspectEntry>,
+    /// The keys of `entries`, oldest first.
+    order: VecDeque<Fingerprint>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct SuspectEntry {
+    ends: Vec<TargetEnd>,
+    /// When the entry is forgotten.
+    expires: Duration,
+}
+
+impl SuspectTable {
+    /// Returns an empty table.
+    pub fn new(policy: SuspectPolicy) -> SuspectTable {
+        SuspectTable {
+            count: AtomicUsize::new(0),
+            inner: Mutex::new(SuspectInner {
+                policy,
+                entries: HashMap::new(),
+                order: VecDeque::new(),
+            }),
+        }
+    }
+
+    /// Changes the policy from now on.
+    pub fn configure(&self, policy: SuspectPolicy) {
+        self.lock().policy = policy;
+    }
+
+    /// Returns the state of a request.
+    pub fn check(&self, fingerprint: Fingerprint, now: Duration) -> SuspectState {
+        if self.is_empty() {
+            return SuspectState::Clear;
+        }
+        let inner = self.lock();
+        let entry = inner.entries.get(&fingerprint);
+        entry.map_or(SuspectState::Clear, |entry| entry.state(inner.policy, now))
+    }
+
+    /// Records that a run of a request begins. The result is needed if the target
+    /// ends during the run.
+    pub fn begin(&self, fingerprint: Fingerprint, now: Duration) -> SuspectRun {
+        let mut round = 1;
+        if !self.is_empty() {
+            let inner = self.lock();
+            let entry = inner.entries.get(&fingerprint);
+            let entry = entry.filter(|entry| entry.expires > now);
+            round += entry.map_or(0, SuspectEntry::last_round);
+        }
+        SuspectRun { fingerprint, round }
+    }
+
+    /// Records that a target of this host ended while it ran `in_flight`. `id`
+    /// identifies the end. Returns what other daemons must know of these requests.
+    pub fn record_end(
+        &self,
+        id: u64,
+        in_flight: &[SuspectRun],
+        now: Duration,
+    ) -> Vec<SuspectRecord> {
+        let mut inner = self.lock();
+        let mut rounds: Vec<SuspectRun> = Vec::with_capacity(in_flight.len());
+        for run in in_flight {
+            // Equal requests in flight are one suspect, not several ends.
+            let known = rounds
+                .iter_mut()
+                .find(|known| known.fingerprint == run.fingerprint);
+            match known {
+                Some(known) => known.round = known.round.max(run.round),
+                None => rounds.push(*run),
+            }
+        }
+        let retention = inner.policy.retention();
+        let mut records = Vec::with_capacity(rounds.len());
+        for run in rounds {
+            let end = TargetEnd {
+                id,
+                round: run.round,
+                cleared: false,
+            };
+            let entry = inner.entry(run.fingerprint, now);
+            entry.add(end);
+            entry.expires = now + retention;
+            records.push(entry.record(run.fingerprint, now));
+        }
+        inner.evict(now);
+        self.count.store(inner.entries.len(), Ordering::Release);
+        records
+    }
+
+    /// Adds what another daemon knows of a request. Returns this daemon's record if
+    /// it knows of a good run that the other one does not know of.
+    pub fn merge(&self, record: &SuspectRecord, now: Duration) -> Option<SuspectRecord> {
+        if record.ends.is_empty() || record.left.is_zero() {
+            return None;
+        }
+        let mut inner = self.lock();
+        let left = record.left.min(inner.policy.retention());
+        let entry = inner.entry(record.fingerprint, now);
+        let mut knows_better = false;
+        for end in &record.ends {
+            knows_better |= entry.add(*end);
+        }
+        entry.expires = entry.expires.max(now + left);
+        let answer = knows_better.then(|| entry.record(record.fingerprint, now));
+        inner.evict(now);
+        self.count.store(inner.entries.len(), Ordering::Release);
+        answer
+    }
+
+    /// Records that a request ran and got an answer, which clears it. Returns what
+    /// other daemons must know of it, if they may have been told of its ends.
+    pub fn record_answer(&self, fingerprint: Fingerprint, now: Duration) -> Option<SuspectRecord> {
+        if self.is_empty() {
+            return None;
+        }
+        let mut inner = self.lock();
+        let entry = inner.entries.get_mut(&fingerprint)?;
+        let uncleared = entry.uncleared().count();
+        for end in &mut entry.ends {
+            end.cleared = true;
+        }
+        (uncleared >= SHARED_ENDS).then(|| entry.record(fingerprint, now))
+    }
+
+    /// Returns what this daemon knows of a request; `None` if no target has ended
+    /// under it.
+    pub fn record(&self, fingerprint: Fingerprint, now: Duration) -> Option<SuspectRecord> {
+        if self.is_empty() {
+            return None;
+        }
+        let inner = self.lock();
+        let entry = inner.entries.get(&fingerprint)?;
+        Some(entry.record(fingerprint, now))
+    }
+
+    /// Returns the records that all daemons share, newest first.
+    pub fn shared_records(&self, now: Duration) -> Vec<SuspectRecord> {
+        let inner = self.lock();
+        let shared = inner.shared(now);
+        let mut records: Vec<SuspectRecord> = shared
+            .map(|(fingerprint, entry)| entry.record(*fingerprint, now))
+            .collect();
+        records.sort_by_key(|record| std::cmp::Reverse(record.left));
+        records.truncate(MAX_SHARED_RECORDS);
+        records
+    }
+
+    /// Returns a digest of the records that all daemons share; 0 if there are none.
+    /// Daemons with the same records have the same digest.
+    pub fn digest(&self, now: Duration) -> u64 {
+        if self.is_empty() {
+            return 0;
+        }
+        let inner = self.lock();
+        let digests = inner.shared(now).map(|(fingerprint, entry)| {
+            let mut hash = Xxh3::new();
+            hash.update(&fingerprint.0.to_le_bytes());
+            for end in &entry.ends {
+                hash.update(&end.id.to_le_bytes());
+                hash.update(&[u8::from(end.cleared)]);
+            }
+            hash.digest()
+        });
+        digests.fold(0, |sum, digest| sum ^ digest)
+    }
+
+    /// Returns the number of requests under which targets have ended.
+    pub fn len(&self) -> usize {
+        self.count.load(Ordering::Acquire)
+    }
+
+    /// Returns whether no target has ended under a request.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Ignores poisoning: each step leaves the table consistent, so that it is
+    /// still usable after a panic of a thread that held the lock.
+    fn lock(&self) -> MutexGuard<'_, SuspectInner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl SuspectInner {
+    /// Returns the entry of a request, which is created if there is none.
+    fn entry(&mut self, fingerprint: Fingerprint, now: Duration) -> &mut SuspectEntry {
+        let order = &mut self.order;
+        let entry = self.entries.entry(fingerprint).or_insert_with(|| {
+            order.push_back(fingerprint);
+            SuspectEntry::default()
+        });
+        if entry.expires <= now {
+            entry.ends.clear();
+        }
+        entry
+    }
+
+    fn shared(&self, now: Duration) -> impl Iterator<Item = (&Fingerprint, &SuspectEntry)> {
+        let entries = self.entries.iter();
+        entries.filter(move |(_, entry)| entry.expires > now && entry.ends.len() >= SHARED_ENDS)
+    }
+
+    fn evict(&mut self, now: Duration) {
+        while self.order.len() > MAX_SUSPECTS {
+            let mut scanned = 0;
+            while let Some(oldest) = self.order.pop_front() {
+                let entry = self.entries.get(&oldest);
+                let state = entry.map(|entry| entry.state(self.policy, now));
+                let retained = matches!(state, Some(SuspectState::Quarantined { .. }));
+                if retained && scanned < EVICTION_SCAN {
+                    self.order.push_back(oldest);
+                    scanned += 1;
+                    continue;
+                }
+                self.entries.remove(&oldest);
+                break;
+            }
+        }
+    }
+}
+
+impl SuspectEntry {
+    /// Adds an end, or clears a known one. Returns whether the end is known to be
+    /// cleared although `end` is not.
+    fn add(&mut self, end: TargetEnd) -> bool {
+        let known = self.ends.iter_mut().find(|known| known.id == end.id);
+        if let Some(known) = known {
+            known.cleared |= end.cleared;
+            return known.cleared && !end.cleared;
+        }
+        if self.ends.len() >= MAX_ENDS {
+            let Some(cleared) = self.ends.iter().position(|end| end.cleared) else {
+                return false;
+            };
+            self.ends.remove(cleared);
+        }
+        self.ends.push(end);
+        self.ends.sort_unstable();
+        false
+    }
+
+    fn uncleared(&self) -> impl Iterator<Item = &TargetEnd> {
+        self.ends.iter().filter(|end| !end.cleared)
+    }
+
+    fn last_round(&self) -> u32 {
+        self.uncleared().map(|end| end.round).max().unwrap_or(0)
+    }
+
+    fn state(&self, policy: SuspectPolicy, now: Duration) -> SuspectState {
+        let ends = self.uncleared().count();
+        if self.expires <= now || ends == 0 {
+            return SuspectState::Clear;
+        }
+        let rounds: HashSet<u32> = self.uncleared().map(|end| end.round).collect();
+        let rounds = rounds.len();
+        let until = self.expires.saturating_sub(policy.time);
+        if ends >= policy.ends && rounds >= QUARANTINE_ROUNDS && now < until {
+            SuspectState::Quarantined { until }
+        } else {
+            SuspectState::Suspect { rounds }
+        }
+    }
+
+    fn record(&self, fingerprint: Fingerprint, now: Duration) -> SuspectRecord {
+        SuspectRecord {
+            fingerprint,
+            ends: self.ends.clone(),
+            left: self.expires.saturating_sub(now),
+        }
+    }
+}
+
+/// The requests that have run well at the present incarnation of a target. If the
+/// target ends, they are not the cause.
+#[derive(Debug, Default)]
+pub struct WellRuns {
+    fingerprints: HashSet<Fingerprint>,
+    /// The members of `fingerprints`, oldest first.
+    order: VecDeque<Fingerprint>,
+}
+
+impl WellRuns {
+    /// Records that a request ran well.
+    pub fn record(&mut self, fingerprint: Fingerprint) {
+        if !self.fingerprints.insert(fingerprint) {
+            return;
+        }
+        self.order.push_back(fingerprint);
+        if self.order.len() > MAX_WELL_RUNS
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.fingerprints.remove(&oldest);
+        }
+    }
+
+    /// Returns whether the request has run well.
+    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.fingerprints.contains(&fingerprint)
+    }
+
+    /// Forgets all requests, because another incarnation of the target runs.
+    pub fn clear(&mut self) {
+        self.fingerprints.clear();
+        self.order.clear();
+    }
+}
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -16,3 +16,4 @@
 mod state_table;
 mod stop_plan;
 mod support;
+mod suspect;
--- /dev/null
+++ b/crates/mesh/tests/mesh/suspect.rs
@@ -0,0 +1,222 @@
+//! Tests of the detection of requests under which targets end.
+
+use std::time::Duration;
+
+use radishgauge_mesh::Fingerprint;
+use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::SuspectTable;
+use radishgauge_mesh::suspect::MAX_SUSPECTS;
+use radishgauge_mesh::suspect::SuspectPolicy;
+use radishgauge_mesh::suspect::SuspectRecord;
+use radishgauge_mesh::suspect::SuspectState;
+use radishgauge_mesh::suspect::TargetEnd;
+use radishgauge_mesh::suspect::WellRuns;
+
+const TIME: Duration = Duration::from_secs(600);
+
+const POLICY: SuspectPolicy = SuspectPolicy {
+    ends: 3,
+    time: TIME,
+};
+
+const REQUEST: Fingerprint = Fingerprint(1);
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Ends a target under [`REQUEST`], and returns the record of it.
+fn end(table: &SuspectTable, id: u64, now: Duration) -> SuspectRecord {
+    let run = table.begin(REQUEST, now);
+    table.record_end(id, &[run], now).remove(0)
+}
+
+fn is_quarantined(table: &SuspectTable, now: Duration) -> bool {
+    table.check(REQUEST, now).quarantined_until().is_some()
+}
+
+/// Guards against a request that is sent to targets after it has ended three of
+/// them one after the other, at different hosts.
+#[test]
+fn request_is_quarantined_everywhere_after_three_ends() {
+    let tables: Vec<_> = (0..4).map(|_| SuspectTable::new(POLICY)).collect();
+    for id in 0..3 {
+        assert!(tables.iter().all(|table| !is_quarantined(table, ms(id))));
+        let record = end(&tables[id as usize], id, ms(id));
+        for table in &tables {
+            table.merge(&record, ms(id));
+        }
+    }
+    assert!(tables.iter().all(|table| is_quarantined(table, ms(3))));
+}
+
+/// Guards against a popular request that is refused because many targets ended at
+/// the same time while they ran it.
+#[test]
+fn simultaneous_ends_do_not_quarantine() {
+    let table = SuspectTable::new(POLICY);
+    let runs: Vec<_> = (0..30).map(|_| table.begin(REQUEST, ms(0))).collect();
+    for (id, run) in runs.iter().enumerate() {
+        table.record_end(id as u64, &[*run], ms(1));
+    }
+    let state = table.check(REQUEST, ms(2));
+    assert_eq!(state, SuspectState::Suspect { rounds: 1 });
+}
+
+/// Guards against ends that count although the request has run well since, also if
+/// the daemon that ran it well and those that saw the ends learn of it late.
+#[test]
+fn good_run_clears_all_ends_before() {
+    let (ended, ran_well) = (SuspectTable::new(POLICY), SuspectTable::new(POLICY));
+    let records: Vec<_> = (0..2).map(|id| end(&ended, id, ms(id))).collect();
+    ran_well.merge(&records[1], ms(2));
+    let cleared = ran_well.record_answer(REQUEST, ms(3)).unwrap();
+    assert_eq!(ran_well.check(REQUEST, ms(4)), SuspectState::Clear);
+    // A third end is reported before the good run is known there.
+    let third = end(&ended, 2, ms(4));
+    assert!(is_quarantined(&ended, ms(5)));
+    let answer = ran_well.merge(&third, ms(5)).unwrap();
+    assert!(!is_quarantined(&ran_well, ms(5)));
+    assert_eq!(answer.uncleared(), 1);
+    ended.merge(&cleared, ms(6));
+    assert!(!is_quarantined(&ended, ms(6)));
+    assert_eq!(ended.digest(ms(6)), ran_well.digest(ms(6)));
+}
+
+/// Guards against records that have another effect when they arrive twice or in
+/// another order.
+#[test]
+fn records_can_be_merged_in_any_order() {
+    let source = SuspectTable::new(POLICY);
+    let mut records: Vec<_> = (0..3).map(|id| end(&source, id, ms(id))).collect();
+    records.push(SuspectRecord {
+        ends: vec![TargetEnd {
+            id: 0,
+            round: 1,
+            cleared: true,
+        }],
+        ..records[0].clone()
+    });
+    let digests: Vec<u64> = (0..records.len())
+        .map(|first| {
+            let table = SuspectTable::new(POLICY);
+            records.rotate_left(first);
+            for record in records.iter().chain(&records) {
+                table.merge(record, ms(5));
+            }
+            assert!(!is_quarantined(&table, ms(6)));
+            table.digest(ms(6))
+        })
+        .collect();
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+    assert_ne!(digests[0], 0);
+}
+
+/// Guards against a late record of an earlier end that ends a quarantine.
+#[test]
+fn late_record_does_not_end_a_quarantine() {
+    let table = SuspectTable::new(POLICY);
+    let first = end(&table, 0, ms(0));
+    end(&table, 1, ms(1));
+    end(&table, 2, ms(2));
+    table.merge(&first, ms(3));
+    assert!(is_quarantined(&table, ms(4)));
+}
+
+/// Guards against a quarantine that lasts forever although the targets may have
+/// been mended, and against one that has to be built up again if they have not.
+#[test]
+fn quarantine_ends_and_is_renewed_by_one_end() {
+    let table = SuspectTable::new(POLICY);
+    for id in 0..3 {
+        end(&table, id, ms(0));
+    }
+    assert!(is_quarantined(&table, TIME - ms(1)));
+    assert!(!is_quarantined(&table, TIME));
+    end(&table, 3, TIME);
+    assert!(is_quarantined(&table, TIME + ms(1)));
+    let forgotten = TIME * 3;
+    assert_eq!(table.check(REQUEST, forgotten), SuspectState::Clear);
+    assert_eq!(table.digest(forgotten), 0);
+}
+
+/// Guards against a table that grows without bound, and against suspects that
+/// evict a quarantined request.
+#[test]
+fn table_is_bounded_and_keeps_quarantines() {
+    let table = SuspectTable::new(POLICY);
+    for id in 0..3 {
+        end(&table, id, ms(0));
+    }
+    for number in 2..3 * MAX_SUSPECTS as u64 {
+        let run = table.begin(Fingerprint(number), ms(number));
+        table.record_end(number, &[run], ms(number));
+        assert!(table.len() <= MAX_SUSPECTS);
+    }
+    assert!(is_quarantined(&table, ms(20_000)));
+}
+
+/// Guards against a request that is suspected although the target that ended has
+/// run it well, and against one that is trusted at the next incarnation.
+#[test]
+fn well_runs_hold_for_one_incarnation_and_are_bounded() {
+    let mut well_runs = WellRuns::default();
+    well_runs.record(REQUEST);
+    assert!(well_runs.contains(REQUEST));
+    well_runs.clear();
+    assert!(!well_runs.contains(REQUEST));
+    for number in 0..10_000 {
+        well_runs.record(Fingerprint(number));
+    }
+    assert!(!well_runs.contains(Fingerprint(0)));
+    assert!(well_runs.contains(Fingerprint(9_999)));
+}
+
+/// Guards against equal requests that have different fingerprints, and against
+/// different ones that are taken for equal.
+#[test]
+fn request_prints_tell_content_and_services() {
+    let base = RequestPrints::new("GET", "/p?x=1", b"body", "shop", "desk");
+    let same = RequestPrints::new("GET", "/p?x=1", b"body", "shop", "desk");
+    assert_eq!(base, same);
+    let other_service = RequestPrints::new("GET", "/p?x=1", b"body", "shop", "intake");
+    assert_eq!(base.content, other_service.content);
+    assert_ne!(base.exact, other_service.exact);
+    let long = vec![7; 200_000];
+    let mut longer = long.clone();
+    longer[199_999] = 8;
+    let others = [
+        RequestPrints::new("POST", "/p?x=1", b"body", "shop", "desk"),
+        RequestPrints::new("GET", "/p?x=2", b"body", "shop", "desk"),
+        RequestPrints::new("GET", "/p?x=1", &long, "shop", "desk"),
+        RequestPrints::new("GET", "/p?x=1", &longer, "shop", "desk"),
+    ];
+    for (index, other) in others.iter().enumerate() {
+        assert_ne!(base.content, other.content);
+        assert!(
+            others[..index]
+                .iter()
+                .all(|one| one.content != other.content)
+        );
+    }
+}
+
+/// Guards against different requests that have the same fingerprint because
+/// their fields are concatenated or omitted.
+#[test]
+fn fingerprint_depends_on_each_field() {
+    let body = vec![7; 70_000];
+    let mut longer = body.clone();
+    longer.extend([1, 2, 3]);
+    let base = Fingerprint::new("a", "GET", "/p", "t", None, &body);
+    assert_eq!(base, Fingerprint::new("a", "GET", "/p", "t", None, &longer));
+    let others = [
+        Fingerprint::new("b", "GET", "/p", "t", None, &body),
+        Fingerprint::new("aG", "ET", "/p", "t", None, &body),
+        Fingerprint::new("a", "GET", "/q", "t", None, &body),
+        Fingerprint::new("a", "GET", "/p", "u", None, &body),
+        Fingerprint::new("a", "GET", "/p", "t", Some("k"), &body),
+        Fingerprint::new("a", "GET", "/p", "t", None, &body[1..60_000]),
+    ];
+    assert!(others.iter().all(|other| *other != base));
+}
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -59,6 +59,17 @@
     }
 }
 
+/// What daemons tell each other about requests under which targets have ended.
+pub mod suspect {
+    pub use v1::*;
+
+    /// Version 1 of these messages.
+    #[allow(missing_docs)]
+    pub mod v1 {
+        include!("generated/radishgauge.suspect.v1.rs");
+    }
+}
+
 /// The messages between daemons over QUIC with mutual TLS.
 pub mod peer {
     pub use v1::*;
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -29,7 +29,6 @@
 pub mod staleness;
 pub mod stats;
 pub mod subset;
-pub mod suspect;
 pub mod tree;
 pub mod verdict;
 
@@ -55,6 +54,5 @@
 pub use snapshot::LocalHost;
 pub use snapshot::TrafficSnapshot;
 pub use staleness::StalenessGuard;
-pub use suspect::SuspectTable;
 pub use tree::CallTree;
 pub use verdict::CallVerdict;
