Refuse requests under which targets end again and again

What callers saw: a request that ends each target that begins to run it was sent to one target after the other, each time with a new ID at another host, and all other requests in flight at these targets failed with it.

Cause: the platform's request path kept nothing of what a request had done to a target; each attempt of a caller began with an empty history. The table of suspects of the first path was never used there.

Ruled out: that the entry daemon's own retries or the repeat budget are the main cause, as a request that may run once reached 13 targets.

Why this works: the owner beside the target sees that it has ended (all connections lost, the next one refused), counts the end against the requests that were cut off, and tells the other owners, directly and by digests in messages that are sent anyway. Three ends in two rounds quarantine a request; from then on no sender sends it and no owner runs it. Before the last one it runs on trial at one target of the fleet, so that callers who send it at the same moment cost one target, not all.

--- a/crates/daemon/src/receive.rs
+++ b/crates/daemon/src/receive.rs
@@ -151,7 +151,7 @@
         let request = AdmissionRequest {
             criticality: self.criticality,
             deadline: self.deadline,
-            suspect: matches!(state, SuspectState::Suspect { .. }),
+            suspect: matches!(state, SuspectState::Suspect | SuspectState::OnTrial),
         };
         if let Some(address) = self.address() {
             let losses = self.node.targets.get(address).connection_losses();
--- a/crates/mesh/src/suspect.rs
+++ b/crates/mesh/src/suspect.rs
@@ -28,6 +28,7 @@
 
 use radishgauge_schema::suspect;
 use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::fingerprint::Fingerprint;
 
@@ -122,6 +123,11 @@
         }
     }
 
+    /// Returns whether all daemons are told of the request.
+    pub fn is_shared(&self) -> bool {
+        self.ends.len() >= SHARED_ENDS
+    }
+
     /// Returns how often a target ended under the request since it last ran well.
     pub fn uncleared(&self) -> usize {
         self.ends.iter().filter(|end| !end.cleared).count()
@@ -133,12 +139,11 @@
 pub enum SuspectState {
     /// No target has ended under the request since it last ran well.
     Clear,
-    /// Targets have ended under the request, too few to tell whether it was the
-    /// cause.
-    Suspect {
-        /// The number of rounds in which targets ended.
-        rounds: usize,
-    },
+    /// A few targets have ended under the request, most likely for another reason.
+    Suspect,
+    /// One more end would quarantine the request. It runs at one target at a time, and
+    /// alone among such requests, so that its next run tells whether it is the cause.
+    OnTrial,
     /// The request is refused.
     Quarantined {
         /// The time at which the quarantine ends.
@@ -151,11 +156,17 @@
     pub fn quarantined_until(self) -> Option<Duration> {
         match self {
             SuspectState::Quarantined { until } => Some(until),
-            SuspectState::Clear | SuspectState::Suspect { .. } => None,
+            SuspectState::Clear | SuspectState::Suspect | SuspectState::OnTrial => None,
         }
     }
 }
 
+/// Returns the position of a target in the order in which a request on trial is sent to
+/// targets; the least comes first. All senders have the same order.
+pub fn trial_position(fingerprint: Fingerprint, target: &str) -> u64 {
+    xxh3_64_with_seed(target.as_bytes(), fingerprint.0)
+}
+
 /// A run of a request, as it is known when it begins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SuspectRun {
@@ -180,6 +191,8 @@
     entries: HashMap<Fingerprint, SuspectEntry>,
     /// The keys of `entries`, oldest first.
     order: VecDeque<Fingerprint>,
+    /// The digest of the shared records, until a change or the given time.
+    digest: Option<(u64, Duration)>,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -198,6 +211,7 @@
                 policy,
                 entries: HashMap::new(),
                 order: VecDeque::new(),
+                digest: None,
             }),
         }
     }
@@ -295,6 +309,7 @@
             return None;
         }
         let mut inner = self.lock();
+        inner.digest = None;
         let entry = inner.entries.get_mut(&fingerprint)?;
         let uncleared = entry.uncleared().count();
         for end in &mut entry.ends {
@@ -332,17 +347,15 @@
         if self.is_empty() {
             return 0;
         }
-        let inner = self.lock();
-        let digests = inner.shared(now).map(|(fingerprint, entry)| {
-            let mut hash = Xxh3::new();
-            hash.update(&fingerprint.0.to_le_bytes());
-            for end in &entry.ends {
-                hash.update(&end.id.to_le_bytes());
-                hash.update(&[u8::from(end.cleared)]);
+        let mut inner = self.lock();
+        match inner.digest {
+            Some((digest, until)) if now < until => digest,
+            _ => {
+                let (digest, until) = inner.compute_digest(now);
+                inner.digest = Some((digest, until));
+                digest
             }
-            hash.digest()
-        });
-        digests.fold(0, |sum, digest| sum ^ digest)
+        }
     }
 
     /// Returns the number of requests under which targets have ended.
@@ -365,6 +378,7 @@
 impl SuspectInner {
     /// Returns the entry of a request, which is created if there is none.
     fn entry(&mut self, fingerprint: Fingerprint, now: Duration) -> &mut SuspectEntry {
+        self.digest = None;
         let order = &mut self.order;
         let entry = self.entries.entry(fingerprint).or_insert_with(|| {
             order.push_back(fingerprint);
@@ -376,6 +390,23 @@
         entry
     }
 
+    /// Returns the digest of the shared records, and when the first of them expires.
+    fn compute_digest(&self, now: Duration) -> (u64, Duration) {
+        let mut sum = 0;
+        let mut until = Duration::MAX;
+        for (fingerprint, entry) in self.shared(now) {
+            let mut hash = Xxh3::new();
+            hash.update(&fingerprint.0.to_le_bytes());
+            for end in &entry.ends {
+                hash.update(&end.id.to_le_bytes());
+                hash.update(&[u8::from(end.cleared)]);
+            }
+            sum ^= hash.digest();
+            until = until.min(entry.expires);
+        }
+        (sum, until)
+    }
+
     fn shared(&self, now: Duration) -> impl Iterator<Item = (&Fingerprint, &SuspectEntry)> {
         let entries = self.entries.iter();
         entries.filter(move |(_, entry)| entry.expires > now && entry.ends.len() >= SHARED_ENDS)
@@ -438,8 +469,10 @@
         let until = self.expires.saturating_sub(policy.time);
         if ends >= policy.ends && rounds >= QUARANTINE_ROUNDS && now < until {
             SuspectState::Quarantined { until }
+        } else if ends >= policy.ends || rounds >= QUARANTINE_ROUNDS {
+            SuspectState::OnTrial
         } else {
-            SuspectState::Suspect { rounds }
+            SuspectState::Suspect
         }
     }
 
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -17,3 +17,4 @@
 mod stop_plan;
 mod support;
 mod suspect;
+mod suspect_load;
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -209,6 +209,17 @@
         self.shared.sweep();
     }
 
+    /// Opens a connection and keeps it for the next request.
+    ///
+    /// # Errors
+    ///
+    /// When the target accepts no connection.
+    pub async fn open_idle(&self) -> Result<(), TargetError> {
+        let connection = self.shared.connect().await?;
+        self.shared.return_idle(connection);
+        Ok(())
+    }
+
     /// Sends a request and waits for the head of the answer. The request's URI must
     /// be in origin form, and it must have a `host` header. Dropping the future
     /// closes the connection, which signals the cancellation to the target.
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -76,7 +76,8 @@
         | HopReason::Draining
         | HopReason::DomainOut
         | HopReason::OtherTarget
-        | HopReason::Down => false,
+        | HopReason::Down
+        | HopReason::Quarantined => false,
     }
 }
 
@@ -106,6 +107,8 @@
             | HopReason::DomainOut
             | HopReason::OtherTarget => SendOutcome::Closed,
             HopReason::Down => SendOutcome::Down,
+            // The refusal says nothing about the target.
+            HopReason::Quarantined => SendOutcome::Cancelled,
         },
     }
 }
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -8,6 +8,7 @@
 use http::StatusCode;
 use http::header;
 use radishgauge_events::events;
+use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::RequestPrints;
@@ -15,6 +16,7 @@
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::retry_budget::RetryKind;
+use radishgauge_mesh::suspect;
 use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
@@ -22,6 +24,7 @@
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
 use radishgauge_schema::hop::HopHead;
+use radishgauge_schema::hop::HopReason;
 use rand::Rng;
 use smol_str::SmolStr;
 
@@ -37,6 +40,7 @@
 use crate::origin::RequestOrigin;
 use crate::peers::HopOutcome;
 use crate::slot_offer;
+use crate::suspect_exchange;
 use crate::target_call::BufferedRequest;
 
 /// The least time after which a refused caller may retry. An earlier retry
@@ -151,6 +155,12 @@
     answer
 }
 
+/// Keeps only the target at which all senders run a request on trial.
+fn keep_trial_target(candidates: &mut Vec<Candidate>, fingerprint: Fingerprint) {
+    candidates.sort_by_key(|candidate| suspect::trial_position(fingerprint, &candidate.place.id));
+    candidates.truncate(1);
+}
+
 /// Makes the caller open its next connection at another daemon.
 fn close_connection(answer: &mut HttpAnswer) {
     let close = HeaderValue::from_static("close");
@@ -184,6 +194,11 @@
     /// receive it.
     async fn attempts(&self, history: &mut AttemptHistory) -> HttpAnswer {
         loop {
+            if let Some(refusal) = self.node.owner.quarantine(&self.prints) {
+                self.node.metrics.count("requests_quarantined");
+                history.refusal = Some(refusal);
+                return self.finish_unserved(history, PlacementError::NoTarget);
+            }
             let candidate = match self.place(history) {
                 Ok(candidate) => candidate,
                 Err(error) => return self.finish_unserved(history, error),
@@ -201,7 +216,9 @@
                 }
                 TargetOutcome::NotRun(refusal) => {
                     history.refusal = Some(refusal);
-                    let try_another = if refusal.reached_target {
+                    let try_another = if refusal.reason == HopReason::Quarantined {
+                        false
+                    } else if refusal.reached_target {
                         history.reached += 1;
                         history.reached < self.route.attempts
                             && self.try_spend_retry(self.refusal_retry_kind(), &id, "refused")
@@ -265,6 +282,9 @@
         let now = self.node.now();
         let mut candidates = self.node.candidates(self.route, &self.service);
         candidates.retain(|candidate| !history.tried.contains(&candidate.place.id));
+        if let Some(fingerprint) = self.node.owner.trial(&self.prints) {
+            keep_trial_target(&mut candidates, fingerprint);
+        }
         let places: Vec<PlaceCandidate> = candidates
             .iter()
             .map(|candidate| candidate.place.clone())
@@ -313,6 +333,8 @@
             repeated: history.reached > 0 || self.origin == (RequestOrigin::Run { retried: true }),
             content_fingerprint: self.prints.content.0,
             exact_fingerprint: self.prints.exact.0,
+            suspicions: suspect_exchange::records_of(self.node, &self.prints),
+            suspicion_digest: self.node.owner.suspects.digest(now),
         }
     }
 
@@ -350,6 +372,9 @@
                 if report.leaving {
                     self.node.mark_leaving(id);
                 }
+                suspect_exchange::merge(self.node, &report.suspicions);
+                self.node
+                    .record_suspicion_digest(candidate.peer, report.suspicion_digest);
                 self.node
                     .handle_owner_revision(candidate.peer, report.revision);
             }
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -74,7 +74,11 @@
             let revision = node.revision();
             events::STATE_SOURCE_CHANGED.emit(format_args!("role={role:?} revision={revision}"));
         }
-        match step(&node, &store, role, full_read_due).await {
+        let outcome = step(&node, &store, role, full_read_due).await;
+        if !has_state && node.revision() > 0 {
+            tokio::spawn(state_exchange::fetch_suspects(Arc::clone(&node)));
+        }
+        match outcome {
             Ok(FollowStep::Followed) => {
                 // The received state is newer than an outage noticed before.
                 outage_start = None;
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -12,10 +12,14 @@
 use http::HeaderName;
 use http::HeaderValue;
 use prost::Message;
+use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::LoadReport;
+use radishgauge_mesh::RequestPrints;
 use radishgauge_schema::hop::HopHead;
 use radishgauge_schema::hop::HopReport;
 
+use crate::target_call::BufferedRequest;
+
 /// The field of a request that contains a [`HopHead`].
 const HEAD: HeaderName = HeaderName::from_static("x-mesh-head");
 
@@ -105,3 +109,18 @@
         ..HopReport::default()
     }
 }
+
+/// Returns the fingerprints that the sender states of its request; `None` if it states
+/// none.
+pub fn sent_prints(head: &HopHead) -> Option<RequestPrints> {
+    (head.content_fingerprint != 0).then_some(RequestPrints {
+        content: Fingerprint(head.content_fingerprint),
+        exact: Fingerprint(head.exact_fingerprint),
+    })
+}
+
+/// Returns the fingerprints of a request, which a sender of an older version does not
+/// state.
+pub fn prints(head: &HopHead, request: &BufferedRequest) -> RequestPrints {
+    sent_prints(head).unwrap_or_else(|| request.prints(&head.caller_service, ""))
+}
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -25,10 +25,12 @@
 pub mod probe;
 pub mod request_log;
 pub mod reservation;
+mod run_ledger;
 pub mod sidecar;
 mod slot;
 pub mod slot_offer;
 pub mod state_exchange;
+pub mod suspect_exchange;
 pub mod target_call;
 
 pub use sidecar::Sidecar;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -196,6 +196,7 @@
             // In requests per 1,000 s; 0 if the target declares no limit.
             ("target_rate_limit_milli", (declared * 1000.0).ceil() as u64),
             ("target_down", u64::from(node.owner.is_down())),
+            ("suspected_requests", node.owner.suspects.len() as u64),
             (
                 "store_away",
                 u64::from(node.known().table.store_unreachable()),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -31,6 +31,7 @@
 use radishgauge_platform::StoreView;
 use radishgauge_platform::view;
 use radishgauge_platform::view::ViewChanges;
+use radishgauge_schema::hop::HopHead;
 use radishgauge_schema::hop::HopReport;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -42,6 +43,7 @@
 use crate::peers::PeerClients;
 use crate::request_log::RequestLog;
 use crate::reservation::SlotReservations;
+use crate::suspect_exchange;
 
 /// The state of the platform as this daemon knows it.
 #[derive(Default)]
@@ -87,6 +89,9 @@
     freshness: Mutex<StateFreshness>,
     /// The targets whose owners reported that they leave.
     leaving: Mutex<LeavingTargets>,
+    /// The peer that was heard last of those with other records of suspected requests.
+    suspect_source: Mutex<Option<SocketAddr>>,
+    suspects_differ: Notify,
     /// The hosts whose daemons have sent a request to this one.
     pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
     /// The times of the stop; `None` until it begins.
@@ -127,6 +132,8 @@
             link: Mutex::new(link),
             freshness: Mutex::default(),
             leaving: Mutex::default(),
+            suspect_source: Mutex::default(),
+            suspects_differ: Notify::new(),
             contacts: Mutex::default(),
             stop_plan: ArcSwapOption::empty(),
         }
@@ -316,12 +323,16 @@
     }
 
     /// Returns a report of the load and state of this host, for the sender of a
-    /// request for `target`.
-    pub fn hop_report(&self, target: &str) -> HopReport {
+    /// request with the head `head`.
+    pub fn hop_report(&self, head: &HopHead) -> HopReport {
         let mut report = hop::report_from_load(&self.owner.report());
         report.unoffered_rate = self.link().unoffered_rate(self.now()) as u64;
         report.revision = self.revision();
-        report.leaving = self.owner.is_leaving(target);
+        report.leaving = self.owner.is_leaving(&head.target);
+        report.suspicion_digest = self.owner.suspects.digest(self.now());
+        if let Some(prints) = hop::sent_prints(head) {
+            report.suspicions = suspect_exchange::records_of(self, &prints);
+        }
         report
     }
 
@@ -447,6 +458,26 @@
         self.newer_revision.notify_one();
     }
 
+    /// Records the digest of a peer's records of suspected requests, and fetches them
+    /// if they differ from those known here.
+    pub fn record_suspicion_digest(&self, peer: SocketAddr, digest: u64) {
+        if digest != 0 && digest != self.owner.suspects.digest(self.now()) {
+            *lock(&self.suspect_source) = Some(peer);
+            self.suspects_differ.notify_one();
+        }
+    }
+
+    /// Waits until a peer is known to have other records of suspected requests than
+    /// this daemon, and returns the latest such peer.
+    pub async fn next_suspect_source(&self) -> SocketAddr {
+        loop {
+            self.suspects_differ.notified().await;
+            if let Some(peer) = lock(&self.suspect_source).take() {
+                return peer;
+            }
+        }
+    }
+
     /// Returns a peer that reported a newer revision than the one known here.
     pub fn newer_peer(&self) -> Option<SocketAddr> {
         let newest_report = *lock(&self.newest_report);
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -14,12 +14,19 @@
 use radishgauge_events::events;
 use radishgauge_mesh::AdmissionDecision;
 use radishgauge_mesh::AdmissionRequest;
+use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::LoadReport;
+use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::ServicePolicy;
 use radishgauge_mesh::StateTable;
+use radishgauge_mesh::SuspectTable;
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
+use radishgauge_mesh::suspect::SuspectPolicy;
+use radishgauge_mesh::suspect::SuspectRecord;
+use radishgauge_mesh::suspect::SuspectRun;
+use radishgauge_mesh::suspect::SuspectState;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -31,15 +38,20 @@
 use radishgauge_schema::hop::HopReason;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+use tokio::sync::SemaphorePermit;
 use tokio::sync::oneshot;
 
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
+use crate::hop;
 use crate::node::lock;
 use crate::owner_state::OwnerState;
+use crate::run_ledger::TargetRun;
 use crate::slot::AdmittedRequest;
 use crate::slot::QueuedRequest;
 use crate::slot::RunningSlot;
+use crate::suspect_exchange::SuspectNews;
 use crate::target_call;
 use crate::target_call::BufferedRequest;
 use crate::target_call::TargetStatement;
@@ -61,6 +73,21 @@
 /// the refusal arrives in time even in another region.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
+/// When requests under which targets end are refused. A request that its caller sends
+/// again can be in flight by chance at two ends that follow on each other, hardly at
+/// three. A release that mends the targets takes minutes.
+const SUSPECT_POLICY: SuspectPolicy = SuspectPolicy {
+    ends: 3,
+    time: Duration::from_secs(600),
+};
+
+/// How long after the loss of a connection the other connections are looked at. Those
+/// of a target that has ended are lost at the same moment.
+const CUT_OFF_SETTLE: Duration = Duration::from_millis(2);
+
+/// How long the connection attempt may take that tells whether the target has ended.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// The fraction of the process's memory that answers which are being received may
 /// use.
 const ANSWER_MEMORY_FRACTION: f64 = 0.25;
@@ -74,6 +101,15 @@
     state: Mutex<OwnerState>,
     /// Requests a health check of the target.
     pub check_requested: Notify,
+    /// The requests under which targets have ended.
+    pub suspects: SuspectTable,
+    /// What other owners must be told of such requests.
+    news: Mutex<SuspectNews>,
+    news_added: Notify,
+    /// Held while it is found out whether the target has ended.
+    end_check: tokio::sync::Mutex<()>,
+    /// Held by the one request on trial that runs at the target.
+    trial_turn: Semaphore,
 }
 
 impl TargetOwner {
@@ -87,6 +123,11 @@
             answer_budget,
             state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
+            suspects: SuspectTable::new(SUSPECT_POLICY),
+            news: Mutex::default(),
+            news_added: Notify::new(),
+            end_check: tokio::sync::Mutex::new(()),
+            trial_turn: Semaphore::new(1),
         }
     }
 
@@ -179,6 +220,7 @@
         let mut state = self.state();
         if !state.down {
             events::TARGET_DOWN.emit(format_args!("error={error}"));
+            self.record_end(&mut state, error);
         }
         state.down = true;
         state.checked_id = None;
@@ -207,8 +249,12 @@
             let id = target.unwrap_or("unknown");
             let cold_ms = cold_left.as_millis();
             events::TARGET_UP.emit(format_args!("target={id} cold_ms={cold_ms}"));
+            state.ledger.record_up();
         }
         let is_new_target = target.is_some_and(|id| state.declared_by.as_deref() != Some(id));
+        if is_new_target && !state.down && state.declared_by.is_some() {
+            self.record_end(&mut state, "another target answers");
+        }
         if state.down || is_new_target {
             // The limit of a former target or incarnation does not hold for this
             // one.
@@ -242,6 +288,13 @@
         admitted: Option<AdmittedRequest>,
     ) -> TargetOutcome {
         let deadline = self.clock.now() + Duration::from_micros(head.time_left_us);
+        let prints = hop::prints(head, request);
+        let is_reserved = admitted.is_some();
+        let turn = self.trial_turn(&prints, is_reserved, deadline).await;
+        let _turn = match turn {
+            Ok(turn) => turn,
+            Err(refusal) => return TargetOutcome::NotRun(refusal),
+        };
         let admitted = match admitted {
             Some(admitted) => Ok(admitted),
             None => self.admit(head),
@@ -257,7 +310,12 @@
         if let Some(reason) = self.state().withdrawal(&head.target) {
             return TargetOutcome::NotRun(NotRun::before_target(hop_reason(reason)));
         }
+        // The request may have been quarantined while it waited.
+        if let Some(refusal) = self.quarantine(&prints) {
+            return TargetOutcome::NotRun(refusal);
+        }
         slot.started = self.clock.now();
+        let run = self.begin_run(&head.route, &prints);
         let _run = RunRegistration::begin(self, &request.id, head.repeated);
         let left = deadline.saturating_sub(self.clock.now());
         let mesh_headers = MeshHeaders {
@@ -269,10 +327,161 @@
         let sent = slot.started;
         let observe = |statement| self.record_statement(&head.target, statement, sent);
         let outcome = target_call::call(&client, request, &mesh_headers, left, observe).await;
-        self.finish_run(slot, &outcome);
+        if target_call::is_cut_off(&outcome) {
+            self.explain_cut_off(run).await;
+        }
+        self.finish_run(slot, &prints, &outcome);
         outcome
     }
 
+    /// Returns the refusal of a request under which targets end again and again.
+    pub fn quarantine(&self, prints: &RequestPrints) -> Option<NotRun> {
+        let now = self.clock.now();
+        let ends = prints.both().into_iter().filter_map(|fingerprint| {
+            let state = self.suspects.check(fingerprint, now);
+            state.quarantined_until()
+        });
+        let until = ends.max()?;
+        Some(NotRun {
+            reason: HopReason::Quarantined,
+            retry_after: Some(until.saturating_sub(now)),
+            reached_target: false,
+        })
+    }
+
+    /// Returns the fingerprint by which a request is on trial, if it is.
+    pub fn trial(&self, prints: &RequestPrints) -> Option<Fingerprint> {
+        let now = self.clock.now();
+        let is_on_trial = |fingerprint: &Fingerprint| {
+            self.suspects.check(*fingerprint, now) == SuspectState::OnTrial
+        };
+        prints.both().into_iter().find(is_on_trial)
+    }
+
+    /// Waits until no other request on trial runs, if the request is on trial, and
+    /// returns what it holds meanwhile. A request that has a reserved slot does not
+    /// wait, because the one that runs may need that slot.
+    async fn trial_turn(
+        &self,
+        prints: &RequestPrints,
+        is_reserved: bool,
+        deadline: Duration,
+    ) -> Result<Option<SemaphorePermit<'_>>, NotRun> {
+        if let Some(refusal) = self.quarantine(prints) {
+            return Err(refusal);
+        }
+        if self.trial(prints).is_none() {
+            return Ok(None);
+        }
+        let now = self.clock.now();
+        let wait = match is_reserved {
+            true => Duration::ZERO,
+            false => deadline.saturating_sub(now + REFUSAL_MARGIN),
+        };
+        // The semaphore is never closed.
+        match tokio::time::timeout(wait, self.trial_turn.acquire()).await {
+            Ok(Ok(turn)) => Ok(Some(turn)),
+            Ok(Err(_)) | Err(_) => Err(NotRun::before_target(HopReason::Full)),
+        }
+    }
+
+    fn begin_run(&self, route: &str, prints: &RequestPrints) -> TargetRun {
+        let now = self.clock.now();
+        let begin = |fingerprint| self.suspects.begin(fingerprint, now);
+        TargetRun {
+            route: SmolStr::from(route),
+            prints: *prints,
+            suspect_runs: prints.both().map(begin),
+            connection_losses: self.state().connection_losses,
+        }
+    }
+
+    /// Finds out whether a run was cut off because the target has ended. The sender is
+    /// answered after that, so that it knows of the end before it sends the request to
+    /// another target.
+    async fn explain_cut_off(self: &Arc<Self>, run: TargetRun) {
+        let connection_losses = run.connection_losses;
+        let now = self.clock.now();
+        let known_end = self.state().ledger.record_cut_off(run.clone(), now);
+        if let Some(end) = known_end {
+            return self.suspect(end, &[run]);
+        }
+        tokio::time::sleep(CUT_OFF_SETTLE).await;
+        let _check = self.end_check.lock().await;
+        let client = self.client();
+        let lost_all = client.connection_losses() != connection_losses;
+        if !lost_all || !self.state().ledger.is_unexplained() {
+            return;
+        }
+        let attempt = tokio::time::timeout(END_CHECK_TIMEOUT, client.open_idle()).await;
+        if let Ok(Err(error)) = attempt {
+            self.record_down(&error.to_string());
+        }
+    }
+
+    /// Records that the target has ended, and suspects the requests that were cut off.
+    fn record_end(&self, state: &mut OwnerState, connection: &str) {
+        let now = self.clock.now();
+        let end = rand::random();
+        let (cut_off, runs) = state.ledger.record_end(end, now);
+        events::TARGET_ENDED.emit(format_args!(
+            "end={end:016x} cut_off={cut_off} suspected={} connection={connection}",
+            runs.len()
+        ));
+        self.suspect(end, &runs);
+    }
+
+    /// Counts an end of the target against the requests that ran there.
+    fn suspect(&self, end: u64, runs: &[TargetRun]) {
+        if runs.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let suspect_runs: Vec<SuspectRun> = runs.iter().flat_map(|run| run.suspect_runs).collect();
+        let records = self.suspects.record_end(end, &suspect_runs, now);
+        for record in records.iter().filter(|record| record.uncleared() > 1) {
+            let state = self.suspects.check(record.fingerprint, now);
+            events::REQUEST_SUSPECTED.emit(format_args!(
+                "fingerprint={:016x} ends={} quarantined={}",
+                record.fingerprint.0,
+                record.uncleared(),
+                state.quarantined_until().is_some()
+            ));
+        }
+        self.tell(runs.iter().map(|run| run.route.clone()), records);
+    }
+
+    /// Clears a request that ran well.
+    fn clear_suspect(&self, route: &str, prints: &RequestPrints) {
+        let now = self.clock.now();
+        let clear = |fingerprint| self.suspects.record_answer(fingerprint, now);
+        let records: Vec<SuspectRecord> = prints.both().into_iter().filter_map(clear).collect();
+        if let Some(record) = records.first() {
+            let ends = record.ends.len();
+            let fingerprint = record.fingerprint.0;
+            events::REQUEST_CLEARED
+                .emit(format_args!("fingerprint={fingerprint:016x} ends={ends}"));
+            self.tell([SmolStr::from(route)], records);
+        }
+    }
+
+    fn tell<I>(&self, routes: I, records: Vec<SuspectRecord>)
+    where
+        I: IntoIterator<Item = SmolStr>,
+    {
+        let mut news = lock(&self.news);
+        news.routes.extend(routes);
+        news.records.extend(records);
+        drop(news);
+        self.news_added.notify_one();
+    }
+
+    /// Waits until other owners must be told of requests, and returns what.
+    pub async fn next_news(&self) -> SuspectNews {
+        self.news_added.notified().await;
+        std::mem::take(&mut *lock(&self.news))
+    }
+
     /// Records what `target` states in an answer to a request that was sent at the
     /// time `sent`.
     pub fn record_statement(
@@ -309,9 +518,16 @@
         self.state().admission.declared().per_second()
     }
 
-    fn finish_run(self: &Arc<Self>, mut slot: RunningSlot, outcome: &TargetOutcome) {
+    fn finish_run(
+        self: &Arc<Self>,
+        mut slot: RunningSlot,
+        prints: &RequestPrints,
+        outcome: &TargetOutcome,
+    ) {
         match outcome {
             TargetOutcome::Answered(_) => {
+                self.state().ledger.record_answer(prints);
+                self.clear_suspect(&slot.route, prints);
                 slot.took = Some(self.clock.now().saturating_sub(slot.started));
             }
             TargetOutcome::NotRun(refusal) if refusal.reason == HopReason::Down => {
@@ -340,6 +556,11 @@
         if state.is_former(&head.target) {
             return Err(NotRun::before_target(HopReason::Draining));
         }
+        if let Some(prints) = hop::sent_prints(head)
+            && let Some(refusal) = self.quarantine(&prints)
+        {
+            return Err(refusal);
+        }
         if state.connection_losses != connection_losses {
             state.connection_losses = connection_losses;
             events::TARGET_RESTART_SUSPECTED.emit(format_args!("reason=all connections ended"));
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -17,6 +17,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::run_ledger::RunLedger;
 use crate::target_call::TargetStatement;
 
 /// The capacity that is assumed of a target before its registration is known.
@@ -51,6 +52,8 @@
     /// The last known count of how often the target closed its last remaining
     /// connection.
     pub(crate) connection_losses: u64,
+    /// The runs that were cut off, and those that ended well.
+    pub(crate) ledger: RunLedger,
     pub(crate) timer: Option<Duration>,
     /// The target whose rate limit the admission keeps.
     pub(crate) declared_by: Option<SmolStr>,
@@ -73,6 +76,7 @@
             down: false,
             runs: HashMap::new(),
             connection_losses: 0,
+            ledger: RunLedger::default(),
             timer: None,
             declared_by: None,
             rate_change_logged: None,
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -22,6 +22,7 @@
 use crate::reservation;
 use crate::slot_offer;
 use crate::state_exchange;
+use crate::suspect_exchange;
 use crate::target_call::BufferedRequest;
 
 /// Serves one request of another daemon.
@@ -40,9 +41,14 @@
             let id = message::request_id(&head.headers).unwrap_or_default();
             return slot_offer::serve(&node, &id, body).await;
         }
-        return state_exchange::serve(&node, &head.method, &head.uri, body).await;
+        if head.uri.path() == suspect_exchange::SUSPECT_PATH {
+            return suspect_exchange::serve(&node, &head.method, body).await;
+        }
+        return state_exchange::serve(&node, peer, &head.method, &head.uri, body).await;
     };
     node.record_peer_revision(peer, hop_head.revision);
+    node.record_suspicion_digest(peer, hop_head.suspicion_digest);
+    suspect_exchange::merge(&node, &hop_head.suspicions);
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
     let claimed_slot = reservation::claim(&node, hop_head.reservation);
@@ -62,7 +68,7 @@
     };
     let outcome = node.owner.run(&request, &hop_head, admitted).await;
     node.record_hop(body_bytes, &outcome);
-    let mut report = node.hop_report(&hop_head.target);
+    let mut report = node.hop_report(&hop_head);
     report.spent_us = hop::micros(node.now().saturating_sub(arrived));
     log_outcome(&node, &request.id, &hop_head, &outcome, &report);
     hop_answer(outcome, report)
--- a/crates/sidecar/src/peers.rs
+++ b/crates/sidecar/src/peers.rs
@@ -5,10 +5,13 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use anyhow::Context;
 use bytes::Bytes;
 use http::HeaderMap;
+use http::Method;
 use http::Request;
 use http::StatusCode;
+use http::header;
 use indexmap::IndexMap;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::RequestProgress;
@@ -49,6 +52,15 @@
 /// and shorter than callers wait.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a peer may take to answer a question of the daemon itself, in addition
+/// to the wait that was requested. A peer that is only slow is asked again; a
+/// follower must switch away from a silent one soon.
+const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The greatest size in bytes of the answer to a question of the daemon itself,
+/// enough for a state with several thousand targets and one configuration.
+pub const MAX_ASK_BYTES: usize = 8 * 1024 * 1024;
+
 /// The result of sending a request to an owner.
 pub struct HopOutcome {
     /// The outcome of the request.
@@ -112,6 +124,35 @@
         client.clone()
     }
 
+    /// Sends a question of the daemon itself to a peer, which may delay its answer by
+    /// `wait`. Returns the answer's status and body.
+    ///
+    /// # Errors
+    ///
+    /// When the peer does not answer in time.
+    pub async fn ask(
+        &self,
+        peer: SocketAddr,
+        method: Method,
+        path: &str,
+        body: Vec<u8>,
+        wait: Duration,
+    ) -> anyhow::Result<(StatusCode, Bytes)> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, peer.to_string())
+            .body(TargetBody::whole(body))?;
+        let client = self.client(peer);
+        let exchange = async {
+            let (head, mut body) = client.send(request).await?.into_parts();
+            anyhow::Ok((head.status, body.whole(MAX_ASK_BYTES).await?))
+        };
+        tokio::time::timeout(wait + PEER_TIMEOUT, exchange)
+            .await
+            .context("timeout")?
+    }
+
     /// Sends a request to the owner of a target.
     pub async fn send(
         &self,
--- /dev/null
+++ b/crates/sidecar/src/run_ledger.rs
@@ -0,0 +1,91 @@
+//! The requests that were cut off at the target, until it is known why.
+//!
+//! A lost connection alone does not show that the target has ended: it also loses
+//! single answers, and resets connections when it is full. Requests that were cut
+//! off are therefore kept for a short time. If the target turns out to have ended,
+//! they are the ones that may have been the cause.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::suspect::SuspectRun;
+use radishgauge_mesh::suspect::WellRuns;
+use smol_str::SmolStr;
+
+/// How far apart the loss of a connection and the discovery that the target has
+/// ended may be.
+const CUT_OFF_TIME: Duration = Duration::from_secs(1);
+
+/// The greatest number of requests that are kept, more than run at a target.
+const MAX_CUT_OFF: usize = 512;
+
+/// A request that runs at the target.
+#[derive(Debug, Clone)]
+pub(crate) struct TargetRun {
+    /// The route of the request.
+    pub(crate) route: SmolStr,
+    /// The fingerprints of the request.
+    pub(crate) prints: RequestPrints,
+    /// What was known of each fingerprint when the run began.
+    pub(crate) suspect_runs: [SuspectRun; 2],
+    /// How often the target had closed its last connection when the run began.
+    pub(crate) connection_losses: u64,
+}
+
+/// The runs at one target that ended without an answer, and those that ended well.
+#[derive(Debug, Default)]
+pub(crate) struct RunLedger {
+    cut_off: VecDeque<(Duration, TargetRun)>,
+    /// The latest end of the target: its number, and when it was noticed.
+    last_end: Option<(u64, Duration)>,
+    well_runs: WellRuns,
+}
+
+impl RunLedger {
+    /// Records that a run was cut off. Returns the number of the target's end if it
+    /// is known already that the target has just ended.
+    pub(crate) fn record_cut_off(&mut self, run: TargetRun, now: Duration) -> Option<u64> {
+        if let Some((end, at)) = self.last_end
+            && now < at + CUT_OFF_TIME
+        {
+            return Some(end);
+        }
+        self.cut_off.push_back((now, run));
+        if self.cut_off.len() > MAX_CUT_OFF {
+            self.cut_off.pop_front();
+        }
+        None
+    }
+
+    /// Returns whether a run that was cut off is not explained yet.
+    pub(crate) fn is_unexplained(&self) -> bool {
+        !self.cut_off.is_empty()
+    }
+
+    /// Records that the target has ended. Returns how many runs were cut off, and those
+    /// of them that may have been the cause.
+    pub(crate) fn record_end(&mut self, end: u64, now: Duration) -> (usize, Vec<TargetRun>) {
+        self.last_end = Some((end, now));
+        let cut_off = std::mem::take(&mut self.cut_off).into_iter();
+        let mut runs: Vec<TargetRun> = cut_off
+            .filter(|(at, _)| now < *at + CUT_OFF_TIME)
+            .map(|(_, run)| run)
+            .collect();
+        let count = runs.len();
+        runs.retain(|run| !self.well_runs.contains(run.prints.exact));
+        self.well_runs.clear();
+        (count, runs)
+    }
+
+    /// Records that the target is up again: runs that are cut off from now on belong to
+    /// its next end.
+    pub(crate) fn record_up(&mut self) {
+        self.last_end = None;
+    }
+
+    /// Records that a request ran and got an answer.
+    pub(crate) fn record_answer(&mut self, prints: &RequestPrints) {
+        self.well_runs.record(prints.exact);
+    }
+}
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -28,6 +28,7 @@
 use crate::peer_server;
 use crate::probe;
 use crate::state_exchange;
+use crate::suspect_exchange;
 
 /// The index of the listener address for callers.
 const CALLERS_INDEX: usize = 0;
@@ -109,6 +110,8 @@
         let store = StoreClient::new(settings.store_address);
         runtime.spawn(follow::run(Arc::clone(&node), store));
         runtime.spawn(state_exchange::run(Arc::clone(&node)));
+        runtime.spawn(suspect_exchange::run_pushes(Arc::clone(&node)));
+        runtime.spawn(suspect_exchange::run_fetches(Arc::clone(&node)));
         runtime.spawn(probe::run(Arc::clone(&node)));
         runtime.spawn(run_maintenance(Arc::clone(&node)));
         Ok(Sidecar { node, listener })
--- a/crates/sidecar/src/slot_offer.rs
+++ b/crates/sidecar/src/slot_offer.rs
@@ -61,7 +61,7 @@
         return answer::empty(StatusCode::BAD_REQUEST);
     };
     let outcome = reservation::reserve(node, &head, body_bytes);
-    let mut report = node.hop_report(&head.target);
+    let mut report = node.hop_report(&head);
     let reservation = match outcome {
         Ok(reservation) => reservation,
         Err(refusal) => {
@@ -127,7 +127,7 @@
     };
     let exchange = exchange(&client, request, &offer);
     match tokio::time::timeout(OFFER_TIMEOUT, exchange).await {
-        Ok(Ok(reply)) => read_reply(&reply),
+        Ok(Ok(reply)) => read_reply(reply),
         Ok(Err(error)) => {
             log_failure(node, peer, request, &error.to_string());
             OfferOutcome::without_report(HopReason::Down)
@@ -139,16 +139,16 @@
     }
 }
 
-fn read_reply(reply: &SlotReply) -> OfferOutcome {
+fn read_reply(reply: SlotReply) -> OfferOutcome {
     let report = reply.report;
     let decision = match reply.reservation {
-        0 => Err(
-            report.map_or(NotRun::before_target(HopReason::Full), |report| NotRun {
+        0 => Err(report
+            .as_ref()
+            .map_or(NotRun::before_target(HopReason::Full), |report| NotRun {
                 reason: report.reason(),
-                retry_after: hop::retry_after(&report),
+                retry_after: hop::retry_after(report),
                 reached_target: false,
-            }),
-        ),
+            })),
         reservation => Ok(reservation),
     };
     OfferOutcome { decision, report }
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -9,21 +9,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context;
 use bytes::Bytes;
 use http::Method;
-use http::Request;
 use http::Response;
 use http::StatusCode;
 use http::Uri;
-use http::header;
 use prost::Message;
 use radishgauge_events::events;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_mesh::state_table::StoreHealth;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpBody;
-use radishgauge_net::TargetBody;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::StoreItem;
 use radishgauge_platform::view;
@@ -37,14 +33,12 @@
 use crate::answer;
 use crate::hop::micros;
 use crate::node::SidecarNode;
+use crate::peers::MAX_ASK_BYTES;
+use crate::suspect_exchange;
 
 /// The path of requests that fetch or push the state.
 const STATE_PATH: &str = "/state";
 
-/// The greatest size of a state in bytes, enough for several thousand targets
-/// and one configuration.
-const MAX_STATE_BYTES: usize = 8 * 1024 * 1024;
-
 /// The zstd compression level. A state consists mostly of repeated names, which
 /// the lowest level already compresses well.
 const COMPRESSION_LEVEL: i32 = 1;
@@ -68,15 +62,11 @@
 /// is cut off, one of them is probably reachable.
 const RANDOM_PEERS: usize = 3;
 
-/// How long a peer may take to answer, in addition to the wait that was
-/// requested. A peer that is only slow is asked again; a follower must switch
-/// away from a silent one soon.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Serves a request that fetches the state of this daemon (`GET`), or that
 /// pushes a peer's state to it (`POST`).
 pub async fn serve(
     node: &Arc<SidecarNode>,
+    peer: SocketAddr,
     method: &Method,
     uri: &Uri,
     mut body: HttpBody,
@@ -85,7 +75,7 @@
         return answer::empty(StatusCode::NOT_FOUND);
     }
     if *method == Method::POST {
-        let Ok(body) = body.whole(MAX_STATE_BYTES as u64).await else {
+        let Ok(body) = body.whole(MAX_ASK_BYTES as u64).await else {
             return answer::empty(StatusCode::BAD_REQUEST);
         };
         return match decode(&body) {
@@ -96,6 +86,7 @@
             Err(_) => answer::empty(StatusCode::BAD_REQUEST),
         };
     }
+    node.record_suspicion_digest(peer, parameter(uri, "suspicions").unwrap_or_default());
     let after = parameter(uri, "after").unwrap_or_default();
     let wait = Duration::from_millis(parameter(uri, "wait_ms").unwrap_or_default());
     node.wait_change(after, wait.min(MAX_WAIT)).await;
@@ -151,12 +142,13 @@
         regained_us: micros(since_recovery),
         since: difference.since.unwrap_or_default(),
         confirmed_us: confirmed.map_or(0, |age| micros(age).max(1)),
+        suspicion_digest: node.owner.suspects.digest(now),
     };
     zstd::bulk::compress(&snapshot.encode_to_vec(), COMPRESSION_LEVEL)
 }
 
 fn decode(bytes: &[u8]) -> anyhow::Result<StateSnapshot> {
-    let bytes = zstd::bulk::decompress(bytes, MAX_STATE_BYTES)?;
+    let bytes = zstd::bulk::decompress(bytes, MAX_ASK_BYTES)?;
     Ok(StateSnapshot::decode(bytes.as_slice())?)
 }
 
@@ -263,6 +255,12 @@
     }
 }
 
+/// Fetches the records of suspected requests that other daemons had before this one
+/// started.
+pub async fn fetch_suspects(node: Arc<SidecarNode>) {
+    suspect_exchange::fetch_from_all(&node, &random_peers(&node)).await;
+}
+
 /// Pushes the state to the hosts of this failure domain that have sent nothing so
 /// far. A daemon that has just started and cannot read the store knows no other
 /// daemon that it could ask.
@@ -276,7 +274,9 @@
 async fn push_state(node: &SidecarNode, peer: SocketAddr) {
     let push = async {
         let body = encode(node, 0)?;
-        send(node, peer, Method::POST, STATE_PATH, body, Duration::ZERO).await
+        node.peers
+            .ask(peer, Method::POST, STATE_PATH, body, Duration::ZERO)
+            .await
     };
     if let Err(error) = push.await {
         events::STATE_EXCHANGE_FAILED.emit(format_args!("peer={peer} error={error}"));
@@ -290,13 +290,17 @@
     wait: Duration,
 ) -> anyhow::Result<StateSnapshot> {
     let path = format!(
-        "{STATE_PATH}?after={}&wait_ms={}",
+        "{STATE_PATH}?after={}&wait_ms={}&suspicions={}",
         node.revision(),
-        wait.as_millis()
+        wait.as_millis(),
+        node.owner.suspects.digest(node.now()),
     );
-    let (status, body) = send(node, peer, Method::GET, &path, Vec::new(), wait).await?;
+    let ask = node.peers.ask(peer, Method::GET, &path, Vec::new(), wait);
+    let (status, body) = ask.await?;
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
-    decode(&body)
+    let snapshot = decode(&body)?;
+    node.record_suspicion_digest(peer, snapshot.suspicion_digest);
+    Ok(snapshot)
 }
 
 /// Requests the next state from the daemon that this one follows, which may
@@ -321,29 +325,6 @@
     Ok(store_unreachable)
 }
 
-async fn send(
-    node: &SidecarNode,
-    peer: SocketAddr,
-    method: Method,
-    path: &str,
-    body: Vec<u8>,
-    wait: Duration,
-) -> anyhow::Result<(StatusCode, Bytes)> {
-    let request = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, peer.to_string())
-        .body(TargetBody::whole(body))?;
-    let client = node.peers.client(peer);
-    let exchange = async {
-        let (head, mut body) = client.send(request).await?.into_parts();
-        anyhow::Ok((head.status, body.whole(MAX_STATE_BYTES).await?))
-    };
-    tokio::time::timeout(wait + PEER_TIMEOUT, exchange)
-        .await
-        .context("timeout")?
-}
-
 /// Requests the state from several peers at once, applies what they send, and
 /// records which of them answered.
 pub async fn fetch_from_all(node: &SidecarNode, peers: &[SocketAddr]) {
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -26,6 +26,21 @@
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 
+/// The reason of a failure whose connection ended before the answer.
+const CONNECTION_ENDED: &str = "connection ended before the answer";
+
+/// The reason of a failure whose connection ended within the answer.
+const ANSWER_CUT_OFF: &str = "answer was cut off";
+
+/// Returns whether the connection to the target ended during a run with this
+/// outcome.
+pub(crate) fn is_cut_off(outcome: &TargetOutcome) -> bool {
+    matches!(
+        outcome,
+        TargetOutcome::MayHaveRun(CONNECTION_ENDED | ANSWER_CUT_OFF)
+    )
+}
+
 /// What a target states about itself in the head of an answer.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TargetStatement {
@@ -154,7 +169,7 @@
         {
             Bytes::new()
         }
-        Err(_) => return TargetOutcome::MayHaveRun("answer was cut off"),
+        Err(_) => return TargetOutcome::MayHaveRun(ANSWER_CUT_OFF),
     };
     match kind {
         TargetResponseKind::NotRun => TargetOutcome::NotRun(NotRun::by_target(HopReason::Shed)),
@@ -179,7 +194,7 @@
 
 fn outcome_of_error(error: &TargetError) -> TargetOutcome {
     if error.sent {
-        TargetOutcome::MayHaveRun("connection ended before the answer")
+        TargetOutcome::MayHaveRun(CONNECTION_ENDED)
     } else {
         TargetOutcome::NotRun(NotRun::before_target(HopReason::Down))
     }
