Log that a state read from the store is ignored

After the restore of the store, daemons read all items again and again and drop them, because the revision is smaller than the known one. Nothing in the log said so: RG6101 'history lost' stood there, and no change. RG6108 names the revision that was read and the known one.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -169,6 +169,12 @@
     // A peer may have sent a newer state in the meantime.
     if page.revision >= node.revision() {
         node.replace_state(page.items, page.revision, StateSource::Store);
+    } else {
+        events::STATE_IGNORED.emit(format_args!(
+            "read={} known={}",
+            page.revision,
+            node.revision()
+        ));
     }
     node.confirm_state(asked);
     Ok(())
