Order the states of the store by era and revision

What callers saw: after the store came back from a copy some seconds old, a configuration that was acknowledged later was not in force in time, or never, and requests reached a failure domain that had been evacuated.

Cause: Store-Era was not read, and the revision alone ordered all states. The revisions go back with the restore, so daemons dropped what the store said until its numbers had passed the old ones; what was written below them was lost for good. A dropped page also counted as a confirmation of the known state, so 404 was answered where 503 was due.

Ruled out: that readers notice the store's return late (0.2 s), and that running daemons take the copy's older configuration; daemons that start later did.

Why this works: a position is an era and a revision, compared as a whole in every message and read; a state of a later era replaces the known one, and there is no difference between eras. What the copy has lost stays in force until it is written again, and is passed on to daemons that start later; platform.md has the times.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -81,6 +81,7 @@
     STATE_EXCHANGE_FAILED = 6106, Debug, "state exchange with a peer failed", "peer, error", "None while other peers answer.";
     STATE_SOURCE_CHANGED = 6107, Info, "daemon receives the platform's state in another way", "role, revision", "None; the daemon reads the store itself, or follows the daemon on the named host.";
     STATE_IGNORED = 6108, Warn, "state read from the store is ignored", "read, known", "None if a peer has sent a newer state meanwhile; if it recurs, the store has gone back to an earlier state.";
+    STORE_RESTORED = 6109, Warn, "store has come back from a copy", "from, to, kept, source", "What the store has lost must be written again; `kept` items hold meanwhile. Positions are written as era/revision.";
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_RESTART_SUSPECTED = 6203, Info, "target is treated as cold until its next health check", "reason", "None; it may have crashed and restarted.";
--- a/crates/mesh/src/state_table.rs
+++ b/crates/mesh/src/state_table.rs
@@ -1,8 +1,9 @@
 //! The platform's state as a daemon knows it: configuration, targets and
 //! evacuated failure domains.
 //!
-//! The store's revision orders all states: of two states, the one with the
-//! greater revision is valid, whether it came from the store or from a peer.
+//! The position in the store's history orders all states: of two states, the one
+//! with the greater [`StatePosition`](crate::StatePosition) is valid, whether it came
+//! from the store or from a peer.
 //!
 //! While the store is unreachable, the entry of a running target may lapse
 //! because its lease is not renewed. A missing entry is therefore kept until a
@@ -47,6 +48,43 @@
     DomainIn(SmolStr),
 }
 
+impl StateChange {
+    /// Returns whether both changes are about the same target or failure domain, or
+    /// both about the configuration.
+    pub fn has_same_subject(&self, other: &StateChange) -> bool {
+        self.subject() == other.subject()
+    }
+
+    fn subject(&self) -> ChangeSubject<'_> {
+        match self {
+            StateChange::Config(_) => ChangeSubject::Config,
+            StateChange::Target(record) => ChangeSubject::Target(&record.id),
+            StateChange::TargetGone(id) | StateChange::TargetRemoved(id) => {
+                ChangeSubject::Target(id)
+            }
+            StateChange::DomainOut(domain) | StateChange::DomainIn(domain) => {
+                ChangeSubject::Domain(domain)
+            }
+        }
+    }
+
+    /// Returns whether the change says that its subject is not in the state.
+    pub fn is_absence(&self) -> bool {
+        matches!(
+            self,
+            StateChange::TargetGone(_) | StateChange::TargetRemoved(_) | StateChange::DomainIn(_)
+        )
+    }
+}
+
+/// What a change is about.
+#[derive(PartialEq)]
+enum ChangeSubject<'a> {
+    Config,
+    Target(&'a str),
+    Domain(&'a str),
+}
+
 /// The effect of a change on the known state, as written to the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StateEvent {
@@ -225,6 +263,14 @@
         self.limit_removal_times(now + LAPSE_GRACE);
     }
 
+    /// Records that the store has come back from a copy. Entries that the copy lacks
+    /// may be written again, as after an outage.
+    pub fn record_restore(&mut self, now: Duration) {
+        self.health = StoreHealth::Recovered(now);
+        self.own_read_failed = false;
+        self.limit_removal_times(now + LAPSE_GRACE);
+    }
+
     /// Records that there was no outage: missing entries were removed and did
     /// not lapse.
     fn rule_out_outage(&mut self, now: Duration) {
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -13,6 +13,7 @@
 mod reader;
 mod retry_budget;
 mod slow_links;
+mod state_position;
 mod state_table;
 mod stop_plan;
 mod support;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -319,6 +319,7 @@
 
     fn head(&self, id: &str, history: &AttemptHistory) -> HopHead {
         let now = self.node.now();
+        let position = self.node.position();
         HopHead {
             target: id.to_owned(),
             caller_service: self.node.settings().service.to_string(),
@@ -327,7 +328,8 @@
             time_left_us: hop::micros(self.deadline.saturating_sub(now)),
             priority: self.route.priority,
             idempotent: self.route.idempotent,
-            revision: self.node.revision(),
+            revision: position.revision,
+            era: position.era,
             reservation: 0,
             call: self.is_call(),
             repeated: history.reached > 0 || self.origin == (RequestOrigin::Run { retried: true }),
@@ -376,7 +378,7 @@
                 self.node
                     .record_suspicion_digest(candidate.peer, report.suspicion_digest);
                 self.node
-                    .handle_owner_revision(candidate.peer, report.revision);
+                    .handle_owner_position(candidate.peer, hop::report_position(report));
             }
             let spent = hop
                 .report
@@ -444,7 +446,7 @@
             answer.status.as_u16(),
             history.tried.len(),
             self.version,
-            self.node.revision(),
+            self.node.position(),
         );
         let outcome = if answer.status.is_server_error() {
             "target_failed"
@@ -503,7 +505,7 @@
                 now.saturating_sub(self.arrived).as_millis(),
                 self.deadline.saturating_sub(now).as_millis(),
                 self.version,
-                self.node.revision(),
+                self.node.position(),
             ),
             now,
         );
@@ -548,7 +550,7 @@
                 history.tried.len(),
                 now.saturating_sub(self.arrived).as_millis(),
                 self.version,
-                self.node.revision(),
+                self.node.position(),
             ),
             now,
         );
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -68,15 +68,15 @@
     let mut full_read_due = false;
     let mut logged_role = None;
     loop {
-        let has_state = node.revision() > 0;
+        let has_state = node.position().is_known();
         let role = node.role();
         if logged_role.replace(role) != Some(role) {
-            let revision = node.revision();
+            let revision = node.position();
             events::STATE_SOURCE_CHANGED.emit(format_args!("role={role:?} revision={revision}"));
         }
         let outcome = step(&node, &store, role, full_read_due).await;
-        if !has_state && node.revision() > 0 {
-            tokio::spawn(state_exchange::fetch_suspects(Arc::clone(&node)));
+        if !has_state && node.position().is_known() {
+            tokio::spawn(state_exchange::fetch_first(Arc::clone(&node)));
         }
         match outcome {
             Ok(FollowStep::Followed) => {
@@ -103,11 +103,11 @@
                 let next_readers = node.next_readers(NEXT_READERS);
                 state_exchange::fetch_from_all(&node, &next_readers).await;
             }
-            Err(FollowFault::Store(StoreError::HistoryLost)) => {
-                events::STORE_LOST.emit(format_args!(
-                    "error=history lost revision={}",
-                    node.revision()
-                ));
+            Err(FollowFault::Store(
+                error @ (StoreError::HistoryLost | StoreError::Restored(_)),
+            )) => {
+                let position = node.position();
+                events::STORE_LOST.emit(format_args!("error={error} revision={position}"));
                 full_read_due = true;
             }
             Err(FollowFault::Store(error)) => {
@@ -141,7 +141,7 @@
         return Ok(FollowStep::Followed);
     }
     node.metrics.count("store_calls");
-    let read = if full_read_due || node.revision() == 0 {
+    let read = if full_read_due || !node.position().is_known() {
         read_all(node, store).await
     } else {
         watch(node, store).await
@@ -166,15 +166,19 @@
 async fn read_all(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
     let asked = node.now();
     let page = store.read_all().await?;
-    // A peer may have sent a newer state in the meantime.
-    if page.revision >= node.revision() {
-        node.replace_state(page.items, page.revision, StateSource::Store);
+    let known = node.position();
+    if page.position >= known {
+        node.replace_state(page.items, page.position, StateSource::Store);
     } else {
-        events::STATE_IGNORED.emit(format_args!(
-            "read={} known={}",
-            page.revision,
-            node.revision()
-        ));
+        // A peer may have sent a newer state in the meantime.
+        let read = page.position;
+        events::STATE_IGNORED.emit(format_args!("read={read} known={known}"));
+        if read.era < known.era {
+            return Err(StoreError::FormerEra {
+                era: read.era,
+                greatest: known.era,
+            });
+        }
     }
     node.confirm_state(asked);
     Ok(())
@@ -189,20 +193,22 @@
     } else {
         node.settings().apply_bound.mul_f64(WATCH_FRACTION)
     };
-    let changes = store.watch(node.revision(), wait).await?;
+    let changes = store.watch(node.position(), wait).await?;
     if store_unreachable {
         // Entries that lapsed in the outage may still be registered again.
         node.mark_store_reachable();
         node.expire_targets();
     }
-    node.update_state(changes.items, changes.revision, StateSource::Store);
-    node.confirm_state(node.now());
+    node.update_state(changes.items, changes.position, StateSource::Store);
+    if changes.position.era == node.position().era {
+        node.confirm_state(node.now());
+    }
     Ok(())
 }
 
 fn record_outage(node: &SidecarNode, error: &StoreError) {
     node.mark_store_unreachable();
-    events::STORE_LOST.emit(format_args!("error={error} revision={}", node.revision()));
+    events::STORE_LOST.emit(format_args!("error={error} revision={}", node.position()));
 }
 
 fn record_recovery(node: &SidecarNode, outage_start: Duration) {
@@ -210,6 +216,6 @@
     let away_ms = node.now().saturating_sub(outage_start).as_millis();
     events::STORE_REGAINED.emit(format_args!(
         "revision={} away_ms={away_ms}",
-        node.revision()
+        node.position()
     ));
 }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -15,6 +15,7 @@
 use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::LoadReport;
 use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::StatePosition;
 use radishgauge_schema::hop::HopHead;
 use radishgauge_schema::hop::HopReport;
 
@@ -124,3 +125,19 @@
 pub fn prints(head: &HopHead, request: &BufferedRequest) -> RequestPrints {
     sent_prints(head).unwrap_or_else(|| request.prints(&head.caller_service, ""))
 }
+
+/// Returns the position of the state that a sender knows.
+pub fn head_position(head: &HopHead) -> StatePosition {
+    StatePosition {
+        era: head.era,
+        revision: head.revision,
+    }
+}
+
+/// Returns the position of the state that an owner knows.
+pub fn report_position(report: &HopReport) -> StatePosition {
+    StatePosition {
+        era: report.era,
+        revision: report.revision,
+    }
+}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -185,7 +185,8 @@
             )
         };
         let gauges = [
-            ("state_revision", node.revision()),
+            ("state_revision", node.position().revision),
+            ("state_era", node.position().era),
             ("config_version", config),
             ("targets_known", targets),
             ("domains_out", evacuated),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,6 +16,7 @@
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::RetryBudget;
 use radishgauge_mesh::StateFreshness;
+use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::StateTable;
 use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::TargetPlacer;
@@ -23,12 +24,14 @@
 use radishgauge_mesh::link_load::LinkLoad;
 use radishgauge_mesh::reader::ReaderRanking;
 use radishgauge_mesh::reader::ReaderRole;
+use radishgauge_mesh::state_table::StateChange;
 use radishgauge_mesh::state_table::StateEvent;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_net::clock::ProcessClock;
 use radishgauge_platform::HostSettings;
 use radishgauge_platform::StoreItem;
 use radishgauge_platform::StoreView;
+use radishgauge_platform::kept::KeepTimes;
 use radishgauge_platform::view;
 use radishgauge_platform::view::ViewChanges;
 use radishgauge_schema::hop::HopHead;
@@ -68,14 +71,14 @@
     pub request_log: RequestLog,
     /// The counters and latency histograms of this daemon.
     pub metrics: SidecarMetrics,
-    /// Wakes the state exchange when a peer reports a newer revision.
-    pub newer_revision: Notify,
+    /// Wakes the state exchange when a peer reports a newer state.
+    pub newer_state: Notify,
     known: Mutex<KnownState>,
     placer: Mutex<TargetPlacer>,
     budget: Mutex<RetryBudget>,
-    /// The greatest revision that a peer reported, and the peer.
-    newest_report: Mutex<Option<(u64, SocketAddr)>>,
-    revision: watch::Sender<u64>,
+    /// The greatest position that a peer reported, and the peer.
+    newest_report: Mutex<Option<(StatePosition, SocketAddr)>>,
+    position: watch::Sender<StatePosition>,
     /// The number of changes of the state and of the store's health so far. The
     /// start of a stop counts as one.
     changes: watch::Sender<u64>,
@@ -119,11 +122,11 @@
             owner,
             request_log: RequestLog::default(),
             metrics: SidecarMetrics::default(),
-            newer_revision: Notify::new(),
+            newer_state: Notify::new(),
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
             newest_report: Mutex::default(),
-            revision: watch::Sender::new(0),
+            position: watch::Sender::new(StatePosition::UNKNOWN),
             changes: watch::Sender::new(0),
             timeout_requested: watch::Sender::new(false),
             ranking: Mutex::default(),
@@ -164,18 +167,18 @@
         self.clock.now()
     }
 
-    /// Returns the store revision of the known state; 0 if no state is known.
-    pub fn revision(&self) -> u64 {
-        *self.revision.borrow()
+    /// Returns the position of the known state.
+    pub fn position(&self) -> StatePosition {
+        *self.position.borrow()
     }
 
-    /// Waits until the known revision exceeds `after`, the state or the store's
+    /// Waits until the known state is newer than `after`, the state or the store's
     /// health changes, the daemon begins to stop, or `time` has passed. A
     /// change of the store's health ends the wait because daemons that follow
     /// this one must learn at once that the store cannot be read.
-    pub async fn wait_change(&self, after: u64, time: Duration) {
+    pub async fn wait_change(&self, after: StatePosition, time: Duration) {
         let mut changes = self.changes.subscribe();
-        if self.revision() <= after && !self.is_stopping() {
+        if self.position() <= after && !self.is_stopping() {
             // The sender is owned by `self`, so the channel cannot close during
             // the wait.
             let _ = tokio::time::timeout(time, changes.changed()).await;
@@ -327,7 +330,9 @@
     pub fn hop_report(&self, head: &HopHead) -> HopReport {
         let mut report = hop::report_from_load(&self.owner.report());
         report.unoffered_rate = self.link().unoffered_rate(self.now()) as u64;
-        report.revision = self.revision();
+        let position = self.position();
+        report.revision = position.revision;
+        report.era = position.era;
         report.leaving = self.owner.is_leaving(&head.target);
         report.suspicion_digest = self.owner.suspects.digest(self.now());
         if let Some(prints) = hop::sent_prints(head) {
@@ -358,23 +363,51 @@
         lock(&self.budget)
     }
 
-    /// Replaces the known state by a full state.
-    pub fn replace_state(&self, items: Vec<StoreItem>, revision: u64, source: StateSource) {
+    /// Replaces the known state by a full state. A state of a later era leaves in force
+    /// what the store has lost and not got back.
+    pub fn replace_state(
+        &self,
+        items: Vec<StoreItem>,
+        position: StatePosition,
+        source: StateSource,
+    ) {
         let now = self.now();
+        let times = KeepTimes {
+            entry_timeout: self.settings().entry_timeout,
+        };
         let mut known = self.known();
-        let changes = known.view.replace(items, revision);
+        let before = known.view.position();
+        let is_restored = position.is_restored_since(before);
+        if is_restored {
+            known.table.record_restore(now);
+        }
+        let changes = known.view.replace(items, position, &times, now);
+        if is_restored {
+            let kept = known.view.kept().len();
+            events::STORE_RESTORED.emit(format_args!(
+                "from={before} to={position} kept={kept} source={source:?}"
+            ));
+        }
         let state_events = known.table.replace(changes.changes, source, now);
         self.finish_update(&mut known, &changes.faults, state_events, source, now);
     }
 
-    /// Applies changes that follow the known revision.
-    pub fn update_state(&self, mut items: Vec<StoreItem>, revision: u64, source: StateSource) {
+    /// Applies changes that follow the known state, in the same era.
+    pub fn update_state(
+        &self,
+        mut items: Vec<StoreItem>,
+        position: StatePosition,
+        source: StateSource,
+    ) {
         let now = self.now();
         let mut known = self.known();
+        if position.era != known.view.position().era {
+            return;
+        }
         if source == StateSource::Peer || known.table.is_authoritative() {
             view::confirm_removals(&mut items);
         }
-        let ViewChanges { changes, faults } = known.view.update(items, revision);
+        let ViewChanges { changes, faults } = known.view.update(items, position);
         let table = &mut known.table;
         let mut state_events: Vec<StateEvent> = changes
             .into_iter()
@@ -387,10 +420,43 @@
         self.finish_update(&mut known, &faults, state_events, source, now);
     }
 
-    /// Returns when [`SidecarNode::expire_targets`] next has a target to
-    /// remove.
+    /// Adds items of earlier eras that a peer keeps, whose state is at `position`.
+    pub fn keep_items(&self, items: Vec<(StoreItem, Option<Duration>)>, position: StatePosition) {
+        let mut known = self.known();
+        if items.is_empty() || position.era != known.view.position().era {
+            return;
+        }
+        let changes = known.view.keep(items, position);
+        self.apply_kept(&mut known, changes);
+    }
+
+    /// Drops the items of earlier eras whose time has passed.
+    pub fn expire_kept_items(&self) {
+        let mut known = self.known();
+        let changes = known.view.expire_kept(self.now());
+        self.apply_kept(&mut known, changes);
+    }
+
+    fn apply_kept(&self, known: &mut KnownState, changes: Vec<StateChange>) {
+        if changes.is_empty() {
+            return;
+        }
+        let now = self.now();
+        let source = StateSource::Peer;
+        let table = &mut known.table;
+        let applied = changes.into_iter();
+        let state_events: Vec<StateEvent> = applied
+            .filter_map(|change| table.apply(change, source, now))
+            .collect();
+        self.finish_update(known, &[], state_events, source, now);
+    }
+
+    /// Returns when [`SidecarNode::expire_targets`] or
+    /// [`SidecarNode::expire_kept_items`] next has something to do.
     pub fn next_expiry(&self) -> Option<Duration> {
-        self.known().table.next_expiry()
+        let known = self.known();
+        let expiries = [known.table.next_expiry(), known.view.next_kept_expiry()];
+        expiries.into_iter().flatten().min()
     }
 
     /// Removes the targets whose entries are missing, because a peer whose state is
@@ -420,9 +486,9 @@
         source: StateSource,
         now: Duration,
     ) {
-        let revision = known.view.revision();
+        let position = known.view.position();
         let health = known.table.health();
-        self.revision.send_replace(revision);
+        self.position.send_replace(position);
         self.changes.send_modify(|count| *count += 1);
         for fault in faults {
             events::ITEM_UNREADABLE.emit(format_args!("item={fault}"));
@@ -434,7 +500,7 @@
                 _ => {}
             }
             events::PLATFORM_STATE_CHANGED.emit(format_args!(
-                "change={state_event:?} source={source:?} health={health:?} revision={revision}"
+                "change={state_event:?} source={source:?} health={health:?} revision={position}"
             ));
         }
         let table = &known.table;
@@ -442,20 +508,20 @@
         self.owner.refresh(&self.settings(), table, now);
     }
 
-    /// Records the revision of a peer's state, and wakes the state exchange if
+    /// Records the position of a peer's state, and wakes the state exchange if
     /// it is newer than the state known here.
-    pub fn record_peer_revision(&self, peer: SocketAddr, revision: u64) {
+    pub fn record_peer_position(&self, peer: SocketAddr, position: StatePosition) {
         self.ranking().mark_reachable(peer.ip());
-        if revision <= self.revision() {
+        if position <= self.position() {
             return;
         }
         let mut newest_report = lock(&self.newest_report);
-        // Of several peers with the same revision, the latest is kept, because
-        // an earlier one may not answer.
-        if newest_report.is_none_or(|(greatest, _)| greatest <= revision) {
-            *newest_report = Some((revision, peer));
+        // Of several peers with the same state, the latest is kept, because an
+        // earlier one may not answer.
+        if newest_report.is_none_or(|(greatest, _)| greatest <= position) {
+            *newest_report = Some((position, peer));
         }
-        self.newer_revision.notify_one();
+        self.newer_state.notify_one();
     }
 
     /// Records the digest of a peer's records of suspected requests, and fetches them
@@ -478,11 +544,11 @@
         }
     }
 
-    /// Returns a peer that reported a newer revision than the one known here.
+    /// Returns a peer that reported a newer state than the one known here.
     pub fn newer_peer(&self) -> Option<SocketAddr> {
         let newest_report = *lock(&self.newest_report);
         newest_report
-            .filter(|(revision, _)| *revision > self.revision())
+            .filter(|(position, _)| *position > self.position())
             .map(|(_, peer)| peer)
     }
 }
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -46,7 +46,7 @@
         }
         return state_exchange::serve(&node, peer, &head.method, &head.uri, body).await;
     };
-    node.record_peer_revision(peer, hop_head.revision);
+    node.record_peer_position(peer, hop::head_position(&hop_head));
     node.record_suspicion_digest(peer, hop_head.suspicion_digest);
     suspect_exchange::merge(&node, &hop_head.suspicions);
     // The sending daemon has received the caller's complete body, so this body
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -190,6 +190,7 @@
         });
         tokio::time::sleep(wait).await;
         node.expire_targets();
+        node.expire_kept_items();
         node.peers.sweep();
         node.owner.client().sweep();
     }
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -16,6 +16,7 @@
 use http::Uri;
 use prost::Message;
 use radishgauge_events::events;
+use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_mesh::state_table::StoreHealth;
 use radishgauge_net::HttpAnswer;
@@ -25,6 +26,7 @@
 use radishgauge_platform::view;
 use radishgauge_platform::view::ViewDifference;
 use radishgauge_schema::hop;
+use radishgauge_schema::hop::KeptItem;
 use radishgauge_schema::hop::StateItem;
 use radishgauge_schema::hop::StateSnapshot;
 use rand::seq::IndexedRandom;
@@ -80,14 +82,17 @@
         };
         return match decode(&body) {
             Ok(snapshot) => {
-                apply_peer_snapshot(node, snapshot, "told");
+                apply_peer_snapshot(node, &snapshot, "told");
                 answer::empty(StatusCode::OK)
             }
             Err(_) => answer::empty(StatusCode::BAD_REQUEST),
         };
     }
     node.record_suspicion_digest(peer, parameter(uri, "suspicions").unwrap_or_default());
-    let after = parameter(uri, "after").unwrap_or_default();
+    let after = StatePosition {
+        era: parameter(uri, "era").unwrap_or_default(),
+        revision: parameter(uri, "after").unwrap_or_default(),
+    };
     let wait = Duration::from_millis(parameter(uri, "wait_ms").unwrap_or_default());
     node.wait_change(after, wait.min(MAX_WAIT)).await;
     match encode(node, after) {
@@ -107,12 +112,19 @@
 }
 
 /// Encodes the part of the state that a daemon lacks if it knows the state up
-/// to revision `after`.
-fn encode(node: &SidecarNode, after: u64) -> std::io::Result<Vec<u8>> {
+/// to `after`.
+fn encode(node: &SidecarNode, after: StatePosition) -> std::io::Result<Vec<u8>> {
     let now = node.now();
     let known = node.known();
-    let revision = known.view.revision();
-    let difference = if revision > after {
+    let position = known.view.position();
+    let kept = known.view.kept().iter();
+    let kept = kept
+        .map(|(item, until)| KeptItem {
+            item: Some(state_item(item.clone())),
+            left_us: until.map_or(0, |until| micros(until.saturating_sub(now)).max(1)),
+        })
+        .collect();
+    let difference = if position > after {
         known.view.difference(after)
     } else {
         ViewDifference {
@@ -136,11 +148,13 @@
         view::confirm_removals(&mut items);
     }
     let snapshot = StateSnapshot {
-        revision,
+        revision: position.revision,
+        era: position.era,
         items: items.into_iter().map(state_item).collect(),
         health: health.into(),
         regained_us: micros(since_recovery),
-        since: difference.since.unwrap_or_default(),
+        since: difference.since.unwrap_or_default().revision,
+        kept,
         confirmed_us: confirmed.map_or(0, |age| micros(age).max(1)),
         suspicion_digest: node.owner.suspects.digest(now),
     };
@@ -174,48 +188,76 @@
 /// Applies the items of a snapshot that is newer than the known state. If the
 /// snapshot has only the changes after a revision, they apply only to a state
 /// of at least that revision.
-fn apply_snapshot_items(node: &SidecarNode, snapshot: StateSnapshot, source: StateSource) {
-    let items: Vec<StoreItem> = snapshot.items.into_iter().map(store_item).collect();
-    if snapshot.since == 0 {
-        node.replace_state(items, snapshot.revision, source);
-    } else if snapshot.since <= node.revision() {
-        node.update_state(items, snapshot.revision, source);
+fn apply_snapshot_items(node: &SidecarNode, snapshot: &StateSnapshot, source: StateSource) {
+    let position = position(snapshot);
+    let items: Vec<StoreItem> = snapshot.items.iter().cloned().map(store_item).collect();
+    let since = StatePosition {
+        era: position.era,
+        revision: snapshot.since,
+    };
+    if !since.is_known() {
+        node.replace_state(items, position, source);
+    } else if since <= node.position() {
+        node.update_state(items, position, source);
+    }
+}
+
+/// Adds the items of earlier eras that the sender of a snapshot keeps.
+fn keep_snapshot_items(node: &SidecarNode, snapshot: &StateSnapshot) {
+    let now = node.now();
+    let kept = snapshot.kept.iter().filter_map(|kept| {
+        let until = match kept.left_us {
+            0 => None,
+            left => Some(now + Duration::from_micros(left)),
+        };
+        Some((store_item(kept.item.clone()?), until))
+    });
+    node.keep_items(kept.collect(), position(snapshot));
+}
+
+fn position(snapshot: &StateSnapshot) -> StatePosition {
+    StatePosition {
+        era: snapshot.era,
+        revision: snapshot.revision,
     }
 }
 
 /// Applies the state of any peer if it is newer than the known state.
-fn apply_peer_snapshot(node: &SidecarNode, snapshot: StateSnapshot, peer: &str) {
-    let before = node.revision();
+fn apply_peer_snapshot(node: &SidecarNode, snapshot: &StateSnapshot, peer: &str) {
+    let before = node.position();
+    let position = position(snapshot);
     let is_authoritative = snapshot.health() == hop::StoreHealth::Reachable;
-    if snapshot.revision <= before {
-        if is_authoritative && snapshot.revision == before {
+    if position <= before {
+        if is_authoritative && position == before {
             node.drop_lapsed_targets();
         }
-        confirm(node, snapshot.revision, snapshot.confirmed_us);
+        keep_snapshot_items(node, snapshot);
+        confirm(node, position, snapshot.confirmed_us);
         return;
     }
     // An entry missing from a state that is not authoritative may have lapsed
     // in an outage of the store. A daemon that has a state and can reach the
     // store therefore ignores such a state, and any other daemon keeps the
-    // missing entries.
+    // missing entries. A state of a later era is never ignored: whoever receives it
+    // keeps the missing entries for some time.
     let source = if is_authoritative {
         StateSource::Peer
     } else {
         StateSource::Store
     };
-    if !is_authoritative && before > 0 && !node.known().table.store_unreachable() {
+    let has_own_state = before.is_known() && !node.known().table.store_unreachable();
+    if !is_authoritative && has_own_state && !position.is_restored_since(before) {
         return;
     }
-    let revision = snapshot.revision;
-    let confirmed_us = snapshot.confirmed_us;
     apply_snapshot_items(node, snapshot, source);
-    confirm(node, revision, confirmed_us);
-    events::STATE_RECEIVED.emit(format_args!("peer={peer} from={before} to={revision}"));
+    keep_snapshot_items(node, snapshot);
+    confirm(node, position, snapshot.confirmed_us);
+    events::STATE_RECEIVED.emit(format_args!("peer={peer} from={before} to={position}"));
 }
 
 /// Applies the state of the daemon that this one follows, and its report on the
 /// store's health.
-fn apply_followed_snapshot(node: &SidecarNode, snapshot: StateSnapshot) {
+fn apply_followed_snapshot(node: &SidecarNode, snapshot: &StateSnapshot) {
     let health = match snapshot.health() {
         hop::StoreHealth::Reachable => StoreHealth::Reachable,
         hop::StoreHealth::Regained => {
@@ -224,41 +266,48 @@
         }
         hop::StoreHealth::Away | hop::StoreHealth::Unspecified => StoreHealth::Unreachable,
     };
-    node.known().table.apply_peer_health(health, node.now());
-    node.expire_targets();
-    let (revision, confirmed_us) = (snapshot.revision, snapshot.confirmed_us);
-    if revision > node.revision() {
+    let position = position(snapshot);
+    // A daemon that is behind says nothing of the era that is known here.
+    if position.era >= node.position().era {
+        node.known().table.apply_peer_health(health, node.now());
+        node.expire_targets();
+    }
+    if position > node.position() {
         apply_snapshot_items(node, snapshot, StateSource::Store);
     }
-    confirm(node, revision, confirmed_us);
+    keep_snapshot_items(node, snapshot);
+    confirm(node, position, snapshot.confirmed_us);
 }
 
 /// Records when the store confirmed a peer's state, if this daemon's state is
 /// that one or a newer one, which has all changes up to that time.
-fn confirm(node: &SidecarNode, revision: u64, confirmed_us: u64) {
-    if confirmed_us > 0 && node.revision() >= revision {
+fn confirm(node: &SidecarNode, position: StatePosition, confirmed_us: u64) {
+    let known = node.position();
+    if confirmed_us > 0 && known >= position && known.era == position.era {
         let age = Duration::from_micros(confirmed_us);
         node.confirm_state(node.now().saturating_sub(age));
     }
 }
 
 impl SidecarNode {
-    /// Records the revision that an owner reported. An owner that reports none
+    /// Records the position that an owner reported. An owner that reports none
     /// has no state, so this daemon's state is pushed to it.
-    pub fn handle_owner_revision(self: &Arc<Self>, peer: SocketAddr, revision: u64) {
-        if revision > 0 {
-            self.record_peer_revision(peer, revision);
-        } else if self.revision() > 0 {
+    pub fn handle_owner_position(self: &Arc<Self>, peer: SocketAddr, position: StatePosition) {
+        if position.is_known() {
+            self.record_peer_position(peer, position);
+        } else if self.position().is_known() {
             let node = Arc::clone(self);
             tokio::spawn(async move { push_state(&node, peer).await });
         }
     }
 }
 
-/// Fetches the records of suspected requests that other daemons had before this one
-/// started.
-pub async fn fetch_suspects(node: Arc<SidecarNode>) {
-    suspect_exchange::fetch_from_all(&node, &random_peers(&node)).await;
+/// Fetches what other daemons knew before this one started and the store does not tell:
+/// suspected requests, and items of earlier eras.
+pub async fn fetch_first(node: Arc<SidecarNode>) {
+    let peers = random_peers(&node);
+    suspect_exchange::fetch_from_all(&node, &peers).await;
+    fetch_from_all(&node, &peers).await;
 }
 
 /// Pushes the state to the hosts of this failure domain that have sent nothing so
@@ -273,7 +322,7 @@
 
 async fn push_state(node: &SidecarNode, peer: SocketAddr) {
     let push = async {
-        let body = encode(node, 0)?;
+        let body = encode(node, StatePosition::UNKNOWN)?;
         node.peers
             .ask(peer, Method::POST, STATE_PATH, body, Duration::ZERO)
             .await
@@ -289,9 +338,11 @@
     peer: SocketAddr,
     wait: Duration,
 ) -> anyhow::Result<StateSnapshot> {
+    let known = node.position();
     let path = format!(
-        "{STATE_PATH}?after={}&wait_ms={}&suspicions={}",
-        node.revision(),
+        "{STATE_PATH}?after={}&era={}&wait_ms={}&suspicions={}",
+        known.revision,
+        known.era,
         wait.as_millis(),
         node.owner.suspects.digest(node.now()),
     );
@@ -316,12 +367,12 @@
     wait: Duration,
 ) -> anyhow::Result<bool> {
     let snapshot = fetch(node, peer, wait).await?;
-    if snapshot.revision == 0 {
+    if !position(&snapshot).is_known() {
         // The followed daemon has no state yet.
-        node.handle_owner_revision(peer, snapshot.revision);
+        node.handle_owner_position(peer, StatePosition::UNKNOWN);
     }
     let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
-    apply_followed_snapshot(node, snapshot);
+    apply_followed_snapshot(node, &snapshot);
     Ok(store_unreachable)
 }
 
@@ -338,7 +389,7 @@
             let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
             node.ranking()
                 .mark_store_report(peer.ip(), store_unreachable, node.now());
-            apply_peer_snapshot(node, snapshot, &peer.to_string());
+            apply_peer_snapshot(node, &snapshot, &peer.to_string());
         }
         Err(error) => {
             node.ranking().mark_unreachable(peer.ip(), node.now());
@@ -351,8 +402,7 @@
 /// random peers while the known state may be out of date. Never returns.
 pub async fn run(node: Arc<SidecarNode>) {
     loop {
-        let notified =
-            tokio::time::timeout(PEER_POLL_INTERVAL, node.newer_revision.notified()).await;
+        let notified = tokio::time::timeout(PEER_POLL_INTERVAL, node.newer_state.notified()).await;
         if notified.is_ok() {
             tokio::time::sleep(OWN_UPDATE_WAIT).await;
         }
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_net::CallerListener;
@@ -32,7 +33,9 @@
     let followed = Arc::clone(&node);
     let started = tokio::time::Instant::now();
     let pending_wait = tokio::spawn(async move {
-        followed.wait_change(0, Duration::from_secs(4)).await;
+        followed
+            .wait_change(StatePosition::UNKNOWN, Duration::from_secs(4))
+            .await;
         started.elapsed()
     });
     tokio::time::sleep(Duration::from_secs(1)).await;
@@ -60,7 +63,7 @@
     let node = node();
     let peers = ["10.0.0.1:9", "10.0.0.2:9"].map(|peer| peer.parse().unwrap());
     for peer in peers {
-        node.record_peer_revision(peer, 5);
+        node.record_peer_position(peer, at(5));
         assert_eq!(node.newer_peer(), Some(peer));
     }
 }
@@ -71,9 +74,13 @@
     let node = Arc::new(node());
     let followed = Arc::clone(&node);
     let pending_wait = tokio::spawn(async move {
-        followed.wait_change(0, Duration::from_secs(4)).await;
+        followed
+            .wait_change(StatePosition::UNKNOWN, Duration::from_secs(4))
+            .await;
         // A request that arrives during the stop does not wait either.
-        followed.wait_change(0, Duration::from_secs(4)).await;
+        followed
+            .wait_change(StatePosition::UNKNOWN, Duration::from_secs(4))
+            .await;
     });
     tokio::time::sleep(Duration::from_secs(1)).await;
     let stop_started = tokio::time::Instant::now();
@@ -112,11 +119,16 @@
         "version": "1", "capacity": 8, "state": "ready", "coldLeft": "0ms", "sequence": 1}"#;
     let node = Arc::new(node());
     let items = vec![registration(Some(record), 5)];
-    node.replace_state(items, 5, StateSource::Store);
+    node.replace_state(items, at(5), StateSource::Store);
     assert!(knows_target(&node));
     node
 }
 
+/// Returns a position in the first era.
+const fn at(revision: u64) -> StatePosition {
+    StatePosition { era: 1, revision }
+}
+
 fn knows_target(node: &SidecarNode) -> bool {
     node.known().table.target("leaving").is_some()
 }
@@ -142,14 +154,14 @@
     let followed = node_with_target();
     followed.mark_store_unreachable();
     let removal = vec![registration(None, 6)];
-    followed.update_state(removal, 6, StateSource::Peer);
+    followed.update_state(removal, at(6), StateSource::Peer);
     assert!(!knows_target(&followed));
     let listener = serve_state(&followed);
     let follower = node_with_target();
     let peer = listener.local_address();
     let store_unreachable = state_exchange::follow(&follower, peer, Duration::ZERO).await;
     assert!(store_unreachable.unwrap());
-    assert_eq!(follower.revision(), 6);
+    assert_eq!(follower.position(), at(6));
     assert!(!knows_target(&follower));
 }
 
@@ -159,11 +171,11 @@
 async fn peer_with_equal_revision_rules_out_a_lapse() {
     let removal = || vec![registration(None, 6)];
     let reader = node_with_target();
-    reader.update_state(removal(), 6, StateSource::Store);
+    reader.update_state(removal(), at(6), StateSource::Store);
     let listener = serve_state(&reader);
     let cut_off = node_with_target();
     cut_off.mark_store_unreachable();
-    cut_off.update_state(removal(), 6, StateSource::Store);
+    cut_off.update_state(removal(), at(6), StateSource::Store);
     assert!(knows_target(&cut_off));
     state_exchange::fetch_from_all(&cut_off, &[listener.local_address()]).await;
     assert!(!knows_target(&cut_off));
@@ -176,6 +188,6 @@
     let node = node_with_target();
     node.mark_store_unreachable();
     let overwritten = vec![registration(Some("no registration"), 6)];
-    node.update_state(overwritten, 6, StateSource::Store);
+    node.update_state(overwritten, at(6), StateSource::Store);
     assert!(!knows_target(&node));
 }
