Read all items page by page when an update is too long

Here, the changes since the known revision come in one response, and one longer than 4 MiB counted as an outage: a few odd entries of the greatest size stopped every reader for good, as each further attempt got the same response.

A response that is too long now leads to a read of all items, whose pages are limited by the store. If that fails too, the usual back-off applies, so there is no busy loop of reads.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -103,9 +103,7 @@
                 let next_readers = node.next_readers(NEXT_READERS);
                 state_exchange::fetch_from_all(&node, &next_readers).await;
             }
-            Err(FollowFault::Store(
-                error @ (StoreError::HistoryLost | StoreError::Restored(_)),
-            )) => {
+            Err(FollowFault::Store(error)) if error.needs_full_read() && !full_read_due => {
                 let position = node.position();
                 events::STORE_LOST.emit(format_args!("error={error} revision={position}"));
                 full_read_due = true;
