Limit the log lines about items that cannot be read

A thousand odd entries of another writer made each daemon write a thousand lines at once. Lines of RG6103 have a budget now, as those about requests have; RG6401 says how many were left out.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -101,7 +101,7 @@
     TARGET_REQUEST_FAILED = 6306, Warn, "request failed at the target, may have run", "target, reason, fingerprint, took_ms", "Check the target's own logs. Equal requests have the same fingerprint, whatever their IDs.";
     OFFER_REFUSED = 6309, Info, "owner refused an offered request", "target, reason, retry_after_ms", "None; the body was not sent, and the sender tries another target. If frequent, the target or its host's link is fully used.";
     OFFER_FAILED = 6310, Info, "offer of a request failed", "peer, error", "The body was not sent, and the request goes to another target. Check the peer's host.";
-    LINES_DROPPED = 6401, Info, "log lines dropped", "served, other", "None; the rate of log lines about requests is limited.";
+    LINES_DROPPED = 6401, Info, "log lines dropped", "served, other, items", "None; the rate of log lines about requests is limited.";
 }
 
 impl EventKind {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -31,6 +31,7 @@
 use radishgauge_platform::HostSettings;
 use radishgauge_platform::StoreItem;
 use radishgauge_platform::StoreView;
+use radishgauge_platform::items::ItemFault;
 use radishgauge_platform::kept::KeepTimes;
 use radishgauge_platform::view;
 use radishgauge_platform::view::ViewChanges;
@@ -481,7 +482,7 @@
     fn finish_update(
         &self,
         known: &mut KnownState,
-        faults: &[radishgauge_platform::items::ItemFault],
+        faults: &[ItemFault],
         state_events: Vec<StateEvent>,
         source: StateSource,
         now: Duration,
@@ -491,7 +492,7 @@
         self.position.send_replace(position);
         self.changes.send_modify(|count| *count += 1);
         for fault in faults {
-            events::ITEM_UNREADABLE.emit(format_args!("item={fault}"));
+            self.request_log.log_item(fault, now);
         }
         for state_event in &state_events {
             match state_event {
--- a/crates/sidecar/src/request_log.rs
+++ b/crates/sidecar/src/request_log.rs
@@ -1,4 +1,4 @@
-//! The rate-limited log of decisions on requests.
+//! The rate-limited log of decisions on requests, and of items that cannot be read.
 //!
 //! Most lines would be about served requests, which give the least information,
 //! so failures and refusals have a separate limit. Dropped lines are counted,
@@ -11,6 +11,7 @@
 
 use radishgauge_events::events;
 use radishgauge_events::events::EventKind;
+use radishgauge_platform::items::ItemFault;
 
 /// The greatest rate of lines about served requests, in lines per second.
 const SERVED_LINES_PER_S: f64 = 4.0;
@@ -19,6 +20,10 @@
 /// retried, in lines per second.
 const OTHER_LINES_PER_S: f64 = 25.0;
 
+/// The greatest rate of lines about items of the store that cannot be read, in lines
+/// per second.
+const ITEM_LINES_PER_S: f64 = 2.0;
+
 /// The length of the longest burst, in seconds of lines at the greatest rate.
 const BURST_S: f64 = 2.0;
 
@@ -60,6 +65,7 @@
 struct RequestLogState {
     served: LineBudget,
     other: LineBudget,
+    items: LineBudget,
     last_report: Duration,
 }
 
@@ -75,6 +81,7 @@
             state: Mutex::new(RequestLogState {
                 served: LineBudget::new(SERVED_LINES_PER_S),
                 other: LineBudget::new(OTHER_LINES_PER_S),
+                items: LineBudget::new(ITEM_LINES_PER_S),
                 last_report: Duration::ZERO,
             }),
         }
@@ -103,6 +110,16 @@
         }
     }
 
+    /// Writes a line about an item of the store that cannot be read, and returns whether
+    /// the limit allowed it. Other writers may leave any number of such items at once.
+    pub fn log_item(&self, fault: &ItemFault, now: Duration) -> bool {
+        let is_allowed = self.allows(|state| &mut state.items, now);
+        if is_allowed {
+            events::ITEM_UNREADABLE.emit(format_args!("item={fault}"));
+        }
+        is_allowed
+    }
+
     fn allows<F>(&self, budget: F, now: Duration) -> bool
     where
         F: FnOnce(&mut RequestLogState) -> &mut LineBudget,
@@ -112,8 +129,10 @@
             state.last_report = now;
             let served = std::mem::take(&mut state.served.dropped);
             let other = std::mem::take(&mut state.other.dropped);
-            if served + other > 0 {
-                events::LINES_DROPPED.emit(format_args!("served={served} other={other}"));
+            let items = std::mem::take(&mut state.items.dropped);
+            if served + other + items > 0 {
+                events::LINES_DROPPED
+                    .emit(format_args!("served={served} other={other} items={items}"));
             }
         }
         budget(&mut state).try_spend(now)
