--- a/crates/daemon/src/local_targets.rs
+++ b/crates/daemon/src/local_targets.rs
@@ -11,8 +11,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use radishgauge_mesh::WellRuns;
 use radishgauge_mesh::suspect::SuspectRun;
-use radishgauge_mesh::suspect::WellRuns;
 use radishgauge_traffic::AdmissionDecision;
 use radishgauge_traffic::AdmissionRequest;
 use radishgauge_traffic::Refusal;
--- a/crates/daemon/src/suspect_notice.rs
+++ b/crates/daemon/src/suspect_notice.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use radishgauge_mesh::suspect::SuspectRecord;
+use radishgauge_mesh::SuspectRecord;
 use radishgauge_mesh::suspect::SuspectRun;
 use radishgauge_schema::peer::PeerRequest;
 use radishgauge_schema::peer::StrikeNotice;
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -32,8 +32,10 @@
 pub mod state_table;
 pub mod stop_plan;
 pub mod suspect;
+pub mod suspect_record;
 pub mod target;
 mod target_estimate;
+pub mod well_runs;
 
 pub use admission::AdmissionDecision;
 pub use admission::AdmissionRequest;
@@ -59,4 +61,7 @@
 pub use state_table::StateTable;
 pub use stop_plan::StopPlan;
 pub use suspect::SuspectTable;
+pub use suspect_record::SuspectRecord;
+pub use suspect_record::TargetEnd;
 pub use target::TargetRecord;
+pub use well_runs::WellRuns;
--- a/crates/mesh/src/suspect.rs
+++ b/crates/mesh/src/suspect.rs
@@ -5,7 +5,7 @@
 //! and may have ended for another reason. The evidence is weighed as follows.
 //!
 //! * An end counts against each request that was in flight, except for those that
-//!   have run well at the same incarnation of the target; see [`WellRuns`].
+//!   have run well at the same incarnation of the target; see [`WellRuns`](crate::WellRuns).
 //! * A run that is answered clears its request of all ends before.
 //! * Several targets may end at the same time, with a popular request in flight at
 //!   each. Ends therefore count only as often as they followed on each other: an end
@@ -26,25 +26,22 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use radishgauge_schema::suspect;
 use xxhash_rust::xxh3::Xxh3;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::fingerprint::Fingerprint;
+use crate::suspect_record::MAX_ENDS;
+use crate::suspect_record::SHARED_ENDS;
+use crate::suspect_record::SuspectRecord;
+use crate::suspect_record::TargetEnd;
 
 /// The maximum number of requests in a daemon's table, which bounds its memory to
 /// about 1 MB.
 pub const MAX_SUSPECTS: usize = 4096;
 
-/// The greatest number of ends that are kept of one request.
-const MAX_ENDS: usize = 8;
-
 /// The number of rounds in which targets must end before a request is quarantined.
 const QUARANTINE_ROUNDS: usize = 2;
 
-/// The number of ends from which daemons that did not see them are told of a request.
-const SHARED_ENDS: usize = 2;
-
 /// The greatest number of records that one message holds.
 const MAX_SHARED_RECORDS: usize = 1024;
 
@@ -52,9 +49,6 @@
 /// that can be evicted from a full table.
 const EVICTION_SCAN: usize = 8;
 
-/// The greatest number of requests that are remembered as having run well.
-const MAX_WELL_RUNS: usize = 1024;
-
 /// When a request is quarantined, and for how long.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SuspectPolicy {
@@ -72,68 +66,6 @@
     }
 }
 
-/// One end of a target under a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct TargetEnd {
-    /// Identifies the end among all of all targets.
-    pub id: u64,
-    /// 1 plus the greatest round among the ends that were known when the run began.
-    pub round: u32,
-    /// Whether the request has run well since.
-    pub cleared: bool,
-}
-
-/// What a daemon knows of one request, as it tells others.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SuspectRecord {
-    /// Identifies the request.
-    pub fingerprint: Fingerprint,
-    /// The ends of targets under the request.
-    pub ends: Vec<TargetEnd>,
-    /// For how much longer the record is kept.
-    pub left: Duration,
-}
-
-impl SuspectRecord {
-    /// Returns the message that holds the record.
-    pub fn to_message(&self) -> suspect::SuspectRecord {
-        let end = |end: &TargetEnd| suspect::TargetEnd {
-            id: end.id,
-            round: end.round,
-            cleared: end.cleared,
-        };
-        suspect::SuspectRecord {
-            fingerprint: self.fingerprint.0,
-            ends: self.ends.iter().map(end).collect(),
-            left_us: u64::try_from(self.left.as_micros()).unwrap_or(u64::MAX),
-        }
-    }
-
-    /// Returns the record that a message holds.
-    pub fn from_message(message: &suspect::SuspectRecord) -> SuspectRecord {
-        let end = |end: &suspect::TargetEnd| TargetEnd {
-            id: end.id,
-            round: end.round,
-            cleared: end.cleared,
-        };
-        SuspectRecord {
-            fingerprint: Fingerprint(message.fingerprint),
-            ends: message.ends.iter().take(MAX_ENDS).map(end).collect(),
-            left: Duration::from_micros(message.left_us),
-        }
-    }
-
-    /// Returns whether all daemons are told of the request.
-    pub fn is_shared(&self) -> bool {
-        self.ends.len() >= SHARED_ENDS
-    }
-
-    /// Returns how often a target ended under the request since it last ran well.
-    pub fn uncleared(&self) -> usize {
-        self.ends.iter().filter(|end| !end.cleared).count()
-    }
-}
-
 /// The state of a request in the [`SuspectTable`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SuspectState {
@@ -484,38 +416,3 @@
         }
     }
 }
-
-/// The requests that have run well at the present incarnation of a target. If the
-/// target ends, they are not the cause.
-#[derive(Debug, Default)]
-pub struct WellRuns {
-    fingerprints: HashSet<Fingerprint>,
-    /// The members of `fingerprints`, oldest first.
-    order: VecDeque<Fingerprint>,
-}
-
-impl WellRuns {
-    /// Records that a request ran well.
-    pub fn record(&mut self, fingerprint: Fingerprint) {
-        if !self.fingerprints.insert(fingerprint) {
-            return;
-        }
-        self.order.push_back(fingerprint);
-        if self.order.len() > MAX_WELL_RUNS
-            && let Some(oldest) = self.order.pop_front()
-        {
-            self.fingerprints.remove(&oldest);
-        }
-    }
-
-    /// Returns whether the request has run well.
-    pub fn contains(&self, fingerprint: Fingerprint) -> bool {
-        self.fingerprints.contains(&fingerprint)
-    }
-
-    /// Forgets all requests, because another incarnation of the target runs.
-    pub fn clear(&mut self) {
-        self.fingerprints.clear();
-        self.order.clear();
-    }
-}
--- a/crates/mesh/tests/mesh/suspect.rs
+++ b/crates/mesh/tests/mesh/suspect.rs
@@ -4,13 +4,13 @@
 
 use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::SuspectRecord;
 use radishgauge_mesh::SuspectTable;
+use radishgauge_mesh::TargetEnd;
+use radishgauge_mesh::WellRuns;
 use radishgauge_mesh::suspect::MAX_SUSPECTS;
 use radishgauge_mesh::suspect::SuspectPolicy;
-use radishgauge_mesh::suspect::SuspectRecord;
 use radishgauge_mesh::suspect::SuspectState;
-use radishgauge_mesh::suspect::TargetEnd;
-use radishgauge_mesh::suspect::WellRuns;
 
 const TIME: Duration = Duration::from_secs(600);
 
--- a/crates/mesh/tests/mesh/suspect_load.rs
+++ b/crates/mesh/tests/mesh/suspect_load.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use radishgauge_mesh::Fingerprint;
+use radishgauge_mesh::SuspectRecord;
 use radishgauge_mesh::SuspectTable;
+use radishgauge_mesh::WellRuns;
 use radishgauge_mesh::suspect::SuspectPolicy;
-use radishgauge_mesh::suspect::SuspectRecord;
 use radishgauge_mesh::suspect::SuspectRun;
-use radishgauge_mesh::suspect::WellRuns;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -20,6 +20,7 @@
 mod origin;
 pub mod owner;
 mod owner_state;
+mod owner_suspects;
 pub mod peer_server;
 pub mod peers;
 pub mod probe;
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -14,7 +14,6 @@
 use radishgauge_events::events;
 use radishgauge_mesh::AdmissionDecision;
 use radishgauge_mesh::AdmissionRequest;
-use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::LoadReport;
 use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::ServicePolicy;
@@ -23,10 +22,6 @@
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
-use radishgauge_mesh::suspect::SuspectPolicy;
-use radishgauge_mesh::suspect::SuspectRecord;
-use radishgauge_mesh::suspect::SuspectRun;
-use radishgauge_mesh::suspect::SuspectState;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -39,7 +34,6 @@
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
-use tokio::sync::SemaphorePermit;
 use tokio::sync::oneshot;
 
 use crate::answer::NotRun;
@@ -47,7 +41,7 @@
 use crate::hop;
 use crate::node::lock;
 use crate::owner_state::OwnerState;
-use crate::run_ledger::TargetRun;
+use crate::owner_suspects::SUSPECT_POLICY;
 use crate::slot::AdmittedRequest;
 use crate::slot::QueuedRequest;
 use crate::slot::RunningSlot;
@@ -71,22 +65,7 @@
 
 /// How long before the caller's deadline a waiting request is refused, so that
 /// the refusal arrives in time even in another region.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
-
-/// When requests under which targets end are refused. A request that its caller sends
-/// again can be in flight by chance at two ends that follow on each other, hardly at
-/// three. A release that mends the targets takes minutes.
-const SUSPECT_POLICY: SuspectPolicy = SuspectPolicy {
-    ends: 3,
-    time: Duration::from_secs(600),
-};
-
-/// How long after the loss of a connection the other connections are looked at. Those
-/// of a target that has ended are lost at the same moment.
-const CUT_OFF_SETTLE: Duration = Duration::from_millis(2);
-
-/// How long the connection attempt may take that tells whether the target has ended.
-const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
+pub(crate) const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
 /// The fraction of the process's memory that answers which are being received may
 /// use.
@@ -104,12 +83,12 @@
     /// The requests under which targets have ended.
     pub suspects: SuspectTable,
     /// What other owners must be told of such requests.
-    news: Mutex<SuspectNews>,
-    news_added: Notify,
+    pub(crate) news: Mutex<SuspectNews>,
+    pub(crate) news_added: Notify,
     /// Held while it is found out whether the target has ended.
-    end_check: tokio::sync::Mutex<()>,
+    pub(crate) end_check: tokio::sync::Mutex<()>,
     /// Held by the one request on trial that runs at the target.
-    trial_turn: Semaphore,
+    pub(crate) trial_turn: Semaphore,
 }
 
 impl TargetOwner {
@@ -342,154 +321,6 @@
         outcome
     }
 
-    /// Returns the refusal of a request under which targets end again and again.
-    pub fn quarantine(&self, prints: &RequestPrints) -> Option<NotRun> {
-        let now = self.clock.now();
-        let ends = prints.both().into_iter().filter_map(|fingerprint| {
-            let state = self.suspects.check(fingerprint, now);
-            state.quarantined_until()
-        });
-        let until = ends.max()?;
-        Some(NotRun {
-            reason: HopReason::Quarantined,
-            retry_after: Some(until.saturating_sub(now)),
-            reached_target: false,
-        })
-    }
-
-    /// Returns the fingerprint by which a request is on trial, if it is.
-    pub fn trial(&self, prints: &RequestPrints) -> Option<Fingerprint> {
-        let now = self.clock.now();
-        let is_on_trial = |fingerprint: &Fingerprint| {
-            self.suspects.check(*fingerprint, now) == SuspectState::OnTrial
-        };
-        prints.both().into_iter().find(is_on_trial)
-    }
-
-    /// Waits until no other request on trial runs, if the request is on trial, and
-    /// returns what it holds meanwhile. A request that has a reserved slot does not
-    /// wait, because the one that runs may need that slot.
-    async fn trial_turn(
-        &self,
-        prints: &RequestPrints,
-        is_reserved: bool,
-        deadline: Duration,
-    ) -> Result<Option<SemaphorePermit<'_>>, NotRun> {
-        if let Some(refusal) = self.quarantine(prints) {
-            return Err(refusal);
-        }
-        if self.trial(prints).is_none() {
-            return Ok(None);
-        }
-        let now = self.clock.now();
-        let wait = match is_reserved {
-            true => Duration::ZERO,
-            false => deadline.saturating_sub(now + REFUSAL_MARGIN),
-        };
-        // The semaphore is never closed.
-        match tokio::time::timeout(wait, self.trial_turn.acquire()).await {
-            Ok(Ok(turn)) => Ok(Some(turn)),
-            Ok(Err(_)) | Err(_) => Err(NotRun::before_target(HopReason::Full)),
-        }
-    }
-
-    fn begin_run(&self, route: &str, prints: &RequestPrints) -> TargetRun {
-        let now = self.clock.now();
-        let begin = |fingerprint| self.suspects.begin(fingerprint, now);
-        TargetRun {
-            route: SmolStr::from(route),
-            prints: *prints,
-            suspect_runs: prints.both().map(begin),
-            connection_losses: self.state().connection_losses,
-        }
-    }
-
-    /// Finds out whether a run was cut off because the target has ended. The sender is
-    /// answered after that, so that it knows of the end before it sends the request to
-    /// another target.
-    async fn explain_cut_off(self: &Arc<Self>, run: TargetRun) {
-        let connection_losses = run.connection_losses;
-        let now = self.clock.now();
-        let known_end = self.state().ledger.record_cut_off(run.clone(), now);
-        if let Some(end) = known_end {
-            return self.suspect(end, &[run]);
-        }
-        tokio::time::sleep(CUT_OFF_SETTLE).await;
-        let _check = self.end_check.lock().await;
-        let client = self.client();
-        let lost_all = client.connection_losses() != connection_losses;
-        if !lost_all || !self.state().ledger.is_unexplained() {
-            return;
-        }
-        let attempt = tokio::time::timeout(END_CHECK_TIMEOUT, client.open_idle()).await;
-        if let Ok(Err(error)) = attempt {
-            self.record_down(&error.to_string());
-        }
-    }
-
-    /// Records that the target has ended, and suspects the requests that were cut off.
-    fn record_end(&self, state: &mut OwnerState, connection: &str) {
-        let now = self.clock.now();
-        let end = rand::random();
-        let (cut_off, runs) = state.ledger.record_end(end, now);
-        events::TARGET_ENDED.emit(format_args!(
-            "end={end:016x} cut_off={cut_off} suspected={} connection={connection}",
-            runs.len()
-        ));
-        self.suspect(end, &runs);
-    }
-
-    /// Counts an end of the target against the requests that ran there.
-    fn suspect(&self, end: u64, runs: &[TargetRun]) {
-        if runs.is_empty() {
-            return;
-        }
-        let now = self.clock.now();
-        let suspect_runs: Vec<SuspectRun> = runs.iter().flat_map(|run| run.suspect_runs).collect();
-        let records = self.suspects.record_end(end, &suspect_runs, now);
-        for record in records.iter().filter(|record| record.uncleared() > 1) {
-            let state = self.suspects.check(record.fingerprint, now);
-            events::REQUEST_SUSPECTED.emit(format_args!(
-                "fingerprint={:016x} ends={} quarantined={}",
-                record.fingerprint.0,
-                record.uncleared(),
-                state.quarantined_until().is_some()
-            ));
-        }
-        self.tell(runs.iter().map(|run| run.route.clone()), records);
-    }
-
-    /// Clears a request that ran well.
-    fn clear_suspect(&self, route: &str, prints: &RequestPrints) {
-        let now = self.clock.now();
-        let clear = |fingerprint| self.suspects.record_answer(fingerprint, now);
-        let records: Vec<SuspectRecord> = prints.both().into_iter().filter_map(clear).collect();
-        if let Some(record) = records.first() {
-            let ends = record.ends.len();
-            let fingerprint = record.fingerprint.0;
-            events::REQUEST_CLEARED
-                .emit(format_args!("fingerprint={fingerprint:016x} ends={ends}"));
-            self.tell([SmolStr::from(route)], records);
-        }
-    }
-
-    fn tell<I>(&self, routes: I, records: Vec<SuspectRecord>)
-    where
-        I: IntoIterator<Item = SmolStr>,
-    {
-        let mut news = lock(&self.news);
-        news.routes.extend(routes);
-        news.records.extend(records);
-        drop(news);
-        self.news_added.notify_one();
-    }
-
-    /// Waits until other owners must be told of requests, and returns what.
-    pub async fn next_news(&self) -> SuspectNews {
-        self.news_added.notified().await;
-        std::mem::take(&mut *lock(&self.news))
-    }
-
     /// Records what `target` states in an answer to a request that was sent at the
     /// time `sent`.
     pub fn record_statement(
--- a/crates/sidecar/src/run_ledger.rs
+++ b/crates/sidecar/src/run_ledger.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::WellRuns;
 use radishgauge_mesh::suspect::SuspectRun;
-use radishgauge_mesh::suspect::WellRuns;
 use smol_str::SmolStr;
 
 /// How far apart the loss of a connection and the discovery that the target has
--- a/crates/sidecar/src/suspect_exchange.rs
+++ b/crates/sidecar/src/suspect_exchange.rs
@@ -16,7 +16,7 @@
 use prost::Message;
 use radishgauge_events::events;
 use radishgauge_mesh::RequestPrints;
-use radishgauge_mesh::suspect::SuspectRecord;
+use radishgauge_mesh::SuspectRecord;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpBody;
 use radishgauge_net::exchange::AnswerBody;
--- a/crates/traffic/tests/traffic/suspects.rs
+++ b/crates/traffic/tests/traffic/suspects.rs
@@ -4,9 +4,9 @@
 
 use radishgauge_config::model::Criticality;
 use radishgauge_mesh::Fingerprint;
+use radishgauge_mesh::SuspectRecord;
 use radishgauge_mesh::SuspectTable;
 use radishgauge_mesh::suspect::SuspectPolicy;
-use radishgauge_mesh::suspect::SuspectRecord;
 use radishgauge_mesh::suspect::SuspectRun;
 use radishgauge_mesh::suspect::SuspectState;
 use radishgauge_traffic::AdmissionDecision;
