--- a/crates/sidecar/src/owner_suspects.rs
+++ b/crates/sidecar/src/owner_suspects.rs
@@ -132,6 +132,9 @@
         let now = self.clock.now();
         let end = rand::random();
         let (cut_off, runs) = state.ledger.record_end(end, now);
+        if cut_off == 0 {
+            return;
+        }
         events::TARGET_ENDED.emit(format_args!(
             "end={end:016x} cut_off={cut_off} suspected={} connection={connection}",
             runs.len()
--- a/crates/sidecar/src/suspect_exchange.rs
+++ b/crates/sidecar/src/suspect_exchange.rs
@@ -89,7 +89,7 @@
     let fetches =
         peers.iter().map(
             async |peer| match exchange(node, *peer, Method::GET, Vec::new()).await {
-                Ok(records) => merge_all(node, &records),
+                Ok(message) => merge(node, &message.records),
                 Err(error) => log_failure(*peer, &error),
             },
         );
@@ -147,7 +147,7 @@
 async fn push(node: Arc<SidecarNode>, peer: SocketAddr, message: Vec<u8>) {
     for _ in 0..PUSH_ATTEMPTS {
         match exchange(&node, peer, Method::POST, message.clone()).await {
-            Ok(better) => return merge_all(&node, &better),
+            Ok(better) => return merge(&node, &better.records),
             Err(error) => log_failure(peer, &error),
         }
         tokio::time::sleep(PUSH_INTERVAL).await;
@@ -172,10 +172,6 @@
     events::SUSPECT_EXCHANGE_FAILED.emit(format_args!("peer={peer} error={error}"));
 }
 
-fn merge_all(node: &SidecarNode, message: &SuspectRecords) {
-    merge(node, &message.records);
-}
-
 /// Adds what a peer says of requests.
 pub fn merge(node: &SidecarNode, records: &[suspect::SuspectRecord]) {
     for record in records {
