--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -80,7 +80,7 @@
     STATE_RECEIVED = 6105, Info, "state received from a peer", "peer, from, to", "None; the store could not be read in time.";
     STATE_EXCHANGE_FAILED = 6106, Debug, "state exchange with a peer failed", "peer, error", "None while other peers answer.";
     STATE_SOURCE_CHANGED = 6107, Info, "daemon receives the platform's state in another way", "role, revision", "None; the daemon reads the store itself, or follows the daemon on the named host.";
-    STATE_IGNORED = 6108, Warn, "state read from the store is ignored", "read, known", "None if a peer has sent a newer state meanwhile; if it recurs, the store has gone back to an earlier state.";
+    STATE_IGNORED = 6108, Warn, "received state is ignored", "read, known", "None if a newer state has arrived meanwhile; if it recurs, a part of the fleet or the store is in an earlier era.";
     STORE_RESTORED = 6109, Warn, "store has come back from a copy", "from, to, kept, source", "What the store has lost must be written again; `kept` items hold meanwhile. Positions are written as era/revision.";
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -413,7 +413,9 @@
     ) {
         let now = self.now();
         let mut known = self.known();
-        if position.era != known.view.position().era {
+        let before = known.view.position();
+        if position.era != before.era {
+            events::STATE_IGNORED.emit(format_args!("read={position} known={before}"));
             return;
         }
         if source == StateSource::Peer || known.table.is_authoritative() {
