--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -191,3 +191,52 @@
     node.update_state(overwritten, at(6), StateSource::Store);
     assert!(!knows_target(&node));
 }
+
+/// Guards against a daemon that keeps its state because a peer's has a smaller revision,
+/// though of a later era, and against one that goes back to an earlier era.
+#[tokio::test]
+async fn state_of_a_later_era_is_taken_and_none_of_an_earlier_one() {
+    let restored = StatePosition {
+        era: 2,
+        revision: 3,
+    };
+    let ahead = node_with_target();
+    ahead.replace_state(vec![evacuation(3)], restored, StateSource::Store);
+    let behind = node_with_target();
+    let listener = serve_state(&ahead);
+    state_exchange::fetch_from_all(&behind, &[listener.local_address()]).await;
+    assert_eq!(behind.position(), restored);
+    assert!(behind.known().table.is_evacuated("north-b"));
+    // The target's entry may be written again.
+    assert!(knows_target(&behind));
+    let earlier = node_with_target();
+    let listener = serve_state(&earlier);
+    let peer = listener.local_address();
+    state_exchange::fetch_from_all(&ahead, &[peer]).await;
+    let followed = state_exchange::follow(&ahead, peer, Duration::ZERO).await;
+    assert!(followed.is_ok());
+    assert_eq!(ahead.position(), restored);
+    assert!(ahead.known().table.is_evacuated("north-b"));
+}
+
+/// Guards against changes of another era that are applied to the known state.
+#[test]
+fn changes_of_another_era_are_ignored() {
+    let node = node_with_target();
+    let other = StatePosition {
+        era: 2,
+        revision: 9,
+    };
+    node.update_state(vec![evacuation(9)], other, StateSource::Store);
+    assert_eq!(node.position(), at(5));
+    assert!(!node.known().table.is_evacuated("north-b"));
+}
+
+fn evacuation(revision: u64) -> StoreItem {
+    StoreItem {
+        key: "op/evacuate/north-b".into(),
+        value: Some(b"{}".to_vec()),
+        revision,
+        is_confirmed_removal: false,
+    }
+}
