Let fresh daemons ask again until their peers have noticed a restore

A daemon that starts after the store has come back from a copy asks three peers for what the copy lacks. If they had not noticed the restore, they could not tell, and the daemon never asked again: it served by the copy's older configuration. The daemon now asks again while a peer is of an earlier era or does not answer, six times at most.

--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -60,6 +60,10 @@
 /// date.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(700);
 
+/// How often a daemon that has just started asks for items of earlier eras. All daemons
+/// that reach the store notice its return within this time.
+const KEPT_FETCHES: usize = 6;
+
 /// The number of random peers that are asked at once. While a part of the hosts
 /// is cut off, one of them is probably reachable.
 const RANDOM_PEERS: usize = 3;
@@ -305,9 +309,29 @@
 /// Fetches what other daemons knew before this one started and the store does not tell:
 /// suspected requests, and items of earlier eras.
 pub async fn fetch_first(node: Arc<SidecarNode>) {
-    let peers = random_peers(&node);
-    suspect_exchange::fetch_from_all(&node, &peers).await;
-    fetch_from_all(&node, &peers).await;
+    suspect_exchange::fetch_from_all(&node, &random_peers(&node)).await;
+    fetch_kept(&node, random_peers).await;
+}
+
+/// Fetches the items of earlier eras from the peers that `choose_peers` returns, again
+/// and again while some of them have not noticed that the store has come back from a
+/// copy: they cannot say yet what it has lost.
+pub async fn fetch_kept<F>(node: &SidecarNode, choose_peers: F)
+where
+    F: Fn(&SidecarNode) -> Vec<SocketAddr>,
+{
+    for _ in 0..KEPT_FETCHES {
+        let peers = choose_peers(node);
+        let requests = peers.iter().map(|peer| fetch_from(node, *peer));
+        let positions = futures_util::future::join_all(requests).await;
+        let era = node.position().era;
+        let knows =
+            |position: &Option<StatePosition>| position.is_some_and(|known| known.era >= era);
+        if positions.iter().all(knows) {
+            return;
+        }
+        tokio::time::sleep(PEER_POLL_INTERVAL).await;
+    }
 }
 
 /// Pushes the state to the hosts of this failure domain that have sent nothing so
@@ -383,17 +407,21 @@
     futures_util::future::join_all(requests).await;
 }
 
-async fn fetch_from(node: &SidecarNode, peer: SocketAddr) {
+/// Requests the state from a peer and applies it. Returns the position of the peer's
+/// state; `None` if the peer did not answer.
+async fn fetch_from(node: &SidecarNode, peer: SocketAddr) -> Option<StatePosition> {
     match fetch(node, peer, Duration::ZERO).await {
         Ok(snapshot) => {
             let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
             node.ranking()
                 .mark_store_report(peer.ip(), store_unreachable, node.now());
             apply_peer_snapshot(node, &snapshot, &peer.to_string());
+            Some(position(&snapshot))
         }
         Err(error) => {
             node.ranking().mark_unreachable(peer.ip(), node.now());
             events::STATE_EXCHANGE_FAILED.emit(format_args!("peer={peer} error={error}"));
+            None
         }
     }
 }
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -219,6 +219,29 @@
     assert!(ahead.known().table.is_evacuated("north-b"));
 }
 
+/// Guards against a daemon that has started after the restore and never learns what the
+/// store has lost, because the peers that it asked had not noticed the restore yet.
+#[tokio::test]
+async fn fresh_daemon_learns_what_peers_know_once_they_notice_the_restore() {
+    let restored = StatePosition {
+        era: 2,
+        revision: 3,
+    };
+    let peer = node_with_target();
+    peer.update_state(vec![evacuation(6)], at(6), StateSource::Store);
+    let listener = serve_state(&peer);
+    let address = listener.local_address();
+    let fresh = node();
+    fresh.replace_state(Vec::new(), restored, StateSource::Store);
+    let notice = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        peer.replace_state(Vec::new(), restored, StateSource::Store);
+    };
+    let fetch = state_exchange::fetch_kept(&fresh, |_| vec![address]);
+    futures_util::future::join(fetch, notice).await;
+    assert!(fresh.known().table.is_evacuated("north-b"));
+}
+
 /// Guards against changes of another era that are applied to the known state.
 #[test]
 fn changes_of_another_era_are_ignored() {
