--- a/review/scene/cases.rs
+++ b/review/scene/cases.rs
@@ -108,7 +108,9 @@
 
 /// Returns four loopback addresses at which the port of the daemons' metrics is free.
 fn free_hosts() -> Result<[[u8; 4]; 4], String> {
-    let nets = 20..200;
+    // Cases that are started at the same moment begin at different addresses.
+    let first = std::process::id() % 100;
+    let nets = (first..first + 100).map(|net| 20 + net as u8);
     let mut hosts = nets.map(|net| [1, 2, 3, 4].map(|host| [127, 77, net, host]));
     let is_free = |hosts: &[[u8; 4]; 4]| {
         let mut ips = hosts.iter().map(|host| Ipv4Addr::from(*host));
