Tell when the store has stopped to confirm a daemon's state

RG6110 and RG6111 are logged once at the start and the end of a time in which the store has not confirmed the state within the time limit for applying changes. Gauges: state_age_ms, state_unconfirmed, store_reader.

Tests: freshness::start_and_end_of_unconfirmed_time_are_told_once, node::metrics_tell_how_old_the_state_is_and_who_reads (both need what is new here, and do not compile before).

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -82,6 +82,8 @@
     STATE_SOURCE_CHANGED = 6107, Info, "daemon receives the platform's state in another way", "role, revision", "None; the daemon reads the store itself, or follows the daemon on the named host.";
     STATE_IGNORED = 6108, Warn, "received state is ignored", "read, known", "None if a newer state has arrived meanwhile; if it recurs, a part of the fleet or the store is in an earlier era.";
     STORE_RESTORED = 6109, Warn, "store has come back from a copy", "from, to, kept, source", "What the store has lost must be written again; `kept` items hold meanwhile. Positions are written as era/revision.";
+    STATE_UNCONFIRMED = 6110, Warn, "state is not confirmed by the store in time", "age_ms, role, revision", "The daemon may lack changes that are in force elsewhere. If RG6101 names no fault of the store, look at the daemon that `role` names and at the one that it follows in turn.";
+    STATE_CONFIRMED = 6111, Info, "state is confirmed by the store again", "after_ms, role, revision", "None.";
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_RESTART_SUSPECTED = 6203, Info, "target is treated as cold until its next health check", "reason", "None; it may have crashed and restarted.";
--- a/crates/mesh/src/freshness.rs
+++ b/crates/mesh/src/freshness.rs
@@ -11,6 +11,20 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StateFreshness {
     confirmed_at: Option<Duration>,
+    /// The time of the first [`StateFreshness::observe`].
+    observed_since: Option<Duration>,
+    /// The last confirmation before the state became unconfirmed; `None` while it is
+    /// confirmed in time.
+    unconfirmed_since: Option<Duration>,
+}
+
+/// The start or the end of a time in which the state is not confirmed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FreshnessChange {
+    /// The state is no longer confirmed in time; the last confirmation is this old.
+    Unconfirmed(Duration),
+    /// The state is confirmed again, this long after the confirmation before.
+    Confirmed(Duration),
 }
 
 impl StateFreshness {
@@ -29,4 +43,24 @@
     pub fn may_lack_changes(&self, bound: Duration, now: Duration) -> bool {
         self.age(now).is_none_or(|age| age > bound)
     }
+
+    /// Returns whether the state has stopped or begun to be confirmed within `bound`
+    /// since the last call. Before the first confirmation, the time counts from the
+    /// first call.
+    pub fn observe(&mut self, bound: Duration, now: Duration) -> Option<FreshnessChange> {
+        let observed_since = *self.observed_since.get_or_insert(now);
+        let latest = self.confirmed_at.unwrap_or(observed_since);
+        let age = now.saturating_sub(latest);
+        match self.unconfirmed_since {
+            None if age > bound => {
+                self.unconfirmed_since = Some(latest);
+                Some(FreshnessChange::Unconfirmed(age))
+            }
+            Some(since) if age <= bound => {
+                self.unconfirmed_since = None;
+                Some(FreshnessChange::Confirmed(latest.saturating_sub(since)))
+            }
+            _ => None,
+        }
+    }
 }
--- a/crates/mesh/tests/mesh/freshness.rs
+++ b/crates/mesh/tests/mesh/freshness.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
 use radishgauge_mesh::StateFreshness;
+use radishgauge_mesh::freshness::FreshnessChange;
 
 const BOUND: Duration = Duration::from_secs(3);
 
@@ -28,3 +29,20 @@
     freshness.confirm(s(7));
     assert_eq!(freshness.age(s(11)), Some(s(1)));
 }
+
+/// Guards against a daemon that keeps an old state for long without a word, and against
+/// one that repeats the same word again and again.
+#[test]
+fn start_and_end_of_unconfirmed_time_are_told_once() {
+    let mut freshness = StateFreshness::default();
+    assert_eq!(freshness.observe(BOUND, s(10)), None);
+    let late = Some(FreshnessChange::Unconfirmed(s(4)));
+    assert_eq!(freshness.observe(BOUND, s(14)), late);
+    assert_eq!(freshness.observe(BOUND, s(15)), None);
+    freshness.confirm(s(16));
+    let confirmed = Some(FreshnessChange::Confirmed(s(6)));
+    assert_eq!(freshness.observe(BOUND, s(17)), confirmed);
+    assert_eq!(freshness.observe(BOUND, s(19)), None);
+    let late = Some(FreshnessChange::Unconfirmed(s(4)));
+    assert_eq!(freshness.observe(BOUND, s(20)), late);
+}
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use cadence::Counted;
 use cadence::CountedExt;
@@ -17,6 +18,7 @@
 use cadence::StatsdClient;
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
+use radishgauge_mesh::reader::ReaderRole;
 use smol_str::SmolStr;
 
 use crate::node::SidecarNode;
@@ -184,6 +186,7 @@
                 table.evacuated_domains().count() as u64,
             )
         };
+        let age = node.freshness().age(node.now()).unwrap_or(Duration::MAX);
         let gauges = [
             ("state_revision", node.position().revision),
             ("state_era", node.position().era),
@@ -198,6 +201,13 @@
             ("target_rate_limit_milli", (declared * 1000.0).ceil() as u64),
             ("target_down", u64::from(node.owner.is_down())),
             ("suspected_requests", node.owner.suspects.len() as u64),
+            // The greatest value if the store has not confirmed the state yet.
+            (
+                "state_age_ms",
+                age.as_millis().try_into().unwrap_or(u64::MAX),
+            ),
+            ("state_unconfirmed", u64::from(node.may_lack_changes())),
+            ("store_reader", u64::from(node.role() == ReaderRole::Read)),
             (
                 "store_away",
                 u64::from(node.known().table.store_unreachable()),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -22,6 +22,7 @@
 use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::body_admission::BodyAdmission;
+use radishgauge_mesh::freshness::FreshnessChange;
 use radishgauge_mesh::link_load::LinkLoad;
 use radishgauge_mesh::reader::ReaderRanking;
 use radishgauge_mesh::reader::ReaderRole;
@@ -256,6 +257,28 @@
         self.freshness().may_lack_changes(bound, self.now())
     }
 
+    /// Logs the start and the end of a time in which the store does not confirm the
+    /// known state.
+    pub fn log_freshness(&self) {
+        let bound = self.settings().apply_bound;
+        let now = self.now();
+        let Some(change) = self.freshness().observe(bound, now) else {
+            return;
+        };
+        let role = self.role();
+        let revision = self.position();
+        match change {
+            FreshnessChange::Unconfirmed(age) => events::STATE_UNCONFIRMED.emit(format_args!(
+                "age_ms={} role={role:?} revision={revision}",
+                age.as_millis()
+            )),
+            FreshnessChange::Confirmed(after) => events::STATE_CONFIRMED.emit(format_args!(
+                "after_ms={} role={role:?} revision={revision}",
+                after.as_millis()
+            )),
+        }
+    }
+
     /// Returns the current configuration, if one is known.
     pub fn config(&self) -> Option<Arc<MeshConfig>> {
         self.known().table.config().cloned()
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -431,6 +431,7 @@
 pub async fn run(node: Arc<SidecarNode>) {
     loop {
         let notified = tokio::time::timeout(PEER_POLL_INTERVAL, node.newer_state.notified()).await;
+        node.log_freshness();
         if notified.is_ok() {
             tokio::time::sleep(OWN_UPDATE_WAIT).await;
         }
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -263,3 +263,18 @@
         is_confirmed_removal: false,
     }
 }
+
+/// Guards against an operator who cannot tell a daemon whose state the store has stopped
+/// to confirm, or which daemons read the store.
+#[test]
+fn metrics_tell_how_old_the_state_is_and_who_reads() {
+    let node = node_with_target();
+    let page = node.metrics.page(&node);
+    assert!(page.contains("radishgauge.state_unconfirmed 1\n"));
+    assert!(page.contains("radishgauge.store_reader 1\n"));
+    assert!(page.contains(&format!("radishgauge.state_age_ms {}\n", u64::MAX)));
+    node.confirm_state(node.now());
+    let page = node.metrics.page(&node);
+    assert!(page.contains("radishgauge.state_unconfirmed 0\n"));
+    assert!(!page.contains(&format!("radishgauge.state_age_ms {}\n", u64::MAX)));
+}
