Read the store in daemons that are followed

Cause: each daemon chooses from its own view whom it follows, and nothing ensures that the one it follows reads the store. RG6107 of the case (a copy that prints all lines): from revision 1/7, which has the two odd entries, 127.77.5.8 follows 127.77.5.10, which follows 127.77.5.8; the others follow these two. The store gets no call. Ruled out: a store that is slow or refuses (no RG6101), lost pushes, and an answer that is ignored (no RG6108). The odd entries only made the views differ: the new test gets the same ring from sound entries, with two hosts that have been moved to other failure domains.

Change: a request of a follower says so, and a daemon that is followed reads the store itself, whatever its ranking says, until configApply after the last such request. So each chain of followers has one step.

Daemons of the version before do not know the new parameter, and ignore it.

--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -8,6 +8,12 @@
 //! not cause calls from all hosts. A host that does not answer is excluded from
 //! the ranking for some time, so a domain that loses its readers has new ones at
 //! once.
+//!
+//! Daemons whose views differ may follow different hosts, and could follow each other
+//! in a ring that no change of the store reaches. Therefore a host that is followed
+//! reads the store, whatever its own ranking says: a chain of followers has one step.
+//! Only hosts that come first in the ranking of another one read in this way, so they
+//! are few.
 
 use std::net::IpAddr;
 use std::time::Duration;
@@ -47,6 +53,8 @@
 #[derive(Debug, Default)]
 pub struct ReaderRanking {
     statuses: IndexMap<IpAddr, HostStatus>,
+    /// Until when other hosts count as followers of this one.
+    followed_until: Duration,
 }
 
 impl ReaderRanking {
@@ -73,6 +81,11 @@
         };
     }
 
+    /// Records that another host follows this one, at least until the time `until`.
+    pub fn mark_followed(&mut self, until: Duration) {
+        self.followed_until = self.followed_until.max(until);
+    }
+
     /// Drops the hosts for which `known` returns false.
     pub fn retain<F>(&mut self, mut known: F)
     where
@@ -104,6 +117,9 @@
 
     /// Returns the role of the host `own` among the hosts of its failure domain.
     pub fn role(&self, own: IpAddr, domain: &str, hosts: &[IpAddr], now: Duration) -> ReaderRole {
+        if self.followed_until > now {
+            return ReaderRole::Read;
+        }
         let ranked = self.ranked(own, domain, hosts, now);
         let mut possible_readers = ranked.iter().copied().take(MAX_READERS);
         let reader =
--- a/crates/mesh/tests/mesh/reader.rs
+++ b/crates/mesh/tests/mesh/reader.rs
@@ -165,3 +165,31 @@
     ranking.mark_unreachable(own, s(1));
     assert!(ranking.ranked(own, "a", &hosts, s(1)).contains(&own));
 }
+
+/// Returns the name of a failure domain in which `next` ranks before `own`.
+fn domain_read_by(next: IpAddr, own: IpAddr) -> String {
+    let is_first = |domain: &String| {
+        let ranked = ReaderRanking::default().ranked(own, domain, &[own, next], s(0));
+        ranked[0] == next
+    };
+    let mut domains = (0..).map(|number: u32| number.to_string());
+    domains.find(is_first).unwrap()
+}
+
+/// Guards against daemons that follow each other in a ring while none reads the store:
+/// each of three knows only the next one, as after moves to other domains.
+#[test]
+fn followed_hosts_read_store() {
+    let all = hosts(3);
+    let mut rankings: Vec<_> = all.iter().map(|_| ReaderRanking::default()).collect();
+    for (index, ranking) in rankings.iter().enumerate() {
+        let (own, next) = (all[index], all[(index + 1) % 3]);
+        let role = ranking.role(own, &domain_read_by(next, own), &[own, next], s(0));
+        assert_eq!(role, ReaderRole::Follow(next));
+    }
+    for ranking in &mut rankings {
+        ranking.mark_followed(s(2));
+    }
+    let count = |now| readers(&rankings, &all, now).len();
+    assert_eq!((count(s(1)), count(s(2))), (3, 1));
+}
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -48,6 +48,11 @@
 /// The longest time that a follower may let its request wait.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
+/// How long a daemon counts as followed after a follower's request has waited, as a
+/// fraction of the time limit for applying changes: longer than a follower takes until
+/// its next request.
+const FOLLOWED_FRACTION: f64 = 1.0;
+
 /// How long a daemon with an older state waits for its own updates before it
 /// requests the state from a peer.
 const OWN_UPDATE_WAIT: Duration = Duration::from_millis(300);
@@ -97,8 +102,11 @@
         era: parameter(uri, "era").unwrap_or_default(),
         revision: parameter(uri, "after").unwrap_or_default(),
     };
-    let wait = Duration::from_millis(parameter(uri, "wait_ms").unwrap_or_default());
-    node.wait_change(after, wait.min(MAX_WAIT)).await;
+    let wait = Duration::from_millis(parameter(uri, "wait_ms").unwrap_or_default()).min(MAX_WAIT);
+    if parameter(uri, "follows") == Some(1) {
+        node.mark_followed(wait);
+    }
+    node.wait_change(after, wait).await;
     match encode(node, after) {
         Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
         Err(error) => {
@@ -294,6 +302,14 @@
 }
 
 impl SidecarNode {
+    /// Records that another daemon follows this one, with a request that waits for
+    /// `wait` at most.
+    fn mark_followed(&self, wait: Duration) {
+        let time = self.settings().apply_bound.mul_f64(FOLLOWED_FRACTION);
+        let until = self.now() + wait + time;
+        self.ranking().mark_followed(until);
+    }
+
     /// Records the position that an owner reported. An owner that reports none
     /// has no state, so this daemon's state is pushed to it.
     pub fn handle_owner_position(self: &Arc<Self>, peer: SocketAddr, position: StatePosition) {
@@ -356,19 +372,30 @@
     }
 }
 
+/// Why a daemon requests the state of another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FetchPurpose {
+    /// It follows that daemon, which must therefore read the store.
+    Follow,
+    /// It compares the states.
+    Compare,
+}
+
 /// Requests a state from a peer that is newer than the known one.
 async fn fetch(
     node: &SidecarNode,
     peer: SocketAddr,
     wait: Duration,
+    purpose: FetchPurpose,
 ) -> anyhow::Result<StateSnapshot> {
     let known = node.position();
     let path = format!(
-        "{STATE_PATH}?after={}&era={}&wait_ms={}&suspicions={}",
+        "{STATE_PATH}?after={}&era={}&wait_ms={}&suspicions={}&follows={}",
         known.revision,
         known.era,
         wait.as_millis(),
         node.owner.suspects.digest(node.now()),
+        u8::from(purpose == FetchPurpose::Follow),
     );
     let ask = node.peers.ask(peer, Method::GET, &path, Vec::new(), wait);
     let (status, body) = ask.await?;
@@ -390,7 +417,7 @@
     peer: SocketAddr,
     wait: Duration,
 ) -> anyhow::Result<bool> {
-    let snapshot = fetch(node, peer, wait).await?;
+    let snapshot = fetch(node, peer, wait, FetchPurpose::Follow).await?;
     if !position(&snapshot).is_known() {
         // The followed daemon has no state yet.
         node.handle_owner_position(peer, StatePosition::UNKNOWN);
@@ -410,7 +437,7 @@
 /// Requests the state from a peer and applies it. Returns the position of the peer's
 /// state; `None` if the peer did not answer.
 async fn fetch_from(node: &SidecarNode, peer: SocketAddr) -> Option<StatePosition> {
-    match fetch(node, peer, Duration::ZERO).await {
+    match fetch(node, peer, Duration::ZERO, FetchPurpose::Compare).await {
         Ok(snapshot) => {
             let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
             node.ranking()
