Leave a followed daemon whose state the store no longer confirms

Cause: a follower believes the followed daemon's own word that the store is reachable.

Change: a follower takes a state whose confirmation is older than four fifths of configApply for that of a daemon that cannot read the store, so the next host of the ranking is followed, or the follower reads. A working reader confirms within 0.65 of configApply and one call. The wait of a follower's request ends when its state is overdue, so that this is noticed in time. The number of readers stays bounded by MAX_READERS as in an outage.

Before: followers::daemon_leaves_one_that_reads_no_longer fails (version 2 not in force after 60 s). After: it passes; 46 other tests of end_to_end, odd_entries, restored_store and node too.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -15,6 +15,7 @@
 
 use crate::node::SidecarNode;
 use crate::state_exchange;
+use crate::state_exchange::FollowedReport;
 
 /// The fraction of the platform's time limit for applying changes that one
 /// watch of the store waits. A silent store is noticed after this time, early
@@ -25,6 +26,12 @@
 /// followed daemon waits. A silent daemon is noticed after this time.
 pub const FOLLOW_FRACTION: f64 = 0.25;
 
+/// The age at which a followed state shows that its sender does not read the store, as a
+/// fraction of the time limit for applying changes: more than a reader takes from one
+/// confirmation to the next, and early enough for another reader to apply a change in
+/// time.
+const OVERDUE_FRACTION: f64 = 0.8;
+
 /// The least time between two watches, as a fraction of the time limit for
 /// applying changes. Changes within this time are read with one call.
 const PAUSE_FRACTION: f64 = 0.1;
@@ -131,11 +138,10 @@
     if let ReaderRole::Follow(host) = role {
         let peer = SocketAddr::new(host, node.settings().peer_address.port());
         let wait = follow_wait(node, host);
-        let store_unreachable = state_exchange::follow(node, peer, wait)
+        let report = state_exchange::follow(node, peer, wait)
             .await
             .map_err(|error| FollowFault::Peer(host, error))?;
-        node.ranking()
-            .mark_store_report(host, store_unreachable, node.now());
+        record_report(node, host, &report);
         return Ok(FollowStep::Followed);
     }
     node.metrics.count("store_calls");
@@ -147,18 +153,45 @@
     read.map(|()| FollowStep::Read).map_err(FollowFault::Store)
 }
 
+/// Records whether the followed daemon reads the store: it does not if it says so, or if
+/// the store has not confirmed its state in time.
+fn record_report(node: &SidecarNode, host: IpAddr, report: &FollowedReport) {
+    let limit = overdue_age(node);
+    let is_overdue = report.confirmed_age.is_none_or(|age| age > limit);
+    if is_overdue && !report.store_unreachable {
+        let age = report.confirmed_age;
+        events::STATE_EXCHANGE_FAILED.emit(format_args!(
+            "peer={host} error=the store last confirmed its state {age:?} ago"
+        ));
+    }
+    let cannot_read = report.store_unreachable || is_overdue;
+    node.ranking()
+        .mark_store_report(host, cannot_read, node.now());
+}
+
+/// Returns the age from which a state is not that of a daemon that reads the store.
+fn overdue_age(node: &SidecarNode) -> Duration {
+    node.settings().apply_bound.mul_f64(OVERDUE_FRACTION)
+}
+
 /// Returns how long the followed daemon may delay its answer. A daemon whose
 /// source of state cannot read the store looks for one that can without waiting
-/// at each of them.
+/// at each of them. Otherwise the wait ends when the state is overdue.
 fn follow_wait(node: &SidecarNode, host: IpAddr) -> Duration {
     let now = node.now();
-    let searches = node.known().table.store_unreachable();
+    let longest = node.settings().apply_bound.mul_f64(FOLLOW_FRACTION);
+    let age = node.freshness().age(now).unwrap_or(Duration::MAX);
+    let until_overdue = overdue_age(node).saturating_sub(age);
+    let searches = node.known().table.store_unreachable() || until_overdue.is_zero();
     let ranking = node.ranking();
     let asks_first_time = searches && !ranking.is_store_unreachable(host, now);
     if asks_first_time || ranking.is_probed(host, now) {
         return Duration::ZERO;
     }
-    node.settings().apply_bound.mul_f64(FOLLOW_FRACTION)
+    if searches {
+        return longest;
+    }
+    longest.min(until_overdue)
 }
 
 async fn read_all(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -244,7 +244,7 @@
             node.drop_lapsed_targets();
         }
         keep_snapshot_items(node, snapshot);
-        confirm(node, position, snapshot.confirmed_us);
+        confirm(node, snapshot);
         return;
     }
     // An entry missing from a state that is not authoritative may have lapsed
@@ -263,7 +263,7 @@
     }
     apply_snapshot_items(node, snapshot, source);
     keep_snapshot_items(node, snapshot);
-    confirm(node, position, snapshot.confirmed_us);
+    confirm(node, snapshot);
     events::STATE_RECEIVED.emit(format_args!("peer={peer} from={before} to={position}"));
 }
 
@@ -288,15 +288,24 @@
         apply_snapshot_items(node, snapshot, StateSource::Store);
     }
     keep_snapshot_items(node, snapshot);
-    confirm(node, position, snapshot.confirmed_us);
+    confirm(node, snapshot);
+}
+
+/// Returns how long ago the store confirmed a peer's state; `None` if it never did.
+fn confirmed_age(snapshot: &StateSnapshot) -> Option<Duration> {
+    let age = Duration::from_micros(snapshot.confirmed_us);
+    (!age.is_zero()).then_some(age)
 }
 
 /// Records when the store confirmed a peer's state, if this daemon's state is
 /// that one or a newer one, which has all changes up to that time.
-fn confirm(node: &SidecarNode, position: StatePosition, confirmed_us: u64) {
+fn confirm(node: &SidecarNode, snapshot: &StateSnapshot) {
+    let position = position(snapshot);
     let known = node.position();
-    if confirmed_us > 0 && known >= position && known.era == position.era {
-        let age = Duration::from_micros(confirmed_us);
+    if let Some(age) = confirmed_age(snapshot)
+        && known >= position
+        && known.era == position.era
+    {
         node.confirm_state(node.now().saturating_sub(age));
     }
 }
@@ -405,9 +414,17 @@
     Ok(snapshot)
 }
 
+/// What a followed daemon says of its connection to the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowedReport {
+    /// Whether it says that it cannot read the store.
+    pub store_unreachable: bool,
+    /// How long ago the store last confirmed its state; `None` if it never did.
+    pub confirmed_age: Option<Duration>,
+}
+
 /// Requests the next state from the daemon that this one follows, which may
-/// delay its answer by `wait`, and applies it. Returns whether that daemon
-/// reports the store as unreachable.
+/// delay its answer by `wait`, and applies it.
 ///
 /// # Errors
 ///
@@ -416,15 +433,17 @@
     node: &Arc<SidecarNode>,
     peer: SocketAddr,
     wait: Duration,
-) -> anyhow::Result<bool> {
+) -> anyhow::Result<FollowedReport> {
     let snapshot = fetch(node, peer, wait, FetchPurpose::Follow).await?;
     if !position(&snapshot).is_known() {
         // The followed daemon has no state yet.
         node.handle_owner_position(peer, StatePosition::UNKNOWN);
     }
-    let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
     apply_followed_snapshot(node, &snapshot);
-    Ok(store_unreachable)
+    Ok(FollowedReport {
+        store_unreachable: snapshot.health() == hop::StoreHealth::Away,
+        confirmed_age: confirmed_age(&snapshot),
+    })
 }
 
 /// Requests the state from several peers at once, applies what they send, and
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -159,8 +159,8 @@
     let listener = serve_state(&followed);
     let follower = node_with_target();
     let peer = listener.local_address();
-    let store_unreachable = state_exchange::follow(&follower, peer, Duration::ZERO).await;
-    assert!(store_unreachable.unwrap());
+    let report = state_exchange::follow(&follower, peer, Duration::ZERO).await;
+    assert!(report.unwrap().store_unreachable);
     assert_eq!(follower.position(), at(6));
     assert!(!knows_target(&follower));
 }
