Let no entry of another writer supersede a target

Cause: a target is left out when another entry at its address has a later incarnation, unless the owner there has said that the other one is not there. An owner says so only of a target that a request names, and no request names one of a service without a route: so the claim is never denied. An entry of an unknown failure domain has no region, so it gets no request either. The owner takes its limit and its cold time from such an entry too, until the next health check.

Change: only entries of this fleet supersede, for senders and for the owner. ROUTE stays with the owner: if the later entry is true, of a service that only a later configuration names, requests for the former target reach the owner, whose health check finds another ID there (HOP_REASON_MISPLACED), or the target itself, which refuses what names another one.

Before: node::entries_of_other_services_and_domains_supersede_no_target ([] for the one target) and node::owner_ignores_entries_of_other_services_at_its_address (limit 99 for 8) fail. After: both pass, with the other tests of sidecar and platform.

--- a/crates/sidecar/src/known_hosts.rs
+++ b/crates/sidecar/src/known_hosts.rs
@@ -37,11 +37,14 @@
         let leaving = self.leaving();
         let misplaced = lock(&self.misplaced);
         let now = self.now();
+        let fleet = FleetScope::new(&settings, table);
+        // Requests are sent to targets of the fleet only, so only of these can an owner
+        // say that they are not at their address.
         let is_superseded = |target: &TargetRecord| {
             table.is_superseded(target)
-                && table
-                    .successors(target)
-                    .any(|successor| !misplaced.contains(successor, now))
+                && table.successors(target).any(|successor| {
+                    fleet.contains(successor) && !misplaced.contains(successor, now)
+                })
         };
         table
             .targets()
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -38,6 +38,7 @@
 
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
+use crate::fleet_scope::FleetScope;
 use crate::hop;
 use crate::node::lock;
 use crate::owner_state::OwnerState;
@@ -176,9 +177,10 @@
             self.check_requested.notify_one();
         }
         state.policy = policy.cloned();
+        let fleet = FleetScope::new(settings, table);
         let records = table
             .targets()
-            .filter(|record| record.address == settings.target_address)
+            .filter(|record| record.address == settings.target_address && fleet.contains(record))
             .cloned()
             .collect();
         if state.update_records(records, now) {
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -351,3 +351,40 @@
     assert_eq!(node.next_readers(9), [first]);
     assert_eq!(node.silent_domain_hosts(), [first]);
 }
+
+/// Guards against a target that gets no requests any more because an entry of a service
+/// or failure domain that the fleet does not have claims its address, and to have started
+/// there later: nobody sends such an entry a request, so no owner can deny it. A later
+/// target of the fleet does supersede the one before.
+#[test]
+fn entries_of_other_services_and_domains_supersede_no_target() {
+    let target = "10.0.0.2:4";
+    let ids = |later: StoreItem| {
+        let node = node_with_entries(vec![entry("desk", target, "north-b", 1), later]);
+        let config = node.config().unwrap();
+        let route = config.find("x", "/").unwrap();
+        let candidates = node.candidates(route, "desk").into_iter();
+        let ids = candidates.map(|candidate| candidate.place.id.to_string());
+        ids.collect::<Vec<_>>()
+    };
+    let known = ["desk-10.0.0.2:4-north-b"];
+    assert_eq!(ids(entry("agent", target, "north-b", 2)), known);
+    assert_eq!(ids(entry("desk", target, "west", 2)), known);
+    assert_eq!(
+        ids(entry("desk", target, "north-a", 2)),
+        ["desk-10.0.0.2:4-north-a"]
+    );
+    assert!(ids(entry("shop", target, "north-b", 2)).is_empty());
+}
+
+/// Guards against the owner of a target that takes the word of an entry of an unknown
+/// service at the target's address, for as long as no health check has shown who is there.
+#[test]
+fn owner_ignores_entries_of_other_services_at_its_address() {
+    let target = "127.0.0.1:4";
+    let mut odd = entry("agent", target, "north-a", 2);
+    let text = String::from_utf8(odd.value.unwrap()).unwrap();
+    odd.value = Some(text.replace(": 8", ": 99").into_bytes());
+    let node = node_with_entries(vec![entry("shop", target, "north-a", 1), odd]);
+    assert_eq!(node.owner.report().limit, 8);
+}
