Read each item of the store on its own

The page cannot be decoded (StoreError::Unreadable), so a full read ends there for ever, and a watch that meets the item fails too.

Cause: a page was decoded as a whole.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -10,6 +10,7 @@
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_platform::StoreClient;
 use radishgauge_platform::StoreError;
+use radishgauge_platform::items::ItemFault;
 use rand::Rng;
 
 use crate::node::SidecarNode;
@@ -196,6 +197,7 @@
 async fn read_all(node: &SidecarNode, store: &StoreClient) -> Result<(), StoreError> {
     let asked = node.now();
     let page = store.read_all().await?;
+    log_faults(node, &page.faults);
     let known = node.position();
     if page.position >= known {
         node.replace_state(page.items, page.position, StateSource::Store);
@@ -224,6 +226,7 @@
         node.settings().apply_bound.mul_f64(WATCH_FRACTION)
     };
     let changes = store.watch(node.position(), wait).await?;
+    log_faults(node, &changes.faults);
     if store_unreachable {
         // Entries that lapsed in the outage may still be registered again.
         node.mark_store_reachable();
@@ -236,6 +239,12 @@
     Ok(())
 }
 
+fn log_faults(node: &SidecarNode, faults: &[ItemFault]) {
+    for fault in faults {
+        node.request_log.log_item(fault, node.now());
+    }
+}
+
 fn record_outage(node: &SidecarNode, error: &StoreError) {
     node.mark_store_unreachable();
     events::STORE_LOST.emit(format_args!("error={error} revision={}", node.position()));
