Tell kinds of failed calls to the store apart in the log

RG6101 was written only at the first failure of an outage, so a fault of the daemon's own that followed one of the store was never named: it is now written at each change of the kind.

No test: no call can be built wrongly since the key is encoded, and the line depends on it.

--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -1,6 +1,7 @@
 //! Receives updates of the platform's store, directly or through another
 //! daemon.
 
+use std::mem::Discriminant;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -66,9 +67,17 @@
     Peer(IpAddr, anyhow::Error),
 }
 
+/// A time in which this daemon cannot read the store.
+#[derive(Clone, Copy)]
+struct StoreOutage {
+    start: Duration,
+    /// The kind of the last failure.
+    cause: Discriminant<StoreError>,
+}
+
 /// Receives updates from the store or from the followed daemon. Never returns.
 pub async fn run(node: Arc<SidecarNode>, store: StoreClient) {
-    let mut outage_start: Option<Duration> = None;
+    let mut outage: Option<StoreOutage> = None;
     let mut backoff = INITIAL_BACKOFF;
     // A full read is needed when the store no longer has the history since the
     // known revision. The first read is always a full one.
@@ -88,7 +97,7 @@
         match outcome {
             Ok(FollowStep::Followed) => {
                 // The received state is newer than an outage noticed before.
-                outage_start = None;
+                outage = None;
                 tokio::time::sleep(FOLLOW_PAUSE).await;
             }
             Ok(FollowStep::Read) => {
@@ -97,8 +106,8 @@
                 }
                 full_read_due = false;
                 backoff = INITIAL_BACKOFF;
-                if let Some(at) = outage_start.take() {
-                    record_recovery(&node, at);
+                if let Some(ended) = outage.take() {
+                    record_recovery(&node, ended.start);
                 }
                 tokio::time::sleep(node.settings().apply_bound.mul_f64(PAUSE_FRACTION)).await;
             }
@@ -117,10 +126,7 @@
             }
             Err(FollowFault::Store(error)) => {
                 node.metrics.count("store_failures");
-                if outage_start.is_none() {
-                    outage_start = Some(node.now());
-                    record_outage(&node, &error);
-                }
+                outage = Some(record_failure(&node, outage, &error));
                 let jitter = rand::rng().random_range(0.5..1.0);
                 tokio::time::sleep(backoff.mul_f64(jitter)).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
@@ -245,9 +251,24 @@
     }
 }
 
-fn record_outage(node: &SidecarNode, error: &StoreError) {
-    node.mark_store_unreachable();
-    events::STORE_LOST.emit(format_args!("error={error} revision={}", node.position()));
+/// Records a failed call to the store, and returns the outage to which it belongs. Each
+/// kind of failure is logged, as a fault of this daemon may follow one of the store.
+fn record_failure(
+    node: &SidecarNode,
+    outage: Option<StoreOutage>,
+    error: &StoreError,
+) -> StoreOutage {
+    let cause = std::mem::discriminant(error);
+    if outage.is_none_or(|known| known.cause != cause) {
+        events::STORE_LOST.emit(format_args!("error={error} revision={}", node.position()));
+    }
+    if outage.is_none() {
+        node.mark_store_unreachable();
+    }
+    StoreOutage {
+        start: outage.map_or(node.now(), |known| known.start),
+        cause,
+    }
 }
 
 fn record_recovery(node: &SidecarNode, outage_start: Duration) {
