--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod follow;
 pub mod hop;
 pub mod known_hosts;
+pub mod known_state;
 mod local_reply;
 pub mod metrics;
 pub mod node;
@@ -32,6 +33,7 @@
 mod slot;
 pub mod slot_offer;
 pub mod state_exchange;
+mod state_snapshot;
 pub mod suspect_exchange;
 pub mod target_call;
 
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -9,42 +9,28 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::Method;
 use http::Response;
 use http::StatusCode;
 use http::Uri;
-use prost::Message;
 use radishgauge_events::events;
 use radishgauge_mesh::StatePosition;
-use radishgauge_mesh::state_table::StateSource;
-use radishgauge_mesh::state_table::StoreHealth;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpBody;
 use radishgauge_net::exchange::AnswerBody;
-use radishgauge_platform::StoreItem;
-use radishgauge_platform::view;
-use radishgauge_platform::view::ViewDifference;
 use radishgauge_schema::hop;
-use radishgauge_schema::hop::KeptItem;
-use radishgauge_schema::hop::StateItem;
 use radishgauge_schema::hop::StateSnapshot;
 use rand::seq::IndexedRandom;
-use smol_str::SmolStr;
 
 use crate::answer;
-use crate::hop::micros;
 use crate::node::SidecarNode;
 use crate::peers::MAX_ASK_BYTES;
+use crate::state_snapshot;
 use crate::suspect_exchange;
 
 /// The path of requests that fetch or push the state.
 const STATE_PATH: &str = "/state";
 
-/// The zstd compression level. A state consists mostly of repeated names, which
-/// the lowest level already compresses well.
-const COMPRESSION_LEVEL: i32 = 1;
-
 /// The longest time that a follower may let its request wait.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -89,9 +75,9 @@
         let Ok(body) = body.whole(MAX_ASK_BYTES as u64).await else {
             return answer::empty(StatusCode::BAD_REQUEST);
         };
-        return match decode(&body) {
+        return match state_snapshot::decode(&body) {
             Ok(snapshot) => {
-                apply_peer_snapshot(node, &snapshot, "told");
+                state_snapshot::apply_peer_snapshot(node, &snapshot, "told");
                 answer::empty(StatusCode::OK)
             }
             Err(_) => answer::empty(StatusCode::BAD_REQUEST),
@@ -107,7 +93,7 @@
         node.mark_followed(wait);
     }
     node.wait_change(after, wait).await;
-    match encode(node, after) {
+    match state_snapshot::encode(node, after) {
         Ok(bytes) => Response::new(AnswerBody::whole(bytes)),
         Err(error) => {
             events::STATE_EXCHANGE_FAILED.emit(format_args!("peer=self error={error}"));
@@ -123,193 +109,6 @@
     value.parse().ok()
 }
 
-/// Encodes the part of the state that a daemon lacks if it knows the state up
-/// to `after`.
-fn encode(node: &SidecarNode, after: StatePosition) -> std::io::Result<Vec<u8>> {
-    let now = node.now();
-    let known = node.known();
-    let position = known.view.position();
-    let kept = known.view.kept().iter();
-    let kept = kept
-        .map(|(item, until)| KeptItem {
-            item: Some(state_item(item.clone())),
-            left_us: until.map_or(0, |until| micros(until.saturating_sub(now)).max(1)),
-        })
-        .collect();
-    let difference = if position > after {
-        known.view.difference(after)
-    } else {
-        ViewDifference {
-            since: Some(after),
-            items: Vec::new(),
-        }
-    };
-    let (health, since_recovery) = match known.table.health() {
-        // A stopping daemon no longer reads the store, so it reports the store
-        // as unreachable.
-        _ if node.is_stopping() => (hop::StoreHealth::Away, Duration::ZERO),
-        StoreHealth::Reachable => (hop::StoreHealth::Reachable, Duration::ZERO),
-        StoreHealth::Unreachable => (hop::StoreHealth::Away, Duration::ZERO),
-        StoreHealth::Recovered(at) => (hop::StoreHealth::Regained, now.saturating_sub(at)),
-    };
-    let rules_out_lapses = known.table.is_authoritative();
-    drop(known);
-    let confirmed = node.freshness().age(now);
-    let mut items = difference.items;
-    if rules_out_lapses {
-        view::confirm_removals(&mut items);
-    }
-    let snapshot = StateSnapshot {
-        revision: position.revision,
-        era: position.era,
-        items: items.into_iter().map(state_item).collect(),
-        health: health.into(),
-        regained_us: micros(since_recovery),
-        since: difference.since.unwrap_or_default().revision,
-        kept,
-        confirmed_us: confirmed.map_or(0, |age| micros(age).max(1)),
-        suspicion_digest: node.owner.suspects.digest(now),
-    };
-    zstd::bulk::compress(&snapshot.encode_to_vec(), COMPRESSION_LEVEL)
-}
-
-fn decode(bytes: &[u8]) -> anyhow::Result<StateSnapshot> {
-    let bytes = zstd::bulk::decompress(bytes, MAX_ASK_BYTES)?;
-    Ok(StateSnapshot::decode(bytes.as_slice())?)
-}
-
-fn state_item(item: StoreItem) -> StateItem {
-    StateItem {
-        key: item.key.to_string(),
-        deleted: item.value.is_none(),
-        confirmed_removal: item.is_confirmed_removal,
-        value: Bytes::from(item.value.unwrap_or_default()),
-        revision: item.revision,
-    }
-}
-
-fn store_item(item: StateItem) -> StoreItem {
-    StoreItem {
-        key: SmolStr::from(item.key),
-        value: (!item.deleted).then(|| item.value.to_vec()),
-        revision: item.revision,
-        is_confirmed_removal: item.confirmed_removal,
-    }
-}
-
-/// Applies the items of a snapshot that is newer than the known state. If the
-/// snapshot has only the changes after a revision, they apply only to a state
-/// of at least that revision.
-fn apply_snapshot_items(node: &SidecarNode, snapshot: &StateSnapshot, source: StateSource) {
-    let position = position(snapshot);
-    let items: Vec<StoreItem> = snapshot.items.iter().cloned().map(store_item).collect();
-    let since = StatePosition {
-        era: position.era,
-        revision: snapshot.since,
-    };
-    if !since.is_known() {
-        node.replace_state(items, position, source);
-    } else if since <= node.position() {
-        node.update_state(items, position, source);
-    }
-}
-
-/// Adds the items of earlier eras that the sender of a snapshot keeps.
-fn keep_snapshot_items(node: &SidecarNode, snapshot: &StateSnapshot) {
-    let now = node.now();
-    let kept = snapshot.kept.iter().filter_map(|kept| {
-        let until = match kept.left_us {
-            0 => None,
-            left => Some(now + Duration::from_micros(left)),
-        };
-        Some((store_item(kept.item.clone()?), until))
-    });
-    node.keep_items(kept.collect(), position(snapshot));
-}
-
-fn position(snapshot: &StateSnapshot) -> StatePosition {
-    StatePosition {
-        era: snapshot.era,
-        revision: snapshot.revision,
-    }
-}
-
-/// Applies the state of any peer if it is newer than the known state.
-fn apply_peer_snapshot(node: &SidecarNode, snapshot: &StateSnapshot, peer: &str) {
-    let before = node.position();
-    let position = position(snapshot);
-    let is_authoritative = snapshot.health() == hop::StoreHealth::Reachable;
-    if position <= before {
-        if is_authoritative && position == before {
-            node.drop_lapsed_targets();
-        }
-        keep_snapshot_items(node, snapshot);
-        confirm(node, snapshot);
-        return;
-    }
-    // An entry missing from a state that is not authoritative may have lapsed
-    // in an outage of the store. A daemon that has a state and can reach the
-    // store therefore ignores such a state, and any other daemon keeps the
-    // missing entries. A state of a later era is never ignored: whoever receives it
-    // keeps the missing entries for some time.
-    let source = if is_authoritative {
-        StateSource::Peer
-    } else {
-        StateSource::Store
-    };
-    let has_own_state = before.is_known() && !node.known().table.store_unreachable();
-    if !is_authoritative && has_own_state && !position.is_restored_since(before) {
-        return;
-    }
-    apply_snapshot_items(node, snapshot, source);
-    keep_snapshot_items(node, snapshot);
-    confirm(node, snapshot);
-    events::STATE_RECEIVED.emit(format_args!("peer={peer} from={before} to={position}"));
-}
-
-/// Applies the state of the daemon that this one follows, and its report on the
-/// store's health.
-fn apply_followed_snapshot(node: &SidecarNode, snapshot: &StateSnapshot) {
-    let health = match snapshot.health() {
-        hop::StoreHealth::Reachable => StoreHealth::Reachable,
-        hop::StoreHealth::Regained => {
-            let ago = Duration::from_micros(snapshot.regained_us);
-            StoreHealth::Recovered(node.now().saturating_sub(ago))
-        }
-        hop::StoreHealth::Away | hop::StoreHealth::Unspecified => StoreHealth::Unreachable,
-    };
-    let position = position(snapshot);
-    // A daemon that is behind says nothing of the era that is known here.
-    if position.era >= node.position().era {
-        node.known().table.apply_peer_health(health, node.now());
-        node.expire_targets();
-    }
-    if position > node.position() {
-        apply_snapshot_items(node, snapshot, StateSource::Store);
-    }
-    keep_snapshot_items(node, snapshot);
-    confirm(node, snapshot);
-}
-
-/// Returns how long ago the store confirmed a peer's state; `None` if it never did.
-fn confirmed_age(snapshot: &StateSnapshot) -> Option<Duration> {
-    let age = Duration::from_micros(snapshot.confirmed_us);
-    (!age.is_zero()).then_some(age)
-}
-
-/// Records when the store confirmed a peer's state, if this daemon's state is
-/// that one or a newer one, which has all changes up to that time.
-fn confirm(node: &SidecarNode, snapshot: &StateSnapshot) {
-    let position = position(snapshot);
-    let known = node.position();
-    if let Some(age) = confirmed_age(snapshot)
-        && known >= position
-        && known.era == position.era
-    {
-        node.confirm_state(node.now().saturating_sub(age));
-    }
-}
-
 impl SidecarNode {
     /// Records that another daemon follows this one, with a request that waits for
     /// `wait` at most.
@@ -371,7 +170,7 @@
 
 async fn push_state(node: &SidecarNode, peer: SocketAddr) {
     let push = async {
-        let body = encode(node, StatePosition::UNKNOWN)?;
+        let body = state_snapshot::encode(node, StatePosition::UNKNOWN)?;
         node.peers
             .ask(peer, Method::POST, STATE_PATH, body, Duration::ZERO)
             .await
@@ -409,7 +208,7 @@
     let ask = node.peers.ask(peer, Method::GET, &path, Vec::new(), wait);
     let (status, body) = ask.await?;
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
-    let snapshot = decode(&body)?;
+    let snapshot = state_snapshot::decode(&body)?;
     node.record_suspicion_digest(peer, snapshot.suspicion_digest);
     Ok(snapshot)
 }
@@ -435,14 +234,14 @@
     wait: Duration,
 ) -> anyhow::Result<FollowedReport> {
     let snapshot = fetch(node, peer, wait, FetchPurpose::Follow).await?;
-    if !position(&snapshot).is_known() {
+    if !state_snapshot::position(&snapshot).is_known() {
         // The followed daemon has no state yet.
         node.handle_owner_position(peer, StatePosition::UNKNOWN);
     }
-    apply_followed_snapshot(node, &snapshot);
+    state_snapshot::apply_followed_snapshot(node, &snapshot);
     Ok(FollowedReport {
         store_unreachable: snapshot.health() == hop::StoreHealth::Away,
-        confirmed_age: confirmed_age(&snapshot),
+        confirmed_age: state_snapshot::confirmed_age(&snapshot),
     })
 }
 
@@ -461,8 +260,8 @@
             let store_unreachable = snapshot.health() == hop::StoreHealth::Away;
             node.ranking()
                 .mark_store_report(peer.ip(), store_unreachable, node.now());
-            apply_peer_snapshot(node, &snapshot, &peer.to_string());
-            Some(position(&snapshot))
+            state_snapshot::apply_peer_snapshot(node, &snapshot, &peer.to_string());
+            Some(state_snapshot::position(&snapshot))
         }
         Err(error) => {
             node.ranking().mark_unreachable(peer.ip(), node.now());
