--- a/crates/net/src/platform.rs
+++ b/crates/net/src/platform.rs
@@ -25,6 +25,8 @@
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use indexmap::IndexMap;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::utf8_percent_encode;
 use radishgauge_config::PartDigest;
 use tokio::time::Instant;
 
@@ -322,7 +324,9 @@
     fn known_tag(&self, key: &str, known: PartDigest) -> String {
         let tags = self.tags.lock().unwrap_or_else(PoisonError::into_inner);
         match tags.get(key) {
-            Some((digest, tag)) if *digest == known => encode_query_value(tag),
+            Some((digest, tag)) if *digest == known => {
+                utf8_percent_encode(tag, NON_ALPHANUMERIC).to_string()
+            }
             _ => known.to_string(),
         }
     }
@@ -336,19 +340,6 @@
     }
 }
 
-/// Percent-encodes all but the unreserved characters (RFC 3986, section 2.3).
-fn encode_query_value(text: &str) -> String {
-    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
-    text.bytes().fold(String::new(), |mut escaped, byte| {
-        if plain(byte) {
-            escaped.push(byte.into());
-        } else {
-            escaped.push_str(&format!("%{byte:02X}"));
-        }
-        escaped
-    })
-}
-
 async fn read_value(response: Response<Incoming>) -> Result<Bytes, PlatformError> {
     match Limited::new(response.into_body(), VALUE_LIMIT)
         .collect()
