--- a/crates/mesh/tests/mesh/reader.rs
+++ b/crates/mesh/tests/mesh/reader.rs
@@ -193,3 +193,50 @@
     let count = |now| readers(&rankings, &all, now).len();
     assert_eq!((count(s(1)), count(s(2))), (3, 1));
 }
+
+/// Guards against calls from all hosts to a store that is down, because each of them is
+/// followed by others: also while half of the hosts do not reach the other half.
+#[test]
+fn number_of_readers_is_bounded_while_hosts_follow_each_other() {
+    for groups in [1, 2] {
+        let hosts = hosts(74);
+        let mut rankings: Vec<_> = hosts.iter().map(|_| ReaderRanking::default()).collect();
+        for time in 0..10 {
+            mark_other_groups(&mut rankings, &hosts, groups, s(time));
+            let roles: Vec<ReaderRole> = hosts
+                .iter()
+                .zip(&rankings)
+                .map(|(host, ranking)| ranking.role(*host, "a", &hosts, s(time)))
+                .collect();
+            let readers = roles.iter().filter(|role| **role == ReaderRole::Read);
+            let readers = readers.count();
+            assert!(
+                (1..=groups * MAX_READERS).contains(&readers),
+                "{readers} read"
+            );
+            for (index, role) in roles.iter().enumerate() {
+                let ReaderRole::Follow(followed) = role else {
+                    continue;
+                };
+                rankings[index].mark_store_report(*followed, true, s(time));
+                let followed = hosts.iter().position(|host| host == followed).unwrap();
+                rankings[followed].mark_followed(s(time + 2));
+            }
+        }
+    }
+}
+
+/// Makes the hosts of each group exclude those of the others.
+fn mark_other_groups(
+    rankings: &mut [ReaderRanking],
+    hosts: &[IpAddr],
+    groups: usize,
+    now: Duration,
+) {
+    for (index, ranking) in rankings.iter_mut().enumerate() {
+        let others = hosts.iter().enumerate();
+        for (_, other) in others.filter(|(other, _)| other % groups != index % groups) {
+            ranking.mark_unreachable(*other, now);
+        }
+    }
+}
