Return to the ranking when a followed daemon cannot read the store

Change: a failed call ends the time in which a daemon counts as followed. Its followers have been told, and go on to the next host; it follows its own reader again until one of them comes back.

Test: reader::followed_host_that_cannot_read_store_follows_again (needs the new function, so it does not compile before).

--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -86,6 +86,12 @@
         self.followed_until = self.followed_until.max(until);
     }
 
+    /// Records that this host cannot read the store, so that it does not serve others as a
+    /// reader until one of them follows it again.
+    pub fn forget_followers(&mut self) {
+        self.followed_until = Duration::ZERO;
+    }
+
     /// Drops the hosts for which `known` returns false.
     pub fn retain<F>(&mut self, mut known: F)
     where
--- a/crates/mesh/tests/mesh/reader.rs
+++ b/crates/mesh/tests/mesh/reader.rs
@@ -194,6 +194,23 @@
     assert_eq!((count(s(1)), count(s(2))), (3, 1));
 }
 
+/// Guards against a host that cannot read the store, and waits there for the changes that
+/// the first of its ranking could tell it, as long as somebody follows it.
+#[test]
+fn followed_host_that_cannot_read_store_follows_again() {
+    let hosts = hosts(3);
+    let first = readers(&[(); 3].map(|()| ReaderRanking::default()), &hosts, s(0))[0];
+    let own = *hosts.iter().find(|host| **host != first).unwrap();
+    let mut ranking = ReaderRanking::default();
+    ranking.mark_followed(s(2));
+    assert_eq!(ranking.role(own, "a", &hosts, s(0)), ReaderRole::Read);
+    ranking.forget_followers();
+    assert_eq!(
+        ranking.role(own, "a", &hosts, s(0)),
+        ReaderRole::Follow(first)
+    );
+}
+
 /// Guards against calls from all hosts to a store that is down, because each of them is
 /// followed by others: also while half of the hosts do not reach the other half.
 #[test]
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -265,6 +265,7 @@
     if outage.is_none() {
         node.mark_store_unreachable();
     }
+    node.ranking().forget_followers();
     StoreOutage {
         start: outage.map_or(node.now(), |known| known.start),
         cause,
