--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -185,7 +185,7 @@
 enum FetchPurpose {
     /// It follows that daemon, which must therefore read the store.
     Follow,
-    /// It compares the states.
+    /// It asks once whether that daemon has a newer state.
     Compare,
 }
 
