Give each daemon of the tests a port of its own

The log has the daemon shop-4 of the other test of the file started with this port at the same moment: the port had been found free for both before either bound it.

Change: the tests of a process get each port once, and end_to_end.rs uses the same functions.

--- a/crates/daemon/tests/common/mod.rs
+++ b/crates/daemon/tests/common/mod.rs
@@ -4,10 +4,12 @@
 // Each test file uses only some of these items.
 #![allow(dead_code)]
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
+use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -434,12 +436,33 @@
     }
 }
 
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Returns an address with a free TCP port that no other call has returned.
+pub fn free_tcp() -> SocketAddr {
+    unused(|| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    })
 }
 
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-    socket.local_addr().unwrap()
+/// Returns an address with a free UDP port that no other call has returned.
+pub fn free_udp() -> SocketAddr {
+    unused(|| {
+        let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+        socket.local_addr().unwrap()
+    })
+}
+
+/// Returns the first free address that was not returned before. A port that one test has
+/// found and not bound yet is free for the others.
+fn unused<F>(find_free: F) -> SocketAddr
+where
+    F: Fn() -> SocketAddr,
+{
+    static RETURNED: Mutex<BTreeSet<SocketAddr>> = Mutex::new(BTreeSet::new());
+    loop {
+        let address = find_free();
+        if RETURNED.lock().unwrap().insert(address) {
+            return address;
+        }
+    }
 }
--- a/crates/daemon/tests/end_to_end.rs
+++ b/crates/daemon/tests/end_to_end.rs
@@ -1,13 +1,13 @@
 //! End-to-end test with two daemon processes: a version is published and a call
 //! passes through both.
 
+mod common;
+
 use std::fs;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
-use std::net::UdpSocket;
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
@@ -15,6 +15,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::free_tcp;
+use common::free_udp;
 use http::Response;
 use prost::Message;
 use radishgauge_config::load_set;
@@ -48,20 +50,6 @@
     }
 }
 
-fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 fn start(dir: &Path, authority: &KeyAuthority, host: &mut Host, seeds: &[String; 2]) {
     let identity = authority.issue(host.name, "addis-bole").unwrap();
     fs::write(dir.join("ca.pem"), &identity.ca).unwrap();
