Log what clears a crashing request, and count cut-off runs

Counters hold what scrolls out of a log: target_ends, cut_off_unexplained, suspects_cleared. No decision changes.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -93,8 +93,9 @@
     TARGET_LEAVING = 6207, Info, "target says that it leaves", "target, incarnation, registered", "None; it gets no new requests, whatever its registration says.";
     TARGET_ENDED = 6208, Warn, "target has ended", "end, cut_off, suspected, connection", "Check the target's own logs. `suspected` are the requests that may have caused it; see the page on requests that end targets.";
     REQUEST_SUSPECTED = 6209, Warn, "targets end under a request", "fingerprint, ends, quarantined", "If `quarantined` is true, find the request at its caller by the fingerprint in RG6303 and RG6306.";
-    REQUEST_CLEARED = 6210, Info, "a request under which targets had ended ran well", "fingerprint, ends", "None; it is suspected no longer.";
+    REQUEST_CLEARED = 6210, Info, "a request under which targets had ended ran well", "fingerprint, ends, target, status, run_ms", "None; it is suspected no longer.";
     SUSPECT_EXCHANGE_FAILED = 6211, Debug, "exchange of suspected requests with a peer failed", "peer, error", "None while other peers answer.";
+    QUARANTINE_LEARNED = 6212, Warn, "a request is quarantined by news of a peer", "fingerprint, ends", "As for RG6209. The time since that line at the owner is the delay of the news.";
     REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
     REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
     REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, fingerprint, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -8,6 +8,7 @@
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use cadence::Counted;
@@ -187,6 +188,7 @@
             )
         };
         let age = node.freshness().age(node.now()).unwrap_or(Duration::MAX);
+        let counters = &node.owner.suspect_counters;
         let gauges = [
             ("state_revision", node.position().revision),
             ("state_era", node.position().era),
@@ -201,6 +203,9 @@
             ("target_rate_limit_milli", (declared * 1000.0).ceil() as u64),
             ("target_down", u64::from(node.owner.is_down())),
             ("suspected_requests", node.owner.suspects.len() as u64),
+            ("target_ends", counters.ends.load(Ordering::Relaxed)),
+            ("cut_off_unexplained", node.owner.unexplained_cut_offs()),
+            ("suspects_cleared", counters.cleared.load(Ordering::Relaxed)),
             // The greatest value if the store has not confirmed the state yet.
             (
                 "state_age_ms",
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -43,6 +43,7 @@
 use crate::node::lock;
 use crate::owner_state::OwnerState;
 use crate::owner_suspects::SUSPECT_POLICY;
+use crate::owner_suspects::SuspectCounters;
 use crate::slot::AdmittedRequest;
 use crate::slot::QueuedRequest;
 use crate::slot::RunningSlot;
@@ -83,6 +84,8 @@
     pub check_requested: Notify,
     /// The requests under which targets have ended.
     pub suspects: SuspectTable,
+    /// What was concluded about them.
+    pub suspect_counters: SuspectCounters,
     /// What other owners must be told of such requests.
     pub(crate) news: Mutex<SuspectNews>,
     pub(crate) news_added: Notify,
@@ -104,6 +107,7 @@
             state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
+            suspect_counters: SuspectCounters::default(),
             news: Mutex::default(),
             news_added: Notify::new(),
             end_check: tokio::sync::Mutex::new(()),
@@ -319,7 +323,7 @@
         if target_call::is_cut_off(&outcome) {
             self.explain_cut_off(run).await;
         }
-        self.finish_run(slot, &prints, &outcome);
+        self.finish_run(slot, head, &prints, &outcome);
         outcome
     }
 
@@ -362,14 +366,16 @@
     fn finish_run(
         self: &Arc<Self>,
         mut slot: RunningSlot,
+        head: &HopHead,
         prints: &RequestPrints,
         outcome: &TargetOutcome,
     ) {
         match outcome {
-            TargetOutcome::Answered(_) => {
+            TargetOutcome::Answered(answer) => {
+                let took = self.clock.now().saturating_sub(slot.started);
                 self.state().ledger.record_answer(prints);
-                self.clear_suspect(&slot.route, prints);
-                slot.took = Some(self.clock.now().saturating_sub(slot.started));
+                self.clear_suspect(head, prints, answer.status, took);
+                slot.took = Some(took);
             }
             TargetOutcome::NotRun(refusal) if refusal.reason == HopReason::Down => {
                 self.record_down("no connection");
--- a/crates/sidecar/src/owner_suspects.rs
+++ b/crates/sidecar/src/owner_suspects.rs
@@ -5,8 +5,11 @@
 //! requests that are to be.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use http::StatusCode;
 use radishgauge_events::events;
 use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::RequestPrints;
@@ -14,6 +17,7 @@
 use radishgauge_mesh::suspect::SuspectPolicy;
 use radishgauge_mesh::suspect::SuspectRun;
 use radishgauge_mesh::suspect::SuspectState;
+use radishgauge_schema::hop::HopHead;
 use radishgauge_schema::hop::HopReason;
 use smol_str::SmolStr;
 use tokio::sync::SemaphorePermit;
@@ -41,6 +45,21 @@
 /// How long the connection attempt may take that tells whether the target has ended.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Counts what an owner concluded from runs that were cut off, and from answers.
+#[derive(Debug, Default)]
+pub struct SuspectCounters {
+    /// How often the target ended while requests ran.
+    pub ends: AtomicU64,
+    /// How many requests were cleared of ends.
+    pub cleared: AtomicU64,
+}
+
+impl SuspectCounters {
+    fn count(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 impl TargetOwner {
     /// Returns the refusal of a request under which targets end again and again.
     pub fn quarantine(&self, prints: &RequestPrints) -> Option<NotRun> {
@@ -135,6 +154,7 @@
         if cut_off == 0 {
             return;
         }
+        SuspectCounters::count(&self.suspect_counters.ends);
         events::TARGET_ENDED.emit(format_args!(
             "end={end:016x} cut_off={cut_off} suspected={} connection={connection}",
             runs.len()
@@ -162,17 +182,28 @@
         self.tell(runs.iter().map(|run| run.route.clone()), records);
     }
 
-    /// Clears a request that ran well.
-    pub(crate) fn clear_suspect(&self, route: &str, prints: &RequestPrints) {
+    /// Clears a request that the target has answered.
+    pub(crate) fn clear_suspect(
+        &self,
+        head: &HopHead,
+        prints: &RequestPrints,
+        status: StatusCode,
+        run: Duration,
+    ) {
         let now = self.clock.now();
         let clear = |fingerprint| self.suspects.record_answer(fingerprint, now);
         let records: Vec<SuspectRecord> = prints.both().into_iter().filter_map(clear).collect();
         if let Some(record) = records.first() {
             let ends = record.ends.len();
-            let fingerprint = record.fingerprint.0;
-            events::REQUEST_CLEARED
-                .emit(format_args!("fingerprint={fingerprint:016x} ends={ends}"));
-            self.tell([SmolStr::from(route)], records);
+            SuspectCounters::count(&self.suspect_counters.cleared);
+            events::REQUEST_CLEARED.emit(format_args!(
+                "fingerprint={:016x} ends={ends} target={} status={} run_ms={}",
+                record.fingerprint.0,
+                head.target,
+                status.as_u16(),
+                run.as_millis()
+            ));
+            self.tell([SmolStr::from(head.route.as_str())], records);
         }
     }
 
@@ -187,6 +218,14 @@
         self.news_added.notify_one();
     }
 
+    /// Returns how many runs were cut off although the target did not end.
+    pub fn unexplained_cut_offs(&self) -> u64 {
+        let now = self.clock.now();
+        let mut state = self.state();
+        state.ledger.drop_unexplained(now);
+        state.ledger.unexplained()
+    }
+
     /// Waits until other owners must be told of requests, and returns what.
     pub async fn next_news(&self) -> SuspectNews {
         self.news_added.notified().await;
--- a/crates/sidecar/src/run_ledger.rs
+++ b/crates/sidecar/src/run_ledger.rs
@@ -40,6 +40,8 @@
     /// The latest end of the target: its number, and when it was noticed.
     last_end: Option<(u64, Duration)>,
     well_runs: WellRuns,
+    /// How many runs were cut off without an end of the target.
+    unexplained: u64,
 }
 
 impl RunLedger {
@@ -51,13 +53,27 @@
         {
             return Some(end);
         }
+        self.drop_unexplained(now);
         self.cut_off.push_back((now, run));
         if self.cut_off.len() > MAX_CUT_OFF {
             self.cut_off.pop_front();
+            self.unexplained += 1;
         }
         None
     }
 
+    /// Drops the runs that no end of the target explains.
+    pub(crate) fn drop_unexplained(&mut self, now: Duration) {
+        let before = self.cut_off.len();
+        self.cut_off.retain(|(at, _)| now < *at + CUT_OFF_TIME);
+        self.unexplained += (before - self.cut_off.len()) as u64;
+    }
+
+    /// Returns how many runs were cut off without an end of the target.
+    pub(crate) fn unexplained(&self) -> u64 {
+        self.unexplained
+    }
+
     /// Returns whether a run that was cut off is not explained yet.
     pub(crate) fn is_unexplained(&self) -> bool {
         !self.cut_off.is_empty()
@@ -67,11 +83,9 @@
     /// of them that may have been the cause.
     pub(crate) fn record_end(&mut self, end: u64, now: Duration) -> (usize, Vec<TargetRun>) {
         self.last_end = Some((end, now));
+        self.drop_unexplained(now);
         let cut_off = std::mem::take(&mut self.cut_off).into_iter();
-        let mut runs: Vec<TargetRun> = cut_off
-            .filter(|(at, _)| now < *at + CUT_OFF_TIME)
-            .map(|(_, run)| run)
-            .collect();
+        let mut runs: Vec<TargetRun> = cut_off.map(|(_, run)| run).collect();
         let count = runs.len();
         runs.retain(|run| !self.well_runs.contains(run.prints.exact));
         self.well_runs.clear();
--- a/crates/sidecar/src/suspect_exchange.rs
+++ b/crates/sidecar/src/suspect_exchange.rs
@@ -112,7 +112,7 @@
     };
     let records = pushed.records.iter().map(SuspectRecord::from_message);
     let better: Vec<SuspectRecord> = records
-        .filter_map(|record| node.owner.suspects.merge(&record, now))
+        .filter_map(|record| merge_record(node, &record))
         .collect();
     records_answer(&better)
 }
@@ -177,12 +177,31 @@
 /// Adds what a peer says of requests.
 pub fn merge(node: &SidecarNode, records: &[suspect::SuspectRecord]) {
     for record in records {
-        let record = SuspectRecord::from_message(record);
         // If this daemon knows better, the peer learns it with the next message.
-        let _ = node.owner.suspects.merge(&record, node.now());
+        let _ = merge_record(node, &SuspectRecord::from_message(record));
     }
 }
 
+/// Adds what a peer says of a request. Returns this daemon's record if it knows better.
+fn merge_record(node: &SidecarNode, record: &SuspectRecord) -> Option<SuspectRecord> {
+    let now = node.now();
+    let suspects = &node.owner.suspects;
+    let is_quarantined = || {
+        let state = suspects.check(record.fingerprint, now);
+        state.quarantined_until().is_some()
+    };
+    let was_quarantined = is_quarantined();
+    let better = suspects.merge(record, now);
+    if !was_quarantined && is_quarantined() {
+        events::QUARANTINE_LEARNED.emit(format_args!(
+            "fingerprint={:016x} ends={}",
+            record.fingerprint.0,
+            record.uncleared()
+        ));
+    }
+    better
+}
+
 /// Returns what this daemon knows of a request, for a message about it.
 pub fn records_of(node: &SidecarNode, prints: &RequestPrints) -> Vec<suspect::SuspectRecord> {
     let now = node.now();
