Judge each version of the software by its own ends

Callers of a fleet with two versions of a service saw one of two things. If targets of the second version served a request that ends those of the first, each answer cleared the request, and it went on ending targets of the first. If three of the first had ended before, the request was refused everywhere for ten minutes, also where the second version would have served it, as in a release that mends the fault.

Cause: an end was recorded without what the target ran, so evidence about one program counted for another.

Change: ends, failures and successes name the software of their target, a hash of service and version. A success clears the ends of its own software. A request is quarantined at the software that ended; at another it is on trial until it succeeds, and one end there quarantines it everywhere. Senders leave out the targets at which it is quarantined, and prefer those at which it is not on trial. All senders order the targets for a trial by the content of the request: with the print that names the sender's service, senders of two services tried it at two targets.

With several kinds of software, more ends of a request are kept. Which ones now depends on the ends alone: before, a daemon kept the first eight that it learned of, so digests of daemons never agreed on a request with more, and they fetched its records from each other twice a second until it expired (daemons_keep_the_same_of_many_ends).

--- a/crates/mesh/src/suspect.rs
+++ b/crates/mesh/src/suspect.rs
@@ -6,19 +6,20 @@
 //!
 //! * An end counts against each request that was in flight, except for those that
 //!   have run well at the same incarnation of the target; see [`WellRuns`](crate::WellRuns).
-//! * A run that succeeds clears its request of all ends before, as do several failures
-//!   in a row; see [`RunEvidence`].
+//! * A run that succeeds clears its request of the ends of targets with the same
+//!   software, as do several failures in a row; see [`RunEvidence`].
 //! * Several targets may end at the same time, with a popular request in flight at
 //!   each. Ends therefore count only as often as they followed on each other: an end
 //!   has a *round*, which is 1 plus the greatest round of the ends that were known
 //!   when the run began.
 //!
-//! A request is quarantined after enough ends in at least two rounds. Daemons tell
+//! A request is quarantined after enough ends in at least two rounds, at targets with
+//! the software that ended, or everywhere if targets with several kinds of software
+//! ended. Daemons tell
 //! each other what they know as records, which can be merged in any order and any
 //! number of times.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -31,22 +32,19 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::fingerprint::Fingerprint;
-use crate::run_evidence::CLEARING_FAILURES;
 use crate::run_evidence::RunAnswer;
 use crate::run_evidence::RunEvidence;
+use crate::suspect_entry::SuspectEntry;
 use crate::suspect_record::FailedRun;
-use crate::suspect_record::MAX_ENDS;
 use crate::suspect_record::SHARED_ENDS;
 use crate::suspect_record::SuspectRecord;
 use crate::suspect_record::TargetEnd;
+use crate::target::TargetSoftware;
 
 /// The maximum number of requests in a daemon's table, which bounds its memory to
 /// about 1 MB.
 pub const MAX_SUSPECTS: usize = 4096;
 
-/// The number of rounds in which targets must end before a request is quarantined.
-const QUARANTINE_ROUNDS: usize = 2;
-
 /// The greatest number of records that one message holds.
 const MAX_SHARED_RECORDS: usize = 1024;
 
@@ -104,11 +102,32 @@
     xxh3_64_with_seed(target.as_bytes(), fingerprint.0)
 }
 
+/// A request at targets with one software.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SuspectKey {
+    /// Identifies the request.
+    pub fingerprint: Fingerprint,
+    /// What the targets run.
+    pub software: TargetSoftware,
+}
+
+/// For fleets in which the fingerprint alone tells what the targets run.
+impl From<Fingerprint> for SuspectKey {
+    fn from(fingerprint: Fingerprint) -> SuspectKey {
+        SuspectKey {
+            fingerprint,
+            software: TargetSoftware::default(),
+        }
+    }
+}
+
 /// A run of a request, as it is known when it begins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SuspectRun {
     /// Identifies the request.
     pub fingerprint: Fingerprint,
+    /// What the target runs.
+    pub software: TargetSoftware,
     /// The round of the end of the target, if it ends now.
     pub round: u32,
 }
@@ -132,15 +151,6 @@
     digest: Option<(u64, Duration)>,
 }
 
-#[derive(Debug, Clone, Default)]
-struct SuspectEntry {
-    ends: Vec<TargetEnd>,
-    /// The latest runs that failed; at most [`CLEARING_FAILURES`].
-    failures: Vec<FailedRun>,
-    /// When the entry is forgotten.
-    expires: Duration,
-}
-
 impl SuspectTable {
     /// Returns an empty table.
     pub fn new(policy: SuspectPolicy) -> SuspectTable {
@@ -161,18 +171,41 @@
     }
 
     /// Returns the state of a request.
-    pub fn check(&self, fingerprint: Fingerprint, now: Duration) -> SuspectState {
+    pub fn check<K>(&self, key: K, now: Duration) -> SuspectState
+    where
+        K: Into<SuspectKey>,
+    {
         if self.is_empty() {
             return SuspectState::Clear;
         }
+        let key = key.into();
+        let inner = self.lock();
+        let entry = inner.entries.get(&key.fingerprint);
+        entry.map_or(SuspectState::Clear, |entry| {
+            entry.state(key.software, inner.policy, now)
+        })
+    }
+
+    /// Returns whether a request is quarantined at targets with some software.
+    pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Duration) -> bool {
+        if self.is_empty() {
+            return false;
+        }
         let inner = self.lock();
         let entry = inner.entries.get(&fingerprint);
-        entry.map_or(SuspectState::Clear, |entry| entry.state(inner.policy, now))
+        entry.is_some_and(|entry| entry.is_quarantined(inner.policy, now))
     }
 
     /// Records that a run of a request begins. The result is needed if the target
     /// ends during the run.
-    pub fn begin(&self, fingerprint: Fingerprint, now: Duration) -> SuspectRun {
+    pub fn begin<K>(&self, key: K, now: Duration) -> SuspectRun
+    where
+        K: Into<SuspectKey>,
+    {
+        let SuspectKey {
+            fingerprint,
+            software,
+        } = key.into();
         let mut round = 1;
         if !self.is_empty() {
             let inner = self.lock();
@@ -180,7 +213,11 @@
             let entry = entry.filter(|entry| entry.expires > now);
             round += entry.map_or(0, SuspectEntry::last_round);
         }
-        SuspectRun { fingerprint, round }
+        SuspectRun {
+            fingerprint,
+            software,
+            round,
+        }
     }
 
     /// Records that a target of this host ended while it ran `in_flight`. `id`
@@ -209,6 +246,7 @@
             let end = TargetEnd {
                 id,
                 round: run.round,
+                software: run.software,
                 cleared: false,
             };
             let entry = inner.entry(run.fingerprint, now);
@@ -234,6 +272,9 @@
         for end in &record.ends {
             knows_better |= entry.add(*end);
         }
+        for success in &record.successes {
+            entry.add_success(*success);
+        }
         for failure in &record.failures {
             entry.add_failure(*failure);
         }
@@ -258,24 +299,25 @@
         let mut inner = self.lock();
         let entry = inner.entries.get_mut(&run.fingerprint)?;
         let uncleared = entry.uncleared().count();
-        if uncleared == 0 || entry.expires <= now {
+        let software = run.software;
+        if uncleared == 0 || entry.expires <= now || entry.is_served_by(software) {
             return None;
         }
         let is_news = match answer.evidence {
             RunEvidence::Nothing => false,
             RunEvidence::Success => {
-                entry.clear();
+                entry.clear(software);
                 uncleared >= SHARED_ENDS
             }
             RunEvidence::Failure => {
-                let round = run.round;
                 entry.add_failure(FailedRun {
                     id: answer.id,
-                    round,
+                    round: run.round,
+                    software,
                 });
                 // One failure alone is no evidence. Several are, wherever they
                 // happened, and requests carry them too slowly.
-                entry.uncleared().count() == 0 || entry.counted_failures() > 1
+                entry.is_served_by(software) || entry.counted_failures(software) > 1
             }
         };
         let record = entry.record(run.fingerprint, now);
@@ -350,8 +392,7 @@
             SuspectEntry::default()
         });
         if entry.expires <= now {
-            entry.ends.clear();
-            entry.failures.clear();
+            *entry = SuspectEntry::default();
         }
         entry
     }
@@ -383,8 +424,7 @@
             let mut scanned = 0;
             while let Some(oldest) = self.order.pop_front() {
                 let entry = self.entries.get(&oldest);
-                let state = entry.map(|entry| entry.state(self.policy, now));
-                let retained = matches!(state, Some(SuspectState::Quarantined { .. }));
+                let retained = entry.is_some_and(|entry| entry.is_quarantined(self.policy, now));
                 if retained && scanned < EVICTION_SCAN {
                     self.order.push_back(oldest);
                     scanned += 1;
@@ -396,90 +436,3 @@
         }
     }
 }
-
-impl SuspectEntry {
-    /// Adds an end, or clears a known one. Returns whether the end is known to be
-    /// cleared although `end` is not.
-    fn add(&mut self, end: TargetEnd) -> bool {
-        let known = self.ends.iter_mut().find(|known| known.id == end.id);
-        if let Some(known) = known {
-            known.cleared |= end.cleared;
-            return known.cleared && !end.cleared;
-        }
-        if self.ends.len() >= MAX_ENDS {
-            let Some(cleared) = self.ends.iter().position(|end| end.cleared) else {
-                return false;
-            };
-            self.ends.remove(cleared);
-        }
-        self.ends.push(end);
-        self.ends.sort_unstable();
-        false
-    }
-
-    /// Adds a failed run. Enough of them that began after the latest end clear the
-    /// request.
-    fn add_failure(&mut self, run: FailedRun) {
-        if self.failures.iter().any(|known| known.id == run.id) {
-            return;
-        }
-        self.failures.push(run);
-        if self.counted_failures() >= CLEARING_FAILURES {
-            self.clear();
-        } else if self.failures.len() > CLEARING_FAILURES {
-            let oldest = self.failures.iter().enumerate();
-            let oldest = oldest.min_by_key(|(_, run)| run.round);
-            if let Some((oldest, _)) = oldest {
-                self.failures.remove(oldest);
-            }
-        }
-    }
-
-    /// Returns how many failed runs began after the latest end.
-    fn counted_failures(&self) -> usize {
-        let last_round = self.last_round();
-        let counted = self.failures.iter().filter(|run| run.round > last_round);
-        counted.count()
-    }
-
-    fn clear(&mut self) {
-        self.failures.clear();
-        for end in &mut self.ends {
-            end.cleared = true;
-        }
-    }
-
-    fn uncleared(&self) -> impl Iterator<Item = &TargetEnd> {
-        self.ends.iter().filter(|end| !end.cleared)
-    }
-
-    fn last_round(&self) -> u32 {
-        self.uncleared().map(|end| end.round).max().unwrap_or(0)
-    }
-
-    fn state(&self, policy: SuspectPolicy, now: Duration) -> SuspectState {
-        let ends = self.uncleared().count();
-        if self.expires <= now || ends == 0 {
-            return SuspectState::Clear;
-        }
-        let rounds: HashSet<u32> = self.uncleared().map(|end| end.round).collect();
-        let rounds = rounds.len();
-        let until = self.expires.saturating_sub(policy.time);
-        if ends >= policy.ends && rounds >= QUARANTINE_ROUNDS && now < until {
-            SuspectState::Quarantined { until }
-        } else if ends >= policy.ends || rounds >= QUARANTINE_ROUNDS {
-            SuspectState::OnTrial
-        } else {
-            SuspectState::Suspect
-        }
-    }
-
-    fn record(&self, fingerprint: Fingerprint, now: Duration) -> SuspectRecord {
-        SuspectRecord {
-            fingerprint,
-            ends: self.ends.clone(),
-            failures: self.failures.clone(),
-            left: self.expires.saturating_sub(now),
-        }
-    }
-}
--- a/crates/mesh/src/suspect_record.rs
+++ b/crates/mesh/src/suspect_record.rs
@@ -5,10 +5,10 @@
 use radishgauge_schema::suspect;
 
 use crate::fingerprint::Fingerprint;
-use crate::run_evidence::CLEARING_FAILURES;
+use crate::target::TargetSoftware;
 
-/// The greatest number of ends that are kept of one request.
-pub(crate) const MAX_ENDS: usize = 8;
+/// The greatest number of ends, failures or successes that are read of one record.
+const MAX_PARTS: usize = 64;
 
 /// The number of ends from which daemons that did not see them are told of a request.
 pub(crate) const SHARED_ENDS: usize = 2;
@@ -20,7 +20,9 @@
     pub id: u64,
     /// 1 plus the greatest round among the ends that were known when the run began.
     pub round: u32,
-    /// Whether the request has run well since.
+    /// What the target ran.
+    pub software: TargetSoftware,
+    /// Whether the request has run well since at targets with this software.
     pub cleared: bool,
 }
 
@@ -31,6 +33,17 @@
     pub id: u64,
     /// 1 plus the greatest round among the ends that were known when the run began.
     pub round: u32,
+    /// What the target runs.
+    pub software: TargetSoftware,
+}
+
+/// A software that has run a request well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SoftwareSuccess {
+    /// What the target runs.
+    pub software: TargetSoftware,
+    /// 1 plus the greatest round among the ends that were known then.
+    pub round: u32,
 }
 
 /// What a daemon knows of one request, as it tells others.
@@ -42,6 +55,8 @@
     pub ends: Vec<TargetEnd>,
     /// The latest runs that failed.
     pub failures: Vec<FailedRun>,
+    /// The kinds of software that have run the request well.
+    pub successes: Vec<SoftwareSuccess>,
     /// For how much longer the record is kept.
     pub left: Duration,
 }
@@ -53,15 +68,22 @@
             id: end.id,
             round: end.round,
             cleared: end.cleared,
+            software: end.software.0,
         };
         let failure = |run: &FailedRun| suspect::FailedRun {
             id: run.id,
             round: run.round,
+            software: run.software.0,
+        };
+        let success = |success: &SoftwareSuccess| suspect::SoftwareSuccess {
+            software: success.software.0,
+            round: success.round,
         };
         suspect::SuspectRecord {
             fingerprint: self.fingerprint.0,
             ends: self.ends.iter().map(end).collect(),
             failures: self.failures.iter().map(failure).collect(),
+            successes: self.successes.iter().map(success).collect(),
             left_us: u64::try_from(self.left.as_micros()).unwrap_or(u64::MAX),
         }
     }
@@ -71,17 +93,26 @@
         let end = |end: &suspect::TargetEnd| TargetEnd {
             id: end.id,
             round: end.round,
+            software: TargetSoftware(end.software),
             cleared: end.cleared,
         };
         let failure = |run: &suspect::FailedRun| FailedRun {
             id: run.id,
             round: run.round,
+            software: TargetSoftware(run.software),
+        };
+        let success = |success: &suspect::SoftwareSuccess| SoftwareSuccess {
+            software: TargetSoftware(success.software),
+            round: success.round,
         };
-        let failures = message.failures.iter().take(CLEARING_FAILURES);
+        let ends = message.ends.iter().take(MAX_PARTS);
+        let failures = message.failures.iter().take(MAX_PARTS);
+        let successes = message.successes.iter().take(MAX_PARTS);
         SuspectRecord {
             fingerprint: Fingerprint(message.fingerprint),
-            ends: message.ends.iter().take(MAX_ENDS).map(end).collect(),
+            ends: ends.map(end).collect(),
             failures: failures.map(failure).collect(),
+            successes: successes.map(success).collect(),
             left: Duration::from_micros(message.left_us),
         }
     }
@@ -91,8 +122,15 @@
         self.ends.len() >= SHARED_ENDS
     }
 
-    /// Returns how often a target ended under the request since it last ran well.
+    /// Returns how many of the ends are not cleared.
     pub fn uncleared(&self) -> usize {
         self.ends.iter().filter(|end| !end.cleared).count()
     }
+
+    /// Returns how many of the ends of targets with the given software are not cleared.
+    pub fn uncleared_at(&self, software: TargetSoftware) -> usize {
+        let ends = self.ends.iter();
+        let uncleared = ends.filter(|end| !end.cleared && end.software == software);
+        uncleared.count()
+    }
 }
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -5,6 +5,8 @@
 
 use smol_str::SmolStr;
 
+use crate::fingerprint::Fingerprint;
+
 /// The registration of one target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TargetRecord {
@@ -21,6 +23,8 @@
     pub capacity: u32,
     /// Whether the target is shutting down and accepts no new requests.
     pub draining: bool,
+    /// What the target runs.
+    pub software: TargetSoftware,
     /// For how much longer the target was cold when it registered.
     pub cold_left: Duration,
     /// Distinguishes restarts of a target that keeps its identifier; `None`
@@ -28,6 +32,17 @@
     pub incarnation: Option<u64>,
 }
 
+/// Identifies what targets run: a service, and the version of its software.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TargetSoftware(pub u64);
+
+impl TargetSoftware {
+    /// Returns the identity of a version of a service's software.
+    pub fn new(service: &str, version: &str) -> TargetSoftware {
+        TargetSoftware(Fingerprint::of_fields([service.as_bytes(), version.as_bytes()]).0)
+    }
+}
+
 impl TargetRecord {
     /// Returns whether both records describe the same incarnation of the same
     /// target.
--- a/crates/mesh/tests/mesh/support.rs
+++ b/crates/mesh/tests/mesh/support.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::TargetSoftware;
 
 /// Returns the registration of a target that is ready.
 pub fn record(id: &str) -> TargetRecord {
@@ -13,6 +14,7 @@
         failure_domain: "a".into(),
         capacity: 18,
         draining: false,
+        software: TargetSoftware::new("shop", "v1"),
         cold_left: Duration::ZERO,
         incarnation: None,
     }
--- a/crates/mesh/tests/mesh/suspect.rs
+++ b/crates/mesh/tests/mesh/suspect.rs
@@ -9,9 +9,11 @@
 use radishgauge_mesh::SuspectRecord;
 use radishgauge_mesh::SuspectTable;
 use radishgauge_mesh::TargetEnd;
+use radishgauge_mesh::TargetSoftware;
 use radishgauge_mesh::WellRuns;
 use radishgauge_mesh::run_evidence::CLEARING_FAILURES;
 use radishgauge_mesh::suspect::MAX_SUSPECTS;
+use radishgauge_mesh::suspect::SuspectKey;
 use radishgauge_mesh::suspect::SuspectPolicy;
 use radishgauge_mesh::suspect::SuspectState;
 
@@ -103,6 +105,7 @@
         ends: vec![TargetEnd {
             id: 0,
             round: 1,
+            software: TargetSoftware::default(),
             cleared: true,
         }],
         ..records[0].clone()
@@ -270,6 +273,66 @@
     assert!(is_quarantined(&table, ms(5)));
 }
 
+/// Guards against a request that goes on ending targets of one software because those
+/// of another serve it, and against callers that are refused although those would.
+#[test]
+fn each_software_is_judged_by_its_own_ends() {
+    let table = SuspectTable::new(POLICY);
+    let other = SuspectTable::new(POLICY);
+    let [first, second] = ["v1", "v2"].map(|version| SuspectKey {
+        fingerprint: REQUEST,
+        software: TargetSoftware::new("shop", version),
+    });
+    for id in 0..3 {
+        let run = table.begin(first, ms(id));
+        table.record_end(id, &[run], ms(id));
+    }
+    let is_quarantined = |key| table.check(key, ms(4)).quarantined_until().is_some();
+    assert!(is_quarantined(first));
+    assert_eq!(table.check(second, ms(4)), SuspectState::OnTrial);
+    let run = table.begin(second, ms(4));
+    let news = table.record_answer(run, answer(0, RunEvidence::Success), ms(4));
+    other.merge(&news.unwrap(), ms(4));
+    assert!(is_quarantined(first));
+    assert_eq!(table.check(second, ms(4)), SuspectState::Clear);
+    assert_eq!(other.check(second, ms(4)), SuspectState::Clear);
+    // The second software has the fault too.
+    let run = table.begin(second, ms(4));
+    table.record_end(3, &[run], ms(4));
+    assert!(is_quarantined(first) && is_quarantined(second));
+}
+
+/// Guards against daemons that keep different ends of a request with many, so that
+/// their digests never agree.
+#[test]
+fn daemons_keep_the_same_of_many_ends() {
+    let ends: Vec<TargetEnd> = (0..60)
+        .map(|id| TargetEnd {
+            id,
+            round: 1 + (id % 7) as u32,
+            software: TargetSoftware(id % 6),
+            cleared: id % 5 == 0,
+        })
+        .collect();
+    let digests = [0, 17, 31].map(|first| {
+        let table = SuspectTable::new(POLICY);
+        let mut ends = ends.clone();
+        ends.rotate_left(first);
+        for end in ends {
+            let record = SuspectRecord {
+                fingerprint: REQUEST,
+                ends: vec![end],
+                failures: Vec::new(),
+                successes: Vec::new(),
+                left: TIME,
+            };
+            table.merge(&record, ms(1));
+        }
+        table.digest(ms(2))
+    });
+    assert!(digests.iter().all(|digest| *digest == digests[0]));
+}
+
 /// Guards against answers that are taken for more than they say.
 #[test]
 fn only_completed_runs_are_successes() {
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -29,6 +29,7 @@
 use smol_str::SmolStr;
 
 use crate::answer::BufferedAnswer;
+use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::attempt;
 use crate::attempt::AttemptHistory;
@@ -194,12 +195,15 @@
     /// receive it.
     async fn attempts(&self, history: &mut AttemptHistory) -> HttpAnswer {
         loop {
-            if let Some(refusal) = self.node.owner.quarantine(&self.prints) {
-                self.node.metrics.count("requests_quarantined");
-                history.refusal = Some(refusal);
-                return self.finish_unserved(history, PlacementError::NoTarget);
-            }
-            let candidate = match self.place(history) {
+            let candidates = match self.candidates(history) {
+                Ok(candidates) => candidates,
+                Err(refusal) => {
+                    self.node.metrics.count("requests_quarantined");
+                    history.refusal = Some(refusal);
+                    return self.finish_unserved(history, PlacementError::NoTarget);
+                }
+            };
+            let candidate = match self.place(candidates) {
                 Ok(candidate) => candidate,
                 Err(error) => return self.finish_unserved(history, error),
             };
@@ -284,13 +288,48 @@
         allowed
     }
 
-    fn place(&self, history: &AttemptHistory) -> Result<Candidate, PlacementError> {
-        let now = self.node.now();
+    /// Returns the targets to which the request may be sent next.
+    ///
+    /// # Errors
+    ///
+    /// When it is quarantined at all that there are.
+    fn candidates(&self, history: &AttemptHistory) -> Result<Vec<Candidate>, NotRun> {
         let mut candidates = self.node.candidates(self.route, &self.service);
+        let owner = &self.node.owner;
+        if !owner.suspects.is_empty() {
+            let mut refusal = None;
+            candidates.retain(|candidate| {
+                let own = owner.quarantine(&self.prints, candidate.software);
+                refusal = own.or(refusal);
+                own.is_none()
+            });
+            if let Some(refusal) = refusal.filter(|_| candidates.is_empty()) {
+                return Err(refusal);
+            }
+        }
         candidates.retain(|candidate| !history.tried.contains(&candidate.place.id));
-        if let Some(fingerprint) = self.node.owner.trial(&self.prints) {
-            keep_trial_target(&mut candidates, fingerprint);
+        self.keep_on_trial(&mut candidates);
+        Ok(candidates)
+    }
+
+    /// Keeps only the target at which all senders run a request on trial, unless there
+    /// are targets for which it is not on trial.
+    fn keep_on_trial(&self, candidates: &mut Vec<Candidate>) {
+        let owner = &self.node.owner;
+        if owner.suspects.is_empty() {
+            return;
+        }
+        let is_on_trial =
+            |candidate: &Candidate| owner.is_on_trial(&self.prints, candidate.software);
+        if candidates.iter().all(is_on_trial) {
+            keep_trial_target(candidates, self.prints.content);
+        } else {
+            candidates.retain(|candidate| !is_on_trial(candidate));
         }
+    }
+
+    fn place(&self, candidates: Vec<Candidate>) -> Result<Candidate, PlacementError> {
+        let now = self.node.now();
         let places: Vec<PlaceCandidate> = candidates
             .iter()
             .map(|candidate| candidate.place.clone())
--- a/crates/sidecar/src/known_hosts.rs
+++ b/crates/sidecar/src/known_hosts.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::TargetSoftware;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_platform::HostSettings;
@@ -21,6 +22,8 @@
 pub struct Candidate {
     /// The properties of the target on which its placement depends.
     pub place: PlaceCandidate,
+    /// What the target runs.
+    pub software: TargetSoftware,
     /// The region of the target's host.
     pub region: SmolStr,
     /// The address of the daemon on the target's host.
@@ -82,6 +85,7 @@
                 capacity: target.capacity,
                 is_scarce: false,
             },
+            software: target.software,
             region,
             peer: self.peers.address_of(target.address),
         })
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -282,8 +282,11 @@
     ) -> TargetOutcome {
         let deadline = self.clock.now() + Duration::from_micros(head.time_left_us);
         let prints = hop::prints(head, request);
+        let software = self.state().software(&head.target);
         let is_reserved = admitted.is_some();
-        let turn = self.trial_turn(&prints, is_reserved, deadline).await;
+        let turn = self
+            .trial_turn(&prints, software, is_reserved, deadline)
+            .await;
         let _turn = match turn {
             Ok(turn) => turn,
             Err(refusal) => return TargetOutcome::NotRun(refusal),
@@ -304,11 +307,11 @@
             return TargetOutcome::NotRun(NotRun::before_target(reason));
         }
         // The request may have been quarantined while it waited.
-        if let Some(refusal) = self.quarantine(&prints) {
+        if let Some(refusal) = self.quarantine(&prints, software) {
             return TargetOutcome::NotRun(refusal);
         }
         slot.started = self.clock.now();
-        let run = self.begin_run(&head.route, &prints);
+        let run = self.begin_run(&head.route, &prints, software);
         let _run = RunRegistration::begin(self, &request.id, head.repeated);
         let left = deadline.saturating_sub(self.clock.now());
         let mesh_headers = MeshHeaders {
@@ -403,7 +406,7 @@
             return Err(NotRun::before_target(reason));
         }
         if let Some(prints) = hop::sent_prints(head)
-            && let Some(refusal) = self.quarantine(&prints)
+            && let Some(refusal) = self.quarantine(&prints, state.software(&head.target))
         {
             return Err(refusal);
         }
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -9,6 +9,7 @@
 use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::ServicePolicy;
 use radishgauge_mesh::TargetRecord;
+use radishgauge_mesh::TargetSoftware;
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::WaitKey;
@@ -91,6 +92,13 @@
         }
     }
 
+    /// Returns what the target with this ID runs. If its registration is not known, it
+    /// is taken for a software of its own.
+    pub(crate) fn software(&self, target: &str) -> TargetSoftware {
+        let record = self.records.iter().find(|record| record.id == target);
+        record.map_or_else(TargetSoftware::default, |record| record.software)
+    }
+
     pub(crate) fn cold_rate(&self) -> f64 {
         self.policy.as_ref().map_or(1.0, |policy| policy.cold_rate)
     }
--- a/crates/sidecar/src/owner_suspects.rs
+++ b/crates/sidecar/src/owner_suspects.rs
@@ -11,11 +11,12 @@
 
 use http::StatusCode;
 use radishgauge_events::events;
-use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::RunAnswer;
 use radishgauge_mesh::RunEvidence;
 use radishgauge_mesh::SuspectRecord;
+use radishgauge_mesh::TargetSoftware;
+use radishgauge_mesh::suspect::SuspectKey;
 use radishgauge_mesh::suspect::SuspectPolicy;
 use radishgauge_mesh::suspect::SuspectRun;
 use radishgauge_mesh::suspect::SuspectState;
@@ -47,6 +48,14 @@
 /// How long the connection attempt may take that tells whether the target has ended.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Returns the keys under which a request is known at targets with the given software.
+fn keys(prints: &RequestPrints, software: TargetSoftware) -> [SuspectKey; 2] {
+    prints.both().map(|fingerprint| SuspectKey {
+        fingerprint,
+        software,
+    })
+}
+
 /// Counts what an owner concluded from runs that were cut off, and from answers.
 #[derive(Debug, Default)]
 pub struct SuspectCounters {
@@ -63,11 +72,12 @@
 }
 
 impl TargetOwner {
-    /// Returns the refusal of a request under which targets end again and again.
-    pub fn quarantine(&self, prints: &RequestPrints) -> Option<NotRun> {
+    /// Returns the refusal of a request under which targets with the given software end
+    /// again and again.
+    pub fn quarantine(&self, prints: &RequestPrints, software: TargetSoftware) -> Option<NotRun> {
         let now = self.clock.now();
-        let ends = prints.both().into_iter().filter_map(|fingerprint| {
-            let state = self.suspects.check(fingerprint, now);
+        let ends = keys(prints, software).into_iter().filter_map(|key| {
+            let state = self.suspects.check(key, now);
             state.quarantined_until()
         });
         let until = ends.max()?;
@@ -78,13 +88,11 @@
         })
     }
 
-    /// Returns the fingerprint by which a request is on trial, if it is.
-    pub fn trial(&self, prints: &RequestPrints) -> Option<Fingerprint> {
+    /// Returns whether a request is on trial at targets with the given software.
+    pub fn is_on_trial(&self, prints: &RequestPrints, software: TargetSoftware) -> bool {
         let now = self.clock.now();
-        let is_on_trial = |fingerprint: &Fingerprint| {
-            self.suspects.check(*fingerprint, now) == SuspectState::OnTrial
-        };
-        prints.both().into_iter().find(is_on_trial)
+        let states = keys(prints, software).map(|key| self.suspects.check(key, now));
+        states.contains(&SuspectState::OnTrial)
     }
 
     /// Waits until no other request on trial runs, if the request is on trial, and
@@ -93,13 +101,14 @@
     pub(crate) async fn trial_turn(
         &self,
         prints: &RequestPrints,
+        software: TargetSoftware,
         is_reserved: bool,
         deadline: Duration,
     ) -> Result<Option<SemaphorePermit<'_>>, NotRun> {
-        if let Some(refusal) = self.quarantine(prints) {
+        if let Some(refusal) = self.quarantine(prints, software) {
             return Err(refusal);
         }
-        if self.trial(prints).is_none() {
+        if !self.is_on_trial(prints, software) {
             return Ok(None);
         }
         let now = self.clock.now();
@@ -114,13 +123,19 @@
         }
     }
 
-    pub(crate) fn begin_run(&self, route: &str, prints: &RequestPrints) -> TargetRun {
+    pub(crate) fn begin_run(
+        &self,
+        route: &str,
+        prints: &RequestPrints,
+        software: TargetSoftware,
+    ) -> TargetRun {
         let now = self.clock.now();
-        let begin = |fingerprint| self.suspects.begin(fingerprint, now);
+        let begin = |key| self.suspects.begin(key, now);
         TargetRun {
             route: SmolStr::from(route),
             prints: *prints,
-            suspect_runs: prints.both().map(begin),
+            software,
+            suspect_runs: keys(prints, software).map(begin),
             connection_losses: self.state().connection_losses,
         }
     }
@@ -166,14 +181,18 @@
 
     /// Counts an end of the target against the requests that ran there.
     fn suspect(&self, end: u64, runs: &[TargetRun]) {
-        if runs.is_empty() {
+        let Some(first) = runs.first() else {
             return;
-        }
+        };
         let now = self.clock.now();
         let suspect_runs: Vec<SuspectRun> = runs.iter().flat_map(|run| run.suspect_runs).collect();
         let records = self.suspects.record_end(end, &suspect_runs, now);
         for record in records.iter().filter(|record| record.uncleared() > 1) {
-            let state = self.suspects.check(record.fingerprint, now);
+            let key = SuspectKey {
+                fingerprint: record.fingerprint,
+                software: first.software,
+            };
+            let state = self.suspects.check(key, now);
             events::REQUEST_SUSPECTED.emit(format_args!(
                 "fingerprint={:016x} ends={} quarantined={}",
                 record.fingerprint.0,
@@ -205,7 +224,8 @@
         if records.is_empty() {
             return;
         }
-        if let Some(record) = records.iter().find(|record| record.uncleared() == 0) {
+        let is_cleared = |record: &&SuspectRecord| record.uncleared_at(run.software) == 0;
+        if let Some(record) = records.iter().find(is_cleared) {
             SuspectCounters::count(&self.suspect_counters.cleared);
             events::REQUEST_CLEARED.emit(format_args!(
                 "fingerprint={:016x} ends={} target={} status={} run_ms={}",
--- a/crates/sidecar/src/run_ledger.rs
+++ b/crates/sidecar/src/run_ledger.rs
@@ -10,6 +10,7 @@
 
 use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::RunEvidence;
+use radishgauge_mesh::TargetSoftware;
 use radishgauge_mesh::WellRuns;
 use radishgauge_mesh::suspect::SuspectRun;
 use smol_str::SmolStr;
@@ -28,6 +29,8 @@
     pub(crate) route: SmolStr,
     /// The fingerprints of the request.
     pub(crate) prints: RequestPrints,
+    /// What the target runs.
+    pub(crate) software: TargetSoftware,
     /// What was known of each fingerprint when the run began.
     pub(crate) suspect_runs: [SuspectRun; 2],
     /// How often the target had closed its last connection when the run began.
--- a/crates/sidecar/src/suspect_exchange.rs
+++ b/crates/sidecar/src/suspect_exchange.rs
@@ -186,13 +186,9 @@
 fn merge_record(node: &SidecarNode, record: &SuspectRecord) -> Option<SuspectRecord> {
     let now = node.now();
     let suspects = &node.owner.suspects;
-    let is_quarantined = || {
-        let state = suspects.check(record.fingerprint, now);
-        state.quarantined_until().is_some()
-    };
-    let was_quarantined = is_quarantined();
+    let was_quarantined = suspects.is_quarantined(record.fingerprint, now);
     let better = suspects.merge(record, now);
-    if !was_quarantined && is_quarantined() {
+    if !was_quarantined && suspects.is_quarantined(record.fingerprint, now) {
         events::QUARANTINE_LEARNED.emit(format_args!(
             "fingerprint={:016x} ends={}",
             record.fingerprint.0,
