--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -23,8 +23,8 @@
     pub capacity: u32,
     /// Whether the target is shutting down and accepts no new requests.
     pub draining: bool,
-    /// What the target runs.
-    pub software: TargetSoftware,
+    /// The version of the software that the target runs.
+    pub version: SmolStr,
     /// For how much longer the target was cold when it registered.
     pub cold_left: Duration,
     /// Distinguishes restarts of a target that keeps its identifier; `None`
@@ -44,6 +44,11 @@
 }
 
 impl TargetRecord {
+    /// Returns what the target runs.
+    pub fn software(&self) -> TargetSoftware {
+        TargetSoftware::new(&self.service, &self.version)
+    }
+
     /// Returns whether both records describe the same incarnation of the same
     /// target.
     pub fn same_incarnation(&self, other: &TargetRecord) -> bool {
--- a/crates/mesh/tests/mesh/support.rs
+++ b/crates/mesh/tests/mesh/support.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use radishgauge_mesh::TargetRecord;
-use radishgauge_mesh::TargetSoftware;
 
 /// Returns the registration of a target that is ready.
 pub fn record(id: &str) -> TargetRecord {
@@ -14,7 +13,7 @@
         failure_domain: "a".into(),
         capacity: 18,
         draining: false,
-        software: TargetSoftware::new("shop", "v1"),
+        version: "v1".into(),
         cold_left: Duration::ZERO,
         incarnation: None,
     }
--- a/crates/sidecar/src/known_hosts.rs
+++ b/crates/sidecar/src/known_hosts.rs
@@ -85,7 +85,7 @@
                 capacity: target.capacity,
                 is_scarce: false,
             },
-            software: target.software,
+            software: target.software(),
             region,
             peer: self.peers.address_of(target.address),
         })
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -96,7 +96,7 @@
     /// is taken for a software of its own.
     pub(crate) fn software(&self, target: &str) -> TargetSoftware {
         let record = self.records.iter().find(|record| record.id == target);
-        record.map_or_else(TargetSoftware::default, |record| record.software)
+        record.map_or_else(TargetSoftware::default, TargetRecord::software)
     }
 
     pub(crate) fn cold_rate(&self) -> f64 {
--- a/crates/sidecar/tests/owner.rs
+++ b/crates/sidecar/tests/owner.rs
@@ -10,7 +10,6 @@
 use http::Uri;
 use radishgauge_mesh::StateTable;
 use radishgauge_mesh::TargetRecord;
-use radishgauge_mesh::TargetSoftware;
 use radishgauge_mesh::declared_rate_limit::RateStatement;
 use radishgauge_mesh::state_table::StateChange;
 use radishgauge_mesh::state_table::StateSource;
@@ -61,7 +60,7 @@
             failure_domain: "north-a".into(),
             capacity: 1,
             draining,
-            software: TargetSoftware::new("shop", "v1"),
+            version: "v1".into(),
             cold_left: Duration::ZERO,
             incarnation,
         })
