Tell an invalid answer of a target from a lost connection

Cause: the client closed the connection of an answer that it could not read, and then counted it as one that the target had closed. With no other connection open, the owner took the target for restarted, and gave it only the rate of a cold one until the next health check. A target that sent complete answers to other requests without end kept each run, and its slot, until the caller's deadline.

Its connection is closed without being counted as lost, and its run is not one that was cut off, so that no request is suspected for it. At most 16 answers to other requests are skipped.

--- a/crates/net/src/answer_reader.rs
+++ b/crates/net/src/answer_reader.rs
@@ -344,6 +344,7 @@
     })
 }
 
-fn invalid(problem: &str) -> io::Error {
+/// Returns the error of bytes that are no valid answer.
+pub(crate) fn invalid(problem: &str) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, problem.to_owned())
 }
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -33,6 +33,7 @@
 use crate::answer_reader::AnswerHead;
 use crate::answer_reader::BodyRest;
 use crate::answer_reader::IdleState;
+use crate::answer_reader::invalid;
 use crate::byte_budget::BudgetShare;
 use crate::byte_budget::ByteBudget;
 use crate::target_body::TargetBody;
@@ -51,6 +52,9 @@
 /// endless bodies do not fail the others.
 const MAX_ANSWER_FRACTION: f64 = 0.125;
 
+/// The greatest number of answers to other requests that are skipped.
+const MAX_OTHER_ANSWERS: usize = 16;
+
 /// Limits of the connections to one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLimits {
@@ -99,6 +103,9 @@
     /// The connection ended before the head of the answer.
     #[error("the target did not answer: {0}")]
     Lost(String),
+    /// The target sent bytes that are no valid answer.
+    #[error("the target's answer cannot be read: {0}")]
+    Invalid(String),
     /// The body of the answer was cut off.
     #[error("the target's answer was cut off: {0}")]
     Cut(String),
@@ -274,9 +281,9 @@
         match connection.matched(&method, belongs).await {
             Ok(head) => Ok(self.answer(connection, head, permit)),
             Err(error) => {
-                self.shared.close_failed(connection);
+                self.shared.close_after(connection, &error);
                 Err(TargetError {
-                    fault: TargetFault::Lost(error.to_string()),
+                    fault: read_fault(&error, TargetFault::Lost),
                     sent: tracker.cancel(),
                 })
             }
@@ -343,6 +350,24 @@
     }
 }
 
+/// Returns whether an answer failed because of what the target sent, rather than with
+/// its connection.
+fn is_invalid(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::InvalidData
+}
+
+/// Returns the fault of an answer that could not be read; `lost` makes that of a
+/// connection that has ended.
+fn read_fault<F>(error: &io::Error, lost: F) -> TargetFault
+where
+    F: FnOnce(String) -> TargetFault,
+{
+    match is_invalid(error) {
+        true => TargetFault::Invalid(error.to_string()),
+        false => lost(error.to_string()),
+    }
+}
+
 fn connect_error(error: impl std::fmt::Display) -> TargetError {
     TargetError {
         fault: TargetFault::Connect(error.to_string()),
@@ -351,19 +376,20 @@
 }
 
 impl TargetConnection {
-    /// Reads the head of the answer that belongs to the request, skipping answers
+    /// Reads the head of the answer that belongs to the request, skipping a few answers
     /// that do not.
     async fn matched<F>(&mut self, method: &Method, belongs: F) -> io::Result<AnswerHead>
     where
         F: Fn(&Parts) -> bool,
     {
-        loop {
+        for _ in 0..=MAX_OTHER_ANSWERS {
             let mut head = self.head(method).await?;
             if belongs(&head.parts) || !head.keep {
                 return Ok(head);
             }
             self.reader.skip(&mut head.rest).await?;
         }
+        Err(invalid("too many answers to other requests"))
     }
 }
 
@@ -400,6 +426,16 @@
             });
     }
 
+    /// Closes a connection on which an answer could not be read.
+    fn close_after(&self, connection: TargetConnection, error: &io::Error) {
+        if is_invalid(error) {
+            // The target has not closed it.
+            drop(connection);
+        } else {
+            self.close_failed(connection);
+        }
+    }
+
     /// Closes a connection that failed during a request.
     fn close_failed(&self, connection: TargetConnection) {
         self.drop_closed();
@@ -471,10 +507,10 @@
             }
             Err(error) => {
                 if let Some(connection) = self.connection.take() {
-                    self.shared.close_failed(connection);
+                    self.shared.close_after(connection, &error);
                 }
                 Err(TargetError {
-                    fault: TargetFault::Cut(error.to_string()),
+                    fault: read_fault(&error, TargetFault::Cut),
                     sent: true,
                 })
             }
@@ -532,9 +568,7 @@
 
     /// Closes the connection of an answer that is not read to its end.
     fn abort(&mut self, fault: TargetFault) -> TargetError {
-        if let Some(connection) = self.connection.take() {
-            self.shared.close_failed(connection);
-        }
+        drop(self.connection.take());
         TargetError { fault, sent: true }
     }
 
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -14,6 +14,7 @@
 use radishgauge_net::TargetBody;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetError;
+use radishgauge_net::TargetFault;
 use radishgauge_platform::message;
 use radishgauge_platform::message::HealthReport;
 use radishgauge_platform::message::MeshHeaders;
@@ -32,6 +33,9 @@
 /// The reason of a failure whose connection ended within the answer.
 const ANSWER_CUT_OFF: &str = "answer was cut off";
 
+/// The reason of a failure with bytes that are no valid answer, or too many of them.
+const ANSWER_INVALID: &str = "answer cannot be read";
+
 /// Returns whether the connection to the target ended during a run with this
 /// outcome.
 pub(crate) fn is_cut_off(outcome: &TargetOutcome) -> bool {
@@ -169,7 +173,14 @@
         {
             Bytes::new()
         }
-        Err(_) => return TargetOutcome::MayHaveRun(ANSWER_CUT_OFF),
+        Err(error) => {
+            let is_cut_off = matches!(error.fault, TargetFault::Cut(_));
+            let reason = match is_cut_off {
+                true => ANSWER_CUT_OFF,
+                false => ANSWER_INVALID,
+            };
+            return TargetOutcome::MayHaveRun(reason);
+        }
     };
     match kind {
         TargetResponseKind::NotRun => TargetOutcome::NotRun(NotRun::by_target(HopReason::Shed)),
@@ -193,9 +204,9 @@
 }
 
 fn outcome_of_error(error: &TargetError) -> TargetOutcome {
-    if error.sent {
-        TargetOutcome::MayHaveRun(CONNECTION_ENDED)
-    } else {
-        TargetOutcome::NotRun(NotRun::before_target(HopReason::Down))
+    match &error.fault {
+        _ if !error.sent => TargetOutcome::NotRun(NotRun::before_target(HopReason::Down)),
+        TargetFault::Invalid(_) => TargetOutcome::MayHaveRun(ANSWER_INVALID),
+        _ => TargetOutcome::MayHaveRun(CONNECTION_ENDED),
     }
 }
