Bound the memory of requests and messages that other daemons send

A daemon that got 12 requests without end at its port for peers used 544 MB, where its process may use 110; the platform would have killed it, with the requests of all other callers of its host.

Cause: the body of a forwarded request was read without a limit of its own, up to the 64 MB that the listener allows any body; messages with states of 8 MB each had no limit in common either.

Change: a forwarded body may be as long as the configuration allows callers. Bodies and messages of peers that are being received share a quarter of the process's memory. What does not fit is refused as not run, so its sender tries another target.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -145,6 +145,7 @@
     let mut response = Response::new(HttpAnswerBody::whole(format!("{fault}\n")));
     *response.status_mut() = match fault {
         HttpBodyFault::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
+        HttpBodyFault::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
         HttpBodyFault::Cut(_) => StatusCode::BAD_REQUEST,
     };
     let verdict = http::HeaderValue::from_static("not-run");
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -1,12 +1,12 @@
-//! A limit on the memory of all answers that are being received.
+//! A limit on the memory of all bodies that are being received.
 //!
-//! A faulty target may send a body without end. The limit of a single answer does
-//! not bound the memory of many such answers together.
+//! A faulty target or daemon may send a body without end. The limit of a single body
+//! does not bound the memory of many such bodies together.
 
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
-/// The bytes that the answers of several clients may hold together.
+/// The bytes that several bodies may hold together.
 #[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
@@ -45,7 +45,7 @@
     }
 }
 
-/// The part of a budget that one answer uses; dropping it releases the part.
+/// The part of a budget that one body uses; dropping it releases the part.
 #[derive(Debug)]
 pub(crate) struct BudgetShare<'a> {
     budget: Option<&'a ByteBudget>,
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -15,6 +15,8 @@
 use xitca_web::body::Frame;
 use xitca_web::body::RequestBody;
 
+use crate::byte_budget::BudgetShare;
+use crate::byte_budget::ByteBudget;
 use crate::connection::ConnectionActivity;
 
 /// An error of any type, as returned by body streams.
@@ -44,6 +46,9 @@
         /// The limit in bytes.
         limit: u64,
     },
+    /// The bodies that are being received use all memory reserved for them.
+    #[error("no memory is left for the body")]
+    NoMemory,
     /// The caller's connection ended before the end of the body.
     #[error("the body was cut off: {0}")]
     Cut(String),
@@ -115,9 +120,34 @@
     ///
     /// As [`HttpBody::data`], and when the body is longer than `limit` bytes.
     pub async fn whole(&mut self, limit: u64) -> Result<Bytes, BodyFault> {
+        self.collect(limit, None).await
+    }
+
+    /// Receives the complete body, in memory that is shared with other bodies.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpBody::whole`], and when the budget does not allow it.
+    pub async fn whole_within(
+        &mut self,
+        limit: u64,
+        budget: &ByteBudget,
+    ) -> Result<Bytes, BodyFault> {
+        self.collect(limit, Some(budget)).await
+    }
+
+    async fn collect(
+        &mut self,
+        limit: u64,
+        budget: Option<&ByteBudget>,
+    ) -> Result<Bytes, BodyFault> {
+        let mut share = BudgetShare::new(budget);
         let mut chunks = Vec::new();
         self.limit = self.limit.min(limit);
         while let Some(data) = self.data().await? {
+            if !share.extend(data.len() + size_of::<Bytes>()) {
+                return Err(BodyFault::NoMemory);
+            }
             chunks.push(data);
         }
         match <[Bytes; 1]>::try_from(chunks) {
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -111,6 +111,9 @@
         Err(BodyFault::TooLarge { .. }) => {
             return local_reply::error(StatusCode::PAYLOAD_TOO_LARGE, Some(&id), "body too large");
         }
+        Err(BodyFault::NoMemory) => {
+            return local_reply::refuse(&node, Some(&id), "no memory", DEFAULT_RETRY_AFTER);
+        }
         Err(BodyFault::Cut(_)) => {
             return local_reply::error(StatusCode::BAD_REQUEST, Some(&id), "body was cut off");
         }
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -73,12 +73,18 @@
 /// use.
 const ANSWER_MEMORY_FRACTION: f64 = 0.25;
 
+/// The fraction of the process's memory that requests and messages of other daemons
+/// which are being received may use.
+const MESSAGE_MEMORY_FRACTION: f64 = 0.25;
+
 /// The owner of this host's target.
 pub struct TargetOwner {
     pub(crate) clock: Arc<dyn ProcessClock>,
     client: ArcSwap<TargetClient>,
     /// The memory for the answers of targets and of other daemons.
     answer_budget: Arc<ByteBudget>,
+    /// The memory for requests and messages of other daemons.
+    pub(crate) message_budget: ByteBudget,
     state: Mutex<OwnerState>,
     /// Requests a health check of the target.
     pub check_requested: Notify,
@@ -98,12 +104,16 @@
 impl TargetOwner {
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
-        let budget = (settings.memory_limit as f64 * ANSWER_MEMORY_FRACTION) as usize;
-        let answer_budget = Arc::new(ByteBudget::new(budget));
+        let budget = |fraction| {
+            let bytes = settings.memory_limit as f64 * fraction;
+            ByteBudget::new(bytes as usize)
+        };
+        let answer_budget = Arc::new(budget(ANSWER_MEMORY_FRACTION));
         TargetOwner {
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
             answer_budget,
+            message_budget: budget(MESSAGE_MEMORY_FRACTION),
             state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -3,18 +3,23 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
 use radishgauge_events::events;
+use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
+use radishgauge_net::HttpBody;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
 use radishgauge_schema::hop::HopHead;
+use radishgauge_schema::hop::HopReason;
 use radishgauge_schema::hop::HopReport;
 use radishgauge_schema::hop::HopVerdict;
 
 use crate::answer;
+use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
 use crate::hop;
 use crate::node::SidecarNode;
@@ -51,8 +56,14 @@
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
     let claimed_slot = reservation::claim(&node, hop_head.reservation);
-    let Ok(body) = body.whole(u64::MAX).await else {
-        return answer::empty(StatusCode::BAD_REQUEST);
+    let body = match receive_body(&node, &mut body).await {
+        Ok(body) => body,
+        Err(BodyFault::Cut(_)) => return answer::empty(StatusCode::BAD_REQUEST),
+        Err(BodyFault::TooLarge { .. } | BodyFault::NoMemory) => {
+            let refusal = NotRun::before_target(HopReason::Full);
+            let report = node.hop_report(&hop_head);
+            return hop_answer(TargetOutcome::NotRun(refusal), report);
+        }
     };
     let admitted = claimed_slot.map(|claimed_slot| claimed_slot.admitted);
     let body_bytes = body.len() as u64;
@@ -73,6 +84,16 @@
     hop_answer(outcome, report)
 }
 
+/// Receives the body of a request, as far as a caller may send one and the memory for
+/// requests of other daemons allows it.
+async fn receive_body(node: &SidecarNode, body: &mut HttpBody) -> Result<Bytes, BodyFault> {
+    let limit = node
+        .config()
+        .map_or(u64::MAX, |config| config.limits().body_bytes);
+    let budget = &node.owner.message_budget;
+    body.whole_within(limit, budget).await
+}
+
 fn log_outcome(
     node: &SidecarNode,
     id: &str,
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -72,7 +72,8 @@
         return answer::empty(StatusCode::NOT_FOUND);
     }
     if *method == Method::POST {
-        let Ok(body) = body.whole(MAX_ASK_BYTES as u64).await else {
+        let budget = &node.owner.message_budget;
+        let Ok(body) = body.whole_within(MAX_ASK_BYTES as u64, budget).await else {
             return answer::empty(StatusCode::BAD_REQUEST);
         };
         return match state_snapshot::decode(&body) {
--- a/crates/sidecar/src/suspect_exchange.rs
+++ b/crates/sidecar/src/suspect_exchange.rs
@@ -104,7 +104,8 @@
     if *method == Method::GET {
         return records_answer(&node.owner.suspects.shared_records(now));
     }
-    let Ok(body) = body.whole(MAX_MESSAGE_BYTES).await else {
+    let budget = &node.owner.message_budget;
+    let Ok(body) = body.whole_within(MAX_MESSAGE_BYTES, budget).await else {
         return answer::empty(StatusCode::BAD_REQUEST);
     };
     let Ok(pushed) = SuspectRecords::decode(body) else {
