--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -8,7 +8,6 @@
 use http::StatusCode;
 use http::header;
 use radishgauge_events::events;
-use radishgauge_mesh::Fingerprint;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::RequestPrints;
@@ -16,7 +15,6 @@
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::retry_budget::RetryKind;
-use radishgauge_mesh::suspect;
 use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
@@ -42,6 +40,7 @@
 use crate::peers::HopOutcome;
 use crate::slot_offer;
 use crate::suspect_exchange;
+use crate::suspect_placing;
 use crate::target_call::BufferedRequest;
 
 /// The least time after which a refused caller may retry. An earlier retry
@@ -159,12 +158,6 @@
     answer
 }
 
-/// Keeps only the target at which all senders run a request on trial.
-fn keep_trial_target(candidates: &mut Vec<Candidate>, fingerprint: Fingerprint) {
-    candidates.sort_by_key(|candidate| suspect::trial_position(fingerprint, &candidate.place.id));
-    candidates.truncate(1);
-}
-
 /// Makes the caller open its next connection at another daemon.
 fn close_connection(answer: &mut HttpAnswer) {
     let close = HeaderValue::from_static("close");
@@ -298,39 +291,12 @@
     /// When it is quarantined at all that there are.
     fn candidates(&self, history: &AttemptHistory) -> Result<Vec<Candidate>, NotRun> {
         let mut candidates = self.node.candidates(self.route, &self.service);
-        let owner = &self.node.owner;
-        if !owner.suspects.is_empty() {
-            let mut refusal = None;
-            candidates.retain(|candidate| {
-                let own = owner.quarantine(&self.prints, candidate.software);
-                refusal = own.or(refusal);
-                own.is_none()
-            });
-            if let Some(refusal) = refusal.filter(|_| candidates.is_empty()) {
-                return Err(refusal);
-            }
-        }
+        suspect_placing::leave_out_quarantined(&self.node.owner, &self.prints, &mut candidates)?;
         candidates.retain(|candidate| !history.tried.contains(&candidate.place.id));
-        self.keep_on_trial(&mut candidates);
+        suspect_placing::keep_on_trial(&self.node.owner, &self.prints, &mut candidates);
         Ok(candidates)
     }
 
-    /// Keeps only the target at which all senders run a request on trial, unless there
-    /// are targets for which it is not on trial.
-    fn keep_on_trial(&self, candidates: &mut Vec<Candidate>) {
-        let owner = &self.node.owner;
-        if owner.suspects.is_empty() {
-            return;
-        }
-        let is_on_trial =
-            |candidate: &Candidate| owner.is_on_trial(&self.prints, candidate.software);
-        if candidates.iter().all(is_on_trial) {
-            keep_trial_target(candidates, self.prints.content);
-        } else {
-            candidates.retain(|candidate| !is_on_trial(candidate));
-        }
-    }
-
     fn place(&self, candidates: Vec<Candidate>) -> Result<Candidate, PlacementError> {
         let now = self.node.now();
         let places: Vec<PlaceCandidate> = candidates
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod state_exchange;
 mod state_snapshot;
 pub mod suspect_exchange;
+mod suspect_placing;
 pub mod target_call;
 
 pub use sidecar::Sidecar;
