--- a/crates/mesh/src/suspect.rs
+++ b/crates/mesh/src/suspect.rs
@@ -42,7 +42,7 @@
 use crate::target::TargetSoftware;
 
 /// The maximum number of requests in a daemon's table, which bounds its memory to
-/// about 1 MB.
+/// about 2 MB while targets with one software end.
 pub const MAX_SUSPECTS: usize = 4096;
 
 /// The greatest number of records that one message holds.
