--- a/crates/mesh/src/suspect_entry.rs
+++ b/crates/mesh/src/suspect_entry.rs
@@ -28,11 +28,15 @@
 /// The greatest number of kinds of software of which ends are kept.
 const MAX_SOFTWARE: usize = 4;
 
+/// The greatest number of failed runs that are kept, enough for several kinds of
+/// software at a time.
+const MAX_FAILURES: usize = CLEARING_FAILURES * MAX_SOFTWARE;
+
 /// What is known of one request.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct SuspectEntry {
     pub(crate) ends: Vec<TargetEnd>,
-    /// The latest runs that failed; at most [`CLEARING_FAILURES`] for each software.
+    /// The latest runs that failed; at most [`MAX_FAILURES`].
     failures: Vec<FailedRun>,
     /// The latest run of each software that succeeded.
     successes: Vec<SoftwareSuccess>,
@@ -83,12 +87,9 @@
         if self.counted_failures(software) >= CLEARING_FAILURES {
             return self.clear(software);
         }
-        let of_software = self.failures.iter().enumerate();
-        let of_software = of_software.filter(|(_, run)| run.software == software);
-        if of_software.clone().count() > CLEARING_FAILURES
-            && let Some((oldest, _)) = of_software.min_by_key(|(_, run)| run.round)
-        {
-            self.failures.remove(oldest);
+        if self.failures.len() > MAX_FAILURES {
+            self.failures.sort_by_key(|run| run.round);
+            self.failures.remove(0);
         }
     }
 
--- a/crates/mesh/src/suspect_record.rs
+++ b/crates/mesh/src/suspect_record.rs
@@ -127,10 +127,12 @@
         self.ends.iter().filter(|end| !end.cleared).count()
     }
 
-    /// Returns how many of the ends of targets with the given software are not cleared.
-    pub fn uncleared_at(&self, software: TargetSoftware) -> usize {
-        let ends = self.ends.iter();
-        let uncleared = ends.filter(|end| !end.cleared && end.software == software);
-        uncleared.count()
+    /// Returns whether the request has run well at targets with the given software, and
+    /// is cleared of their ends.
+    pub fn is_cleared_at(&self, software: TargetSoftware) -> bool {
+        let mut successes = self.successes.iter();
+        let mut ends = self.ends.iter();
+        successes.any(|success| success.software == software)
+            && ends.all(|end| end.cleared || end.software != software)
     }
 }
--- a/crates/sidecar/src/owner_suspects.rs
+++ b/crates/sidecar/src/owner_suspects.rs
@@ -224,7 +224,7 @@
         if records.is_empty() {
             return;
         }
-        let is_cleared = |record: &&SuspectRecord| record.uncleared_at(run.software) == 0;
+        let is_cleared = |record: &&SuspectRecord| record.is_cleared_at(run.software);
         if let Some(record) = records.iter().find(is_cleared) {
             SuspectCounters::count(&self.suspect_counters.cleared);
             events::REQUEST_CLEARED.emit(format_args!(
