Clear a failing request for callers that send few of them

Cause: a suspected request is known by its content and, apart from that, with the service that sends it. Eight failures clear either. A service that sends a sixth of the requests does not fail eight times between ends that follow each other within half a second, so its requests were refused though the same content was cleared. Change: once the content is cleared at a software, one failure of a run that began after the latest end clears the exact request too. Ruled out: a smaller number of failures for all, which clears requests that crash at times; one print only, which ties callers of one service to those of another.

--- a/crates/mesh/src/suspect.rs
+++ b/crates/mesh/src/suspect.rs
@@ -325,6 +325,59 @@
         is_news.then_some(record)
     }
 
+    /// Records the answer to a run under both fingerprints of its request. Returns what
+    /// other daemons must know of them.
+    ///
+    /// Once the content is cleared, one later failure clears the exact request too: a
+    /// caller that sends a small part of the requests rarely fails often enough between
+    /// two ends.
+    pub fn record_request_answer(
+        &self,
+        exact: SuspectRun,
+        content: SuspectRun,
+        answer: RunAnswer,
+        now: Duration,
+    ) -> Vec<SuspectRecord> {
+        let runs = [exact, content].into_iter();
+        let mut records: Vec<SuspectRecord> = runs
+            .filter_map(|run| self.record_answer(run, answer, now))
+            .collect();
+        if answer.evidence == RunEvidence::Failure
+            && let Some(record) = self.clear_with_content(exact, content, now)
+        {
+            records.retain(|known| known.fingerprint != exact.fingerprint);
+            records.push(record);
+        }
+        records
+    }
+
+    /// Clears an exact request whose content is cleared, if `exact` began after the
+    /// latest known end. Returns its record if other daemons must know it.
+    fn clear_with_content(
+        &self,
+        exact: SuspectRun,
+        content: SuspectRun,
+        now: Duration,
+    ) -> Option<SuspectRecord> {
+        if self.is_empty() {
+            return None;
+        }
+        let mut inner = self.lock();
+        let is_cleared = inner
+            .entries
+            .get(&content.fingerprint)
+            .is_some_and(|entry| entry.expires > now && entry.is_served_by(content.software));
+        let entry = inner.entries.get_mut(&exact.fingerprint)?;
+        let uncleared = entry.uncleared_at(exact.software).count();
+        if !is_cleared || uncleared == 0 || exact.round <= entry.last_round() {
+            return None;
+        }
+        entry.clear(exact.software);
+        let record = entry.record(exact.fingerprint, now);
+        inner.digest = None;
+        (uncleared >= SHARED_ENDS).then_some(record)
+    }
+
     /// Returns what this daemon knows of a request; `None` if no target has ended
     /// under it.
     pub fn record(&self, fingerprint: Fingerprint, now: Duration) -> Option<SuspectRecord> {
--- a/crates/mesh/tests/mesh/suspect.rs
+++ b/crates/mesh/tests/mesh/suspect.rs
@@ -256,6 +256,37 @@
     }
 }
 
+/// Guards against a good request that fails each time, and that is turned away for one
+/// caller because this caller sends too few of the requests to clear them alone.
+#[test]
+fn failures_of_all_callers_clear_the_request_of_each() {
+    let table = SuspectTable::new(POLICY);
+    let content = Fingerprint(1);
+    let frequent = Fingerprint(2);
+    let rare = Fingerprint(3);
+    let begin = |exact| (table.begin(exact, ms(1)), table.begin(content, ms(1)));
+    let runs = [frequent, rare, content].map(|print| table.begin(print, ms(0)));
+    table.record_end(100, &runs, ms(0));
+    table.record_end(101, &runs, ms(0));
+    let early = runs[1];
+    for id in 0..CLEARING_FAILURES as u64 {
+        let (exact, content) = begin(frequent);
+        let failure = answer(id, RunEvidence::Failure);
+        table.record_request_answer(exact, content, failure, ms(2));
+    }
+    assert_eq!(table.check(content, ms(3)), SuspectState::Clear);
+    assert_eq!(table.check(rare, ms(3)), SuspectState::Suspect);
+    // A run that began before the ends shows nothing.
+    let (rare_run, content_run) = begin(rare);
+    let failure = answer(20, RunEvidence::Failure);
+    table.record_request_answer(early, content_run, failure, ms(4));
+    assert_eq!(table.check(rare, ms(4)), SuspectState::Suspect);
+    let failure = answer(21, RunEvidence::Failure);
+    let records = table.record_request_answer(rare_run, content_run, failure, ms(5));
+    assert!(records.iter().any(|record| record.fingerprint == rare));
+    assert_eq!(table.check(rare, ms(5)), SuspectState::Clear);
+}
+
 /// Guards against a crashing request that is cleared by failures of runs that were under
 /// way when it ended other targets, or by failures before its ends.
 #[test]
--- a/crates/sidecar/src/owner_suspects.rs
+++ b/crates/sidecar/src/owner_suspects.rs
@@ -48,7 +48,8 @@
 /// How long the connection attempt may take that tells whether the target has ended.
 const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Returns the keys under which a request is known at targets with the given software.
+/// Returns the keys under which a request is known at targets with the given software:
+/// that of the exact request, and that of its content.
 fn keys(prints: &RequestPrints, software: TargetSoftware) -> [SuspectKey; 2] {
     prints.both().map(|fingerprint| SuspectKey {
         fingerprint,
@@ -219,8 +220,10 @@
             id: rand::random(),
             evidence,
         };
-        let record = |run| self.suspects.record_answer(run, answer, now);
-        let records: Vec<SuspectRecord> = run.suspect_runs.into_iter().filter_map(record).collect();
+        let [exact, content] = run.suspect_runs;
+        let records = self
+            .suspects
+            .record_request_answer(exact, content, answer, now);
         if records.is_empty() {
             return;
         }
