Add message fields and types for tenants, late requests and uneven targets

Interfaces of the parts that follow, so that they can be built side by side: HopHead names the tenant, the priority behind a call, and whether the request is late; HopReport has the most urgent waiting priority, the service time of the route, the send rate of the link, and the concurrency at which a target is efficient. Nothing sets or reads them yet.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod suspect_record;
 pub mod target;
 mod target_estimate;
+pub mod tenant;
 pub mod well_runs;
 
 pub use admission::AdmissionDecision;
@@ -70,4 +71,6 @@
 pub use suspect_record::TargetEnd;
 pub use target::TargetRecord;
 pub use target::TargetSoftware;
+pub use tenant::TenantLimit;
+pub use tenant::TenantPolicy;
 pub use well_runs::WellRuns;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -351,6 +351,7 @@
             exact_fingerprint: self.prints.exact.0,
             suspicions: suspect_exchange::records_of(self.node, &self.prints),
             suspicion_digest: self.node.owner.suspects.digest(now),
+            ..HopHead::default()
         }
     }
 
