Determine the tenant of a request by its key

A configuration may hold tenants, and the platform's callers identify themselves with `Authorization: Bearer KEY`. So far the daemon ignored the tenants, forwarded the key to the target and to other daemons, and passed configurations with the keys between daemons.

The entry daemon now maps each request to a tenant after its route is found and before its body is read. Requests without a valid key are answered 401, or 503 while the known state may lack changes or the request may be a call of a run that this daemon does not know: one from before its start, or one that was given up. The key is removed from the request, and the owner sets `Radishgauge-Tenant` from the hop head. A tenant's priority replaces that of the route in placing, offers and admission, and its regions apply together with those of the route. `TenantQuota::admit` is the call site of the rate limits; it admits everything for now.

Keys are kept as BLAKE3 hashes, which compare in constant time. The view stores a configuration with the hashes in place of the keys, so that what daemons send each other has none, and reports of unreadable items quote no value. Tenants are decoded field by field, because errors of a derived decoder quote the values that they reject. `blake3` is already a dependency of the workspace; XXH3, which the mesh uses otherwise, is not cryptographic.

A refusal before the body is read made the HTTP library close the connection without telling the caller. Such a refusal now reads a short body, and says `Connection: close` otherwise. Always reading the body was ruled out, since a refused upload would use the link.

Counters by tenant are kept apart from the other series, of which they would use up the limit, and have their own bound.

Tests: the new test of a key that is removed while its caller is connected failed at the request after the first 401 before short bodies were read, and passes now. All tests of mesh, sidecar and platform pass.

--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -3,12 +3,16 @@
 //! The platform validates a version, and a daemon adopts it as a whole. It is
 //! immutable, so the requests that began under it can share it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use smol_str::SmolStr;
 
+use crate::tenant::TenantPolicy;
+use crate::tenant_directory::TenantDirectory;
+
 /// The limits on the requests of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestLimits {
@@ -63,6 +67,8 @@
     pub attempts: u32,
     /// The regions that may handle the requests; empty if all may.
     pub regions: Vec<SmolStr>,
+    /// Whether requests need no tenant's key, even if the configuration has tenants.
+    pub public: bool,
     /// The services among which the requests are divided.
     pub split: Vec<WeightedService>,
 }
@@ -119,6 +125,7 @@
     services: IndexMap<SmolStr, ServicePolicy>,
     /// The regions to which some route of a service is restricted, by service.
     home_regions: IndexMap<SmolStr, IndexSet<SmolStr>>,
+    tenants: TenantDirectory,
 }
 
 impl MeshConfig {
@@ -145,9 +152,38 @@
             hosts,
             services,
             home_regions,
+            tenants: TenantDirectory::default(),
         }
     }
 
+    /// Returns the configuration with these tenants in place of its own.
+    #[must_use]
+    pub fn with_tenants(self, tenants: TenantDirectory) -> MeshConfig {
+        MeshConfig { tenants, ..self }
+    }
+
+    /// Returns whether there are tenants. If there are none, requests carry no keys.
+    pub fn has_tenants(&self) -> bool {
+        !self.tenants.is_empty()
+    }
+
+    /// Returns the tenant that holds a key. The look-up allocates no memory, and its
+    /// duration does not depend on the stored keys.
+    pub fn tenant_of_key(&self, key: &[u8]) -> Option<&Arc<TenantPolicy>> {
+        self.tenants.of_key(key)
+    }
+
+    /// Returns the tenant with a name.
+    pub fn tenant(&self, name: &str) -> Option<&Arc<TenantPolicy>> {
+        self.tenants.by_name(name)
+    }
+
+    /// Returns the longest time for which a request of any route may run.
+    pub fn longest_timeout(&self) -> Duration {
+        let timeouts = self.routes.iter().map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// Returns whether some route of a service may be handled only in a few
     /// regions, and `region` is one of them.
     pub fn is_home_region(&self, service: &str, region: &str) -> bool {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod target;
 mod target_estimate;
 pub mod tenant;
+pub mod tenant_directory;
 pub mod well_runs;
 
 pub use admission::AdmissionDecision;
@@ -73,4 +74,6 @@
 pub use target::TargetSoftware;
 pub use tenant::TenantLimit;
 pub use tenant::TenantPolicy;
+pub use tenant_directory::KeyHash;
+pub use tenant_directory::TenantDirectory;
 pub use well_runs::WellRuns;
--- a/crates/mesh/src/tenant.rs
+++ b/crates/mesh/src/tenant.rs
@@ -1,6 +1,9 @@
 //! The tenants of a configuration: customers whose requests have a priority, regions
 //! and a rate limit of their own.
 
+use std::fmt;
+use std::fmt::Write;
+
 use smol_str::SmolStr;
 
 /// The rate limit of a tenant over all daemons together.
@@ -31,4 +34,28 @@
     pub fn allows_region(&self, region: &str) -> bool {
         self.regions.is_empty() || self.regions.iter().any(|allowed| allowed == region)
     }
+
+    /// Returns the form of the name in logs and metrics.
+    pub fn label(&self) -> TenantLabel<'_> {
+        TenantLabel(&self.name)
+    }
+}
+
+/// A tenant's name as it is written to logs and metrics: all characters but letters,
+/// digits, `-`, `_` and `.` are percent-encoded, so that no name can end a field or a
+/// line.
+#[derive(Debug, Clone, Copy)]
+pub struct TenantLabel<'a>(pub &'a str);
+
+impl fmt::Display for TenantLabel<'_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0.bytes() {
+            if byte.is_ascii_alphanumeric() || b"-_.".contains(&byte) {
+                formatter.write_char(char::from(byte))?;
+            } else {
+                write!(formatter, "%{byte:02X}")?;
+            }
+        }
+        Ok(())
+    }
 }
--- a/crates/mesh/tests/mesh/config.rs
+++ b/crates/mesh/tests/mesh/config.rs
@@ -21,6 +21,7 @@
         timeout: Duration::from_secs(1),
         attempts: 2,
         regions: Vec::new(),
+        public: false,
         split: split.iter().map(weighted).collect(),
     }
 }
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -19,3 +19,4 @@
 mod support;
 mod suspect;
 mod suspect_load;
+mod tenant_directory;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -3,18 +3,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::HeaderValue;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http::header;
 use radishgauge_events::events;
+use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::TenantPolicy;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::retry_budget::RetryKind;
+use radishgauge_mesh::tenant::TenantLabel;
 use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
@@ -38,10 +41,15 @@
 use crate::node::SidecarNode;
 use crate::origin::RequestOrigin;
 use crate::peers::HopOutcome;
+use crate::request_outcome::RequestOutcome;
 use crate::slot_offer;
 use crate::suspect_exchange;
 use crate::suspect_placing;
 use crate::target_call::BufferedRequest;
+use crate::tenant_access;
+use crate::tenant_access::TenantAccess;
+use crate::unread_body;
+use crate::unread_body::close_connection;
 
 /// The least time after which a refused caller may retry. An earlier retry
 /// would only repeat the load that led to the refusal.
@@ -67,6 +75,7 @@
 struct EntryCall<'a> {
     node: &'a Arc<SidecarNode>,
     route: &'a MeshRoute,
+    tenant: Option<Arc<TenantPolicy>>,
     service: SmolStr,
     origin: RequestOrigin,
     request: BufferedRequest,
@@ -105,6 +114,13 @@
         }
         return local_reply::error(StatusCode::NOT_FOUND, Some(&id), "no route");
     };
+    let tenant = match admit(&node, &config, route, &head.headers, &id).await {
+        Ok(tenant) => tenant,
+        Err(mut answer) => {
+            unread_body::skip(&head.headers, &mut body, &mut answer).await;
+            return answer;
+        }
+    };
     let body = match body.whole(config.limits().body_bytes).await {
         Ok(body) => body,
         Err(BodyFault::TooLarge { .. }) => {
@@ -127,11 +143,19 @@
     let mut headers = head.headers;
     message::strip_connection_fields(&mut headers);
     hop::remove_fields(&mut headers);
+    message::remove_tenant(&mut headers);
+    if config.has_tenants() {
+        message::remove_key(&mut headers);
+    }
     let draw = rand::rng().random_range(0.0..1.0);
     let Some(service) = route.service(draw).cloned() else {
         return local_reply::refuse(&node, Some(&id), "no service", DEFAULT_RETRY_AFTER);
     };
-    let origin = RequestOrigin::of(&node, &id);
+    let origin = match tenant {
+        // Only callers send keys.
+        Some(_) => RequestOrigin::Caller,
+        None => RequestOrigin::of(&node, &id),
+    };
     let request = BufferedRequest {
         id,
         method: head.method,
@@ -143,6 +167,7 @@
     let call = EntryCall {
         node: &node,
         route,
+        tenant,
         service,
         origin,
         request,
@@ -158,10 +183,42 @@
     answer
 }
 
-/// Makes the caller open its next connection at another daemon.
-fn close_connection(answer: &mut HttpAnswer) {
-    let close = HeaderValue::from_static("close");
-    answer.headers_mut().insert(header::CONNECTION, close);
+/// Returns the tenant of a request, if it has one.
+///
+/// # Errors
+///
+/// When the request needs a key and has no valid one, or is over its tenant's limit.
+async fn admit(
+    node: &SidecarNode,
+    config: &MeshConfig,
+    route: &MeshRoute,
+    headers: &HeaderMap,
+    id: &str,
+) -> Result<Option<Arc<TenantPolicy>>, HttpAnswer> {
+    let tenant = match tenant_access::check(node, config, route, headers, id) {
+        TenantAccess::Tenant(tenant) => tenant,
+        // Calls of targets have no tenant, so they do not count against a limit.
+        TenantAccess::NoTenant => return Ok(None),
+        TenantAccess::Refused(refusal) => {
+            return Err(local_reply::refuse_access(
+                node,
+                id,
+                &route.name,
+                refusal,
+                DEFAULT_RETRY_AFTER,
+            ));
+        }
+    };
+    match node.quota().admit(&tenant).await {
+        Ok(()) => Ok(Some(tenant)),
+        Err(refusal) => Err(local_reply::refuse_over_limit(
+            node,
+            id,
+            &route.name,
+            &tenant,
+            &refusal,
+        )),
+    }
 }
 
 impl EntryCall<'_> {
@@ -290,7 +347,9 @@
     ///
     /// When it is quarantined at all that there are.
     fn candidates(&self, history: &AttemptHistory) -> Result<Vec<Candidate>, NotRun> {
-        let mut candidates = self.node.candidates(self.route, &self.service);
+        let mut candidates =
+            self.node
+                .candidates(self.route, self.tenant.as_deref(), &self.service);
         suspect_placing::leave_out_quarantined(&self.node.owner, &self.prints, &mut candidates)?;
         candidates.retain(|candidate| !history.tried.contains(&candidate.place.id));
         suspect_placing::keep_on_trial(&self.node.owner, &self.prints, &mut candidates);
@@ -311,7 +370,7 @@
         let request = PlaceRequest {
             objective,
             patience,
-            priority: self.route.priority,
+            priority: self.priority(),
             body_bytes: self.request.body.len() as u64,
         };
         let id = self.node.placer().place(&places, &request, now)?;
@@ -321,6 +380,23 @@
             .ok_or(PlacementError::NoTarget)
     }
 
+    /// Returns the priority of the request; that of its tenant goes before that of its
+    /// route.
+    fn priority(&self) -> u32 {
+        let priority = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the name of the tenant; empty for none.
+    fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("", |tenant| &tenant.name)
+    }
+
+    /// Returns the form of the tenant's name in log lines; empty for none.
+    fn tenant_label(&self) -> TenantLabel<'_> {
+        TenantLabel(self.tenant_name())
+    }
+
     fn is_call(&self) -> bool {
         matches!(self.origin, RequestOrigin::Run { .. })
     }
@@ -340,7 +416,7 @@
             route: self.route.name.to_string(),
             objective_us: hop::micros(self.objective_left(now)),
             time_left_us: hop::micros(self.deadline.saturating_sub(now)),
-            priority: self.route.priority,
+            priority: self.priority(),
             idempotent: self.route.idempotent,
             revision: position.revision,
             era: position.era,
@@ -351,6 +427,7 @@
             exact_fingerprint: self.prints.exact.0,
             suspicions: suspect_exchange::records_of(self.node, &self.prints),
             suspicion_digest: self.node.owner.suspects.digest(now),
+            tenant: self.tenant_name().to_owned(),
             ..HopHead::default()
         }
     }
@@ -456,17 +533,17 @@
         let now = self.node.now();
         let took_ms = now.saturating_sub(self.arrived).as_millis();
         let fields = format_args!(
-            "route={} target={id} status={} attempts={} took_ms={took_ms} version={} revision={}",
+            "route={} tenant={} target={id} status={} attempts={} took_ms={took_ms} version={} revision={}",
             self.route.name,
+            self.tenant_label(),
             answer.status.as_u16(),
             history.tried.len(),
             self.version,
             self.node.position(),
         );
-        let outcome = if answer.status.is_server_error() {
-            "target_failed"
-        } else {
-            "served"
+        let outcome = match answer.status.is_server_error() {
+            true => RequestOutcome::TargetFailed,
+            false => RequestOutcome::Served,
         };
         self.count(outcome, now);
         let request_log = &self.node.request_log;
@@ -502,7 +579,7 @@
         let spread = 1.0 + rand::rng().random_range(0.0..RETRY_JITTER);
         let retry_after = hint.max(MIN_RETRY_AFTER).mul_f64(spread);
         let now = self.node.now();
-        self.count("refused", now);
+        self.count(RequestOutcome::Refused, now);
         let place = match error {
             PlacementError::Full { .. } => "full",
             PlacementError::NoTarget => "no target",
@@ -512,8 +589,9 @@
             &events::REQUEST_REFUSED,
             &self.request.id,
             format_args!(
-                "route={} place={place} owner={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
+                "route={} tenant={} place={place} owner={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
                 self.route.name,
+                self.tenant_label(),
                 owner.unwrap_or("-"),
                 retry_after.as_millis(),
                 history.tried,
@@ -540,9 +618,13 @@
         self.fail(StatusCode::GATEWAY_TIMEOUT, "timeout", history)
     }
 
-    fn count(&self, outcome: &str, now: Duration) {
+    fn count(&self, outcome: RequestOutcome, now: Duration) {
         let took = now.saturating_sub(self.arrived).as_millis() as u64;
-        self.node.metrics.request(&self.route.name, outcome, took);
+        let metrics = &self.node.metrics;
+        metrics.request(&self.route.name, outcome, took);
+        if let Some(tenant) = &self.tenant {
+            metrics.tenants.count(tenant, outcome);
+        }
     }
 
     fn fail(
@@ -552,13 +634,14 @@
         history: &AttemptHistory,
     ) -> HttpAnswer {
         let now = self.node.now();
-        self.count("failed", now);
+        self.count(RequestOutcome::Failed, now);
         self.node.request_log.log_other(
             &events::REQUEST_FAILED,
             &self.request.id,
             format_args!(
-                "route={} target={:?} reason={reason} fingerprint={:016x} status={} attempts={} took_ms={} version={} revision={}",
+                "route={} tenant={} target={:?} reason={reason} fingerprint={:016x} status={} attempts={} took_ms={} version={} revision={}",
                 self.route.name,
+                self.tenant_label(),
                 history.tried.last(),
                 self.prints.content.0,
                 status.as_u16(),
--- a/crates/sidecar/src/known_hosts.rs
+++ b/crates/sidecar/src/known_hosts.rs
@@ -8,6 +8,7 @@
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::TargetSoftware;
+use radishgauge_mesh::TenantPolicy;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_platform::HostSettings;
@@ -31,9 +32,19 @@
 }
 
 impl SidecarNode {
-    /// Returns the targets of `service` to which a request of the route may be
-    /// sent.
-    pub fn candidates(&self, route: &MeshRoute, service: &str) -> Vec<Candidate> {
+    /// Returns the targets of `service` to which a request of the route and the tenant
+    /// may be sent.
+    pub fn candidates(
+        &self,
+        route: &MeshRoute,
+        tenant: Option<&TenantPolicy>,
+        service: &str,
+    ) -> Vec<Candidate> {
+        let allows_all =
+            route.regions.is_empty() && tenant.is_none_or(|tenant| tenant.regions.is_empty());
+        let allows = |region: &str| {
+            route.allows_region(region) && tenant.is_none_or(|tenant| tenant.allows_region(region))
+        };
         let settings = self.settings();
         let known = self.known();
         let table = &known.table;
@@ -56,9 +67,9 @@
             .filter(|target| !table.is_evacuated(&target.failure_domain))
             .filter(|target| !misplaced.contains(target, now) && !is_superseded(target))
             .filter_map(|target| self.candidate(target, &settings))
-            .filter(|candidate| route.allows_region(&candidate.region))
+            .filter(|candidate| allows(&candidate.region))
             .map(|mut candidate| {
-                candidate.place.is_scarce = route.regions.is_empty()
+                candidate.place.is_scarce = allows_all
                     && table
                         .config()
                         .is_some_and(|config| config.is_home_region(service, &candidate.region));
--- a/crates/sidecar/src/local_reply.rs
+++ b/crates/sidecar/src/local_reply.rs
@@ -5,11 +5,15 @@
 use http::Response;
 use http::StatusCode;
 use radishgauge_events::events;
+use radishgauge_mesh::TenantPolicy;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
 
 use crate::node::SidecarNode;
+use crate::quota::QuotaRefusal;
+use crate::request_outcome::RequestOutcome;
+use crate::tenant_access::AccessRefusal;
 
 /// Logs a refusal that precedes the choice of a target, and returns the answer: the
 /// request has not run.
@@ -39,6 +43,61 @@
     )
 }
 
+/// Logs the refusal of a request without a valid key, and returns the answer: the
+/// request has not run.
+pub(crate) fn refuse_access(
+    node: &SidecarNode,
+    id: &str,
+    route: &str,
+    refusal: AccessRefusal,
+    retry_after: Duration,
+) -> HttpAnswer {
+    let reason = refusal.reason();
+    node.metrics.count(match refusal.is_temporary() {
+        true => "requests_unverified",
+        false => "requests_unauthorized",
+    });
+    node.request_log.log_other(
+        &events::REQUEST_UNAUTHORIZED,
+        id,
+        format_args!("route={route} reason={reason}"),
+        node.now(),
+    );
+    if refusal.is_temporary() {
+        return refused(Some(id), reason, retry_after);
+    }
+    let mut answer = error(StatusCode::UNAUTHORIZED, Some(id), reason);
+    message::set_key_challenge(answer.headers_mut());
+    answer
+}
+
+/// Logs the refusal of a request over its tenant's limit, and returns the answer: the
+/// request has not run.
+pub(crate) fn refuse_over_limit(
+    node: &SidecarNode,
+    id: &str,
+    route: &str,
+    tenant: &TenantPolicy,
+    refusal: &QuotaRefusal,
+) -> HttpAnswer {
+    node.metrics
+        .tenants
+        .count(tenant, RequestOutcome::OverLimit);
+    let label = tenant.label();
+    node.request_log.log_other(
+        &events::TENANT_OVER_LIMIT,
+        id,
+        format_args!("tenant={label} route={route} {refusal}"),
+        node.now(),
+    );
+    answer(
+        StatusCode::TOO_MANY_REQUESTS,
+        Some(id),
+        "tenant over its limit, not run",
+        Some(refusal.retry_after),
+    )
+}
+
 /// Returns an answer without a time after which the request may be sent again.
 pub(crate) fn error(status: StatusCode, id: Option<&str>, reason: &'static str) -> HttpAnswer {
     answer(status, id, reason, None)
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -24,6 +24,8 @@
 
 use crate::node::SidecarNode;
 use crate::node::lock;
+use crate::request_outcome::RequestOutcome;
+use crate::tenant_metrics::TenantMetrics;
 
 /// The greatest number of series; metrics of further series are counted in
 /// [`OVERFLOW`].
@@ -131,26 +133,32 @@
 pub struct SidecarMetrics {
     client: StatsdClient,
     registry: Arc<MetricRegistry>,
+    /// The requests of tenants.
+    pub tenants: TenantMetrics,
 }
 
 impl Default for SidecarMetrics {
     fn default() -> SidecarMetrics {
         let registry = Arc::new(MetricRegistry::default());
         let client = StatsdClient::from_sink("radishgauge", RegistrySink(Arc::clone(&registry)));
-        SidecarMetrics { client, registry }
+        SidecarMetrics {
+            client,
+            registry,
+            tenants: TenantMetrics::default(),
+        }
     }
 }
 
 impl SidecarMetrics {
     /// Records the latency of one request of a caller, with its route and
     /// outcome as labels.
-    pub fn request(&self, route: &str, outcome: &str, took_ms: u64) {
+    pub fn request(&self, route: &str, outcome: RequestOutcome, took_ms: u64) {
         // The registry accepts every metric of these forms.
         let _ = self
             .client
             .histogram_with_tags("request_ms", took_ms)
             .with_tag("route", route)
-            .with_tag("outcome", outcome)
+            .with_tag("outcome", outcome.as_str())
             .try_send();
     }
 
@@ -221,6 +229,8 @@
         for (name, value) in gauges {
             let _: Result<cadence::Gauge, _> = self.client.gauge(name, value);
         }
-        self.registry.render()
+        let mut text = self.registry.render();
+        self.tenants.render(&mut text);
+        text
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -38,6 +38,7 @@
 use crate::metrics::SidecarMetrics;
 use crate::owner::TargetOwner;
 use crate::peers::PeerClients;
+use crate::quota::TenantQuota;
 use crate::request_log::RequestLog;
 use crate::reservation::SlotReservations;
 use crate::suspect_exchange;
@@ -85,6 +86,8 @@
     pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
     /// The times of the stop; `None` until it begins.
     stop_plan: ArcSwapOption<StopPlan>,
+    started: Duration,
+    quota: TenantQuota,
 }
 
 impl SidecarNode {
@@ -97,6 +100,7 @@
         seed: u64,
     ) -> SidecarNode {
         let link = LinkLoad::new(settings.link_rate);
+        let started = clock.now();
         SidecarNode {
             peers: PeerClients::new(
                 settings.peer_address.port(),
@@ -126,6 +130,8 @@
             suspects_differ: Notify::new(),
             contacts: Mutex::default(),
             stop_plan: ArcSwapOption::empty(),
+            started,
+            quota: TenantQuota::default(),
         }
     }
 
@@ -154,6 +160,16 @@
         self.clock.now()
     }
 
+    /// Returns the time since the daemon started.
+    pub fn age(&self) -> Duration {
+        self.now().saturating_sub(self.started)
+    }
+
+    /// Returns the rate limits of tenants.
+    pub fn quota(&self) -> &TenantQuota {
+        &self.quota
+    }
+
     /// Returns the position of the known state.
     pub fn position(&self) -> StatePosition {
         *self.position.borrow()
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -170,6 +170,12 @@
         self.state().runs.get(request).copied()
     }
 
+    /// Returns whether the run of a request was given up at the time `since` or later,
+    /// so that the target may still be at work on it.
+    pub fn may_still_run(&self, request: &str, since: Duration) -> bool {
+        self.state().interrupted.contains(request, since)
+    }
+
     /// Stops admitting requests.
     pub fn stop(self: &Arc<Self>) {
         let mut state = self.state();
@@ -322,17 +328,19 @@
         }
         slot.started = self.clock.now();
         let run = self.begin_run(&head.route, &prints, software);
-        let _run = RunRegistration::begin(self, &request.id, head.repeated);
+        let mut registration = RunRegistration::begin(self, &request.id, head.repeated);
         let left = deadline.saturating_sub(self.clock.now());
         let mesh_headers = MeshHeaders {
             target: &head.target,
             caller_service: &head.caller_service,
             time_left: left,
+            tenant: (!head.tenant.is_empty()).then_some(head.tenant.as_str()),
         };
         let client = self.client();
         let sent = slot.started;
         let observe = |statement| self.record_statement(&head.target, statement, sent);
         let outcome = target_call::call(&client, request, &mesh_headers, left, observe).await;
+        registration.has_ended = !matches!(outcome, TargetOutcome::MayHaveRun(_));
         if target_call::is_cut_off(&outcome) {
             self.explain_cut_off(&run).await;
         }
@@ -501,6 +509,8 @@
 struct RunRegistration<'a> {
     owner: &'a TargetOwner,
     request: &'a SmolStr,
+    /// Whether the target has ended the run, as far as is known.
+    has_ended: bool,
 }
 
 impl RunRegistration<'_> {
@@ -510,13 +520,22 @@
         retried: bool,
     ) -> RunRegistration<'a> {
         owner.state().runs.insert(request.clone(), retried);
-        RunRegistration { owner, request }
+        RunRegistration {
+            owner,
+            request,
+            has_ended: false,
+        }
     }
 }
 
 impl Drop for RunRegistration<'_> {
     fn drop(&mut self) {
-        self.owner.state().runs.remove(self.request);
+        let now = self.owner.clock.now();
+        let mut state = self.owner.state();
+        state.runs.remove(self.request);
+        if !self.has_ended {
+            state.interrupted.record(self.request.clone(), now);
+        }
     }
 }
 
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -19,6 +19,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::interrupted_runs::InterruptedRuns;
 use crate::owner::hop_reason;
 use crate::run_ledger::RunLedger;
 use crate::target_call::TargetStatement;
@@ -56,6 +57,8 @@
     /// The IDs of the requests that run at the target, and whether each run is
     /// a retry.
     pub(crate) runs: HashMap<SmolStr, bool>,
+    /// The runs that the target may not have ended.
+    pub(crate) interrupted: InterruptedRuns,
     /// The last known count of how often the target closed its last remaining
     /// connection.
     pub(crate) connection_losses: u64,
@@ -84,6 +87,7 @@
             domain_evacuated: false,
             down: false,
             runs: HashMap::new(),
+            interrupted: InterruptedRuns::default(),
             connection_losses: 0,
             ledger: RunLedger::default(),
             timer: None,
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -69,6 +69,10 @@
     let body_bytes = body.len() as u64;
     node.link().record_received(body_bytes, node.now());
     message::strip_connection_fields(&mut head.headers);
+    if node.config().is_some_and(|config| config.has_tenants()) {
+        // The sender may have an older configuration, without tenants.
+        message::remove_key(&mut head.headers);
+    }
     let request = BufferedRequest {
         id: message::request_id(&head.headers).unwrap_or_default(),
         method: head.method,
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -363,7 +363,7 @@
         let node = node_with_entries(vec![entry("desk", target, "north-b", 1), later]);
         let config = node.config().unwrap();
         let route = config.find("x", "/").unwrap();
-        let candidates = node.candidates(route, "desk").into_iter();
+        let candidates = node.candidates(route, None, "desk").into_iter();
         let ids = candidates.map(|candidate| candidate.place.id.to_string());
         ids.collect::<Vec<_>>()
     };
