Answer requests with header fields of one connection

Cause: the HTTP library acts on Upgrade and Expect. It hands over the rest of the connection as the body of a request with Upgrade, answers 400 if such a request has a body, and waits for a body that came together with Expect: 100-continue. The handler waited for the body without a deadline. Connection: radishgauge-request-id removed the identifier. Change: caller_stream reads the connection in place of the library's socket, finds where each head and body ends (request_framing), removes Upgrade, HTTP2-Settings and Expect before the head is parsed, and sends 100 Continue when the body is due. A head is passed on only when it is complete; empty lines before it are dropped and limited. A request that declares no body has none. The deadline begins with the head; a body that misses it is answered 408. Ruled out: another HTTP library for the listener, which changes the path of all bodies; a limit on the wait alone, with which such requests fail at their timeout.

--- a/crates/daemon/src/callers.rs
+++ b/crates/daemon/src/callers.rs
@@ -146,6 +146,7 @@
     *response.status_mut() = match fault {
         HttpBodyFault::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
         HttpBodyFault::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
+        HttpBodyFault::Late => StatusCode::REQUEST_TIMEOUT,
         HttpBodyFault::Cut(_) => StatusCode::BAD_REQUEST,
     };
     let verdict = http::HeaderValue::from_static("not-run");
--- /dev/null
+++ b/crates/net/src/caller_stream.rs
@@ -0,0 +1,381 @@
+//! The bytes of one caller's connection, as the HTTP library reads them.
+//!
+//! Heads are passed on one at a time, complete and without the fields that concern only
+//! the connection. As the library writes all answers before it reads the next head, this
+//! stream may write to the connection between two requests.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::Shutdown;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use tokio::time::Instant;
+use xitca_io::io::AsyncBufRead;
+use xitca_io::io::AsyncBufWrite;
+use xitca_io::io::BoundedBuf;
+use xitca_io::io::BoundedBufMut;
+use xitca_io::net::TcpStream;
+use xitca_web::service::Service;
+
+use crate::request_framing;
+use crate::request_framing::BodyEnd;
+use crate::request_framing::HeadScan;
+use crate::request_framing::RequestHead;
+
+/// How many bytes are read at a time while a head is expected. It holds most heads, and
+/// each idle connection keeps as many.
+const HEAD_READ: usize = 1024;
+
+/// How many bytes are read at a time within a body that must be scanned for its end.
+const BODY_READ: usize = 8 * 1024;
+
+/// The greatest capacity in bytes of a buffer that is kept when it is empty.
+const KEPT_CAPACITY: usize = 8 * 1024;
+
+/// The greatest length in bytes of the empty lines before a request; RFC 9112 asks to
+/// ignore at least one.
+const MAX_EMPTY_LINES: usize = 1024;
+
+/// Asks the caller for the body of its request.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// Refuses a head that is too long.
+const HEAD_TOO_LONG: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
+
+/// Refuses a head that does not arrive in time.
+const HEAD_TOO_LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
+
+/// Bounds of the request heads of a connection.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeadLimits {
+    /// The greatest length in bytes.
+    pub(crate) bytes: usize,
+    /// How long a head may take to arrive after its first byte.
+    pub(crate) time: Duration,
+}
+
+/// The part of a request to which the next bytes belong.
+enum RequestPart {
+    /// The head.
+    Head,
+    /// The body.
+    Body(BodyEnd),
+}
+
+struct InboundState {
+    /// The bytes that were received and not passed on.
+    inbox: BytesMut,
+    part: RequestPart,
+    /// How many bytes of the inbox may be passed on.
+    ready: usize,
+    /// How many bytes of the inbox were searched for the end of a head.
+    searched: usize,
+    /// How many bytes of empty lines came before the head.
+    empty_lines: usize,
+    /// When the head must have arrived; `None` before its first byte.
+    head_due: Option<Instant>,
+    /// Whether the caller waits to be asked for the body.
+    continue_due: bool,
+}
+
+impl InboundState {
+    fn new() -> InboundState {
+        InboundState {
+            inbox: BytesMut::new(),
+            part: RequestPart::Head,
+            ready: 0,
+            searched: 0,
+            empty_lines: 0,
+            head_due: None,
+            continue_due: false,
+        }
+    }
+
+    /// Passes on as many bytes as are ready and fit.
+    fn pass<B>(&mut self, buffer: &mut B) -> usize
+    where
+        B: BoundedBufMut,
+    {
+        let spare = buffer.bytes_total() - buffer.bytes_init();
+        let passed = self.ready.min(spare);
+        buffer.put_slice(&self.inbox[..passed]);
+        self.inbox.advance(passed);
+        self.ready -= passed;
+        if self.inbox.is_empty() && self.inbox.capacity() > KEPT_CAPACITY {
+            self.inbox = BytesMut::new();
+        }
+        passed
+    }
+
+    /// Determines how many of the received bytes may be passed on.
+    fn scan(&mut self) -> Result<(), HeadFault> {
+        match &mut self.part {
+            RequestPart::Head => return self.scan_head(),
+            RequestPart::Body(BodyEnd::Length(left)) => {
+                let available = self.inbox.len() as u64;
+                self.ready = available.min(*left) as usize;
+                *left -= self.ready as u64;
+            }
+            RequestPart::Body(BodyEnd::Chunks(scanner)) => self.ready = scanner.scan(&self.inbox),
+            RequestPart::Body(BodyEnd::Unknown) => self.ready = self.inbox.len(),
+        }
+        self.end_body();
+        Ok(())
+    }
+
+    /// Expects the next head if the body has ended.
+    fn end_body(&mut self) {
+        let has_ended = match &self.part {
+            RequestPart::Head => false,
+            RequestPart::Body(BodyEnd::Length(left)) => *left == 0,
+            RequestPart::Body(BodyEnd::Chunks(scanner)) => scanner.has_ended(),
+            RequestPart::Body(BodyEnd::Unknown) => false,
+        };
+        if has_ended {
+            self.part = RequestPart::Head;
+            self.continue_due = false;
+        }
+    }
+
+    fn scan_head(&mut self) -> Result<(), HeadFault> {
+        if self.searched == 0 {
+            self.empty_lines += request_framing::skip_empty_lines(&mut self.inbox);
+            if self.empty_lines > MAX_EMPTY_LINES {
+                return Err(HeadFault::EmptyLines);
+            }
+        }
+        if request_framing::find_head_end(&self.inbox, self.searched).is_none() {
+            // The line end before an empty line may be the last one searched.
+            self.searched = self.inbox.len().saturating_sub(2);
+            return Ok(());
+        }
+        match request_framing::scan_head(&mut self.inbox) {
+            HeadScan::Partial => {}
+            HeadScan::Complete(head) => self.begin_request(head),
+            HeadScan::Invalid => {
+                self.ready = self.inbox.len();
+                self.part = RequestPart::Body(BodyEnd::Unknown);
+            }
+        }
+        Ok(())
+    }
+
+    fn begin_request(&mut self, head: RequestHead) {
+        self.ready = head.length;
+        self.searched = 0;
+        self.empty_lines = 0;
+        self.head_due = None;
+        self.continue_due = head.expects_continue;
+        self.part = RequestPart::Body(head.body);
+        self.end_body();
+    }
+
+    /// Records bytes of the body that did not pass through the inbox.
+    fn record_direct(&mut self, bytes: usize) {
+        if let RequestPart::Body(BodyEnd::Length(left)) = &mut self.part {
+            *left = left.saturating_sub(bytes as u64);
+        }
+        self.end_body();
+    }
+}
+
+/// Why no more heads are read from a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HeadFault {
+    TooLong,
+    TooLate,
+    EmptyLines,
+}
+
+impl HeadFault {
+    /// Returns the answer to the caller.
+    fn answer(self) -> &'static [u8] {
+        match self {
+            HeadFault::TooLong => HEAD_TOO_LONG,
+            HeadFault::TooLate => HEAD_TOO_LATE,
+            HeadFault::EmptyLines => b"",
+        }
+    }
+}
+
+/// The connection of a caller, as the library reads and writes it.
+pub(crate) struct CallerStream {
+    socket: TcpStream,
+    limits: HeadLimits,
+    state: RefCell<InboundState>,
+}
+
+/// What the next read does.
+enum ReadStep {
+    /// Passes on bytes that are ready.
+    Pass,
+    /// Reads bytes of the body, of which at least as many are due as fit.
+    Direct,
+    /// Receives more bytes, at most this number.
+    Receive(usize),
+}
+
+impl CallerStream {
+    pub(crate) fn new(socket: TcpStream, limits: HeadLimits) -> CallerStream {
+        CallerStream {
+            socket,
+            limits,
+            state: RefCell::new(InboundState::new()),
+        }
+    }
+
+    fn next_step(&self, spare: usize) -> Result<ReadStep, HeadFault> {
+        let mut state = self.state.borrow_mut();
+        if state.ready == 0 && !state.inbox.is_empty() {
+            state.scan()?;
+        }
+        if state.ready > 0 {
+            return Ok(ReadStep::Pass);
+        }
+        Ok(match &state.part {
+            RequestPart::Head if state.inbox.len() >= self.limits.bytes => {
+                return Err(HeadFault::TooLong);
+            }
+            RequestPart::Head => ReadStep::Receive(HEAD_READ.max(state.inbox.len())),
+            RequestPart::Body(BodyEnd::Length(left)) if *left < spare as u64 => {
+                ReadStep::Receive(*left as usize)
+            }
+            RequestPart::Body(BodyEnd::Chunks(_)) => ReadStep::Receive(BODY_READ),
+            RequestPart::Body(BodyEnd::Length(_) | BodyEnd::Unknown) => ReadStep::Direct,
+        })
+    }
+
+    /// Receives bytes into the inbox; returns their number, 0 at the end of the stream.
+    async fn receive(&self, most: usize) -> io::Result<usize> {
+        let mut inbox = std::mem::take(&mut self.state.borrow_mut().inbox);
+        let length = inbox.len();
+        inbox.reserve(most);
+        let (received, slice) = self.socket.read(inbox.slice(length..)).await;
+        self.state.borrow_mut().inbox = slice.into_inner();
+        received
+    }
+
+    /// Receives bytes of a head. The time for it begins with its first byte.
+    async fn receive_in_time(&self, most: usize) -> Result<io::Result<usize>, HeadFault> {
+        let Some(due) = self.head_due() else {
+            return Ok(self.receive(most).await);
+        };
+        let received = tokio::time::timeout_at(due, self.receive(most)).await;
+        received.map_err(|_| HeadFault::TooLate)
+    }
+
+    /// Returns when the head must have arrived, if a part of it has.
+    fn head_due(&self) -> Option<Instant> {
+        let mut state = self.state.borrow_mut();
+        let has_begun = matches!(state.part, RequestPart::Head) && !state.inbox.is_empty();
+        let limit = self.limits.time;
+        has_begun.then(|| *state.head_due.get_or_insert_with(|| Instant::now() + limit))
+    }
+
+    /// Asks the caller for the body if it waits for that.
+    async fn ask_for_body(&self) -> io::Result<()> {
+        let is_due = std::mem::take(&mut self.state.borrow_mut().continue_due);
+        if !is_due {
+            return Ok(());
+        }
+        let (written, _) = self.socket.write_all(CONTINUE).await;
+        written
+    }
+
+    /// Refuses the next request of the connection, which is then closed.
+    async fn refuse(&self, fault: HeadFault) -> io::Error {
+        // The connection is closed whether or not the caller receives the answer.
+        let _ = self.socket.write_all(fault.answer()).await;
+        io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
+    }
+
+    async fn read_step<B>(&self, mut buffer: B) -> (io::Result<Option<usize>>, B)
+    where
+        B: BoundedBufMut,
+    {
+        let spare = buffer.bytes_total() - buffer.bytes_init();
+        let step = match self.next_step(spare) {
+            Ok(step) => step,
+            Err(fault) => return (Err(self.refuse(fault).await), buffer),
+        };
+        if !matches!(step, ReadStep::Pass)
+            && let Err(error) = self.ask_for_body().await
+        {
+            return (Err(error), buffer);
+        }
+        match step {
+            ReadStep::Pass => {
+                let passed = self.state.borrow_mut().pass(&mut buffer);
+                (Ok(Some(passed)), buffer)
+            }
+            ReadStep::Direct => {
+                let (read, buffer) = self.socket.read(buffer).await;
+                if let Ok(bytes) = read {
+                    self.state.borrow_mut().record_direct(bytes);
+                }
+                (read.map(Some), buffer)
+            }
+            ReadStep::Receive(most) => match self.receive_in_time(most).await {
+                Ok(Ok(0)) => (Ok(Some(0)), buffer),
+                Ok(received) => (received.map(|_| None), buffer),
+                Err(fault) => (Err(self.refuse(fault).await), buffer),
+            },
+        }
+    }
+}
+
+impl AsyncBufRead for CallerStream {
+    async fn read<B>(&self, mut buffer: B) -> (io::Result<usize>, B)
+    where
+        B: BoundedBufMut,
+    {
+        loop {
+            let (read, returned) = self.read_step(buffer).await;
+            buffer = returned;
+            match read {
+                Ok(None) => {}
+                Ok(Some(bytes)) => return (Ok(bytes), buffer),
+                Err(error) => return (Err(error), buffer),
+            }
+        }
+    }
+}
+
+impl AsyncBufWrite for CallerStream {
+    async fn write<B>(&self, buffer: B) -> (io::Result<usize>, B)
+    where
+        B: BoundedBuf,
+    {
+        self.socket.write(buffer).await
+    }
+
+    async fn shutdown(self, direction: Shutdown) -> io::Result<()> {
+        self.socket.shutdown(direction).await
+    }
+}
+
+/// Builds the library's service that wraps each accepted connection.
+pub(crate) struct CallerStreamFactory(pub(crate) HeadLimits);
+
+impl Service for CallerStreamFactory {
+    type Response = CallerStreamService;
+    type Error = io::Error;
+
+    async fn call(&self, (): ()) -> io::Result<CallerStreamService> {
+        Ok(CallerStreamService(self.0))
+    }
+}
+
+/// Wraps each accepted connection.
+pub(crate) struct CallerStreamService(HeadLimits);
+
+impl Service<TcpStream> for CallerStreamService {
+    type Response = CallerStream;
+    type Error = std::convert::Infallible;
+
+    async fn call(&self, socket: TcpStream) -> Result<CallerStream, std::convert::Infallible> {
+        Ok(CallerStream::new(socket, self.0))
+    }
+}
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -49,6 +50,9 @@
     /// The bodies that are being received use all memory reserved for them.
     #[error("no memory is left for the body")]
     NoMemory,
+    /// The body did not arrive in time.
+    #[error("the body did not arrive in time")]
+    Late,
     /// The caller's connection ended before the end of the body.
     #[error("the body was cut off: {0}")]
     Cut(String),
@@ -81,6 +85,10 @@
     ///
     /// When the body was cut off or exceeds the listener's limit.
     pub async fn data(&mut self) -> Result<Option<Bytes>, BodyFault> {
+        if self.declared == Some(0) {
+            // The library hands over what follows a `CONNECT` request as its body.
+            return Ok(None);
+        }
         loop {
             match self.inner.frame().await {
                 None => return self.end(),
@@ -123,6 +131,16 @@
         self.collect(limit, None).await
     }
 
+    /// As [`HttpBody::whole`], for a body that must arrive within `time`.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpBody::whole`], and when the time has passed.
+    pub async fn whole_in(&mut self, limit: u64, time: Duration) -> Result<Bytes, BodyFault> {
+        let received = tokio::time::timeout(time, self.whole(limit)).await;
+        received.unwrap_or(Err(BodyFault::Late))
+    }
+
     /// Receives the complete body, in memory that is shared with other bodies.
     ///
     /// # Errors
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -37,6 +37,8 @@
 use xitca_web::service::ServiceExt;
 use xitca_web::service::fn_service;
 
+use crate::caller_stream::CallerStreamFactory;
+use crate::caller_stream::HeadLimits;
 use crate::connection;
 use crate::connection::ConnectionGuard;
 use crate::connection::StopSignal;
@@ -47,9 +49,11 @@
 use crate::exchange::HttpAnswer;
 use crate::exchange::HttpBody;
 use crate::exchange::HttpRequest;
+use crate::request_framing::HEADER_FIELDS;
 
-/// The greatest number of header fields in a request.
-const HEADER_FIELDS: usize = 128;
+/// How many times the greatest head may be received. A head somewhat over the limit is
+/// received completely, so that its caller reads the refusal.
+const HEAD_FACTOR: usize = 2;
 /// The read buffer of one connection in bytes; a request head cannot be larger.
 const READ_BUFFER: usize = 1024 * 1024;
 /// The write buffer of one connection in bytes; an answer that fills it waits
@@ -247,6 +251,10 @@
             .max_read_buf_size::<READ_BUFFER>()
             .max_write_buf_size::<WRITE_BUFFER>()
             .max_request_headers::<HEADER_FIELDS>();
+        let heads = HeadLimits {
+            bytes: limits.head.saturating_mul(HEAD_FACTOR).min(READ_BUFFER),
+            time: HEAD_TIMEOUT,
+        };
         let (started, runtimes) = std::sync::mpsc::channel();
         let mut builder = xitca_server::Builder::new()
             .worker_threads(limits.threads.max(1))
@@ -267,7 +275,11 @@
             let watched = state.clone();
             let service = service
                 .enclosed(RuntimeReporter(started.clone()))
-                .enclosed(HttpServiceBuilder::h1().config(config))
+                .enclosed(
+                    HttpServiceBuilder::h1()
+                        .config(config)
+                        .with_tls(CallerStreamFactory(heads)),
+                )
                 .enclosed_fn(
                     async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
                         connection::serve(service, stream, remote, &watched.stop).await
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -105,8 +105,14 @@
         }
         return local_reply::error(StatusCode::NOT_FOUND, Some(&id), "no route");
     };
-    let body = match body.whole(config.limits().body_bytes).await {
+    let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
+    let longest = time_left.min(route.timeout);
+    let body = match body.whole_in(config.limits().body_bytes, longest).await {
         Ok(body) => body,
+        Err(BodyFault::Late) => {
+            let status = StatusCode::REQUEST_TIMEOUT;
+            return local_reply::error(status, Some(&id), "body did not arrive in time");
+        }
         Err(BodyFault::TooLarge { .. }) => {
             return local_reply::error(StatusCode::PAYLOAD_TOO_LARGE, Some(&id), "body too large");
         }
@@ -117,8 +123,6 @@
             return local_reply::error(StatusCode::BAD_REQUEST, Some(&id), "body was cut off");
         }
     };
-    let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
-    let longest = time_left.min(route.timeout);
     if !node.accepts(longest) {
         let mut answer = local_reply::refuse(&node, Some(&id), "stopping", DEFAULT_RETRY_AFTER);
         close_connection(&mut answer);
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -59,8 +59,12 @@
     let body = match receive_body(&node, &mut body).await {
         Ok(body) => body,
         Err(BodyFault::Cut(_)) => return answer::empty(StatusCode::BAD_REQUEST),
-        Err(BodyFault::TooLarge { .. } | BodyFault::NoMemory) => {
-            let refusal = NotRun::before_target(HopReason::Full);
+        Err(fault) => {
+            let reason = match fault {
+                BodyFault::Late => HopReason::Expired,
+                _ => HopReason::Full,
+            };
+            let refusal = NotRun::before_target(reason);
             let report = node.hop_report(&hop_head);
             return hop_answer(TargetOutcome::NotRun(refusal), report);
         }
