Place requests by the speed of each target on their route

An owner reported one mean service time over all routes, so a slow target and a target that ran expensive requests looked the same, and a target that was slow two seconds ago counted as the fastest one. Owners now report the mean time of the request's route, and the number of concurrent requests that their target runs well, found by throughput. One of 100 requests may probe a slow target that has sent no report for 3 s.

Ruled out: a limit on the owner's side at the number of requests that a target runs well; in the played loads it changed no outcome.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -19,6 +19,7 @@
 
 use crate::cold_rate_limit::ColdRateLimit;
 use crate::declared_rate_limit::DeclaredRateLimit;
+use crate::efficient_limit::EfficientLimit;
 use crate::placement::LoadReport;
 use crate::rate_limits::RateLimitKind;
 use crate::rate_limits::RateLimits;
@@ -135,6 +136,7 @@
     routes: IndexMap<SmolStr, f64>,
     /// The mean service time of all runs, in seconds.
     mean: Option<f64>,
+    efficient_limit: EfficientLimit,
 }
 
 impl LocalAdmission {
@@ -151,6 +153,7 @@
             busy_since: None,
             routes: IndexMap::new(),
             mean: None,
+            efficient_limit: EfficientLimit::default(),
         }
     }
 
@@ -300,10 +303,15 @@
     /// Ends a run. `took` is its service time, or `None` if the time is not
     /// representative.
     pub fn finish(&mut self, route: &SmolStr, took: Option<Duration>) {
+        let running = self.running;
         self.running = self.running.saturating_sub(1);
         let Some(took) = took else {
             return;
         };
+        if let Some(mean) = self.routes.get(route) {
+            self.efficient_limit
+                .record(self.limit, running, took, *mean);
+        }
         let took = took.as_secs_f64();
         let mean = self.mean.get_or_insert(took);
         *mean += (took - *mean) * RUN_WEIGHT;
@@ -321,9 +329,16 @@
                 .unwrap_or(MAX_REPORTED_WAIT),
             service_time: self.mean.map(Duration::from_secs_f64),
             cold: self.rates.cold.is_cold(now),
+            efficient_limit: self.efficient_limit.get(),
         }
     }
 
+    /// Returns the mean service time of a route; `None` until its first run has
+    /// ended.
+    pub fn route_service_time(&self, route: &str) -> Option<Duration> {
+        self.routes.get(route).copied().map(Duration::from_secs_f64)
+    }
+
     fn start(&mut self, now: Duration) {
         self.running += 1;
         self.rates.record(now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -14,10 +14,12 @@
 
 pub mod admission;
 pub mod body_admission;
+mod candidate_survey;
 pub mod cold_rate_limit;
 pub mod config;
 pub mod cross_region_budget;
 pub mod declared_rate_limit;
+mod efficient_limit;
 pub mod fingerprint;
 pub mod freshness;
 pub mod leaving_targets;
@@ -37,6 +39,7 @@
 pub mod suspect_record;
 pub mod target;
 mod target_estimate;
+pub mod target_speed;
 pub mod tenant;
 pub mod well_runs;
 
@@ -71,6 +74,7 @@
 pub use suspect_record::TargetEnd;
 pub use target::TargetRecord;
 pub use target::TargetSoftware;
+pub use target_speed::RouteKey;
 pub use tenant::TenantLimit;
 pub use tenant::TenantPolicy;
 pub use well_runs::WellRuns;
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -20,11 +20,15 @@
 use smol_str::SmolStr;
 
 use crate::body_admission::LONG_BODY;
+use crate::candidate_survey::CandidateSurvey;
+use crate::candidate_survey::TargetTimes;
 use crate::cross_region_budget::CrossRegionBudget;
 use crate::link_load;
 use crate::scheduling;
 use crate::target_estimate;
 use crate::target_estimate::TargetEstimate;
+use crate::target_speed::RouteKey;
+use crate::target_speed::RouteTimes;
 
 /// The greatest age of a report that describes the load of a target's link.
 const MAX_LINK_REPORT_AGE: Duration = Duration::from_secs(2);
@@ -50,6 +54,13 @@
 /// The greatest factor by which a long body raises the distance penalty.
 const MAX_PENALTY_FACTOR: f64 = 3.0;
 
+/// The time without a report after which a slow target is probed: its speed may
+/// have changed.
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The fraction of the requests that may be spent on probes of slow targets.
+const PROBE_FRACTION: f64 = 0.01;
+
 /// How long a target is skipped after it did not accept a connection. The time
 /// doubles with each further failure, since each one costs a request its
 /// connection timeout.
@@ -86,6 +97,9 @@
     pub service_time: Option<Duration>,
     /// Whether the target is in its cold phase, in which its rate is limited.
     pub cold: bool,
+    /// The number of concurrent requests above which the throughput of the target
+    /// does not increase; `None` if it increases up to the limit.
+    pub efficient_limit: Option<u32>,
 }
 
 /// The distance of a target from this host, nearest first.
@@ -127,6 +141,8 @@
     pub priority: u32,
     /// The length of the request body in bytes.
     pub body_bytes: u64,
+    /// The route, by which service times are learnt.
+    pub route: RouteKey,
 }
 
 /// The reason why no target was chosen for a request.
@@ -167,12 +183,23 @@
     Cancelled,
 }
 
+/// How requests were placed so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PlacementCounts {
+    /// The placements among candidates that differ in speed.
+    pub by_speed: u64,
+    /// The requests that were sent to a slow target to learn its speed.
+    pub probes: u64,
+}
+
 /// Chooses targets for the requests of one host, from its observations of them.
 #[derive(Debug)]
 pub struct TargetPlacer {
     estimates: IndexMap<SmolStr, TargetEstimate>,
     /// The average round-trip time in seconds, indexed by [`TargetDistance`].
     round_trips: [f64; 4],
+    route_times: RouteTimes,
+    counts: PlacementCounts,
     cross_region: CrossRegionBudget,
     random: Pcg32,
 }
@@ -184,6 +211,8 @@
         TargetPlacer {
             estimates: IndexMap::new(),
             round_trips: INITIAL_ROUND_TRIPS.map(|round_trip| round_trip.as_secs_f64()),
+            route_times: RouteTimes::default(),
+            counts: PlacementCounts::default(),
             cross_region: CrossRegionBudget::default(),
             random: Pcg32::new(seed, 0),
         }
@@ -201,15 +230,15 @@
         request: &PlaceRequest,
         now: Duration,
     ) -> Result<SmolStr, PlacementError> {
-        let fastest = self.fastest(candidates, request, now);
-        let usual_load = self.usual_load(candidates, now);
+        let survey =
+            CandidateSurvey::new(&self.estimates, &self.route_times, candidates, request, now);
         let link_wait = self.cross_region.wait(request.body_bytes, now);
         let mut best: Option<(f64, &PlaceCandidate)> = None;
         let mut best_paused: Option<(f64, &PlaceCandidate)> = None;
+        let mut best_probe: Option<(Duration, &PlaceCandidate)> = None;
         let mut min_excess: Option<Duration> = None;
         for candidate in candidates {
-            let usual = usual_load[candidate.distance as usize];
-            let cost = self.cost(candidate, request, fastest, usual, now);
+            let noise = self.random.random_range(0.0..1.0);
             let estimate = self.estimates.entry(candidate.id.clone()).or_default();
             if estimate.paused_until > now {
                 let until = Duration::as_secs_f64(&estimate.paused_until);
@@ -218,7 +247,16 @@
                 }
                 continue;
             }
-            let mut excess = excess_wait(estimate, candidate, request, fastest, now);
+            let input = CostInput {
+                estimate,
+                candidate,
+                request,
+                times: survey.times(estimate, now),
+                usual: survey.usual_occupied(candidate),
+                round_trip: self.round_trips[candidate.distance as usize],
+                now,
+            };
+            let mut excess = input.excess_wait();
             if candidate.distance == TargetDistance::OtherRegion {
                 excess = excess.max(link_wait);
             }
@@ -226,10 +264,24 @@
                 min_excess = Some(min_excess.map_or(excess, |least| least.min(excess)));
                 continue;
             }
+            let cost = input.cost(noise);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, candidate));
             }
+            if let Some(silence) = input.probe_silence()
+                && best_probe.is_none_or(|(longest, _)| silence > longest)
+            {
+                best_probe = Some((silence, candidate));
+            }
         }
+        if let Some((_, probe)) = best_probe
+            && best.is_some_and(|(_, nearest)| probe.distance <= nearest.distance)
+            && self.random.random_bool(PROBE_FRACTION)
+        {
+            best = Some((0.0, probe));
+            self.counts.probes += 1;
+        }
+        self.counts.by_speed += u64::from(survey.has_speeds());
         // Every candidate may be paused. One that is probably down is still
         // better than none.
         let chosen = match (best, min_excess, best_paused) {
@@ -246,6 +298,11 @@
         Ok(chosen.id.clone())
     }
 
+    /// Returns how requests were placed so far.
+    pub fn counts(&self) -> PlacementCounts {
+        self.counts
+    }
+
     /// Records a load report from the owner of a target.
     pub fn report(&mut self, id: &SmolStr, report: LoadReport, now: Duration) {
         let estimate = self.estimates.entry(id.clone()).or_default();
@@ -255,6 +312,20 @@
         estimate.report = Some((report, now));
     }
 
+    /// Records the mean service time of a route at a target, as reported by its
+    /// owner.
+    pub fn record_route_time(
+        &mut self,
+        id: &SmolStr,
+        route: RouteKey,
+        time: Duration,
+        now: Duration,
+    ) {
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        self.route_times
+            .record(&mut estimate.speed, route, time, now);
+    }
+
     /// Records the rate at which a target's host can still receive bodies that
     /// were not offered first, in bytes a second.
     pub fn record_unoffered_rate(&mut self, id: &SmolStr, rate: f64, now: Duration) {
@@ -346,106 +417,86 @@
         self.estimates
             .retain(|id, estimate| estimate.in_flight > 0 || known(id));
     }
+}
 
-    /// Returns the shortest service time that any candidate reported recently, or
-    /// a default if there is no such report.
-    fn fastest(
-        &self,
-        candidates: &[PlaceCandidate],
-        request: &PlaceRequest,
-        now: Duration,
-    ) -> Duration {
-        let reported = candidates.iter().filter_map(|candidate| {
-            let (report, at) = self.estimates.get(&candidate.id)?.report?;
-            let recent = now.saturating_sub(at) <= target_estimate::MAX_SERVICE_TIME_AGE;
-            report.service_time.filter(|_| recent)
-        });
-        reported.min().unwrap_or(
-            request
-                .objective
-                .mul_f64(scheduling::DEFAULT_SERVICE_FRACTION),
-        )
-    }
-
-    /// Returns the mean load of the recently reported candidates as a fraction of
-    /// their capacity, indexed by [`TargetDistance`]. Few or old reports are not
-    /// taken for the load of all, so with them the result tends to zero.
-    fn usual_load(&self, candidates: &[PlaceCandidate], now: Duration) -> [f64; 4] {
-        let mut loads = [0.0; 4];
-        let mut weights = [0.0; 4];
-        for candidate in candidates {
-            let estimate = self.estimates.get(&candidate.id);
-            let Some((report, at)) = estimate.and_then(|estimate| estimate.report) else {
-                continue;
-            };
-            let weight = target_estimate::report_weight(now.saturating_sub(at));
-            let load = f64::from(report.occupied) / f64::from(candidate.capacity.max(1));
-            loads[candidate.distance as usize] += load * weight;
-            weights[candidate.distance as usize] += weight;
-        }
-        std::array::from_fn(|distance| match weights[distance] {
-            weight if weight > 0.0 => loads[distance] / f64::max(weight, 1.0),
-            _ => 0.0,
-        })
-    }
+/// One candidate with all that its cost depends on.
+#[derive(Debug, Clone, Copy)]
+struct CostInput<'a> {
+    estimate: &'a TargetEstimate,
+    candidate: &'a PlaceCandidate,
+    request: &'a PlaceRequest,
+    times: TargetTimes,
+    /// The number of requests that usually run or wait at a candidate.
+    usual: f64,
+    /// The average round-trip time in seconds.
+    round_trip: f64,
+    now: Duration,
+}
 
-    fn cost(
-        &mut self,
-        candidate: &PlaceCandidate,
-        request: &PlaceRequest,
-        fastest: Duration,
-        usual_load: f64,
-        now: Duration,
-    ) -> f64 {
-        let estimate = self.estimates.entry(candidate.id.clone()).or_default();
-        let objective = request.objective.as_secs_f64();
-        let service_time = estimate.service_time(fastest, now);
-        let usual = usual_load * f64::from(candidate.capacity);
-        let wait = estimate.wait(candidate.capacity, usual, service_time, now);
+impl CostInput<'_> {
+    /// Returns the expected time until the answer in seconds, with the penalties
+    /// for failures, distance and scarcity. `noise` is random, in `0.0..1.0`.
+    fn cost(&self, noise: f64) -> f64 {
+        let estimate = self.estimate;
+        let candidate = self.candidate;
+        let now = self.now;
+        let objective = self.request.objective.as_secs_f64();
+        let limit = estimate.efficient_capacity(candidate.capacity, now);
+        let wait = estimate.wait(limit, self.usual, self.times.mean, now);
         let failures = estimate.failure_rate(now) * objective;
-        let body_factor = 1.0 + request.body_bytes as f64 / PENALTY_DOUBLING_BYTES;
-        let distance_penalty = match candidate.distance {
-            TargetDistance::SameHost | TargetDistance::SameDomain => 0.0,
-            TargetDistance::SameRegion => OTHER_DOMAIN_PENALTY,
-            TargetDistance::OtherRegion => OTHER_REGION_PENALTY,
-        };
-        let distance_penalty = distance_penalty * body_factor.min(MAX_PENALTY_FACTOR) * objective;
-        let scarce_penalty = if candidate.is_scarce {
-            let occupied = estimate.occupied(usual, now) / f64::from(candidate.capacity.max(1));
-            let scarcity = (occupied.min(1.0) - SCARCE_LOAD).max(0.0) / (1.0 - SCARCE_LOAD);
-            SCARCE_PENALTY * scarcity * objective
-        } else {
-            0.0
-        };
-        let transfer = estimate.transfer_time(request.body_bytes, now);
+        let transfer = estimate.transfer_time(self.request.body_bytes, now);
         let added_delay = (transfer + estimate.delay(now)).as_secs_f64();
-        let round_trip = self.round_trips[candidate.distance as usize] + added_delay;
         // Random noise keeps senders from all choosing the same one of several
         // targets at about the same cost.
-        let spread = service_time.as_secs_f64() / f64::from(candidate.capacity.max(1));
-        let noise = self.random.random_range(0.0..1.0) * spread;
-        round_trip
-            + service_time.as_secs_f64()
+        let spread = self.times.mean.as_secs_f64() / f64::from(candidate.capacity.max(1));
+        self.round_trip
+            + added_delay
+            + self.times.run.as_secs_f64()
             + wait.as_secs_f64()
             + failures
-            + distance_penalty
-            + scarce_penalty
-            + noise
+            + self.distance_penalty()
+            + self.scarce_penalty()
+            + noise * spread
     }
-}
 
-/// Returns by how much the expected wait exceeds the allowed wait.
-fn excess_wait(
-    estimate: &TargetEstimate,
-    candidate: &PlaceCandidate,
-    request: &PlaceRequest,
-    fastest: Duration,
-    now: Duration,
-) -> Duration {
-    let service_time = estimate.service_time(fastest, now);
-    // Without a recent report the target may have room, so it is not ruled out.
-    let wait = estimate.wait(candidate.capacity, 0.0, service_time, now);
-    let allowed = scheduling::allowed_wait(request.patience, service_time, request.priority);
-    let transfer = estimate.transfer_time(request.body_bytes, now);
-    (wait + transfer + estimate.delay(now)).saturating_sub(allowed)
+    fn distance_penalty(&self) -> f64 {
+        let body_factor = 1.0 + self.request.body_bytes as f64 / PENALTY_DOUBLING_BYTES;
+        let penalty = match self.candidate.distance {
+            TargetDistance::SameHost | TargetDistance::SameDomain => 0.0,
+            TargetDistance::SameRegion => OTHER_DOMAIN_PENALTY,
+            TargetDistance::OtherRegion => OTHER_REGION_PENALTY,
+        };
+        penalty * body_factor.min(MAX_PENALTY_FACTOR) * self.request.objective.as_secs_f64()
+    }
+
+    fn scarce_penalty(&self) -> f64 {
+        if !self.candidate.is_scarce {
+            return 0.0;
+        }
+        let capacity = f64::from(self.candidate.capacity.max(1));
+        let occupied = self.estimate.occupied(self.usual, self.now) / capacity;
+        let scarcity = (occupied.min(1.0) - SCARCE_LOAD).max(0.0) / (1.0 - SCARCE_LOAD);
+        SCARCE_PENALTY * scarcity * self.request.objective.as_secs_f64()
+    }
+
+    /// Returns by how much the expected wait exceeds the allowed wait.
+    fn excess_wait(&self) -> Duration {
+        let estimate = self.estimate;
+        let request = self.request;
+        let limit = estimate.capacity(self.candidate.capacity, self.now);
+        // Without a recent report the target may have room, so it is not ruled
+        // out.
+        let wait = estimate.wait(limit, 0.0, self.times.mean, self.now);
+        let allowed = scheduling::allowed_wait(request.patience, self.times.run, request.priority);
+        let transfer = estimate.transfer_time(request.body_bytes, self.now);
+        (wait + transfer + estimate.delay(self.now)).saturating_sub(allowed)
+    }
+
+    /// Returns for how long a slow target has sent no report, if a request may be
+    /// spent on learning whether it is still slow.
+    fn probe_silence(&self) -> Option<Duration> {
+        let in_time = self.times.run * 2 <= self.request.objective;
+        let silence = self.estimate.speed.silence(self.now)?;
+        (self.times.is_slow && in_time && silence >= PROBE_INTERVAL).then_some(silence)
+    }
 }
--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -4,6 +4,7 @@
 
 use crate::body_admission::LONG_BODY;
 use crate::placement::LoadReport;
+use crate::target_speed::TargetSpeed;
 
 /// The weight of one answer in the moving averages of a target.
 pub(crate) const ANSWER_WEIGHT: f64 = 0.15;
@@ -63,6 +64,7 @@
     /// By how much recent short requests exceeded the usual round-trip time, in
     /// seconds, and when it was updated.
     delay: Option<(f64, Duration)>,
+    pub(crate) speed: TargetSpeed,
 }
 
 impl TargetEstimate {
@@ -134,22 +136,31 @@
 
     /// Returns the number of requests that the target runs concurrently: as
     /// registered, or fewer if its owner reported so recently.
-    fn capacity(&self, registered: u32, now: Duration) -> u32 {
+    pub(crate) fn capacity(&self, registered: u32, now: Duration) -> u32 {
         let recent = self
             .report
             .filter(|(_, at)| now.saturating_sub(*at) <= MAX_LIMIT_AGE);
         recent.map_or(registered, |(report, _)| registered.min(report.limit))
     }
 
-    /// Returns the expected wait of one more request.
+    /// Returns the number of requests that the target runs well, which is at most
+    /// [`TargetEstimate::capacity`].
+    pub(crate) fn efficient_capacity(&self, registered: u32, now: Duration) -> u32 {
+        let capacity = self.capacity(registered, now);
+        let efficient = self.report.and_then(|(report, _)| report.efficient_limit);
+        efficient.map_or(capacity, |efficient| capacity.min(efficient))
+    }
+
+    /// Returns the expected wait of one more request at a target that runs `limit`
+    /// requests concurrently.
     pub(crate) fn wait(
         &self,
-        registered: u32,
+        limit: u32,
         usual: f64,
         service_time: Duration,
         now: Duration,
     ) -> Duration {
-        let limit = f64::from(self.capacity(registered, now).max(1));
+        let limit = f64::from(limit.max(1));
         let reported_wait = self.report.map_or(Duration::ZERO, |(report, at)| {
             report.wait.saturating_sub(now.saturating_sub(at))
         });
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -2,6 +2,7 @@
 
 use radishgauge_mesh::LoadReport;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RouteKey;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
@@ -14,6 +15,7 @@
     patience: Duration::from_millis(500),
     priority: 0,
     body_bytes: 0,
+    route: RouteKey::UNKNOWN,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -44,6 +46,7 @@
         wait: ms(wait),
         service_time: Some(ms(service_time)),
         cold: false,
+        efficient_limit: None,
     }
 }
 
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -15,6 +15,7 @@
 use radishgauge_mesh::LinkLoad;
 use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RouteKey;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::admission::WaitKey;
 use radishgauge_mesh::placement::PlaceCandidate;
@@ -272,6 +273,7 @@
             patience: objective,
             priority: 1,
             body_bytes: BODY_BYTES,
+            route: RouteKey::UNKNOWN,
         };
         let placer = &mut self.placers[state.sender];
         let chosen = match placer.place(&candidates, &request, now) {
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -8,9 +8,11 @@
 use http::StatusCode;
 use http::header;
 use radishgauge_events::events;
+use radishgauge_mesh::LoadReport;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::RouteKey;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
@@ -313,6 +315,7 @@
             patience,
             priority: self.route.priority,
             body_bytes: self.request.body.len() as u64,
+            route: self.route_key(),
         };
         let id = self.node.placer().place(&places, &request, now)?;
         candidates
@@ -321,6 +324,10 @@
             .ok_or(PlacementError::NoTarget)
     }
 
+    fn route_key(&self) -> RouteKey {
+        RouteKey::new(&self.service, &self.route.name)
+    }
+
     fn is_call(&self) -> bool {
         matches!(self.origin, RequestOrigin::Run { .. })
     }
@@ -371,7 +378,8 @@
         let (outcome, spent) = if candidate.place.distance == TargetDistance::SameHost {
             let outcome = self.node.owner.run(&self.request, &head, None).await;
             let load = self.node.owner.report();
-            self.node.placer().report(id, load, self.node.now());
+            let route_time = self.node.owner.route_service_time(&self.route.name);
+            self.record_load(id, load, route_time);
             if self.node.owner.is_leaving(id) {
                 self.node.mark_leaving(id);
             }
@@ -382,10 +390,12 @@
             let hop = self.send_to_peer(candidate, head, &progress).await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
-                let mut placer = self.node.placer();
-                placer.report(id, hop::load_from_report(report), now);
-                placer.record_unoffered_rate(id, report.unoffered_rate as f64, now);
-                drop(placer);
+                let load = hop::load_from_report(report);
+                self.record_load(id, load, hop::route_service_time(report));
+                let unoffered_rate = report.unoffered_rate as f64;
+                self.node
+                    .placer()
+                    .record_unoffered_rate(id, unoffered_rate, now);
                 if report.leaving {
                     self.node.mark_leaving(id);
                 }
@@ -406,6 +416,17 @@
         outcome
     }
 
+    /// Records what the owner of a target reports of its load and of the service
+    /// time of this request's route.
+    fn record_load(&self, id: &SmolStr, load: LoadReport, route_time: Option<Duration>) {
+        let now = self.node.now();
+        let mut placer = self.node.placer();
+        placer.report(id, load, now);
+        if let Some(time) = route_time {
+            placer.record_route_time(id, self.route_key(), time, now);
+        }
+    }
+
     /// Sends the request to the owner on another host, and offers it first if its
     /// body would load a link.
     async fn send_to_peer(
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -90,9 +90,15 @@
         wait: Duration::from_micros(report.wait_us),
         service_time: (report.service_us > 0).then(|| Duration::from_micros(report.service_us)),
         cold: report.cold,
+        efficient_limit: (report.efficient_limit > 0).then_some(report.efficient_limit),
     }
 }
 
+/// Returns the mean service time of the request's route, if the owner reported it.
+pub fn route_service_time(report: &HopReport) -> Option<Duration> {
+    (report.route_service_us > 0).then(|| Duration::from_micros(report.route_service_us))
+}
+
 /// Returns the time after which the owner may have capacity, if it reported one.
 pub fn retry_after(report: &HopReport) -> Option<Duration> {
     (report.retry_after_us > 0).then(|| Duration::from_micros(report.retry_after_us))
@@ -107,6 +113,7 @@
         wait_us: micros(load.wait),
         service_us: load.service_time.map_or(0, micros),
         cold: load.cold,
+        efficient_limit: load.efficient_limit.unwrap_or_default(),
         ..HopReport::default()
     }
 }
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -189,6 +189,8 @@
         };
         let age = node.freshness().age(node.now()).unwrap_or(Duration::MAX);
         let counters = &node.owner.suspect_counters;
+        let placements = node.placer().counts();
+        let efficient_limit = load.efficient_limit.unwrap_or_default();
         let gauges = [
             ("state_revision", node.position().revision),
             ("state_era", node.position().era),
@@ -197,6 +199,10 @@
             ("domains_out", evacuated),
             ("target_occupied", u64::from(load.occupied)),
             ("target_limit", u64::from(load.limit)),
+            // 0 while no number of concurrent requests is known to slow the target.
+            ("target_efficient_limit", u64::from(efficient_limit)),
+            ("placements_by_speed", placements.by_speed),
+            ("placement_probes", placements.probes),
             ("target_wait_ms", load.wait.as_millis() as u64),
             ("target_cold", u64::from(load.cold)),
             // In requests per 1,000 s; 0 if the target declares no limit.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -338,6 +338,10 @@
     /// request with the head `head`.
     pub fn hop_report(&self, head: &HopHead) -> HopReport {
         let mut report = hop::report_from_load(&self.owner.report());
+        report.route_service_us = self
+            .owner
+            .route_service_time(&head.route)
+            .map_or(0, hop::micros);
         report.unoffered_rate = self.link().unoffered_rate(self.now()) as u64;
         let position = self.position();
         report.revision = position.revision;
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -153,6 +153,11 @@
         self.state().admission.report(self.clock.now())
     }
 
+    /// Returns the mean service time of a route, if one is known.
+    pub fn route_service_time(&self, route: &str) -> Option<Duration> {
+        self.state().admission.route_service_time(route)
+    }
+
     /// Returns the numbers of running and of waiting requests.
     pub fn load(&self) -> (u32, usize) {
         let state = self.state();
