Use a changed address of the store

Cause: the store's client was made once, with the address of the first settings, and a reload did not tell it. Changed listening addresses were taken over in part. Change: the reader of the store compares its address with the settings before each step, and gives up a step that waits at the former address (RG6112). State, position and the greatest era are kept. Settings that need a restart keep the values in force, and RG6007 names them. Ruled out: a full read after a move, which an era or history that differs brings about anyway; a restart, which cuts requests off.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -73,6 +73,7 @@
     SETTINGS_RELOADED = 6004, Info, "settings reloaded", "service, target", "None.";
     SETTINGS_REFUSED = 6005, Error, "settings refused", "fault", "Correct the field; the previous settings stay in force.";
     READY_CHANGED = 6006, Info, "readiness changed", "ready, reason", "None.";
+    SETTING_UNAPPLIED = 6007, Warn, "changed setting is not applied", "field, in_force, in_file", "Restart the daemon, which then uses the value of the file.";
     STORE_LOST = 6101, Warn, "store cannot be read", "error, revision", "Check the platform's store; the daemon keeps its state, or receives it from peers.";
     STORE_REGAINED = 6102, Info, "store can be read again", "revision, away_ms", "None.";
     ITEM_UNREADABLE = 6103, Warn, "store item cannot be decoded", "item", "None; another program wrote the item, and it is ignored.";
@@ -84,6 +85,7 @@
     STORE_RESTORED = 6109, Warn, "store has come back from a copy", "from, to, kept, source", "What the store has lost must be written again; `kept` items hold meanwhile. Positions are written as era/revision.";
     STATE_UNCONFIRMED = 6110, Warn, "state is not confirmed by the store in time", "age_ms, role, revision", "The daemon may lack changes that are in force elsewhere. If RG6101 names no fault of the store, look at the daemon that `role` names and at the one that it follows in turn.";
     STATE_CONFIRMED = 6111, Info, "state is confirmed by the store again", "after_ms, role, revision", "None.";
+    STORE_MOVED = 6112, Info, "store is read at another address", "from, to, revision", "None; the settings name the new address. The known state and its position are kept.";
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_RESTART_SUSPECTED = 6203, Info, "target is treated as cold until its next health check", "reason", "None; it may have crashed and restarted.";
--- a/crates/sidecar/src/follow.rs
+++ b/crates/sidecar/src/follow.rs
@@ -76,7 +76,7 @@
 }
 
 /// Receives updates from the store or from the followed daemon. Never returns.
-pub async fn run(node: Arc<SidecarNode>, store: StoreClient) {
+pub async fn run(node: Arc<SidecarNode>, mut store: StoreClient) {
     let mut outage: Option<StoreOutage> = None;
     let mut backoff = INITIAL_BACKOFF;
     // A full read is needed when the store no longer has the history since the
@@ -90,7 +90,22 @@
             let revision = node.position();
             events::STATE_SOURCE_CHANGED.emit(format_args!("role={role:?} revision={revision}"));
         }
-        let outcome = step(&node, &store, role, full_read_due).await;
+        let address = node.settings().store_address;
+        if store.address() != address {
+            events::STORE_MOVED.emit(format_args!(
+                "from={} to={address} revision={}",
+                store.address(),
+                node.position()
+            ));
+            store.move_to(address);
+            backoff = INITIAL_BACKOFF;
+        }
+        let outcome = tokio::select! {
+            biased;
+            // A call to the former address may not be answered any more.
+            () = node.store_moved.notified() => continue,
+            outcome = step(&node, &store, role, full_read_due) => outcome,
+        };
         if !has_state && node.position().is_known() {
             tokio::spawn(state_exchange::fetch_first(Arc::clone(&node)));
         }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -57,6 +57,8 @@
     pub metrics: SidecarMetrics,
     /// Wakes the state exchange when a peer reports a newer state.
     pub newer_state: Notify,
+    /// Wakes the reader of the store when the store's address has changed.
+    pub(crate) store_moved: Notify,
     known: Mutex<KnownState>,
     placer: Mutex<TargetPlacer>,
     budget: Mutex<RetryBudget>,
@@ -109,6 +111,7 @@
             request_log: RequestLog::default(),
             metrics: SidecarMetrics::default(),
             newer_state: Notify::new(),
+            store_moved: Notify::new(),
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
             newest_report: Mutex::default(),
@@ -134,17 +137,27 @@
         self.settings.load_full()
     }
 
-    /// Applies changed settings. The addresses on which this daemon listens do
-    /// not change.
-    pub fn reload(&self, settings: HostSettings) {
+    /// Applies changed settings, and logs those that take effect at the next start.
+    pub fn reload(&self, changed: HostSettings) {
         let before = self.settings();
         let now = self.now();
+        let mut settings = HostSettings::clone(&before);
+        for setting in settings.apply(changed) {
+            events::SETTING_UNAPPLIED.emit(format_args!(
+                "field={} in_force={} in_file={}",
+                setting.field, setting.in_force, setting.in_file
+            ));
+        }
         if before.target_address != settings.target_address {
             self.owner.set_target(settings.target_address);
         }
         self.budget().configure(settings.retry_limits);
         self.link().set_capacity(settings.link_rate);
+        let is_store_moved = before.store_address != settings.store_address;
         self.settings.store(Arc::new(settings));
+        if is_store_moved {
+            self.store_moved.notify_one();
+        }
         let known = self.known();
         self.owner.refresh(&self.settings(), &known.table, now);
     }
