Take the length of answers into account

Leases, the budget between regions and the distance penalty considered the bodies of requests only. A target with free slots ran requests whose answers its host's link could not send; the time to send them looked like a delay of the host and like a full link between regions.

Daemons learn the mean length of the answers of each route. From 16 KiB on, the length counts in the distance penalty, in a budget of its own between regions and as time on the links of both hosts; owners report the rate at which they can send an answer (HopReport.send_rate). The daemon beside a target refuses a request before it runs if its answer could not be sent within two thirds of the objective that is left. Using up all of that time was tried: refusals then came back too late for another host.

--- a/crates/mesh/examples/placement_cost.rs
+++ b/crates/mesh/examples/placement_cost.rs
@@ -54,6 +54,7 @@
         priority: 0,
         body_bytes: 0,
         route,
+        receive_rate: u64::MAX,
     };
     let start = Instant::now();
     for _ in 0..PLACEMENTS {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -13,6 +13,8 @@
 //! platform's messages into the types of this crate.
 
 pub mod admission;
+pub mod answer_lengths;
+pub mod answer_link;
 pub mod body_admission;
 mod candidate_survey;
 pub mod cold_rate_limit;
@@ -46,6 +48,9 @@
 pub use admission::AdmissionDecision;
 pub use admission::AdmissionRequest;
 pub use admission::LocalAdmission;
+pub use answer_lengths::AnswerLengths;
+pub use answer_link::AnswerLease;
+pub use answer_link::AnswerLink;
 pub use cold_rate_limit::ColdRateLimit;
 pub use config::MeshConfig;
 pub use config::MeshRoute;
--- a/crates/mesh/src/link_load.rs
+++ b/crates/mesh/src/link_load.rs
@@ -95,6 +95,11 @@
         (self.capacity - self.sent.get(now)).max(0.0)
     }
 
+    /// Returns the rate at which this host can still receive, in bytes a second.
+    pub fn free_receive_rate(&self, now: Duration) -> f64 {
+        (self.capacity - self.received.get(now)).max(0.0)
+    }
+
     /// Returns the rate at which this host can still receive bodies that were not
     /// offered, in bytes a second; 0 if too many of them are refused.
     pub fn unoffered_rate(&self, now: Duration) -> f64 {
@@ -102,7 +107,7 @@
         if refused > self.capacity * MAX_REFUSED_FRACTION * OFFER_ALL_SHARE {
             return 0.0;
         }
-        (self.capacity - self.received.get(now)).max(0.0)
+        self.free_receive_rate(now)
     }
 }
 
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -19,6 +19,7 @@
 use rand_pcg::Pcg32;
 use smol_str::SmolStr;
 
+use crate::answer_lengths::AnswerLengths;
 use crate::body_admission::LONG_BODY;
 use crate::candidate_survey::CandidateSurvey;
 use crate::candidate_survey::TargetTimes;
@@ -48,10 +49,10 @@
 /// Below it, there is room for all.
 const SCARCE_LOAD: f64 = 0.7;
 
-/// The length of a body that doubles the distance penalty, in bytes.
+/// The length of a body and its answer that doubles the distance penalty, in bytes.
 const PENALTY_DOUBLING_BYTES: f64 = 32_768.0;
 
-/// The greatest factor by which a long body raises the distance penalty.
+/// The greatest factor by which a long body or answer raises the distance penalty.
 const MAX_PENALTY_FACTOR: f64 = 3.0;
 
 /// The time without a report after which a slow target is probed: its speed may
@@ -141,8 +142,11 @@
     pub priority: u32,
     /// The length of the request body in bytes.
     pub body_bytes: u64,
-    /// The route, by which service times are learnt.
+    /// The route, by which service times and the length of answers are learnt.
     pub route: RouteKey,
+    /// The rate at which this host can still receive, in bytes a second;
+    /// `u64::MAX` if it is unknown.
+    pub receive_rate: u64,
 }
 
 /// The reason why no target was chosen for a request.
@@ -165,6 +169,8 @@
         /// The time from sending to the answer, less the time that the owner
         /// accounted for.
         round_trip: Duration,
+        /// The length of the answer's body in bytes.
+        answer_bytes: u64,
     },
     /// The target failed the request, or its answer was lost.
     Failed,
@@ -200,7 +206,10 @@
     round_trips: [f64; 4],
     route_times: RouteTimes,
     counts: PlacementCounts,
+    answer_lengths: AnswerLengths,
     cross_region: CrossRegionBudget,
+    /// The budget for long answers from other regions.
+    cross_region_answers: CrossRegionBudget,
     random: Pcg32,
 }
 
@@ -213,7 +222,9 @@
             round_trips: INITIAL_ROUND_TRIPS.map(|round_trip| round_trip.as_secs_f64()),
             route_times: RouteTimes::default(),
             counts: PlacementCounts::default(),
+            answer_lengths: AnswerLengths::default(),
             cross_region: CrossRegionBudget::default(),
+            cross_region_answers: CrossRegionBudget::default(),
             random: Pcg32::new(seed, 0),
         }
     }
@@ -232,7 +243,10 @@
     ) -> Result<SmolStr, PlacementError> {
         let survey =
             CandidateSurvey::new(&self.estimates, &self.route_times, candidates, request, now);
+        let answer_bytes = self.answer_lengths.long(request.route);
         let link_wait = self.cross_region.wait(request.body_bytes, now);
+        let answer_wait = self.cross_region_answers.wait(answer_bytes, now);
+        let link_wait = link_wait.max(answer_wait);
         let mut best: Option<(f64, &PlaceCandidate)> = None;
         let mut best_paused: Option<(f64, &PlaceCandidate)> = None;
         let mut best_probe: Option<(Duration, &PlaceCandidate)> = None;
@@ -253,6 +267,10 @@
                 request,
                 times: survey.times(estimate, now),
                 usual: survey.usual_occupied(candidate),
+                answer_bytes: match candidate.distance {
+                    TargetDistance::SameHost => 0,
+                    _ => answer_bytes,
+                },
                 round_trip: self.round_trips[candidate.distance as usize],
                 now,
             };
@@ -292,6 +310,7 @@
         };
         if chosen.distance == TargetDistance::OtherRegion {
             self.cross_region.record_sent(request.body_bytes, now);
+            self.cross_region_answers.record_sent(answer_bytes, now);
         }
         let estimate = self.estimates.entry(chosen.id.clone()).or_default();
         estimate.in_flight += 1;
@@ -333,6 +352,23 @@
         estimate.unoffered_rate = Some((rate, now));
     }
 
+    /// Records the rate at which a target's host can send a long answer, in bytes a
+    /// second.
+    pub fn record_send_rate(&mut self, id: &SmolStr, rate: f64, now: Duration) {
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.send_rate = Some((rate, now));
+    }
+
+    /// Records the length of an answer on a route in bytes.
+    pub fn record_answer_length(&mut self, route: RouteKey, bytes: u64) {
+        self.answer_lengths.record(route, bytes);
+    }
+
+    /// Returns the number of routes whose answers are long.
+    pub fn long_answer_routes(&self) -> usize {
+        self.answer_lengths.long_routes()
+    }
+
     /// Returns whether a request must be offered to a target's owner before its
     /// body is sent. `send_rate` is what this host's link can still send, in bytes
     /// a second. A target without a recent report may be fully occupied.
@@ -364,23 +400,22 @@
         now: Duration,
     ) {
         if distance == TargetDistance::OtherRegion {
-            match outcome {
-                SendOutcome::Served { round_trip } => self
-                    .cross_region
-                    .record_round_trip(round_trip, body_bytes, now),
-                SendOutcome::TimedOut { .. } => self.cross_region.record_timeout(now),
-                _ => {}
-            }
+            self.record_cross_region(body_bytes, outcome, now);
         }
         let estimate = self.estimates.entry(id.clone()).or_default();
         estimate.in_flight = estimate.in_flight.saturating_sub(1);
         match outcome {
-            SendOutcome::Served { round_trip } => {
+            SendOutcome::Served {
+                round_trip,
+                answer_bytes,
+            } => {
                 estimate.record_failure(false, now);
                 if distance == TargetDistance::SameHost {
                     // The request did not use a link.
                 } else if body_bytes >= LONG_BODY {
                     estimate.record_transfer(body_bytes, round_trip, now);
+                } else if answer_bytes >= LONG_BODY {
+                    estimate.record_answer(answer_bytes, round_trip, now);
                 } else {
                     let average = &mut self.round_trips[distance as usize];
                     let usual = Duration::from_secs_f64(*average);
@@ -408,6 +443,30 @@
         }
     }
 
+    /// Records the outcome of a request to another region in the budgets for bodies
+    /// and for long answers.
+    fn record_cross_region(&mut self, body_bytes: u64, outcome: SendOutcome, now: Duration) {
+        match outcome {
+            SendOutcome::Served {
+                round_trip,
+                answer_bytes,
+            } if answer_bytes >= LONG_BODY => {
+                // The answers of a route are about as long, so that their
+                // round-trip times are comparable with each other.
+                self.cross_region_answers
+                    .record_round_trip(round_trip, 0, now);
+            }
+            SendOutcome::Served { round_trip, .. } => self
+                .cross_region
+                .record_round_trip(round_trip, body_bytes, now),
+            SendOutcome::TimedOut { .. } => {
+                self.cross_region.record_timeout(now);
+                self.cross_region_answers.record_timeout(now);
+            }
+            _ => {}
+        }
+    }
+
     /// Drops the observations of targets for which `known` returns false, unless
     /// requests are in flight there.
     pub fn retain<F>(&mut self, mut known: F)
@@ -428,6 +487,9 @@
     times: TargetTimes,
     /// The number of requests that usually run or wait at a candidate.
     usual: f64,
+    /// The expected length of a long answer that is sent over links; 0 if there is
+    /// none.
+    answer_bytes: u64,
     /// The average round-trip time in seconds.
     round_trip: f64,
     now: Duration,
@@ -445,7 +507,7 @@
         let wait = estimate.wait(limit, self.usual, self.times.mean, now);
         let failures = estimate.failure_rate(now) * objective;
         let transfer = estimate.transfer_time(self.request.body_bytes, now);
-        let added_delay = (transfer + estimate.delay(now)).as_secs_f64();
+        let added_delay = (transfer + self.answer_time() + estimate.delay(now)).as_secs_f64();
         // Random noise keeps senders from all choosing the same one of several
         // targets at about the same cost.
         let spread = self.times.mean.as_secs_f64() / f64::from(candidate.capacity.max(1));
@@ -459,8 +521,23 @@
             + noise * spread
     }
 
+    /// Returns the expected time to receive a long answer: as observed, or as reported
+    /// if that is longer.
+    fn answer_time(&self) -> Duration {
+        if self.answer_bytes == 0 {
+            return Duration::ZERO;
+        }
+        let observed = self.estimate.answer_time(self.answer_bytes, self.now);
+        let receive_rate = self.request.receive_rate;
+        let reported =
+            self.estimate
+                .reported_answer_time(self.answer_bytes, receive_rate, self.now);
+        observed.max(reported)
+    }
+
     fn distance_penalty(&self) -> f64 {
-        let body_factor = 1.0 + self.request.body_bytes as f64 / PENALTY_DOUBLING_BYTES;
+        let bytes = self.request.body_bytes + self.answer_bytes;
+        let body_factor = 1.0 + bytes as f64 / PENALTY_DOUBLING_BYTES;
         let penalty = match self.candidate.distance {
             TargetDistance::SameHost | TargetDistance::SameDomain => 0.0,
             TargetDistance::SameRegion => OTHER_DOMAIN_PENALTY,
@@ -489,7 +566,7 @@
         let wait = estimate.wait(limit, 0.0, self.times.mean, self.now);
         let allowed = scheduling::allowed_wait(request.patience, self.times.run, request.priority);
         let transfer = estimate.transfer_time(request.body_bytes, self.now);
-        (wait + transfer + estimate.delay(self.now)).saturating_sub(allowed)
+        (wait + transfer + self.answer_time() + estimate.delay(self.now)).saturating_sub(allowed)
     }
 
     /// Returns for how long a slow target has sent no report, if a request may be
--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -26,6 +26,9 @@
 /// links fill up fast.
 const TRANSFER_RATE_WEIGHT: f64 = 0.3;
 
+/// The greatest age of a reported rate of long answers.
+const MAX_SEND_RATE_AGE: Duration = Duration::from_secs(1);
+
 /// The factor by which an estimated transfer rate grows for each second of its
 /// age.
 const TRANSFER_RATE_GROWTH: f64 = 1.5;
@@ -61,6 +64,12 @@
     /// The rate at which the target's host can still receive bodies that were not
     /// offered, in bytes a second, and when it was reported.
     pub(crate) unoffered_rate: Option<(f64, Duration)>,
+    /// The transfer rate of recent long answers in bytes a second, and when it was
+    /// updated.
+    answer_rate: Option<(f64, Duration)>,
+    /// The rate at which the target's host can send a long answer, in bytes a second,
+    /// and when it was reported.
+    pub(crate) send_rate: Option<(f64, Duration)>,
     /// By how much recent short requests exceeded the usual round-trip time, in
     /// seconds, and when it was updated.
     delay: Option<(f64, Duration)>,
@@ -68,19 +77,33 @@
 }
 
 impl TargetEstimate {
-    /// Returns the expected time to send a body to the target's host. The
-    /// estimated rate grows with its age, so that a link which was full is tried
-    /// again.
+    /// Returns the expected time to send a body to the target's host.
     pub(crate) fn transfer_time(&self, body_bytes: u64, now: Duration) -> Duration {
-        match self.transfer_rate {
-            Some((transfer_rate, at)) if body_bytes >= LONG_BODY => {
-                let age = now.saturating_sub(at).as_secs_f64();
-                Duration::from_secs_f64(
-                    body_bytes as f64 / (transfer_rate * TRANSFER_RATE_GROWTH.powf(age)),
-                )
-            }
-            _ => Duration::ZERO,
-        }
+        transfer_time(self.transfer_rate, body_bytes, now)
+    }
+
+    /// Returns the expected time to receive an answer from the target's host.
+    pub(crate) fn answer_time(&self, answer_bytes: u64, now: Duration) -> Duration {
+        transfer_time(self.answer_rate, answer_bytes, now)
+    }
+
+    /// Returns the time to receive a long answer as reported: with those that this
+    /// host has requested since the report. `receive_rate` is what this host can
+    /// receive.
+    pub(crate) fn reported_answer_time(
+        &self,
+        answer_bytes: u64,
+        receive_rate: u64,
+        now: Duration,
+    ) -> Duration {
+        let recent = self
+            .send_rate
+            .filter(|(_, at)| now.saturating_sub(*at) <= MAX_SEND_RATE_AGE);
+        let send_rate = recent.map_or(f64::MAX, |(rate, _)| rate);
+        let rate = send_rate.min(receive_rate as f64).max(1.0);
+        let requested = self.in_flight.saturating_sub(self.in_flight_at_report);
+        let bytes = answer_bytes as f64 * f64::from(requested + 1);
+        Duration::from_secs_f64(bytes / rate)
     }
 
     /// Returns the recent delay beyond the usual round trip and the service time.
@@ -98,14 +121,11 @@
     }
 
     pub(crate) fn record_transfer(&mut self, body_bytes: u64, round_trip: Duration, now: Duration) {
-        let transfer_rate = body_bytes as f64 / round_trip.as_secs_f64().max(1e-3);
-        let average = self
-            .transfer_rate
-            .map_or(transfer_rate, |(average, _)| average);
-        self.transfer_rate = Some((
-            average + (transfer_rate - average) * TRANSFER_RATE_WEIGHT,
-            now,
-        ));
+        record_rate(&mut self.transfer_rate, body_bytes, round_trip, now);
+    }
+
+    pub(crate) fn record_answer(&mut self, answer_bytes: u64, round_trip: Duration, now: Duration) {
+        record_rate(&mut self.answer_rate, answer_bytes, round_trip, now);
     }
 
     pub(crate) fn failure_rate(&self, now: Duration) -> f64 {
@@ -182,6 +202,29 @@
     }
 }
 
+/// Returns the expected time of a transfer at a rate that was updated at a time. The
+/// rate grows with its age, so that a link which was full is tried again.
+fn transfer_time(rate: Option<(f64, Duration)>, bytes: u64, now: Duration) -> Duration {
+    match rate {
+        Some((rate, at)) if bytes >= LONG_BODY => {
+            let age = now.saturating_sub(at).as_secs_f64();
+            Duration::from_secs_f64(bytes as f64 / (rate * TRANSFER_RATE_GROWTH.powf(age)))
+        }
+        _ => Duration::ZERO,
+    }
+}
+
+fn record_rate(
+    rate: &mut Option<(f64, Duration)>,
+    bytes: u64,
+    round_trip: Duration,
+    now: Duration,
+) {
+    let sample = bytes as f64 / round_trip.as_secs_f64().max(1e-3);
+    let average = rate.map_or(sample, |(average, _)| average);
+    *rate = Some((average + (sample - average) * TRANSFER_RATE_WEIGHT, now));
+}
+
 /// Returns the weight of a report of this age.
 pub(crate) fn report_weight(age: Duration) -> f64 {
     (-age.as_secs_f64() / REPORT_DECAY_TIME.as_secs_f64()).exp()
--- a/crates/mesh/src/target_speed.rs
+++ b/crates/mesh/src/target_speed.rs
@@ -5,7 +5,7 @@
 //! separates both: the logarithm of a reported time is the sum of the typical
 //! time of the route and the slowness of the target.
 //!
-//! Targets also have slow periods of about [`SLOW_PERIOD`]. A change counts as
+//! Targets also have slow periods of about 600 ms. A change counts as
 //! such a period first and is forgotten after that time. Only what persists
 //! changes the slowness, which is an average over the time in which the target
 //! was observed. Its uncertainty follows from the number of slow periods that
--- a/crates/mesh/tests/mesh/fleet.rs
+++ b/crates/mesh/tests/mesh/fleet.rs
@@ -8,10 +8,15 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use radishgauge_mesh::AdmissionDecision;
 use radishgauge_mesh::AdmissionRequest;
+use radishgauge_mesh::AnswerLease;
+use radishgauge_mesh::AnswerLengths;
+use radishgauge_mesh::AnswerLink;
+use radishgauge_mesh::LinkLoad;
 use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::RouteKey;
@@ -76,6 +81,8 @@
     pub with_slow_periods: bool,
     /// What a host's link carries in each direction, in bytes a second.
     pub link_rate: f64,
+    /// What the link between the regions carries in each direction.
+    pub region_link_rate: f64,
     pub length: Duration,
     pub warm_up: Duration,
 }
@@ -104,6 +111,21 @@
 }
 
 impl Outcome {
+    /// Adds the outcome of another simulation with the same plan.
+    pub fn add(&mut self, other: &Outcome) {
+        self.offered += other.offered;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.total_time += other.total_time;
+        self.runs.resize(other.runs.len(), 0);
+        for (total, runs) in self.runs.iter_mut().zip(&other.runs) {
+            *total += runs;
+        }
+        self.domain_bytes += other.domain_bytes;
+        self.region_bytes += other.region_bytes;
+    }
+
     pub fn mean_time(&self) -> Duration {
         self.total_time / (self.in_time + self.late).max(1)
     }
@@ -127,6 +149,7 @@
     tried: Vec<usize>,
     sent_at: Duration,
     at_owner: Duration,
+    lease: Option<Rc<AnswerLease>>,
     run_start: Duration,
     run_end: Duration,
 }
@@ -139,9 +162,15 @@
     /// the senders, then of the targets.
     sending: Vec<Duration>,
     receiving: Vec<Duration>,
+    /// The time until which the link from each region to the other is in use.
+    region_links: [Duration; 2],
     placers: Vec<TargetPlacer>,
     owners: Vec<LocalAdmission>,
     waiting: Vec<HashMap<WaitKey, usize>>,
+    loads: Vec<LinkLoad>,
+    /// The long answers of each target's host.
+    answer_links: Vec<AnswerLink>,
+    owner_lengths: Vec<AnswerLengths>,
     slow_periods: Vec<Vec<f64>>,
     requests: Vec<RequestState>,
     events: BinaryHeap<Reverse<(Duration, usize, Step)>>,
@@ -169,6 +198,7 @@
             random,
             sending: vec![Duration::ZERO; plan.senders + targets],
             receiving: vec![Duration::ZERO; plan.senders + targets],
+            region_links: [Duration::ZERO; 2],
             placers: (0..plan.senders)
                 .map(|sender| TargetPlacer::new(seed * 1000 + sender as u64))
                 .collect(),
@@ -178,6 +208,9 @@
                 .map(|target| LocalAdmission::new(target.slots))
                 .collect(),
             waiting: vec![HashMap::new(); targets],
+            loads: vec![LinkLoad::new(plan.link_rate); plan.senders],
+            answer_links: vec![AnswerLink::new(plan.link_rate); targets],
+            owner_lengths: vec![AnswerLengths::default(); targets],
             slow_periods,
             requests: Vec::new(),
             events: BinaryHeap::new(),
@@ -250,13 +283,16 @@
         sender % self.plan.domains
     }
 
+    fn region(&self, domain: usize) -> usize {
+        domain * 2 / self.plan.domains.max(2)
+    }
+
     fn distance(&self, sender: usize, target: usize) -> TargetDistance {
         let from = self.sender_domain(sender);
         let to = self.plan.targets[target].domain;
-        let region = |domain: usize| domain * 2 / self.plan.domains.max(2);
         if from == to {
             TargetDistance::SameDomain
-        } else if region(from) == region(to) {
+        } else if self.region(from) == self.region(to) {
             TargetDistance::SameRegion
         } else {
             TargetDistance::OtherRegion
@@ -273,18 +309,23 @@
         let sent = self.sending[from].max(now) + took;
         self.sending[from] = sent;
         let (sender, target) = (from.min(to), from.max(to) - self.plan.senders);
-        let latency = match self.distance(sender, target) {
+        let mut arrives = sent + DOMAIN_LATENCY;
+        match self.distance(sender, target) {
             TargetDistance::OtherRegion => {
                 self.outcome.region_bytes += bytes;
-                REGION_LATENCY
-            }
-            TargetDistance::SameRegion => {
-                self.outcome.domain_bytes += bytes;
-                DOMAIN_LATENCY
+                let from_region = match from == sender {
+                    true => self.region(self.sender_domain(sender)),
+                    false => self.region(self.plan.targets[target].domain),
+                };
+                let link = &mut self.region_links[from_region];
+                let took = Duration::from_secs_f64(bytes as f64 / self.plan.region_link_rate);
+                *link = (*link).max(sent) + took;
+                arrives = *link + REGION_LATENCY;
             }
-            TargetDistance::SameDomain | TargetDistance::SameHost => DOMAIN_LATENCY,
-        };
-        let received = self.receiving[to].max(sent + latency - took) + took;
+            TargetDistance::SameRegion => self.outcome.domain_bytes += bytes,
+            TargetDistance::SameDomain | TargetDistance::SameHost => {}
+        }
+        let received = self.receiving[to].max(arrives - took) + took;
         self.receiving[to] = received;
         self.events.push(Reverse((received, event.0, event.1)));
     }
@@ -340,6 +381,7 @@
             priority: 1,
             body_bytes: 0,
             route: RouteKey::new("shop", self.route(index).name),
+            receive_rate: self.receive_rate(state.sender, now),
         };
         let placer = &mut self.placers[state.sender];
         let chosen = match placer.place(&candidates, &request, now) {
@@ -365,12 +407,18 @@
         };
         self.requests[index].at_owner = now;
         let target = self.requests[index].target;
+        if !self.may_send_answer(index, now) {
+            let (host, sender) = (self.host(target), self.requests[index].sender);
+            self.send(host, sender, HEAD_BYTES, now, (index, Step::Refused));
+            return;
+        }
         match self.owners[target].decide(&request, now) {
             AdmissionDecision::Run => self.start(index, now),
             AdmissionDecision::Wait(key) => {
                 self.waiting[target].insert(key, index);
             }
             AdmissionDecision::Refuse(_) => {
+                self.end_lease(index);
                 let (host, sender) = (self.host(target), self.requests[index].sender);
                 self.send(host, sender, HEAD_BYTES, now, (index, Step::Refused));
             }
@@ -410,16 +458,60 @@
         self.owners[target].finish(&SmolStr::new_static(route.name), Some(took));
         let host = self.host(target);
         let bytes = HEAD_BYTES + route.answer_bytes;
+        self.end_lease(index);
+        self.answer_links[target].record_sent(bytes, now);
+        let key = self.route_key(index);
+        self.owner_lengths[target].record(key, route.answer_bytes);
         self.send(host, sender, bytes, now, (index, Step::Answer));
         while let Some(decided) = self.owners[target].decide_next(now) {
             let next = self.waiting[target].remove(&decided.key).unwrap();
             match decided.decision {
                 Ok(()) => self.start(next, now),
-                Err(_) => self.refuse(next),
+                Err(_) => {
+                    self.end_lease(next);
+                    self.refuse(next);
+                }
             }
         }
     }
 
+    fn route_key(&self, index: usize) -> RouteKey {
+        RouteKey::new("shop", self.route(index).name)
+    }
+
+    fn receive_rate(&self, sender: usize, now: Duration) -> u64 {
+        match self.reporting {
+            Reporting::LoadOnly => u64::MAX,
+            Reporting::Full => self.loads[sender].free_receive_rate(now) as u64,
+        }
+    }
+
+    /// Returns whether the link of the target's host can send the answer in time.
+    fn may_send_answer(&mut self, index: usize, now: Duration) -> bool {
+        let target = self.requests[index].target;
+        let bytes = self.owner_lengths[target].long(self.route_key(index));
+        if self.reporting == Reporting::LoadOnly || bytes == 0 {
+            return true;
+        }
+        let left = self.objective_left(index, now);
+        let run = self.owners[target]
+            .route_service_time(self.route(index).name)
+            .unwrap_or_default();
+        let link = &mut self.answer_links[target];
+        if link.check(bytes, run, left, now).is_err() {
+            return false;
+        }
+        self.requests[index].lease = Some(Rc::new(link.begin(bytes)));
+        true
+    }
+
+    fn end_lease(&mut self, index: usize) {
+        let target = self.requests[index].target;
+        if let Some(lease) = self.requests[index].lease.take().and_then(Rc::into_inner) {
+            self.answer_links[target].end(lease);
+        }
+    }
+
     fn report(&mut self, index: usize, now: Duration) {
         let name = self.route(index).name;
         let state = &self.requests[index];
@@ -434,6 +526,11 @@
             placer.record_route_time(&id, RouteKey::new("shop", name), time, now);
         }
         placer.report(&id, load, now);
+        let bytes = self.owner_lengths[state.target].long(RouteKey::new("shop", name));
+        if self.reporting == Reporting::Full && bytes > 0 {
+            let rate = self.answer_links[state.target].rate(bytes, now);
+            self.placers[state.sender].record_send_rate(&id, rate, now);
+        }
     }
 
     fn finish(&mut self, index: usize, outcome: SendOutcome, now: Duration) {
@@ -455,7 +552,20 @@
         let at_owner = state.run_end - state.at_owner;
         let round_trip = (now - state.sent_at).saturating_sub(at_owner);
         let total = now - state.arrived;
-        self.finish(index, SendOutcome::Served { round_trip }, now);
+        let sender = state.sender;
+        let bytes = self.route(index).answer_bytes;
+        let answer_bytes = match self.reporting {
+            Reporting::LoadOnly => 0,
+            Reporting::Full => bytes,
+        };
+        self.loads[sender].record_received(bytes, now);
+        let key = self.route_key(index);
+        self.placers[sender].record_answer_length(key, answer_bytes);
+        let outcome = SendOutcome::Served {
+            round_trip,
+            answer_bytes,
+        };
+        self.finish(index, outcome, now);
         if !self.counts(index) {
             return;
         }
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -16,6 +16,7 @@
     priority: 0,
     body_bytes: 0,
     route: RouteKey::UNKNOWN,
+    receive_rate: u64::MAX,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -167,7 +168,10 @@
             &id,
             TargetDistance::SameDomain,
             0,
-            SendOutcome::Served { round_trip: ms(1) },
+            SendOutcome::Served {
+                round_trip: ms(1),
+                answer_bytes: 0,
+            },
             ms(now),
         );
         chosen.push((now, id));
@@ -212,6 +216,7 @@
         let id: SmolStr = "domain".into();
         let slow = SendOutcome::Served {
             round_trip: ms(1_500),
+            answer_bytes: 0,
         };
         placer.finish(
             &id,
@@ -238,6 +243,7 @@
 fn finish_delayed(placer: &mut TargetPlacer, id: &str, delay: u64, now: u64) {
     let outcome = SendOutcome::Served {
         round_trip: ms(delay),
+        answer_bytes: 0,
     };
     placer.finish(&id.into(), TargetDistance::SameDomain, 0, outcome, ms(now));
 }
@@ -360,3 +366,29 @@
     assert_eq!(place(load(8, 0, 100)), "domain");
     assert_eq!(place(limited), "region");
 }
+
+/// Guards against long answers that are fetched over the full link of their caller's
+/// host although the target on this host could run the request a little later.
+#[test]
+fn long_answer_stays_on_host_with_full_link() {
+    let route = RouteKey::new("shop", "export");
+    let candidates = [
+        candidate("here", TargetDistance::SameHost),
+        candidate("domain", TargetDistance::SameDomain),
+    ];
+    let place = |receive_rate, answer_bytes| {
+        let mut placer = placer(&[("domain", load(0, 0, 100))]);
+        placer.report(&"here".into(), load(11, 30, 100), ms(0));
+        placer.record_answer_length(route, answer_bytes);
+        let request = PlaceRequest {
+            route,
+            receive_rate,
+            ..REQUEST
+        };
+        placer.place(&candidates, &request, ms(1)).unwrap()
+    };
+    assert_eq!(place(10_000_000, 90_000), "domain");
+    assert_eq!(place(300_000, 90_000), "here");
+    // Short answers are placed as before.
+    assert_eq!(place(300_000, 9_000), "domain");
+}
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -274,6 +274,7 @@
             priority: 1,
             body_bytes: BODY_BYTES,
             route: RouteKey::UNKNOWN,
+            receive_rate: u64::MAX,
         };
         let placer = &mut self.placers[state.sender];
         let chosen = match placer.place(&candidates, &request, now) {
@@ -436,7 +437,14 @@
         let took = now - state.sent_at;
         let round_trip = took.saturating_sub(SERVICE_TIME);
         let total = now - state.arrived;
-        self.finish(index, SendOutcome::Served { round_trip }, now);
+        self.finish(
+            index,
+            SendOutcome::Served {
+                round_trip,
+                answer_bytes: 0,
+            },
+            now,
+        );
         if !self.counts(index) {
             return;
         }
--- a/crates/mesh/tests/mesh/target_speed.rs
+++ b/crates/mesh/tests/mesh/target_speed.rs
@@ -36,6 +36,7 @@
         priority: 0,
         body_bytes: 0,
         route,
+        receive_rate: u64::MAX,
     }
 }
 
@@ -62,7 +63,10 @@
             .unwrap();
         let time = if id == "slow" { slow_time } else { 100 };
         report(placer, &id, route, time, time, now);
-        let outcome = SendOutcome::Served { round_trip: ms(1) };
+        let outcome = SendOutcome::Served {
+            round_trip: ms(1),
+            answer_bytes: 0,
+        };
         placer.finish(&id, TargetDistance::SameDomain, 0, outcome, ms(now));
         slow += u32::from(id == "slow");
         all += 1;
@@ -118,7 +122,10 @@
             SendOutcome::Down
         } else {
             report(&mut placer, &id, route, 200, 200, now);
-            SendOutcome::Served { round_trip: ms(1) }
+            SendOutcome::Served {
+                round_trip: ms(1),
+                answer_bytes: 0,
+            }
         };
         placer.finish(&id, TargetDistance::SameDomain, 0, outcome, ms(now));
     }
--- a/crates/mesh/tests/mesh/uneven_targets.rs
+++ b/crates/mesh/tests/mesh/uneven_targets.rs
@@ -43,6 +43,7 @@
         load,
         with_slow_periods: false,
         link_rate: 125_000_000.0,
+        region_link_rate: 125_000_000.0,
         length: Duration::from_secs(24),
         warm_up: Duration::from_secs(4),
     }
@@ -53,16 +54,7 @@
     let sum = |reporting| {
         let mut sum = Outcome::default();
         for seed in 1..=3 {
-            let outcome = Simulation::new(plan, reporting, seed).run();
-            sum.offered += outcome.offered;
-            sum.in_time += outcome.in_time;
-            sum.late += outcome.late;
-            sum.refused += outcome.refused;
-            sum.total_time += outcome.total_time;
-            sum.runs.resize(outcome.runs.len(), 0);
-            for (total, runs) in sum.runs.iter_mut().zip(outcome.runs) {
-                *total += runs;
-            }
+            sum.add(&Simulation::new(plan, reporting, seed).run());
         }
         sum
     };
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -92,8 +92,9 @@
 ) -> SendOutcome {
     match outcome {
         TargetOutcome::Answered(answer) if answer.status.is_server_error() => SendOutcome::Failed,
-        TargetOutcome::Answered(_) => SendOutcome::Served {
+        TargetOutcome::Answered(answer) => SendOutcome::Served {
             round_trip: spent.map_or(Duration::ZERO, |spent| took.saturating_sub(spent)),
+            answer_bytes: answer.body.len() as u64,
         },
         TargetOutcome::MayHaveRun(_) => SendOutcome::Failed,
         TargetOutcome::NotRun(refusal) => match refusal.reason {
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -316,6 +316,7 @@
             priority: self.route.priority,
             body_bytes: self.request.body.len() as u64,
             route: self.route_key(),
+            receive_rate: self.node.link().free_receive_rate(now) as u64,
         };
         let id = self.node.placer().place(&places, &request, now)?;
         candidates
@@ -396,6 +397,10 @@
                 self.node
                     .placer()
                     .record_unoffered_rate(id, unoffered_rate, now);
+                if report.send_rate > 0 {
+                    let send_rate = report.send_rate as f64;
+                    self.node.placer().record_send_rate(id, send_rate, now);
+                }
                 if report.leaving {
                     self.node.mark_leaving(id);
                 }
@@ -410,6 +415,14 @@
                 .map(|report| Duration::from_micros(report.spent_us));
             (hop.outcome, spent)
         };
+        if let TargetOutcome::Answered(answer) = &outcome
+            && !answer.status.is_server_error()
+        {
+            let bytes = answer.body.len() as u64;
+            self.node
+                .placer()
+                .record_answer_length(self.route_key(), bytes);
+        }
         let took = self.node.now().saturating_sub(started);
         pending_attempt.outcome = Some(attempt::send_outcome(&outcome, took, spent));
         history.progress = None;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,6 +9,7 @@
 //! `radishgauge-mesh`.
 
 pub mod answer;
+pub mod answer_lease;
 mod attempt;
 pub mod entry;
 mod fleet_scope;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -190,6 +190,7 @@
         let age = node.freshness().age(node.now()).unwrap_or(Duration::MAX);
         let counters = &node.owner.suspect_counters;
         let placements = node.placer().counts();
+        let long_answer_routes = node.placer().long_answer_routes() as u64;
         let efficient_limit = load.efficient_limit.unwrap_or_default();
         let gauges = [
             ("state_revision", node.position().revision),
@@ -203,6 +204,7 @@
             ("target_efficient_limit", u64::from(efficient_limit)),
             ("placements_by_speed", placements.by_speed),
             ("placement_probes", placements.probes),
+            ("long_answer_routes", long_answer_routes),
             ("target_wait_ms", load.wait.as_millis() as u64),
             ("target_cold", u64::from(load.cold)),
             // In requests per 1,000 s; 0 if the target declares no limit.
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -33,6 +33,8 @@
 use tokio::sync::watch;
 
 use crate::answer::TargetOutcome;
+use crate::answer_lease;
+use crate::answer_lease::OwnedAnswers;
 use crate::hop;
 use crate::known_state::KnownState;
 use crate::metrics::SidecarMetrics;
@@ -73,6 +75,7 @@
     body_admission: Mutex<BodyAdmission>,
     reservations: Mutex<SlotReservations>,
     link: Mutex<LinkLoad>,
+    answers: Mutex<OwnedAnswers>,
     freshness: Mutex<StateFreshness>,
     /// The targets whose owners reported that they leave.
     leaving: Mutex<LeavingTargets>,
@@ -97,6 +100,7 @@
         seed: u64,
     ) -> SidecarNode {
         let link = LinkLoad::new(settings.link_rate);
+        let answers = OwnedAnswers::new(settings.link_rate);
         SidecarNode {
             peers: PeerClients::new(
                 settings.peer_address.port(),
@@ -119,6 +123,7 @@
             body_admission: Mutex::default(),
             reservations: Mutex::default(),
             link: Mutex::new(link),
+            answers: Mutex::new(answers),
             freshness: Mutex::default(),
             leaving: Mutex::default(),
             misplaced: Mutex::default(),
@@ -144,6 +149,7 @@
         }
         self.budget().configure(settings.retry_limits);
         self.link().set_capacity(settings.link_rate);
+        self.answers().link.set_capacity(settings.link_rate);
         self.settings.store(Arc::new(settings));
         let known = self.known();
         self.owner.refresh(&self.settings(), &known.table, now);
@@ -318,6 +324,12 @@
         lock(&self.link)
     }
 
+    /// Locks the long answers of this host's target; callers must not keep the lock
+    /// across I/O.
+    pub(crate) fn answers(&self) -> MutexGuard<'_, OwnedAnswers> {
+        lock(&self.answers)
+    }
+
     /// Records the bytes of a request from another host, whose body is counted as
     /// received already.
     pub fn record_hop(&self, body_bytes: u64, outcome: &TargetOutcome) {
@@ -342,6 +354,7 @@
             .owner
             .route_service_time(&head.route)
             .map_or(0, hop::micros);
+        report.send_rate = answer_lease::send_rate(self, head);
         report.unoffered_rate = self.link().unoffered_rate(self.now()) as u64;
         let position = self.position();
         report.revision = position.revision;
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -21,9 +21,11 @@
 use crate::answer;
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
+use crate::answer_lease;
 use crate::hop;
 use crate::node::SidecarNode;
 use crate::reservation;
+use crate::slot::AdmittedRequest;
 use crate::slot_offer;
 use crate::state_exchange;
 use crate::suspect_exchange;
@@ -76,7 +78,7 @@
         headers: head.headers,
         body,
     };
-    let outcome = node.owner.run(&request, &hop_head, admitted).await;
+    let outcome = run(&node, &request, &hop_head, admitted).await;
     node.record_hop(body_bytes, &outcome);
     let mut report = node.hop_report(&hop_head);
     report.spent_us = hop::micros(node.now().saturating_sub(arrived));
@@ -84,6 +86,25 @@
     hop_answer(outcome, report)
 }
 
+/// Runs a request if this host's link can send its answer in time. A reserved request
+/// was checked when it was offered.
+async fn run(
+    node: &Arc<SidecarNode>,
+    request: &BufferedRequest,
+    head: &HopHead,
+    admitted: Option<AdmittedRequest>,
+) -> TargetOutcome {
+    if admitted.is_none()
+        && let Err(refusal) = answer_lease::check(node, head)
+    {
+        return TargetOutcome::NotRun(refusal);
+    }
+    let lease = answer_lease::begin(node, head);
+    let outcome = node.owner.run(request, head, admitted).await;
+    lease.end(&outcome);
+    outcome
+}
+
 /// Receives the body of a request, as far as a caller may send one and the memory for
 /// requests of other daemons allows it.
 async fn receive_body(node: &SidecarNode, body: &mut HttpBody) -> Result<Bytes, BodyFault> {
--- a/crates/sidecar/src/reservation.rs
+++ b/crates/sidecar/src/reservation.rs
@@ -14,6 +14,7 @@
 use radishgauge_schema::hop::HopReason;
 
 use crate::answer::NotRun;
+use crate::answer_lease;
 use crate::node::SidecarNode;
 use crate::slot::AdmittedRequest;
 
@@ -54,6 +55,7 @@
 ///
 /// When the request is refused. It has not run, and is not sent.
 pub fn reserve(node: &Arc<SidecarNode>, head: &HopHead, body_bytes: u64) -> Result<u64, NotRun> {
+    answer_lease::check(node, head)?;
     let admitted = node.owner.admit(head)?;
     let lease = match body_bytes >= LONG_BODY {
         true => Some(node.body_admission().grant(node.now()).map_err(link_full)?),
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -5,6 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::HeaderMap;
+use http::StatusCode;
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::state_table::StateSource;
@@ -13,6 +16,11 @@
 use radishgauge_net::clock::SystemClock;
 use radishgauge_platform::HostSettings;
 use radishgauge_platform::StoreItem;
+use radishgauge_schema::hop::HopHead;
+use radishgauge_schema::hop::HopReason;
+use radishgauge_sidecar::answer::BufferedAnswer;
+use radishgauge_sidecar::answer::TargetOutcome;
+use radishgauge_sidecar::answer_lease;
 use radishgauge_sidecar::follow;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
@@ -388,3 +396,51 @@
     let node = node_with_entries(vec![entry("shop", target, "north-a", 1), odd]);
     assert_eq!(node.owner.report().limit, 8);
 }
+
+/// Returns the outcome of a request with an answer of this length.
+fn answered(bytes: usize) -> TargetOutcome {
+    TargetOutcome::Answered(BufferedAnswer {
+        status: StatusCode::OK,
+        headers: HeaderMap::new(),
+        body: Bytes::from(vec![b'x'; bytes]),
+    })
+}
+
+/// Guards against a link that counts answers of requests which failed, or that were
+/// cancelled, until it admits none; against refusals where answers are short; and
+/// against runs whose answers the link cannot send in time.
+#[test]
+fn lease_of_long_answer_ends_with_its_request() {
+    const ANSWER: usize = 5_000_000;
+    let mut settings = common::settings();
+    settings.link_rate = 1_250_000.0;
+    let node = Arc::new(node_with(settings));
+    let head = |route: &str| HopHead {
+        route: route.to_owned(),
+        objective_us: 7_000_000,
+        time_left_us: 9_000_000,
+        ..HopHead::default()
+    };
+    let long = head("export");
+    assert!(answer_lease::check(&node, &long).is_ok());
+    assert_eq!(node.hop_report(&long).send_rate, 0);
+    answer_lease::begin(&node, &head("read")).end(&answered(2_000));
+    // The link sends the first answer, so that the next ones are late.
+    answer_lease::begin(&node, &long).end(&answered(ANSWER));
+    assert!(node.hop_report(&long).send_rate > 0);
+    let refusal = answer_lease::check(&node, &long).unwrap_err();
+    assert_eq!(refusal.reason, HopReason::Full);
+    assert!(!refusal.reached_target);
+    // A call of a target may take longer.
+    let call = HopHead {
+        call: true,
+        time_left_us: 60_000_000,
+        ..head("export")
+    };
+    for _ in 0..100 {
+        drop(answer_lease::begin(&node, &call));
+        answer_lease::begin(&node, &call).end(&TargetOutcome::MayHaveRun("cut off"));
+    }
+    assert!(answer_lease::check(&node, &call).is_ok());
+    assert!(answer_lease::check(&node, &head("read")).is_ok());
+}
