Limit the rates of tenants over all daemons together

Cause: a tenant's limit holds over all daemons, and a fixed share of it at each daemon refuses most requests of a tenant whose requests arrive unevenly.

Change: each failure domain has an equal share of a tenant's rate and burst, in a token bucket that one of its hosts owns (rendezvous hashing). Entry daemons ask it for tokens with a lease, owners lend tokens to those of other domains, and daemons that reach no owner use their part of the tolerance (radishgauge_mesh::quota, path /quota on the peer port, quota.proto). SidecarNode::quota() provides admit and the log line of a refusal; nothing calls it before tenants are read from the configuration.

Ruled out: gossip of counts, which exceeds the limit in a partition; a single owner for the fleet, with a round trip between regions for each small tenant; loans that may be used for a second, which with leases exceed the tolerance.

Tests: played loads on 78 simulated hosts stay within the bound in every window. Several daemons on loopback pass tokens on and survive the kill of an owner.

--- a/crates/generate/src/lib.rs
+++ b/crates/generate/src/lib.rs
@@ -11,13 +11,14 @@
 use anyhow::Result;
 
 /// The schema files, relative to `proto/` in the schema's package.
-const FILES: [&str; 6] = [
+const FILES: [&str; 7] = [
     "rules.proto",
     "config.proto",
     "settings.proto",
     "suspect.proto",
     "peer.proto",
     "hop.proto",
+    "quota.proto",
 ];
 
 /// Returns the directory of the schema's package.
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -3,12 +3,15 @@
 //! The platform validates a version, and a daemon adopts it as a whole. It is
 //! immutable, so the requests that began under it can share it.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use smol_str::SmolStr;
 
+use crate::TenantPolicy;
+
 /// The limits on the requests of callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequestLimits {
@@ -119,6 +122,7 @@
     services: IndexMap<SmolStr, ServicePolicy>,
     /// The regions to which some route of a service is restricted, by service.
     home_regions: IndexMap<SmolStr, IndexSet<SmolStr>>,
+    tenants: IndexMap<SmolStr, Arc<TenantPolicy>>,
 }
 
 impl MeshConfig {
@@ -145,9 +149,29 @@
             hosts,
             services,
             home_regions,
+            tenants: IndexMap::new(),
         }
     }
 
+    /// Returns the version with these tenants.
+    pub fn with_tenants(mut self, tenants: Vec<TenantPolicy>) -> MeshConfig {
+        let named = tenants
+            .into_iter()
+            .map(|tenant| (tenant.name.clone(), Arc::new(tenant)));
+        self.tenants = named.collect();
+        self
+    }
+
+    /// Returns the tenant with this name.
+    pub fn tenant(&self, name: &str) -> Option<&Arc<TenantPolicy>> {
+        self.tenants.get(name)
+    }
+
+    /// Returns whether some tenant has a rate limit.
+    pub fn has_tenant_limits(&self) -> bool {
+        self.tenants.values().any(|tenant| tenant.limit.is_some())
+    }
+
     /// Returns whether some route of a service may be handled only in a few
     /// regions, and `region` is one of them.
     pub fn is_home_region(&self, service: &str, region: &str) -> bool {
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod link_load;
 pub mod misplaced_targets;
 pub mod placement;
+pub mod quota;
 pub mod rate_limits;
 pub mod reader;
 pub mod retry_budget;
--- a/crates/mesh/src/reader.rs
+++ b/crates/mesh/src/reader.rs
@@ -157,11 +157,11 @@
     }
 }
 
-/// Returns the rendezvous hash of a host, by which all daemons compute the same
-/// ranking without communication.
-fn rendezvous_hash(domain: &str, host: IpAddr) -> u64 {
+/// Returns the rendezvous hash of a host for a key, by which all daemons compute the
+/// same ranking without communication.
+pub(crate) fn rendezvous_hash(key: &str, host: IpAddr) -> u64 {
     let mut hash = Xxh3::new();
-    hash.update(domain.as_bytes());
+    hash.update(key.as_bytes());
     match host {
         IpAddr::V4(address) => hash.update(&address.octets()),
         IpAddr::V6(address) => hash.update(&address.octets()),
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -10,6 +10,8 @@
 mod leaving_targets;
 mod load;
 mod placement;
+mod quota;
+mod quota_load;
 mod reader;
 mod retry_budget;
 mod slow_links;
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -91,3 +91,14 @@
         include!("generated/radishgauge.hop.v1.rs");
     }
 }
+
+/// The messages between daemons about the tokens of tenants.
+pub mod quota {
+    pub use v1::*;
+
+    /// Version 1 of these messages.
+    #[allow(missing_docs)]
+    pub mod v1 {
+        include!("generated/radishgauge.quota.v1.rs");
+    }
+}
--- a/crates/sidecar/src/known_hosts.rs
+++ b/crates/sidecar/src/known_hosts.rs
@@ -148,6 +148,25 @@
             .collect()
     }
 
+    /// Returns the hosts beside whose targets a daemon of this fleet runs, by failure
+    /// domain.
+    pub(crate) fn hosts_by_domain(&self) -> IndexMap<SmolStr, Vec<IpAddr>> {
+        let settings = self.settings();
+        let known = self.known();
+        let fleet = FleetScope::new(&settings, &known.table);
+        let mut domains: IndexMap<SmolStr, Vec<IpAddr>> = IndexMap::new();
+        let targets = known.table.targets();
+        for target in targets.filter(|target| fleet.contains(target)) {
+            let hosts = domains.entry(target.failure_domain.clone()).or_default();
+            hosts.push(target.address.ip());
+        }
+        for hosts in domains.values_mut() {
+            hosts.sort_unstable();
+            hosts.dedup();
+        }
+        domains
+    }
+
     /// Returns the hosts beside whose targets a daemon of this fleet runs, and for each
     /// whether it is in this host's failure domain. A host may have several entries.
     fn fleet_hosts(&self) -> IndexMap<IpAddr, bool> {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -19,11 +19,14 @@
 use cadence::StatsdClient;
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
+use radishgauge_mesh::quota::QuotaCounts;
 use radishgauge_mesh::reader::ReaderRole;
 use smol_str::SmolStr;
 
 use crate::node::SidecarNode;
 use crate::node::lock;
+use crate::quota;
 
 /// The greatest number of series; metrics of further series are counted in
 /// [`OVERFLOW`].
@@ -35,6 +38,12 @@
 /// The significant decimal digits of a histogram; 1 keeps a series below 3 KB.
 const SIGNIFICANT_DIGITS: u8 = 1;
 
+/// The greatest number of tenants with series of their own.
+const MAX_TENANT_LABELS: usize = 64;
+
+/// The label of all other tenants, which no name in a configuration can equal.
+const OTHER_TENANTS: &str = "(other)";
+
 /// The series that counts the metrics of series beyond the limit.
 const OVERFLOW: &str = "radishgauge.series_left_out";
 
@@ -131,13 +140,19 @@
 pub struct SidecarMetrics {
     client: StatsdClient,
     registry: Arc<MetricRegistry>,
+    /// The tenants that have series of their own.
+    tenants: Mutex<IndexSet<SmolStr>>,
 }
 
 impl Default for SidecarMetrics {
     fn default() -> SidecarMetrics {
         let registry = Arc::new(MetricRegistry::default());
         let client = StatsdClient::from_sink("radishgauge", RegistrySink(Arc::clone(&registry)));
-        SidecarMetrics { client, registry }
+        SidecarMetrics {
+            client,
+            registry,
+            tenants: Mutex::default(),
+        }
     }
 }
 
@@ -163,6 +178,33 @@
             .try_send();
     }
 
+    /// Adds the decisions on requests of a tenant with a rate limit. Tenants beyond a
+    /// fixed number are counted together.
+    pub fn quota(&self, tenant: &SmolStr, counts: QuotaCounts) {
+        let label = {
+            let mut labels = lock(&self.tenants);
+            if labels.len() < MAX_TENANT_LABELS || labels.contains(tenant) {
+                labels.insert(tenant.clone());
+                tenant.as_str()
+            } else {
+                OTHER_TENANTS
+            }
+        };
+        for (name, count) in [
+            ("quota_admitted", counts.admitted),
+            ("quota_admitted_locally", counts.local),
+            ("quota_refused", counts.refused),
+        ] {
+            if count > 0 {
+                let _ = self
+                    .client
+                    .count_with_tags(name, count)
+                    .with_tag("tenant", label)
+                    .try_send();
+            }
+        }
+    }
+
     /// Adds one to the counter with this name, which has no labels.
     pub fn count(&self, name: &str) {
         let _: Result<cadence::Counter, _> = self.client.incr(name);
@@ -176,6 +218,7 @@
     /// Returns the metrics page: all series, including gauges of the daemon's
     /// current state.
     pub fn page(&self, node: &SidecarNode) -> String {
+        quota::flush_counts(node);
         let load = node.owner.report();
         let declared = node.owner.declared_rate().unwrap_or_default();
         let (config, targets, evacuated) = {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -38,6 +38,7 @@
 use crate::metrics::SidecarMetrics;
 use crate::owner::TargetOwner;
 use crate::peers::PeerClients;
+use crate::quota_state::QuotaState;
 use crate::request_log::RequestLog;
 use crate::reservation::SlotReservations;
 use crate::suspect_exchange;
@@ -83,6 +84,8 @@
     suspects_differ: Notify,
     /// The hosts whose daemons have sent a request to this one.
     pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
+    /// The tokens and buckets of tenants; `None` while no tenant has a limit.
+    pub(crate) quota_state: Mutex<Option<Box<QuotaState>>>,
     /// The times of the stop; `None` until it begins.
     stop_plan: ArcSwapOption<StopPlan>,
 }
@@ -125,6 +128,7 @@
             suspect_source: Mutex::default(),
             suspects_differ: Notify::new(),
             contacts: Mutex::default(),
+            quota_state: Mutex::default(),
             stop_plan: ArcSwapOption::empty(),
         }
     }
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -23,6 +23,7 @@
 use crate::answer::TargetOutcome;
 use crate::hop;
 use crate::node::SidecarNode;
+use crate::quota_exchange;
 use crate::reservation;
 use crate::slot_offer;
 use crate::state_exchange;
@@ -48,6 +49,9 @@
         if head.uri.path() == suspect_exchange::SUSPECT_PATH {
             return suspect_exchange::serve(&node, &head.method, body).await;
         }
+        if head.uri.path() == quota_exchange::QUOTA_PATH {
+            return quota_exchange::serve(&node, peer.ip(), body).await;
+        }
         return state_exchange::serve(&node, peer, &head.method, &head.uri, body).await;
     };
     node.record_peer_position(peer, hop::head_position(&hop_head));
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -192,6 +192,7 @@
         node.expire_targets();
         node.expire_kept_items();
         node.peers.sweep();
+        node.quota().maintain();
         node.owner.client().sweep();
     }
 }
