--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -107,7 +107,9 @@
     OFFER_REFUSED = 6309, Info, "owner refused an offered request", "target, reason, retry_after_ms", "None; the body was not sent, and the sender tries another target. If frequent, the target or its host's link is fully used.";
     OFFER_FAILED = 6310, Info, "offer of a request failed", "peer, error", "The body was not sent, and the request goes to another target. Check the peer's host.";
     REQUEST_UNAUTHORIZED = 6311, Info, "request without a valid key refused, not run", "route, reason", "If a tenant's callers are refused, check that the configuration in force has their key; see the page on tenants. The key itself is never logged.";
-    TENANT_OVER_LIMIT = 6312, Info, "request over its tenant's limit refused, not run", "tenant, route, retry_after_ms", "Compare the tenant's rate with its ratePerS and burst.";
+    QUOTA_REFUSED = 6312, Info, "request refused by its tenant's rate limit, not run", "tenant, cause, per_second, burst, left, owner, grant_age_ms, retry_after_ms", "None if the tenant sends more than its limit; else see \"a tenant says that it is refused below its limit\" in OPERATIONS.md.";
+    QUOTA_OWNER_LOST = 6313, Info, "owner of rate limits does not answer", "owner, domain, error", "None if the host is being replaced; the next host owns the limits of its tenants meanwhile.";
+    QUOTA_RESTARTED = 6314, Info, "buckets of rate limits start anew", "idle_ms, buckets", "None if rare; the process did not run for idle_ms, and other daemons may have taken its buckets over. Check the host for CPU starvation.";
     LINES_DROPPED = 6401, Info, "log lines dropped", "served, other, items", "None; the rate of log lines about requests is limited.";
 }
 
--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -184,6 +184,11 @@
         timeouts.max().unwrap_or_default()
     }
 
+    /// Returns whether some tenant has a rate limit.
+    pub fn has_tenant_limits(&self) -> bool {
+        self.tenants.policies().any(|tenant| tenant.limit.is_some())
+    }
+
     /// Returns whether some route of a service may be handled only in a few
     /// regions, and `region` is one of them.
     pub fn is_home_region(&self, service: &str, region: &str) -> bool {
--- a/crates/mesh/src/tenant_directory.rs
+++ b/crates/mesh/src/tenant_directory.rs
@@ -96,6 +96,11 @@
         self.tenants.is_empty()
     }
 
+    /// Returns all tenants.
+    pub fn policies(&self) -> impl Iterator<Item = &Arc<TenantPolicy>> {
+        self.tenants.values()
+    }
+
     /// Returns the tenant that holds a key.
     pub fn of_key(&self, key: &[u8]) -> Option<&Arc<TenantPolicy>> {
         self.keys.get(&KeyHash::of(key))
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -12,6 +12,8 @@
 mod load;
 mod long_answers;
 mod placement;
+mod quota;
+mod quota_load;
 mod reader;
 mod retry_budget;
 mod slow_links;
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -195,7 +195,7 @@
 ///
 /// When the request needs a key and has no valid one, or is over its tenant's limit.
 async fn admit(
-    node: &SidecarNode,
+    node: &Arc<SidecarNode>,
     config: &MeshConfig,
     route: &MeshRoute,
     headers: &HeaderMap,
@@ -217,13 +217,7 @@
     };
     match node.quota().admit(&tenant).await {
         Ok(()) => Ok(Some(tenant)),
-        Err(refusal) => Err(local_reply::refuse_over_limit(
-            node,
-            id,
-            &route.name,
-            &tenant,
-            &refusal,
-        )),
+        Err(refusal) => Err(local_reply::refuse_over_limit(node, id, &tenant, &refusal)),
     }
 }
 
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -29,6 +29,8 @@
 pub mod peers;
 pub mod probe;
 pub mod quota;
+pub mod quota_exchange;
+mod quota_state;
 pub mod request_log;
 pub mod request_outcome;
 pub mod reservation;
--- a/crates/sidecar/src/local_reply.rs
+++ b/crates/sidecar/src/local_reply.rs
@@ -1,17 +1,18 @@
 //! Answers that the daemon itself gives to callers, without a target.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::Response;
 use http::StatusCode;
 use radishgauge_events::events;
 use radishgauge_mesh::TenantPolicy;
+use radishgauge_mesh::quota::QuotaRefusal;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
 
 use crate::node::SidecarNode;
-use crate::quota::QuotaRefusal;
 use crate::request_outcome::RequestOutcome;
 use crate::tenant_access::AccessRefusal;
 
@@ -74,22 +75,15 @@
 /// Logs the refusal of a request over its tenant's limit, and returns the answer: the
 /// request has not run.
 pub(crate) fn refuse_over_limit(
-    node: &SidecarNode,
+    node: &Arc<SidecarNode>,
     id: &str,
-    route: &str,
     tenant: &TenantPolicy,
     refusal: &QuotaRefusal,
 ) -> HttpAnswer {
     node.metrics
         .tenants
         .count(tenant, RequestOutcome::OverLimit);
-    let label = tenant.label();
-    node.request_log.log_other(
-        &events::TENANT_OVER_LIMIT,
-        id,
-        format_args!("tenant={label} route={route} {refusal}"),
-        node.now(),
-    );
+    node.quota().log_refusal(id, tenant, refusal);
     answer(
         StatusCode::TOO_MANY_REQUESTS,
         Some(id),
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -19,11 +19,15 @@
 use cadence::StatsdClient;
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
+use radishgauge_mesh::quota::QuotaCounts;
 use radishgauge_mesh::reader::ReaderRole;
+use radishgauge_mesh::tenant::TenantLabel;
 use smol_str::SmolStr;
 
 use crate::node::SidecarNode;
 use crate::node::lock;
+use crate::quota;
 use crate::request_outcome::RequestOutcome;
 use crate::tenant_metrics::TenantMetrics;
 
@@ -37,6 +41,12 @@
 /// The significant decimal digits of a histogram; 1 keeps a series below 3 KB.
 const SIGNIFICANT_DIGITS: u8 = 1;
 
+/// The greatest number of tenants with series of their own.
+const MAX_TENANT_LABELS: usize = 64;
+
+/// The label of all other tenants, which no name in a configuration can equal.
+const OTHER_TENANTS: &str = "(other)";
+
 /// The series that counts the metrics of series beyond the limit.
 const OVERFLOW: &str = "radishgauge.series_left_out";
 
@@ -135,6 +145,8 @@
     registry: Arc<MetricRegistry>,
     /// The requests of tenants.
     pub tenants: TenantMetrics,
+    /// The tenants that have series of their own.
+    limited_tenants: Mutex<IndexSet<SmolStr>>,
 }
 
 impl Default for SidecarMetrics {
@@ -145,6 +157,7 @@
             client,
             registry,
             tenants: TenantMetrics::default(),
+            limited_tenants: Mutex::default(),
         }
     }
 }
@@ -171,6 +184,33 @@
             .try_send();
     }
 
+    /// Adds the decisions on requests of a tenant with a rate limit. Tenants beyond a
+    /// fixed number are counted together.
+    pub fn quota(&self, tenant: &SmolStr, counts: QuotaCounts) {
+        let label = {
+            let mut labels = lock(&self.limited_tenants);
+            if labels.len() < MAX_TENANT_LABELS || labels.contains(tenant) {
+                labels.insert(tenant.clone());
+                TenantLabel(tenant).to_string()
+            } else {
+                OTHER_TENANTS.to_owned()
+            }
+        };
+        for (name, count) in [
+            ("quota_admitted", counts.admitted),
+            ("quota_admitted_locally", counts.local),
+            ("quota_refused", counts.refused),
+        ] {
+            if count > 0 {
+                let _ = self
+                    .client
+                    .count_with_tags(name, count)
+                    .with_tag("tenant", &label)
+                    .try_send();
+            }
+        }
+    }
+
     /// Adds one to the counter with this name, which has no labels.
     pub fn count(&self, name: &str) {
         let _: Result<cadence::Counter, _> = self.client.incr(name);
@@ -184,6 +224,7 @@
     /// Returns the metrics page: all series, including gauges of the daemon's
     /// current state.
     pub fn page(&self, node: &SidecarNode) -> String {
+        quota::flush_counts(node);
         let load = node.owner.report();
         let declared = node.owner.declared_rate().unwrap_or_default();
         let (config, targets, evacuated) = {
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -40,7 +40,7 @@
 use crate::metrics::SidecarMetrics;
 use crate::owner::TargetOwner;
 use crate::peers::PeerClients;
-use crate::quota::TenantQuota;
+use crate::quota_state::QuotaState;
 use crate::request_log::RequestLog;
 use crate::reservation::SlotReservations;
 use crate::suspect_exchange;
@@ -89,10 +89,11 @@
     suspects_differ: Notify,
     /// The hosts whose daemons have sent a request to this one.
     pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
+    /// The tokens and buckets of tenants; `None` while no tenant has a limit.
+    pub(crate) quota_state: Mutex<Option<Box<QuotaState>>>,
     /// The times of the stop; `None` until it begins.
     stop_plan: ArcSwapOption<StopPlan>,
     started: Duration,
-    quota: TenantQuota,
 }
 
 impl SidecarNode {
@@ -137,9 +138,9 @@
             suspect_source: Mutex::default(),
             suspects_differ: Notify::new(),
             contacts: Mutex::default(),
+            quota_state: Mutex::default(),
             stop_plan: ArcSwapOption::empty(),
             started,
-            quota: TenantQuota::default(),
         }
     }
 
@@ -184,11 +185,6 @@
         self.now().saturating_sub(self.started)
     }
 
-    /// Returns the rate limits of tenants.
-    pub fn quota(&self) -> &TenantQuota {
-        &self.quota
-    }
-
     /// Returns the position of the known state.
     pub fn position(&self) -> StatePosition {
         *self.position.borrow()
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -24,6 +24,7 @@
 use crate::answer_lease;
 use crate::hop;
 use crate::node::SidecarNode;
+use crate::quota_exchange;
 use crate::reservation;
 use crate::slot::AdmittedRequest;
 use crate::slot_offer;
@@ -50,6 +51,9 @@
         if head.uri.path() == suspect_exchange::SUSPECT_PATH {
             return suspect_exchange::serve(&node, &head.method, body).await;
         }
+        if head.uri.path() == quota_exchange::QUOTA_PATH {
+            return quota_exchange::serve(&node, peer.ip(), body).await;
+        }
         return state_exchange::serve(&node, peer, &head.method, &head.uri, body).await;
     };
     node.record_peer_position(peer, hop::head_position(&hop_head));
