Serve more urgent requests first, and none far less often than all

Cause: priority only shifted a virtual deadline, so that short objectives outweighed it, and every call went before all requests of callers. Change: waiting requests run in the order of urgency, where a call has the urgency of the request behind it (HopHead.call_priority); overdue less urgent ones get every fourth slot; a kind that is served less than 0.35 times as often as all competes as the most urgent. Senders learn the waiting priority (HopReport.waiting_priority) and do not send what would only wait behind it; runs whose calls compete with more urgent requests are not started above the floor, so that no run is wasted.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -97,10 +97,10 @@
     SUSPECT_EXCHANGE_FAILED = 6211, Debug, "exchange of suspected requests with a peer failed", "peer, error", "None while other peers answer.";
     QUARANTINE_LEARNED = 6212, Warn, "a request is quarantined by news of a peer", "fingerprint, ends", "As for RG6209. The time since that line at the owner is the delay of the news.";
     REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
-    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
+    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, urgency, competes_as, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
     REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, fingerprint, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
     REQUEST_RETRIED = 6304, Info, "request retried", "route, target, reason, attempt", "None; the retry counts against the retry budget.";
-    OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; the sender tries another target.";
+    OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, urgency, waiting_priority, occupied, limit, wait_ms", "None; the sender tries another target.";
     TARGET_REQUEST_FAILED = 6306, Warn, "request failed at the target, may have run", "target, reason, fingerprint, took_ms", "Check the target's own logs. Equal requests have the same fingerprint, whatever their IDs.";
     OFFER_REFUSED = 6309, Info, "owner refused an offered request", "target, reason, retry_after_ms", "None; the body was not sent, and the sender tries another target. If frequent, the target or its host's link is fully used.";
     OFFER_FAILED = 6310, Info, "offer of a request failed", "peer, error", "The body was not sent, and the request goes to another target. Check the peer's host.";
--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -10,6 +10,10 @@
 //! A queue absorbs a short burst. In a longer overload, a long queue does not
 //! increase throughput over a short one but makes all requests late, so the
 //! queue is kept short until a slot is free again.
+//!
+//! Waiting requests run in the order of their urgency; see [`crate::shares`]. A
+//! less urgent request that has waited as long as it may still gets a bounded part
+//! of the slots, since it was told that it would run.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -17,12 +21,15 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
+use crate::call_pressure::CallPressure;
 use crate::cold_rate_limit::ColdRateLimit;
 use crate::declared_rate_limit::DeclaredRateLimit;
 use crate::placement::LoadReport;
 use crate::rate_limits::RateLimitKind;
 use crate::rate_limits::RateLimits;
 use crate::scheduling;
+use crate::shares::RequestKind;
+use crate::shares::ServedShares;
 
 /// The weight of one run in the moving averages of service times.
 const RUN_WEIGHT: f64 = 0.1;
@@ -30,6 +37,10 @@
 /// The wait that is reported when no request may be sent.
 const MAX_REPORTED_WAIT: Duration = Duration::from_secs(60);
 
+/// How many waiting requests run before a less urgent one that has waited as long
+/// as it may. It bounds the delay of urgent requests, and the wait of the others.
+const STARTS_PER_OVERDUE: u32 = 3;
+
 /// The properties of a request that determine its admission.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct AdmissionRequest {
@@ -41,9 +52,12 @@
     pub time_left: Duration,
     /// The priority; 0 is the most urgent.
     pub priority: u32,
+    /// The priority that determines which request goes first: for a call, the
+    /// priority of the request on whose behalf it is made.
+    pub urgency: u32,
     /// Whether a target makes the request on behalf of one that it runs. A call
     /// that is refused or late wastes that run, so it may wait as long as its
-    /// caller does, and runs before all requests of callers.
+    /// caller does, and runs before requests of callers that are equally urgent.
     pub is_call: bool,
 }
 
@@ -87,6 +101,8 @@
 /// Identifies a waiting request; ordered as the requests run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WaitKey {
+    /// The urgency with which the request competes.
+    urgency: u32,
     /// The virtual deadline of the request.
     sort_key: Duration,
     /// The number of the request in order of arrival, which breaks ties.
@@ -117,6 +133,10 @@
 struct WaitingRequest {
     route: SmolStr,
     deadline: Duration,
+    /// The urgency of the request itself, whatever it competes with.
+    urgency: u32,
+    /// When the request has waited as long as it may.
+    overdue_at: Duration,
 }
 
 /// The admission control of one target.
@@ -128,6 +148,11 @@
     rates: RateLimits,
     queue: BTreeMap<WaitKey, WaitingRequest>,
     next_number: u64,
+    shares: ServedShares,
+    call_pressure: CallPressure,
+    /// The requests that ran while a less urgent one waited, since the last of
+    /// those ran.
+    starts_since_overdue: u32,
     /// The start of the current period without a free slot; `None` if an arriving
     /// request found one.
     busy_since: Option<Duration>,
@@ -148,6 +173,9 @@
             rates: RateLimits::default(),
             queue: BTreeMap::new(),
             next_number: 0,
+            shares: ServedShares::default(),
+            call_pressure: CallPressure::default(),
+            starts_since_overdue: 0,
             busy_since: None,
             routes: IndexMap::new(),
             mean: None,
@@ -185,6 +213,12 @@
         &mut self.rates.declared
     }
 
+    /// Records that a call of a run of `route` was answered, and whether more urgent
+    /// requests wait at the called target.
+    pub fn record_call(&mut self, route: &SmolStr, is_contested: bool, now: Duration) {
+        self.call_pressure.record(route, is_contested, now);
+    }
+
     /// Returns the number of running requests.
     pub fn running(&self) -> u32 {
         self.running
@@ -200,6 +234,31 @@
         if let Some(reason) = self.closed {
             return AdmissionDecision::Refuse(closed_refusal(reason));
         }
+        let kind = RequestKind {
+            route: request.route.clone(),
+            urgency: request.urgency,
+            is_call: request.is_call,
+        };
+        let decision = self.decide_open(request, &kind, now);
+        let is_admitted = !matches!(decision, AdmissionDecision::Refuse(_));
+        self.shares.record(&kind, is_admitted, now);
+        decision
+    }
+
+    fn decide_open(
+        &mut self,
+        request: &AdmissionRequest,
+        kind: &RequestKind,
+        now: Duration,
+    ) -> AdmissionDecision {
+        let urgency = self.shares.effective_urgency(kind, now);
+        let gives_way = !request.is_call && urgency == request.urgency;
+        if gives_way && self.call_pressure.is_high(&request.route, now) {
+            return AdmissionDecision::Refuse(AdmissionRefusal {
+                reason: RefuseReason::Full,
+                retry_after: None,
+            });
+        }
         let free = self.running < self.limit && self.rates.next_allowed(now) <= now;
         if free && self.queue.is_empty() {
             self.busy_since = None;
@@ -208,22 +267,27 @@
         }
         let busy = now.saturating_sub(*self.busy_since.get_or_insert(now));
         let service_time = self.service_time(&request.route, request.objective);
+        // A kind below its floor competes as a more urgent one in all respects.
+        let priority = match urgency < request.urgency {
+            true => request.priority.min(urgency),
+            false => request.priority,
+        };
         let sort_key = match request.is_call {
             true => now,
-            false => scheduling::virtual_deadline(now, request.objective, request.priority),
+            false => scheduling::virtual_deadline(now, request.objective, priority),
         };
         let ahead = self
             .queue
             .keys()
-            .take_while(|key| key.sort_key <= sort_key)
+            .take_while(|key| (key.urgency, key.sort_key) <= (urgency, sort_key))
             .count();
         let wait = self.expected_wait(ahead, now);
+        let objective = request.objective.min(request.time_left);
+        let allowed_in_time =
+            scheduling::allowed_wait_when_busy(busy, objective, service_time, priority);
         let allowed = match request.is_call {
-            true => scheduling::allowed_wait(request.time_left, service_time, request.priority),
-            false => {
-                let objective = request.objective.min(request.time_left);
-                scheduling::allowed_wait_when_busy(busy, objective, service_time, request.priority)
-            }
+            true => scheduling::allowed_wait(request.time_left, service_time, priority),
+            false => allowed_in_time,
         };
         if wait.is_none_or(|wait| wait > allowed) {
             return AdmissionDecision::Refuse(AdmissionRefusal {
@@ -232,6 +296,7 @@
             });
         }
         let key = WaitKey {
+            urgency,
             sort_key,
             number: self.next_number,
         };
@@ -241,6 +306,8 @@
             WaitingRequest {
                 route: request.route.clone(),
                 deadline: now + request.time_left,
+                urgency: request.urgency,
+                overdue_at: now + allowed.min(allowed_in_time),
             },
         );
         AdmissionDecision::Wait(key)
@@ -261,6 +328,7 @@
         if self.running >= self.limit || self.rates.next_allowed(now) > now {
             return None;
         }
+        let key = self.overdue_key(key, now).unwrap_or(key);
         let waiting = self.queue.remove(&key)?;
         let left = waiting.deadline.saturating_sub(now);
         // The request would probably time out during its run, which would be
@@ -274,6 +342,7 @@
                 }),
             });
         }
+        self.count_start(key);
         self.start(now);
         Some(QueueDecision {
             key,
@@ -281,6 +350,39 @@
         })
     }
 
+    /// Returns the next of the requests that are less urgent than `first` and have
+    /// waited as long as they may, if its turn has come.
+    fn overdue_key(&self, first: WaitKey, now: Duration) -> Option<WaitKey> {
+        if self.starts_since_overdue < STARTS_PER_OVERDUE {
+            return None;
+        }
+        self.less_urgent(first)
+            .filter(|(_, waiting)| waiting.overdue_at <= now)
+            .min_by_key(|(_, waiting)| waiting.overdue_at)
+            .map(|(key, _)| *key)
+    }
+
+    fn count_start(&mut self, key: WaitKey) {
+        let first = self.queue.first_key_value();
+        if first.is_some_and(|(first, _)| first.urgency < key.urgency) {
+            self.starts_since_overdue = 0;
+        } else if self.less_urgent(key).next().is_some() {
+            self.starts_since_overdue += 1;
+        } else {
+            self.starts_since_overdue = 0;
+        }
+    }
+
+    /// Returns the waiting requests that are less urgent than `key`.
+    fn less_urgent(&self, key: WaitKey) -> impl Iterator<Item = (&WaitKey, &WaitingRequest)> {
+        let start = WaitKey {
+            urgency: key.urgency.saturating_add(1),
+            sort_key: Duration::ZERO,
+            number: 0,
+        };
+        self.queue.range(start..)
+    }
+
     /// Removes a waiting request whose caller has disconnected, and returns true
     /// if it was still waiting. Otherwise it has been decided on, and a run must
     /// be ended with [`LocalAdmission::finish`].
@@ -321,9 +423,15 @@
                 .unwrap_or(MAX_REPORTED_WAIT),
             service_time: self.mean.map(Duration::from_secs_f64),
             cold: self.rates.cold.is_cold(now),
+            waiting_priority: self.waiting_priority(),
         }
     }
 
+    /// Returns the most urgent priority among the waiting requests.
+    fn waiting_priority(&self) -> Option<u32> {
+        self.queue.values().map(|waiting| waiting.urgency).min()
+    }
+
     fn start(&mut self, now: Duration) {
         self.running += 1;
         self.rates.record(now);
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -86,6 +86,8 @@
     pub service_time: Option<Duration>,
     /// Whether the target is in its cold phase, in which its rate is limited.
     pub cold: bool,
+    /// The most urgent priority among the waiting requests; `None` if none waits.
+    pub waiting_priority: Option<u32>,
 }
 
 /// The distance of a target from this host, nearest first.
@@ -123,7 +125,8 @@
     /// The longest acceptable time until the answer; for a call of a target it
     /// may exceed the objective.
     pub patience: Duration,
-    /// The priority; 0 is the most urgent.
+    /// The priority with which the request competes; 0 is the most urgent. For a
+    /// call, it is that of the request on whose behalf it is made.
     pub priority: u32,
     /// The length of the request body in bytes.
     pub body_bytes: u64,
@@ -446,6 +449,20 @@
     // Without a recent report the target may have room, so it is not ruled out.
     let wait = estimate.wait(candidate.capacity, 0.0, service_time, now);
     let allowed = scheduling::allowed_wait(request.patience, service_time, request.priority);
+    let (wait, allowed) = match estimate.waiting_priority(now) {
+        // The request passes all that wait, and needs one slot.
+        Some(waiting) if request.priority < waiting => {
+            let slot_wait = estimate.slot_interval(candidate.capacity, service_time, now);
+            (wait.min(slot_wait), allowed)
+        }
+        // More urgent requests pass this one, so the owner admits it only for a
+        // short wait.
+        Some(waiting) if request.priority > waiting => {
+            let short = scheduling::short_wait(request.patience, request.priority);
+            (wait, allowed.min(short))
+        }
+        _ => (wait, allowed),
+    };
     let transfer = estimate.transfer_time(request.body_bytes, now);
     (wait + transfer + estimate.delay(now)).saturating_sub(allowed)
 }
--- a/crates/mesh/src/scheduling.rs
+++ b/crates/mesh/src/scheduling.rs
@@ -40,11 +40,22 @@
 pub fn allowed_wait(objective: Duration, service_time: Duration, priority: u32) -> Duration {
     let expected_run = service_time.mul_f64(SERVICE_TIME_MARGIN);
     let min_wait = objective.mul_f64(MIN_WAIT_FRACTION);
-    let fraction = (1.0 - PRIORITY_WAIT_STEP * f64::from(priority)).max(MIN_PRIORITY_FRACTION);
     objective
         .saturating_sub(expected_run)
         .max(min_wait)
-        .mul_f64(fraction)
+        .mul_f64(priority_fraction(priority))
+}
+
+/// Returns how long a request may wait at a target that more urgent requests keep
+/// busy.
+pub fn short_wait(objective: Duration, priority: u32) -> Duration {
+    objective
+        .mul_f64(MIN_WAIT_FRACTION)
+        .mul_f64(priority_fraction(priority))
+}
+
+fn priority_fraction(priority: u32) -> f64 {
+    (1.0 - PRIORITY_WAIT_STEP * f64::from(priority)).max(MIN_PRIORITY_FRACTION)
 }
 
 /// Returns the [`allowed_wait`] at a target whose slots have all been in use
--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -21,6 +21,10 @@
 /// The greatest age of a report that limits a target's concurrent requests.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
 
+/// The greatest age of a report that tells which requests wait at a target. Queues
+/// change faster than service times.
+const MAX_QUEUE_AGE: Duration = Duration::from_secs(1);
+
 /// The weight of one long body in the average transfer rate of a host's link;
 /// links fill up fast.
 const TRANSFER_RATE_WEIGHT: f64 = 0.3;
@@ -141,6 +145,25 @@
         recent.map_or(registered, |(report, _)| registered.min(report.limit))
     }
 
+    /// Returns the most urgent priority among the requests that wait at the target.
+    pub(crate) fn waiting_priority(&self, now: Duration) -> Option<u32> {
+        let (report, at) = self.report?;
+        report
+            .waiting_priority
+            .filter(|_| now.saturating_sub(at) <= MAX_QUEUE_AGE)
+    }
+
+    /// Returns the mean time between two slots of the target that become free while
+    /// all are in use.
+    pub(crate) fn slot_interval(
+        &self,
+        registered: u32,
+        service_time: Duration,
+        now: Duration,
+    ) -> Duration {
+        service_time / self.capacity(registered, now).max(1)
+    }
+
     /// Returns the expected wait of one more request.
     pub(crate) fn wait(
         &self,
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -18,6 +18,7 @@
         objective: ms(objective),
         time_left: ms(objective * 4),
         priority,
+        urgency: priority,
         is_call: false,
     }
 }
@@ -191,6 +192,8 @@
     let first = wait_key(&mut admission, &other);
     let call = AdmissionRequest {
         time_left: ms(400),
+        // The request behind the call is as urgent as the one that waits.
+        urgency: 0,
         is_call: true,
         ..request("call", 100, 2)
     };
@@ -211,3 +214,49 @@
     admission.finish(&SmolStr::new("call"), Some(ms(20)));
     assert_eq!(admission.decide_next(ms(400)).unwrap().key, first);
 }
+
+/// Guards against a more urgent request that waits behind less urgent ones with
+/// shorter objectives, and against a less urgent one that waits for ever: when it
+/// has waited as long as it may, it gets every fourth slot.
+#[test]
+fn urgent_requests_run_first_and_overdue_ones_now_and_then() {
+    let mut admission = admission(1);
+    let urgent = request("order", 1000, 0);
+    assert_eq!(admission.decide(&urgent, ms(0)), AdmissionDecision::Run);
+    let less_urgent = wait_key(&mut admission, &request("read", 600, 2));
+    let keys: Vec<WaitKey> = (0..5).map(|_| wait_key(&mut admission, &urgent)).collect();
+    assert_eq!(admission.report(ms(0)).waiting_priority, Some(0));
+    let mut order_of_runs = Vec::new();
+    for run in 1..=6 {
+        admission.finish(&SmolStr::new("order"), Some(ms(100)));
+        let decided = admission.decide_next(ms(run * 150)).unwrap();
+        assert_eq!(decided.decision, Ok(()));
+        order_of_runs.push(decided.key);
+    }
+    let expected = [keys[0], keys[1], keys[2], less_urgent, keys[3], keys[4]];
+    assert_eq!(order_of_runs, expected);
+    assert_eq!(admission.report(ms(900)).waiting_priority, None);
+}
+
+/// Guards against a call of a less urgent request that goes before a more urgent
+/// request only because it is a call.
+#[test]
+fn call_competes_with_the_urgency_of_the_request_behind_it() {
+    let mut admission = admission(1);
+    let urgent = request("order", 1000, 0);
+    assert_eq!(admission.decide(&urgent, ms(0)), AdmissionDecision::Run);
+    let call = AdmissionRequest {
+        urgency: 1,
+        is_call: true,
+        ..request("call", 1000, 0)
+    };
+    let call = wait_key(&mut admission, &call);
+    let order = wait_key(&mut admission, &urgent);
+    let equal = wait_key(&mut admission, &request("read", 500, 1));
+    let mut order_of_runs = Vec::new();
+    for _ in 0..3 {
+        admission.finish(&SmolStr::new("order"), Some(ms(100)));
+        order_of_runs.push(admission.decide_next(ms(1)).unwrap().key);
+    }
+    assert_eq!(order_of_runs, [order, call, equal]);
+}
--- a/crates/mesh/tests/mesh/declared_rate_limit.rs
+++ b/crates/mesh/tests/mesh/declared_rate_limit.rs
@@ -40,6 +40,7 @@
         objective: ms(500),
         time_left: ms(2_000),
         priority: 0,
+        urgency: 0,
         is_call: false,
     }
 }
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -131,6 +131,7 @@
                 objective: OBJECTIVE,
                 time_left: TIME_LIMIT,
                 priority,
+                urgency: priority,
                 is_call: false,
             };
             match admission.decide(&request, now) {
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -44,6 +44,7 @@
         wait: ms(wait),
         service_time: Some(ms(service_time)),
         cold: false,
+        waiting_priority: None,
     }
 }
 
@@ -357,3 +358,34 @@
     assert_eq!(place(load(8, 0, 100)), "domain");
     assert_eq!(place(limited), "region");
 }
+
+/// Guards against requests that are sent to queues of more urgent ones, and against
+/// urgent requests that are held back by queues which they pass. A report that is
+/// too old, or from an owner that does not tell what waits, changes nothing.
+#[test]
+fn queue_counts_by_the_priority_of_those_who_wait() {
+    let queue = |waiting_priority| LoadReport {
+        waiting_priority,
+        ..load(20, 220, 100)
+    };
+    let place = |waiting_priority, priority, now| {
+        let report = queue(waiting_priority);
+        let mut placer = placer(&[("domain", report), ("region", report), ("far", report)]);
+        let request = PlaceRequest {
+            priority,
+            ..REQUEST
+        };
+        placer.place(&candidates(), &request, ms(now)).is_ok()
+    };
+    assert!(place(None, 1, 1), "the wait is within the objective");
+    assert!(place(Some(1), 1, 1));
+    assert!(!place(Some(0), 1, 1), "more urgent requests wait");
+    assert!(place(Some(0), 1, 1_200), "the report is old");
+    // A wait of 600 ms, which exceeds the objective.
+    let long = LoadReport {
+        waiting_priority: Some(2),
+        ..load(60, 600, 100)
+    };
+    let mut placer = placer(&[("domain", long), ("region", long), ("far", long)]);
+    assert!(placer.place(&candidates(), &REQUEST, ms(1)).is_ok());
+}
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -318,6 +318,7 @@
             objective: self.objective_left(index, now),
             time_left,
             priority: 1,
+            urgency: 1,
             is_call: false,
         };
         let state = &mut self.requests[index];
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -10,6 +10,7 @@
 use radishgauge_events::events;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RequestKind;
 use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
@@ -182,7 +183,7 @@
     fn record_request(&self, now: Duration) {
         let mut budget = self.node.budget();
         budget.record_request(&self.service, now);
-        if self.origin == (RequestOrigin::Run { retried: true }) {
+        if self.origin.is_retried() {
             budget.record_retried_call(&self.service, now);
         }
     }
@@ -259,9 +260,9 @@
     }
 
     fn refusal_retry_kind(&self) -> RetryKind {
-        match self.origin {
+        match &self.origin {
             RequestOrigin::Caller => RetryKind::Refused,
-            RequestOrigin::Run { .. } => RetryKind::RefusedCall,
+            RequestOrigin::Run(_) => RetryKind::RefusedCall,
         }
     }
 
@@ -311,7 +312,7 @@
         let request = PlaceRequest {
             objective,
             patience,
-            priority: self.route.priority,
+            priority: self.competing_urgency(now),
             body_bytes: self.request.body.len() as u64,
         };
         let id = self.node.placer().place(&places, &request, now)?;
@@ -322,7 +323,23 @@
     }
 
     fn is_call(&self) -> bool {
-        matches!(self.origin, RequestOrigin::Run { .. })
+        matches!(self.origin, RequestOrigin::Run(_))
+    }
+
+    fn kind(&self) -> RequestKind {
+        RequestKind {
+            route: self.route.name.clone(),
+            urgency: self.origin.urgency(self.route.priority),
+            is_call: self.is_call(),
+        }
+    }
+
+    /// Returns the urgency with which the request competes at its service.
+    fn competing_urgency(&self, now: Duration) -> u32 {
+        let kind = self.kind();
+        self.node
+            .shares()
+            .effective_urgency(&self.service, &kind, now)
     }
 
     fn objective_left(&self, now: Duration) -> Duration {
@@ -331,6 +348,14 @@
         self.route.objective.saturating_sub(spent).min(left)
     }
 
+    /// Returns the priority behind a call, as messages state it.
+    fn call_priority(&self) -> u32 {
+        match &self.origin {
+            RequestOrigin::Caller => 0,
+            RequestOrigin::Run(running) => running.urgency.saturating_add(1),
+        }
+    }
+
     fn head(&self, id: &str, history: &AttemptHistory) -> HopHead {
         let now = self.node.now();
         let position = self.node.position();
@@ -346,7 +371,8 @@
             era: position.era,
             reservation: 0,
             call: self.is_call(),
-            repeated: history.reached > 0 || self.origin == (RequestOrigin::Run { retried: true }),
+            call_priority: self.call_priority(),
+            repeated: history.reached > 0 || self.origin.is_retried(),
             content_fingerprint: self.prints.content.0,
             exact_fingerprint: self.prints.exact.0,
             suspicions: suspect_exchange::records_of(self.node, &self.prints),
@@ -372,6 +398,7 @@
             let outcome = self.node.owner.run(&self.request, &head, None).await;
             let load = self.node.owner.report();
             self.node.placer().report(id, load, self.node.now());
+            self.record_call(load.waiting_priority);
             if self.node.owner.is_leaving(id) {
                 self.node.mark_leaving(id);
             }
@@ -382,8 +409,10 @@
             let hop = self.send_to_peer(candidate, head, &progress).await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
+                let load = hop::load_from_report(report);
+                self.record_call(load.waiting_priority);
                 let mut placer = self.node.placer();
-                placer.report(id, hop::load_from_report(report), now);
+                placer.report(id, load, now);
                 placer.record_unoffered_rate(id, report.unoffered_rate as f64, now);
                 drop(placer);
                 if report.leaving {
@@ -406,6 +435,13 @@
         outcome
     }
 
+    /// Tells the owner of the run that makes this call which requests compete with it.
+    fn record_call(&self, waiting_priority: Option<u32>) {
+        if let RequestOrigin::Run(running) = &self.origin {
+            self.node.owner.record_call(running, waiting_priority);
+        }
+    }
+
     /// Sends the request to the owner on another host, and offers it first if its
     /// body would load a link.
     async fn send_to_peer(
@@ -507,14 +543,16 @@
             PlacementError::Full { .. } => "full",
             PlacementError::NoTarget => "no target",
         };
+        let competes_as = self.competing_urgency(now);
         let owner = history.refusal.map(|refusal| refusal.reason.as_str_name());
         self.node.request_log.log_other(
             &events::REQUEST_REFUSED,
             &self.request.id,
             format_args!(
-                "route={} place={place} owner={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
+                "route={} place={place} owner={} urgency={} competes_as={competes_as} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
                 self.route.name,
                 owner.unwrap_or("-"),
+                self.kind().urgency,
                 retry_after.as_millis(),
                 history.tried,
                 now.saturating_sub(self.arrived).as_millis(),
@@ -543,6 +581,11 @@
     fn count(&self, outcome: &str, now: Duration) {
         let took = now.saturating_sub(self.arrived).as_millis() as u64;
         self.node.metrics.request(&self.route.name, outcome, took);
+        let is_served = outcome != "refused";
+        let kind = self.kind();
+        self.node
+            .shares()
+            .record(&self.service, &kind, is_served, now);
     }
 
     fn fail(
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -90,6 +90,7 @@
         wait: Duration::from_micros(report.wait_us),
         service_time: (report.service_us > 0).then(|| Duration::from_micros(report.service_us)),
         cold: report.cold,
+        waiting_priority: report.waiting_priority.checked_sub(1),
     }
 }
 
@@ -107,10 +108,22 @@
         wait_us: micros(load.wait),
         service_us: load.service_time.map_or(0, micros),
         cold: load.cold,
+        waiting_priority: load
+            .waiting_priority
+            .map_or(0, |priority| priority.saturating_add(1)),
         ..HopReport::default()
     }
 }
 
+/// Returns the priority that determines which request goes first. A call of unknown
+/// origin, as from a sender of an older version, goes before all requests of callers.
+pub fn urgency(head: &HopHead) -> u32 {
+    match head.call {
+        true => head.call_priority.saturating_sub(1),
+        false => head.priority,
+    }
+}
+
 /// Returns the fingerprints that the sender states of its request; `None` if it states
 /// none.
 pub fn sent_prints(head: &HopHead) -> Option<RequestPrints> {
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -198,6 +198,12 @@
             ("target_occupied", u64::from(load.occupied)),
             ("target_limit", u64::from(load.limit)),
             ("target_wait_ms", load.wait.as_millis() as u64),
+            // The most urgent priority that waits, plus one; 0 if none waits.
+            (
+                "target_waiting_priority",
+                load.waiting_priority
+                    .map_or(0, |priority| u64::from(priority) + 1),
+            ),
             ("target_cold", u64::from(load.cold)),
             // In requests per 1,000 s; 0 if the target declares no limit.
             ("target_rate_limit_milli", (declared * 1000.0).ceil() as u64),
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,6 +16,7 @@
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MisplacedTargets;
 use radishgauge_mesh::RetryBudget;
+use radishgauge_mesh::ServiceShares;
 use radishgauge_mesh::StateFreshness;
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::StopPlan;
@@ -60,6 +61,7 @@
     known: Mutex<KnownState>,
     placer: Mutex<TargetPlacer>,
     budget: Mutex<RetryBudget>,
+    shares: Mutex<ServiceShares>,
     /// The greatest position that a peer reported, and the peer.
     newest_report: Mutex<Option<(StatePosition, SocketAddr)>>,
     pub(crate) position: watch::Sender<StatePosition>,
@@ -111,6 +113,7 @@
             newer_state: Notify::new(),
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
+            shares: Mutex::default(),
             newest_report: Mutex::default(),
             position: watch::Sender::new(StatePosition::UNKNOWN),
             changes: watch::Sender::new(0),
@@ -379,6 +382,12 @@
         lock(&self.budget)
     }
 
+    /// Locks the counts of served requests by service and kind; callers must not keep the lock
+    /// across I/O.
+    pub fn shares(&self) -> MutexGuard<'_, ServiceShares> {
+        lock(&self.shares)
+    }
+
     /// Records the position of a peer's state, and wakes the state exchange if
     /// it is newer than the state known here.
     pub fn record_peer_position(&self, peer: SocketAddr, position: StatePosition) {
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -40,6 +40,7 @@
 use crate::fleet_scope::FleetScope;
 use crate::hop;
 use crate::node::lock;
+use crate::origin::RunningRequest;
 use crate::owner_state::OwnerState;
 use crate::owner_suspects::SUSPECT_POLICY;
 use crate::owner_suspects::SuspectCounters;
@@ -164,10 +165,21 @@
         self.state().down
     }
 
-    /// Returns whether the run of a request at the target is a retry; `None` if
-    /// no request with this ID runs.
-    pub fn is_retried_run(&self, request: &str) -> Option<bool> {
-        self.state().runs.get(request).copied()
+    /// Returns the request with this ID that runs at the target; `None` if there is
+    /// none.
+    pub(crate) fn running_request(&self, request: &str) -> Option<RunningRequest> {
+        self.state().runs.get(request).cloned()
+    }
+
+    /// Records that a call of a run was answered by an owner at which
+    /// `waiting_priority` waits.
+    pub(crate) fn record_call(&self, running: &RunningRequest, waiting_priority: Option<u32>) {
+        let is_contested = waiting_priority.is_some_and(|waiting| waiting < running.urgency);
+        let now = self.clock.now();
+        let mut state = self.state();
+        state
+            .admission
+            .record_call(&running.route, is_contested, now);
     }
 
     /// Stops admitting requests.
@@ -322,7 +334,7 @@
         }
         slot.started = self.clock.now();
         let run = self.begin_run(&head.route, &prints, software);
-        let _run = RunRegistration::begin(self, &request.id, head.repeated);
+        let _run = RunRegistration::begin(self, &request.id, head);
         let left = deadline.saturating_sub(self.clock.now());
         let mesh_headers = MeshHeaders {
             target: &head.target,
@@ -407,6 +419,7 @@
             objective: Duration::from_micros(head.objective_us),
             time_left: Duration::from_micros(head.time_left_us),
             priority: head.priority,
+            urgency: hop::urgency(head),
             is_call: head.call,
         };
         let connection_losses = self.client().connection_losses();
@@ -507,9 +520,14 @@
     fn begin<'a>(
         owner: &'a TargetOwner,
         request: &'a SmolStr,
-        retried: bool,
+        head: &HopHead,
     ) -> RunRegistration<'a> {
-        owner.state().runs.insert(request.clone(), retried);
+        let running = RunningRequest {
+            route: SmolStr::from(head.route.as_str()),
+            retried: head.repeated,
+            urgency: hop::urgency(head),
+        };
+        owner.state().runs.insert(request.clone(), running);
         RunRegistration { owner, request }
     }
 }
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -19,6 +19,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use crate::origin::RunningRequest;
 use crate::owner::hop_reason;
 use crate::run_ledger::RunLedger;
 use crate::target_call::TargetStatement;
@@ -53,9 +54,8 @@
     pub(crate) stopping: bool,
     pub(crate) domain_evacuated: bool,
     pub(crate) down: bool,
-    /// The IDs of the requests that run at the target, and whether each run is
-    /// a retry.
-    pub(crate) runs: HashMap<SmolStr, bool>,
+    /// The requests that run at the target, by ID.
+    pub(crate) runs: HashMap<SmolStr, RunningRequest>,
     /// The last known count of how often the target closed its last remaining
     /// connection.
     pub(crate) connection_losses: u64,
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -111,8 +111,10 @@
                 &events::OWNER_REFUSED,
                 id,
                 format_args!(
-                    "target={target} reason={} occupied={} limit={} wait_ms={}",
+                    "target={target} reason={} urgency={} waiting_priority={:?} occupied={} limit={} wait_ms={}",
                     refusal.reason.as_str_name(),
+                    hop::urgency(head),
+                    report.waiting_priority.checked_sub(1),
                     report.occupied,
                     report.limit,
                     report.wait_us / 1000
