Let callers that can wait do so for spare capacity

Cause: a request that could not be answered within its objective was refused, although its caller waited for several times as long and capacity was spare a few seconds later. Change: a waiting line at the entry daemon, by service, for requests whose time limit is at least twice the objective. A request joins only if a forecast of spare capacity serves it before its time limit; the first is offered (HopHead.late) where a report shows a slot to spare, with pauses after refusals; an owner runs it only if nobody waits and one slot in nine stays free. It is refused as soon as a run no longer fits, and at a stop.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -96,8 +96,8 @@
     REQUEST_CLEARED = 6210, Info, "a request under which targets had ended ran well", "fingerprint, ends, target, status, run_ms", "None; it is suspected no longer.";
     SUSPECT_EXCHANGE_FAILED = 6211, Debug, "exchange of suspected requests with a peer failed", "peer, error", "None while other peers answer.";
     QUARANTINE_LEARNED = 6212, Warn, "a request is quarantined by news of a peer", "fingerprint, ends", "As for RG6209. The time since that line at the owner is the delay of the news.";
-    REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
-    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, urgency, competes_as, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
+    REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, line, took_ms, version, revision", "None.";
+    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, urgency, competes_as, line, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
     REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, fingerprint, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
     REQUEST_RETRIED = 6304, Info, "request retried", "route, target, reason, attempt", "None; the retry counts against the retry budget.";
     OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, urgency, waiting_priority, occupied, limit, wait_ms", "None; the sender tries another target.";
--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -59,6 +59,9 @@
     /// that is refused or late wastes that run, so it may wait as long as its
     /// caller does, and runs before requests of callers that are equally urgent.
     pub is_call: bool,
+    /// Whether the request cannot be answered within its objective any more. It runs
+    /// only in a slot that no other request needs, and never waits here.
+    pub is_late: bool,
 }
 
 /// The reason why the target admits no requests.
@@ -234,6 +237,9 @@
         if let Some(reason) = self.closed {
             return AdmissionDecision::Refuse(closed_refusal(reason));
         }
+        if request.is_late {
+            return self.decide_late(request, now);
+        }
         let kind = RequestKind {
             route: request.route.clone(),
             urgency: request.urgency,
@@ -245,6 +251,24 @@
         decision
     }
 
+    /// Decides on a request that has missed its objective. Nothing of it counts for
+    /// the decisions on other requests, apart from the slot that it occupies.
+    fn decide_late(&mut self, request: &AdmissionRequest, now: Duration) -> AdmissionDecision {
+        let is_limited = self.rates.lowest(now).is_some();
+        let spare = self.limit - scheduling::reserved_slots(self.limit);
+        let has_spare_slot = self.running < spare && self.queue.is_empty();
+        let is_in_time = request.time_left >= self.service_time(&request.route, request.time_left);
+        let gives_way = self.call_pressure.is_high(&request.route, now);
+        if is_limited || !has_spare_slot || !is_in_time || gives_way {
+            return AdmissionDecision::Refuse(AdmissionRefusal {
+                reason: self.full_reason(now),
+                retry_after: None,
+            });
+        }
+        self.start(now);
+        AdmissionDecision::Run
+    }
+
     fn decide_open(
         &mut self,
         request: &AdmissionRequest,
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -23,6 +23,7 @@
 use crate::cross_region_budget::CrossRegionBudget;
 use crate::link_load;
 use crate::scheduling;
+use crate::spare_forecast::SpareCapacity;
 use crate::target_estimate;
 use crate::target_estimate::TargetEstimate;
 
@@ -249,6 +250,73 @@
         Ok(chosen.id.clone())
     }
 
+    /// Chooses a target for a request that has missed its objective, and counts the
+    /// request as in flight there until [`TargetPlacer::finish`]. Returns `None` if
+    /// all candidates reported recently that they have no slot to spare.
+    pub fn place_late(
+        &mut self,
+        candidates: &[PlaceCandidate],
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Option<SmolStr> {
+        let fastest = self.fastest(candidates, request, now);
+        let mut best: Option<(f64, &PlaceCandidate)> = None;
+        for candidate in candidates {
+            let estimate = self.estimates.entry(candidate.id.clone()).or_default();
+            if estimate.paused_until > now || !estimate.may_have_spare_slot(candidate.capacity, now)
+            {
+                continue;
+            }
+            let cost = self.cost(candidate, request, fastest, 0.0, now);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate));
+            }
+        }
+        let (_, chosen) = best?;
+        if chosen.distance == TargetDistance::OtherRegion {
+            self.cross_region.record_sent(request.body_bytes, now);
+        }
+        let estimate = self.estimates.entry(chosen.id.clone()).or_default();
+        estimate.in_flight += 1;
+        Some(chosen.id.clone())
+    }
+
+    /// Returns the service time that is expected of a request.
+    pub fn expected_service_time(
+        &self,
+        candidates: &[PlaceCandidate],
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Duration {
+        self.fastest(candidates, request, now)
+    }
+
+    /// Returns the capacity that the candidates leave unused, as far as recent reports
+    /// tell; it is extrapolated to those without one. Returns `None` if none has one.
+    pub fn spare_capacity(
+        &self,
+        candidates: &[PlaceCandidate],
+        now: Duration,
+    ) -> Option<SpareCapacity> {
+        let mut spare = SpareCapacity::default();
+        let mut count = 0_u32;
+        for candidate in candidates {
+            let estimate = self.estimates.get(&candidate.id);
+            let reported =
+                estimate.and_then(|estimate| estimate.spare_capacity(candidate.capacity, now));
+            if let Some(reported) = reported {
+                spare.fraction += reported.fraction;
+                spare.rate += reported.rate;
+                count += 1;
+            }
+        }
+        let count = f64::from(count);
+        (count > 0.0).then(|| SpareCapacity {
+            fraction: spare.fraction / count,
+            rate: spare.rate / count * candidates.len() as f64,
+        })
+    }
+
     /// Records a load report from the owner of a target.
     pub fn report(&mut self, id: &SmolStr, report: LoadReport, now: Duration) {
         let estimate = self.estimates.entry(id.clone()).or_default();
--- a/crates/mesh/src/scheduling.rs
+++ b/crates/mesh/src/scheduling.rs
@@ -31,17 +31,28 @@
 /// The least fraction of the allowed wait that remains at a low priority.
 const MIN_PRIORITY_FRACTION: f64 = 0.4;
 
+/// One slot of this many is left free by requests past their objective.
+const RESERVED_SLOTS_DIVISOR: u32 = 9;
+
+/// The least time limit of a request that may wait beyond its objective, as a multiple
+/// of the objective. With less, a run that begins after the objective is cut off.
+const MIN_LATE_FACTOR: f64 = 2.0;
+
 /// By how much each priority step postpones the deadline of a request, as a
 /// fraction of its objective.
 const PRIORITY_DEADLINE_STEP: f64 = 0.25;
 
+/// Returns the time that is reserved for a run.
+pub fn expected_run(service_time: Duration) -> Duration {
+    service_time.mul_f64(SERVICE_TIME_MARGIN)
+}
+
 /// Returns how long a request may wait for a slot, given the mean service time.
 /// Priority 0 is the most urgent.
 pub fn allowed_wait(objective: Duration, service_time: Duration, priority: u32) -> Duration {
-    let expected_run = service_time.mul_f64(SERVICE_TIME_MARGIN);
     let min_wait = objective.mul_f64(MIN_WAIT_FRACTION);
     objective
-        .saturating_sub(expected_run)
+        .saturating_sub(expected_run(service_time))
         .max(min_wait)
         .mul_f64(priority_fraction(priority))
 }
@@ -73,6 +84,18 @@
     allowed.min(objective.mul_f64(MIN_WAIT_FRACTION))
 }
 
+/// Returns whether a request may wait beyond its objective: its caller waits for much
+/// longer.
+pub fn may_wait_late(objective: Duration, time_limit: Duration) -> bool {
+    time_limit >= objective.mul_f64(MIN_LATE_FACTOR)
+}
+
+/// Returns the number of slots of a target that requests past their objective leave
+/// free, so that requests in time find one at once.
+pub fn reserved_slots(limit: u32) -> u32 {
+    limit.div_ceil(RESERVED_SLOTS_DIVISOR).min(limit - 1)
+}
+
 /// Returns the deadline by which waiting requests are ordered, earliest first.
 pub fn virtual_deadline(now: Duration, objective: Duration, priority: u32) -> Duration {
     now + objective.mul_f64(1.0 + PRIORITY_DEADLINE_STEP * f64::from(priority))
--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -4,6 +4,8 @@
 
 use crate::body_admission::LONG_BODY;
 use crate::placement::LoadReport;
+use crate::scheduling;
+use crate::spare_forecast::SpareCapacity;
 
 /// The weight of one answer in the moving averages of a target.
 pub(crate) const ANSWER_WEIGHT: f64 = 0.15;
@@ -153,6 +155,36 @@
             .filter(|_| now.saturating_sub(at) <= MAX_QUEUE_AGE)
     }
 
+    /// Returns whether the target may have a slot for a request that has missed its
+    /// objective: its last report says so, or is too old to tell.
+    pub(crate) fn may_have_spare_slot(&self, registered: u32, now: Duration) -> bool {
+        let Some((report, at)) = self.report else {
+            return self.in_flight == 0;
+        };
+        if now.saturating_sub(at) > MAX_QUEUE_AGE {
+            return self.in_flight == 0;
+        }
+        let limit = self.capacity(registered, now).max(1);
+        let sent_since = self.in_flight.saturating_sub(self.in_flight_at_report);
+        report.occupied + sent_since + scheduling::reserved_slots(limit) < limit
+    }
+
+    /// Returns the unused capacity; `None` without a recent report.
+    pub(crate) fn spare_capacity(&self, registered: u32, now: Duration) -> Option<SpareCapacity> {
+        let (report, at) = self.report?;
+        let service_time = report.service_time?;
+        if now.saturating_sub(at) > MAX_QUEUE_AGE {
+            return None;
+        }
+        let limit = self.capacity(registered, now).max(1);
+        let usable = limit - scheduling::reserved_slots(limit);
+        let spare = f64::from(usable.saturating_sub(report.occupied));
+        Some(SpareCapacity {
+            fraction: spare / f64::from(limit),
+            rate: spare / service_time.as_secs_f64().max(1e-3),
+        })
+    }
+
     /// Returns the mean time between two slots of the target that become free while
     /// all are in use.
     pub(crate) fn slot_interval(
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -20,6 +20,7 @@
         priority,
         urgency: priority,
         is_call: false,
+        is_late: false,
     }
 }
 
@@ -260,3 +261,35 @@
     }
     assert_eq!(order_of_runs, [order, call, equal]);
 }
+
+/// Guards against late requests that take the last free slot or a slot for which
+/// another request waits, that wait at the owner, or that use up a limited rate.
+#[test]
+fn late_request_runs_only_in_a_spare_slot() {
+    let late = AdmissionRequest {
+        is_late: true,
+        ..request("read", 1000, 1)
+    };
+    let is_run = |admission: &mut LocalAdmission| {
+        let decision = admission.decide(&late, ms(0));
+        assert!(!matches!(decision, AdmissionDecision::Wait(_)));
+        decision == AdmissionDecision::Run
+    };
+    let mut admission = admission(3);
+    assert!(is_run(&mut admission));
+    assert!(is_run(&mut admission));
+    assert!(!is_run(&mut admission), "the last slot stays free");
+    assert_eq!(admission.running(), 2);
+    let urgent = request("order", 1000, 0);
+    assert_eq!(admission.decide(&urgent, ms(0)), AdmissionDecision::Run);
+    wait_key(&mut admission, &urgent);
+    admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    assert!(!is_run(&mut admission), "another request waits");
+    assert!(admission.decide_next(ms(0)).is_some());
+    admission.finish(&SmolStr::new("order"), Some(ms(100)));
+    assert!(is_run(&mut admission));
+    let mut cold = self::admission(3);
+    cold.cold_mut().set_cold(ms(10_000), 5.0);
+    assert!(!is_run(&mut cold), "the rate is limited");
+}
--- a/crates/mesh/tests/mesh/declared_rate_limit.rs
+++ b/crates/mesh/tests/mesh/declared_rate_limit.rs
@@ -42,6 +42,7 @@
         priority: 0,
         urgency: 0,
         is_call: false,
+        is_late: false,
     }
 }
 
--- a/crates/mesh/tests/mesh/fleet.rs
+++ b/crates/mesh/tests/mesh/fleet.rs
@@ -17,11 +17,15 @@
 use radishgauge_mesh::RequestKind;
 use radishgauge_mesh::ServiceShares;
 use radishgauge_mesh::TargetPlacer;
+use radishgauge_mesh::WaitingLine;
 use radishgauge_mesh::admission::WaitKey;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::SendOutcome;
 use radishgauge_mesh::placement::TargetDistance;
+use radishgauge_mesh::waiting_line::LinePlace;
+use radishgauge_mesh::waiting_line::LineRequest;
+use radishgauge_mesh::waiting_line::LineStep;
 use rand::Rng;
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
@@ -92,6 +96,8 @@
 pub struct FleetRules {
     /// More urgent requests go first, with a floor for each kind.
     pub shares: bool,
+    /// Requests that cannot be answered in time wait at their daemons.
+    pub waiting: bool,
 }
 
 /// The outcomes of the requests of one kind.
@@ -124,6 +130,11 @@
     /// The offers that owners refused.
     pub refused_offers: u32,
     pub offers: u32,
+    /// The requests that waited at their daemons, and those of them that were refused.
+    pub waited: u32,
+    pub given_up: u32,
+    /// The tries of waiting requests that owners refused.
+    pub refused_tries: u32,
     /// The longest time between the arrival of a request at a daemon and its refusal.
     pub longest_refusal: Duration,
 }
@@ -158,6 +169,10 @@
     RunEnd,
     /// The answer reaches the sender.
     Answered,
+    /// A request that waits at its daemon may be sent.
+    Turn,
+    /// The slot that an owner gave to such a request is known at the daemon.
+    Reserved,
 }
 
 #[derive(Debug, Clone)]
@@ -178,6 +193,10 @@
     run: Duration,
     run_started: Duration,
     wait_key: Option<WaitKey>,
+    /// The place of a request that waits at its daemon, and when it acts next.
+    place: Option<LinePlace>,
+    turn_at: Duration,
+    is_late: bool,
     report: LoadReport,
 }
 
@@ -191,6 +210,9 @@
     shares: Vec<ServiceShares>,
     owners: Vec<LocalAdmission>,
     waiting: Vec<HashMap<WaitKey, usize>>,
+    /// The waiting lines by sender and service.
+    lines: HashMap<(usize, usize), WaitingLine>,
+    in_line: HashMap<(usize, usize, LinePlace), usize>,
     requests: Vec<Request>,
     events: BinaryHeap<Reverse<Event>>,
     sequence: u64,
@@ -216,6 +238,8 @@
                 .collect(),
             waiting: owners.iter().map(|_| HashMap::new()).collect(),
             owners,
+            lines: HashMap::new(),
+            in_line: HashMap::new(),
             requests: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -285,6 +309,9 @@
             run: mean.mul_f64((normal * 0.3 - 0.045).exp()),
             run_started: Duration::ZERO,
             wait_key: None,
+            place: None,
+            turn_at: Duration::ZERO,
+            is_late: false,
             report: LoadReport::default(),
         });
         let index = self.requests.len() - 1;
@@ -311,6 +338,7 @@
                     request.arrived = now;
                     request.tried.clear();
                     request.refused_offers = 0;
+                    request.is_late = false;
                     self.place(index, now);
                 }
                 Step::Offered => self.decide(index, now),
@@ -319,6 +347,8 @@
                 Step::CallDue => self.call(index, now),
                 Step::RunEnd => self.run_ended(index, now),
                 Step::Answered => self.answered(index, now),
+                Step::Turn => self.take_turn(index, now),
+                Step::Reserved => self.leave_line(index, true, now),
             }
         }
     }
@@ -380,7 +410,10 @@
 
     fn place_request(&self, index: usize, now: Duration) -> PlaceRequest {
         let request = &self.requests[index];
-        let objective = self.objective_left(index, now);
+        let objective = match request.is_late {
+            true => self.objective(index),
+            false => self.objective_left(index, now),
+        };
         let kind = self.kind(index);
         let priority = match self.rules.shares {
             true => {
@@ -426,6 +459,13 @@
         let candidates = self.candidates(index);
         let place_request = self.place_request(index, now);
         let sender = self.requests[index].sender;
+        if self.rules.waiting && self.line_of(index).needs_spare(now) {
+            let spare = self.placers[sender].spare_capacity(&candidates, now);
+            if let Some(mut spare) = spare {
+                spare.rate /= self.plan.senders as f64;
+                self.line_of(index).record_spare(spare, now);
+            }
+        }
         match self.placers[sender].place(&candidates, &place_request, now) {
             Ok(id) => self.send(index, target_index(&id), now),
             Err(PlacementError::Full { retry_after }) => self.refuse(index, retry_after, now),
@@ -455,9 +495,15 @@
             // Requests that are all equally urgent are ordered as before.
             urgency: if self.rules.shares { priority } else { 0 },
             is_call: request.parent.is_some(),
+            is_late: request.is_late,
         };
         match self.owners[target].decide(&admission_request, now) {
-            AdmissionDecision::Run => self.start(index, now),
+            AdmissionDecision::Run => {
+                if admission_request.is_late {
+                    self.schedule(now + LATENCY, index, Step::Reserved);
+                }
+                self.start(index, now);
+            }
             AdmissionDecision::Wait(key) => {
                 self.requests[index].wait_key = Some(key);
                 self.waiting[target].insert(key, index);
@@ -469,7 +515,10 @@
     }
 
     fn reply_refused(&mut self, index: usize, now: Duration) {
-        self.outcome.refused_offers += 1;
+        match self.requests[index].is_late {
+            true => self.outcome.refused_tries += 1,
+            false => self.outcome.refused_offers += 1,
+        }
         self.set_report(index, now);
         self.schedule(now + LATENCY, index, Step::Refused);
     }
@@ -563,6 +612,10 @@
     fn offer_refused(&mut self, index: usize, now: Duration) {
         self.finish_attempt(index, SendOutcome::Full, now);
         self.record_call(index, now);
+        if self.requests[index].place.is_some() {
+            self.line_of(index).record_refused(now);
+            return self.schedule_turn(index, now);
+        }
         let request = &mut self.requests[index];
         request.refused_offers += 1;
         if request.refused_offers < MAX_OFFERS {
@@ -612,7 +665,108 @@
         }
     }
 
+    fn line_of(&mut self, index: usize) -> &mut WaitingLine {
+        let key = (self.requests[index].sender, self.service(index));
+        self.lines.entry(key).or_default()
+    }
+
+    /// Lets a request wait at its daemon, and returns whether it does.
+    fn join_line(&mut self, index: usize, now: Duration) -> bool {
+        let request = &self.requests[index];
+        if !self.rules.waiting || request.parent.is_some() || request.is_late {
+            return false;
+        }
+        let candidates = self.candidates(index);
+        let place_request = self.place_request(index, now);
+        let sender = request.sender;
+        let kind = &self.plan.kinds[request.kind];
+        let line_request = LineRequest {
+            urgency: kind.priority,
+            objective: kind.objective,
+            deadline: request.deadline,
+            time_limit: request.deadline - request.arrived,
+            run: self.placers[sender].expected_service_time(&candidates, &place_request, now),
+        };
+        let Ok(place) = self.line_of(index).join(&line_request, now) else {
+            return false;
+        };
+        self.outcome.waited += 1;
+        let service = self.service(index);
+        self.in_line.insert((sender, service, place), index);
+        let request = &mut self.requests[index];
+        request.place = Some(place);
+        request.is_late = true;
+        self.schedule_turn(index, now);
+        true
+    }
+
+    fn schedule_turn(&mut self, index: usize, now: Duration) {
+        let Some(place) = self.requests[index].place else {
+            return;
+        };
+        let at = match self.line_of(index).next_step(place, now) {
+            LineStep::Wait(until) => until,
+            LineStep::Try | LineStep::GiveUp => now,
+        };
+        self.requests[index].turn_at = at;
+        self.schedule(at, index, Step::Turn);
+    }
+
+    fn take_turn(&mut self, index: usize, now: Duration) {
+        let request = &mut self.requests[index];
+        let Some(place) = request.place.filter(|_| request.turn_at == now) else {
+            return;
+        };
+        match self.line_of(index).next_step(place, now) {
+            LineStep::Wait(_) => self.schedule_turn(index, now),
+            LineStep::GiveUp => {
+                self.outcome.given_up += 1;
+                self.leave_line(index, false, now);
+                self.refuse(index, Duration::ZERO, now);
+            }
+            LineStep::Try => self.try_late(index, now),
+        }
+    }
+
+    fn try_late(&mut self, index: usize, now: Duration) {
+        self.requests[index].tried.clear();
+        let candidates = self.candidates(index);
+        let place_request = self.place_request(index, now);
+        let sender = self.requests[index].sender;
+        match self.placers[sender].place_late(&candidates, &place_request, now) {
+            Some(id) => {
+                // No further turn until the owner has replied.
+                self.requests[index].turn_at = Duration::MAX;
+                self.send(index, target_index(&id), now);
+            }
+            None => {
+                self.line_of(index).record_none_free(now);
+                self.schedule_turn(index, now);
+            }
+        }
+    }
+
+    fn leave_line(&mut self, index: usize, is_served: bool, now: Duration) {
+        let Some(place) = self.requests[index].place.take() else {
+            return;
+        };
+        let line = self.line_of(index);
+        match is_served {
+            true => line.record_served(place, now),
+            false => line.leave(place),
+        }
+        let next = line.first();
+        let (sender, service) = (self.requests[index].sender, self.service(index));
+        self.in_line.remove(&(sender, service, place));
+        if let Some(next) = next.and_then(|next| self.in_line.get(&(sender, service, next))) {
+            self.schedule_turn(*next, now);
+        }
+    }
+
     fn refuse(&mut self, index: usize, hint: Duration, now: Duration) {
+        if self.join_line(index, now) {
+            return;
+        }
         self.record_share(index, false, now);
         let request = &self.requests[index];
         let waited = now - request.arrived;
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -133,6 +133,7 @@
                 priority,
                 urgency: priority,
                 is_call: false,
+                is_late: false,
             };
             match admission.decide(&request, now) {
                 AdmissionDecision::Run => ends.push(Reverse((now + run_time, next, now))),
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -21,3 +21,4 @@
 mod support;
 mod suspect;
 mod suspect_load;
+mod waiting;
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -389,3 +389,24 @@
     let mut placer = placer(&[("domain", long), ("region", long), ("far", long)]);
     assert!(placer.place(&candidates(), &REQUEST, ms(1)).is_ok());
 }
+
+/// Guards against late requests at targets without a slot to spare, and against a
+/// target that is never tried again because its last report is old.
+#[test]
+fn late_request_is_sent_where_a_slot_is_spare() {
+    let mut placer = placer(&[
+        ("domain", load(9, 0, 100)),
+        ("region", load(3, 0, 100)),
+        ("far", load(10, 0, 100)),
+    ]);
+    let late = |placer: &mut TargetPlacer, now| placer.place_late(&candidates(), &REQUEST, ms(now));
+    for _ in 0..5 {
+        assert_eq!(late(&mut placer, 1).unwrap(), "region");
+    }
+    assert_eq!(late(&mut placer, 1), None, "the slots are used since");
+    let spare = placer.spare_capacity(&candidates(), ms(1)).unwrap();
+    // Five of 30 slots, as two of each target's ten are left free.
+    assert!((spare.rate - 50.0).abs() < 1e-6, "{spare:?}");
+    assert_eq!(late(&mut placer, 1_200).unwrap(), "domain");
+    assert_eq!(placer.spare_capacity(&candidates(), ms(1_200)), None);
+}
--- a/crates/mesh/tests/mesh/shares.rs
+++ b/crates/mesh/tests/mesh/shares.rs
@@ -15,10 +15,16 @@
 use crate::fleet::KindPlan;
 use crate::fleet::ServicePlan;
 
-const SHARES: FleetRules = FleetRules { shares: true };
+const SHARES: FleetRules = FleetRules {
+    shares: true,
+    waiting: false,
+};
 
 /// The rules of earlier versions, the baseline.
-const BEFORE: FleetRules = FleetRules { shares: false };
+const BEFORE: FleetRules = FleetRules {
+    shares: false,
+    waiting: false,
+};
 
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -320,6 +320,7 @@
             priority: 1,
             urgency: 1,
             is_call: false,
+            is_late: false,
         };
         let state = &mut self.requests[index];
         let target = state.target;
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -14,6 +14,41 @@
 use crate::answer::TargetOutcome;
 use crate::node::SidecarNode;
 
+/// What became of a request that could not be answered in time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) enum LineOutcome {
+    /// It did not ask for a place in the line.
+    #[default]
+    None,
+    /// Its time limit is too near to its objective.
+    TimeLimit,
+    /// The line was full.
+    Full,
+    /// It was not expected to be served before its time limit.
+    NoChance,
+    /// It waited until its time limit could not be met any more.
+    GivenUp,
+    /// It waited until the daemon began to stop.
+    Stopped,
+    /// It waited, and was sent.
+    Sent,
+}
+
+impl LineOutcome {
+    /// Returns the name that the log shows.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            LineOutcome::None => "-",
+            LineOutcome::TimeLimit => "time_limit",
+            LineOutcome::Full => "full",
+            LineOutcome::NoChance => "no_chance",
+            LineOutcome::GivenUp => "given_up",
+            LineOutcome::Stopped => "stopped",
+            LineOutcome::Sent => "sent",
+        }
+    }
+}
+
 /// The results of a request's attempts so far.
 #[derive(Default)]
 pub(crate) struct AttemptHistory {
@@ -30,6 +65,10 @@
     pub(crate) refusal: Option<NotRun>,
     /// The latest answer of a target with a server error.
     pub(crate) failure: Option<BufferedAnswer>,
+    /// What became of the request when it could not be answered in time.
+    pub(crate) line: LineOutcome,
+    /// Whether the request waits for spare capacity, so that nothing of it is sent.
+    pub(crate) is_waiting: bool,
     /// How much of the request was sent by the pending attempt at another host.
     pub(crate) progress: Option<Arc<RequestProgress>>,
 }
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -43,6 +43,9 @@
 use crate::suspect_exchange;
 use crate::suspect_placing;
 use crate::target_call::BufferedRequest;
+use crate::waiting_lines::WaitingPlace;
+
+mod late;
 
 /// The least time after which a refused caller may retry. An earlier retry
 /// would only repeat the load that led to the refusal.
@@ -202,11 +205,11 @@
             };
             let candidate = match self.place(candidates) {
                 Ok(candidate) => candidate,
-                Err(error) => return self.finish_unserved(history, error),
+                Err(error) => return self.wait_or_refuse(history, error).await,
             };
             let id = candidate.place.id.clone();
             history.tried.push(id.clone());
-            match self.send(&candidate, history).await {
+            match self.send(&candidate, history, None).await {
                 TargetOutcome::Answered(answer) => {
                     history.reached += 1;
                     if !answer.status.is_server_error() || !self.may_retry(history, &id, "failure")
@@ -237,7 +240,11 @@
                     };
                     if !try_another {
                         let retry_after = refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
-                        return self.finish_unserved(history, PlacementError::Full { retry_after });
+                        let error = PlacementError::Full { retry_after };
+                        return match attempt::is_for_lack_of_capacity(&refusal) {
+                            true => self.wait_or_refuse(history, error).await,
+                            false => self.finish_unserved(history, error),
+                        };
                     }
                 }
                 TargetOutcome::MayHaveRun(reason) => {
@@ -304,6 +311,7 @@
             .iter()
             .map(|candidate| candidate.place.clone())
             .collect();
+        self.observe_spare(&places);
         let objective = self.objective_left(now);
         let patience = match self.is_call() {
             true => self.deadline.saturating_sub(now),
@@ -322,6 +330,16 @@
             .ok_or(PlacementError::NoTarget)
     }
 
+    /// Returns what the placement of the request depends on after its objective.
+    fn late_request(&self, now: Duration) -> PlaceRequest {
+        PlaceRequest {
+            objective: self.route.objective,
+            patience: self.deadline.saturating_sub(now),
+            priority: self.competing_urgency(now),
+            body_bytes: self.request.body.len() as u64,
+        }
+    }
+
     fn is_call(&self) -> bool {
         matches!(self.origin, RequestOrigin::Run(_))
     }
@@ -381,10 +399,18 @@
         }
     }
 
-    async fn send(&self, candidate: &Candidate, history: &mut AttemptHistory) -> TargetOutcome {
+    /// Sends the request to a target. A late request leaves its place in the line as
+    /// soon as the owner has a slot for it.
+    async fn send(
+        &self,
+        candidate: &Candidate,
+        history: &mut AttemptHistory,
+        waiting: Option<&mut WaitingPlace>,
+    ) -> TargetOutcome {
         let started = self.node.now();
         let id = &candidate.place.id;
-        let head = self.head(id, history);
+        let mut head = self.head(id, history);
+        head.late = waiting.is_some();
         let mut pending_attempt = PendingAttempt {
             node: self.node,
             id,
@@ -395,7 +421,7 @@
             outcome: None,
         };
         let (outcome, spent) = if candidate.place.distance == TargetDistance::SameHost {
-            let outcome = self.node.owner.run(&self.request, &head, None).await;
+            let outcome = self.run_here(&head, waiting).await;
             let load = self.node.owner.report();
             self.node.placer().report(id, load, self.node.now());
             self.record_call(load.waiting_priority);
@@ -406,7 +432,7 @@
         } else {
             let progress = Arc::new(RequestProgress::default());
             history.progress = Some(Arc::clone(&progress));
-            let hop = self.send_to_peer(candidate, head, &progress).await;
+            let hop = self.send_to_peer(candidate, head, &progress, waiting).await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
                 let load = hop::load_from_report(report);
@@ -435,6 +461,21 @@
         outcome
     }
 
+    /// Runs the request at this host's target.
+    async fn run_here(&self, head: &HopHead, waiting: Option<&mut WaitingPlace>) -> TargetOutcome {
+        let owner = &self.node.owner;
+        let Some(place) = waiting else {
+            return owner.run(&self.request, head, None).await;
+        };
+        match owner.admit(head) {
+            Ok(admitted) => {
+                place.record_served();
+                owner.run(&self.request, head, Some(admitted)).await
+            }
+            Err(refusal) => TargetOutcome::NotRun(refusal),
+        }
+    }
+
     /// Tells the owner of the run that makes this call which requests compete with it.
     fn record_call(&self, waiting_priority: Option<u32>) {
         if let RequestOrigin::Run(running) = &self.origin {
@@ -443,20 +484,24 @@
     }
 
     /// Sends the request to the owner on another host, and offers it first if its
-    /// body would load a link.
+    /// body would load a link or if it is late.
     async fn send_to_peer(
         &self,
         candidate: &Candidate,
         mut head: HopHead,
         progress: &RequestProgress,
+        waiting: Option<&mut WaitingPlace>,
     ) -> HopOutcome {
         let node = self.node;
         let peer = candidate.peer;
         let body_bytes = self.request.body.len() as u64;
-        if self.needs_offer(candidate, body_bytes) {
+        if waiting.is_some() || self.needs_offer(candidate, body_bytes) {
             let offer = slot_offer::send(node, peer, &head, &self.request.id, body_bytes).await;
             match offer.decision {
                 Ok(reservation) => {
+                    if let Some(place) = waiting {
+                        place.record_served();
+                    }
                     let now = node.now();
                     head.reservation = reservation;
                     head.objective_us = hop::micros(self.objective_left(now));
@@ -492,10 +537,11 @@
         let now = self.node.now();
         let took_ms = now.saturating_sub(self.arrived).as_millis();
         let fields = format_args!(
-            "route={} target={id} status={} attempts={} took_ms={took_ms} version={} revision={}",
+            "route={} target={id} status={} attempts={} line={} took_ms={took_ms} version={} revision={}",
             self.route.name,
             answer.status.as_u16(),
             history.tried.len(),
+            history.line.as_str(),
             self.version,
             self.node.position(),
         );
@@ -549,10 +595,11 @@
             &events::REQUEST_REFUSED,
             &self.request.id,
             format_args!(
-                "route={} place={place} owner={} urgency={} competes_as={competes_as} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
+                "route={} place={place} owner={} urgency={} competes_as={competes_as} line={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
                 self.route.name,
                 owner.unwrap_or("-"),
                 self.kind().urgency,
+                history.line.as_str(),
                 retry_after.as_millis(),
                 history.tried,
                 now.saturating_sub(self.arrived).as_millis(),
@@ -568,6 +615,7 @@
     fn timed_out(&self, history: &mut AttemptHistory) -> HttpAnswer {
         let sent = match history.progress.take() {
             Some(progress) => progress.may_have_been_sent(),
+            None if history.is_waiting => false,
             // An attempt at this host's target has no progress, and the target
             // may have run the request.
             None => !history.tried.is_empty(),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod suspect_exchange;
 mod suspect_placing;
 pub mod target_call;
+pub mod waiting_lines;
 
 pub use sidecar::Sidecar;
 pub use sidecar::StopReport;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -198,6 +198,7 @@
             ("target_occupied", u64::from(load.occupied)),
             ("target_limit", u64::from(load.limit)),
             ("target_wait_ms", load.wait.as_millis() as u64),
+            ("line_waiting", node.waiting_lines().len() as u64),
             // The most urgent priority that waits, plus one; 0 if none waits.
             (
                 "target_waiting_priority",
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -42,6 +42,7 @@
 use crate::request_log::RequestLog;
 use crate::reservation::SlotReservations;
 use crate::suspect_exchange;
+use crate::waiting_lines::WaitingLines;
 
 /// The state that the tasks of one daemon share.
 pub struct SidecarNode {
@@ -62,6 +63,7 @@
     placer: Mutex<TargetPlacer>,
     budget: Mutex<RetryBudget>,
     shares: Mutex<ServiceShares>,
+    waiting_lines: Mutex<WaitingLines>,
     /// The greatest position that a peer reported, and the peer.
     newest_report: Mutex<Option<(StatePosition, SocketAddr)>>,
     pub(crate) position: watch::Sender<StatePosition>,
@@ -114,6 +116,7 @@
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
             shares: Mutex::default(),
+            waiting_lines: Mutex::default(),
             newest_report: Mutex::default(),
             position: watch::Sender::new(StatePosition::UNKNOWN),
             changes: watch::Sender::new(0),
@@ -273,6 +276,16 @@
         self.stop_plan.load().is_some()
     }
 
+    /// Waits until the daemon begins to stop.
+    pub async fn wait_for_stop(&self) {
+        let mut changes = self.changes.subscribe();
+        while !self.is_stopping() {
+            // The sender is owned by `self`, so the channel cannot close during the
+            // wait.
+            let _ = changes.changed().await;
+        }
+    }
+
     /// Returns whether a request that lasts for `longest` at most can be served
     /// before the daemon stops.
     pub fn accepts(&self, longest: Duration) -> bool {
@@ -382,6 +395,12 @@
         lock(&self.budget)
     }
 
+    /// Locks the requests that wait for spare capacity; callers must not keep the lock
+    /// across I/O.
+    pub fn waiting_lines(&self) -> MutexGuard<'_, WaitingLines> {
+        lock(&self.waiting_lines)
+    }
+
     /// Locks the counts of served requests by service and kind; callers must not keep the lock
     /// across I/O.
     pub fn shares(&self) -> MutexGuard<'_, ServiceShares> {
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -421,6 +421,7 @@
             priority: head.priority,
             urgency: hop::urgency(head),
             is_call: head.call,
+            is_late: head.late,
         };
         let connection_losses = self.client().connection_losses();
         let now = self.clock.now();
