Spread refused callers over the capacity that becomes spare

Cause: Retry-After was one owner's wait with a random part, so that callers who were refused together returned together, within 50 to 100 ms, while nothing was spare. Change: the pure module return_order gives each caller that is refused at a daemon the next moment at which its share of the spare capacity is expected to serve a request, up to the third of the time left that callers honour. Callers without such a moment return as before. Ruled out: sending callers without a chance away for as long as they honour it.

--- a/crates/mesh/src/spare_forecast.rs
+++ b/crates/mesh/src/spare_forecast.rs
@@ -24,6 +24,12 @@
 /// The time constant with which the spare rate is averaged.
 const RATE_TIME: Duration = Duration::from_secs(4);
 
+/// The age of an observation from which nothing is known of spare capacity.
+const MAX_AGE: Duration = Duration::from_secs(2);
+
+/// The least rate in requests a second that counts as spare capacity.
+const MIN_RATE: f64 = 0.01;
+
 /// The spare capacity that a daemon sees at a moment.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct SpareCapacity {
@@ -87,11 +93,29 @@
         };
     }
 
+    /// Returns how much longer nothing is expected to be spare.
+    pub fn busy_left(&self, now: Duration) -> Duration {
+        self.busy_since.map_or(Duration::ZERO, |since| {
+            now.saturating_sub(since).abs_diff(self.busy_time)
+        })
+    }
+
     /// Returns how many requests the spare capacity is expected to serve within `time`.
     pub fn served_within(&self, time: Duration, now: Duration) -> f64 {
-        let busy_left = self.busy_since.map_or(Duration::ZERO, |since| {
-            now.saturating_sub(since).abs_diff(self.busy_time)
-        });
-        self.rate * time.saturating_sub(busy_left).as_secs_f64()
+        let spare_time = time.saturating_sub(self.busy_left(now));
+        self.rate * spare_time.as_secs_f64()
+    }
+
+    /// Returns the mean time between two requests that the spare capacity serves;
+    /// `None` if nothing is known of it.
+    pub fn serving_interval(&self, now: Duration) -> Option<Duration> {
+        let is_known = self.is_known(now) && self.rate > MIN_RATE;
+        is_known.then(|| Duration::from_secs_f64(1.0 / self.rate))
+    }
+
+    /// Returns whether the spare capacity was observed recently.
+    pub fn is_known(&self, now: Duration) -> bool {
+        self.observed_at
+            .is_some_and(|at| now.saturating_sub(at) <= MAX_AGE)
     }
 }
--- a/crates/mesh/src/waiting_line.rs
+++ b/crates/mesh/src/waiting_line.rs
@@ -18,9 +18,6 @@
 /// its caller in time.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
-/// The age of an observation of spare capacity from which nothing is known of it.
-const MAX_SPARE_AGE: Duration = Duration::from_secs(2);
-
 /// The number of requests that may wait while nothing is known of spare capacity. It
 /// finds out whether there is some.
 const PROBING_PLACES: usize = 1;
@@ -121,9 +118,7 @@
             number: self.next_number,
         };
         let ahead = self.places.range(..place).count();
-        let observed_at = self.spare.observed_at();
-        let is_known = observed_at.is_some_and(|at| now.saturating_sub(at) <= MAX_SPARE_AGE);
-        let served = match is_known {
+        let served = match self.spare.is_known(now) {
             true => self.spare.served_within(give_up_at - now, now),
             false => PROBING_PLACES as f64,
         };
@@ -162,6 +157,11 @@
         self.spare.observe(spare, now);
     }
 
+    /// Returns the forecast of the capacity that requests in time leave to this daemon.
+    pub fn forecast(&self) -> &SpareForecast {
+        &self.spare
+    }
+
     /// Returns the request that is sent next.
     pub fn first(&self) -> Option<LinePlace> {
         self.places.first_key_value().map(|(place, _)| *place)
--- a/crates/mesh/tests/mesh/fleet.rs
+++ b/crates/mesh/tests/mesh/fleet.rs
@@ -15,6 +15,7 @@
 use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::RequestKind;
+use radishgauge_mesh::ReturnOrder;
 use radishgauge_mesh::ServiceShares;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::WaitingLine;
@@ -23,6 +24,7 @@
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::SendOutcome;
 use radishgauge_mesh::placement::TargetDistance;
+use radishgauge_mesh::return_order::RefusedRequest;
 use radishgauge_mesh::waiting_line::LinePlace;
 use radishgauge_mesh::waiting_line::LineRequest;
 use radishgauge_mesh::waiting_line::LineStep;
@@ -98,6 +100,8 @@
     pub shares: bool,
     /// Requests that cannot be answered in time wait at their daemons.
     pub waiting: bool,
+    /// Refused callers return when capacity is expected to be spare.
+    pub return_order: bool,
 }
 
 /// The outcomes of the requests of one kind.
@@ -213,6 +217,7 @@
     /// The waiting lines by sender and service.
     lines: HashMap<(usize, usize), WaitingLine>,
     in_line: HashMap<(usize, usize, LinePlace), usize>,
+    return_orders: HashMap<(usize, usize), ReturnOrder>,
     requests: Vec<Request>,
     events: BinaryHeap<Reverse<Event>>,
     sequence: u64,
@@ -240,6 +245,7 @@
             owners,
             lines: HashMap::new(),
             in_line: HashMap::new(),
+            return_orders: HashMap::new(),
             requests: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -776,7 +782,7 @@
         if let Some(parent) = request.parent {
             return self.fail_run(parent, now);
         }
-        let retry_after = self.retry_after(hint);
+        let retry_after = self.retry_after(index, hint, now);
         let request = &mut self.requests[index];
         let left = request.deadline.saturating_sub(now);
         let wait = retry_after.min(left / 3);
@@ -789,13 +795,24 @@
         }
     }
 
-    fn retry_after(&mut self, hint: Duration) -> Duration {
-        let jitter = 1.0 + self.random.random_range(0.0..0.5);
+    fn retry_after(&mut self, index: usize, hint: Duration, now: Duration) -> Duration {
+        let draw = self.random.random_range(0.0..1.0);
         let hint = match hint.is_zero() {
             true => Duration::from_millis(400),
             false => hint,
         };
-        hint.max(Duration::from_millis(50)).mul_f64(jitter)
+        if !self.rules.return_order {
+            let hint = hint.max(Duration::from_millis(50));
+            return hint.mul_f64(1.0 + 0.5 * draw);
+        }
+        let key = (self.requests[index].sender, self.service(index));
+        let request = RefusedRequest {
+            hint,
+            time_left: self.requests[index].deadline.saturating_sub(now),
+        };
+        let line = self.lines.entry(key).or_default();
+        let order = self.return_orders.entry(key).or_default();
+        order.assign(&request, line.forecast(), line.len(), draw, now)
     }
 
     /// A run whose call was refused fails at once.
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -13,6 +13,7 @@
 mod placement;
 mod reader;
 mod retry_budget;
+mod return_order;
 mod shares;
 mod slow_links;
 mod state_position;
--- a/crates/mesh/tests/mesh/shares.rs
+++ b/crates/mesh/tests/mesh/shares.rs
@@ -18,12 +18,14 @@
 const SHARES: FleetRules = FleetRules {
     shares: true,
     waiting: false,
+    return_order: false,
 };
 
 /// The rules of earlier versions, the baseline.
 const BEFORE: FleetRules = FleetRules {
     shares: false,
     waiting: false,
+    return_order: false,
 };
 
 fn ms(millis: u64) -> Duration {
--- a/crates/mesh/tests/mesh/waiting.rs
+++ b/crates/mesh/tests/mesh/waiting.rs
@@ -18,12 +18,14 @@
 const WAITING: FleetRules = FleetRules {
     shares: true,
     waiting: true,
+    return_order: false,
 };
 
 /// The rules without a waiting line, the baseline.
 const REFUSING: FleetRules = FleetRules {
     shares: true,
     waiting: false,
+    return_order: false,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -101,6 +103,26 @@
     }
 }
 
+/// Guards against refused callers that return together while nothing is spare, and
+/// against an order of return that costs others their objective.
+#[test]
+fn refused_callers_return_when_capacity_is_spare() {
+    let ordered = FleetRules {
+        return_order: true,
+        ..WAITING
+    };
+    for rate in [wave as fn(Duration) -> f64, bursts] {
+        let plan = plan(rate, true);
+        let before = Fleet::play(&plan, WAITING, 1);
+        let ours = Fleet::play(&plan, ordered, 1);
+        let (all, all_before) = (ours.all(), before.all());
+        let context = format!("{ours:?}, baseline {before:?}");
+        assert!(all.refused < all_before.refused, "{context}");
+        assert!(all.value() >= all_before.value(), "{context}");
+        assert!(all.in_time * 100 >= all_before.in_time * 99, "{context}");
+    }
+}
+
 /// Guards against requests in time that become late because late ones take the last
 /// free slots just before a burst.
 #[test]
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -16,6 +16,8 @@
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::retry_budget::RetryKind;
+use radishgauge_mesh::return_order;
+use radishgauge_mesh::return_order::RefusedRequest;
 use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
@@ -43,22 +45,15 @@
 use crate::suspect_exchange;
 use crate::suspect_placing;
 use crate::target_call::BufferedRequest;
+use crate::waiting_lines;
 use crate::waiting_lines::WaitingPlace;
 
 mod late;
 
-/// The least time after which a refused caller may retry. An earlier retry
-/// would only repeat the load that led to the refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// The time after which a caller may retry when no estimate is available: about
 /// the time in which a target starts or a state arrives.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// The greatest fraction by which the retry time of a refused caller is
-/// randomly extended, so that callers do not all retry at once.
-const RETRY_JITTER: f64 = 0.5;
-
 /// The greatest number of targets to which one request is offered while owners
 /// refuse it for lack of capacity.
 const MAX_OFFERS: usize = 4;
@@ -581,9 +576,8 @@
             }
             (PlacementError::NoTarget, None) => DEFAULT_RETRY_AFTER,
         };
-        let spread = 1.0 + rand::rng().random_range(0.0..RETRY_JITTER);
-        let retry_after = hint.max(MIN_RETRY_AFTER).mul_f64(spread);
         let now = self.node.now();
+        let retry_after = self.retry_after(hint, now);
         self.count("refused", now);
         let place = match error {
             PlacementError::Full { .. } => "full",
@@ -612,6 +606,20 @@
         local_reply::refused(Some(&self.request.id), "not run", retry_after)
     }
 
+    /// Returns the time after which a refused request should be sent again. A run waits
+    /// for its call, so it repeats a call as soon as a target may have capacity.
+    fn retry_after(&self, hint: Duration, now: Duration) -> Duration {
+        if self.is_call() {
+            let draw = rand::rng().random_range(0.0..1.0);
+            return return_order::spread(hint, draw);
+        }
+        let request = RefusedRequest {
+            hint,
+            time_left: self.deadline.saturating_sub(now),
+        };
+        waiting_lines::return_time(self.node, &self.service, &request)
+    }
+
     fn timed_out(&self, history: &mut AttemptHistory) -> HttpAnswer {
         let sent = match history.progress.take() {
             Some(progress) => progress.may_have_been_sent(),
--- a/crates/sidecar/src/waiting_lines.rs
+++ b/crates/sidecar/src/waiting_lines.rs
@@ -9,12 +9,16 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use radishgauge_mesh::ReturnOrder;
 use radishgauge_mesh::WaitingLine;
+use radishgauge_mesh::return_order;
+use radishgauge_mesh::return_order::RefusedRequest;
 use radishgauge_mesh::spare_forecast::SpareCapacity;
 use radishgauge_mesh::waiting_line::LinePlace;
 use radishgauge_mesh::waiting_line::LineRefusal;
 use radishgauge_mesh::waiting_line::LineRequest;
 use radishgauge_mesh::waiting_line::LineStep;
+use rand::Rng;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
 
@@ -30,10 +34,11 @@
 /// large fleet.
 const COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The line of one service, and the requests in it.
+/// The line of one service, the requests in it, and the callers that were refused.
 #[derive(Default)]
 struct ServiceLine {
     line: WaitingLine,
+    returns: ReturnOrder,
     turns: HashMap<LinePlace, Arc<Notify>>,
 }
 
@@ -91,6 +96,17 @@
     service_line.line.record_spare(share, now);
 }
 
+/// Returns the time after which a refused caller should return to a service.
+pub(crate) fn return_time(node: &SidecarNode, service: &str, request: &RefusedRequest) -> Duration {
+    let draw = rand::rng().random_range(0.0..1.0);
+    let now = node.now();
+    let mut lines = node.waiting_lines();
+    let Some(ServiceLine { line, returns, .. }) = lines.services.get_mut(service) else {
+        return return_order::spread(request.hint, draw);
+    };
+    returns.assign(request, line.forecast(), line.len(), draw, now)
+}
+
 /// A request's place in a line; dropping it leaves the line.
 pub(crate) struct WaitingPlace {
     node: Arc<SidecarNode>,
