--- a/crates/mesh/src/candidate_survey.rs
+++ b/crates/mesh/src/candidate_survey.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Returns the shortest service time that any candidate reported recently, or a
+    /// default if there is none.
+    pub(crate) fn shortest_time(&self) -> Duration {
+        self.fastest
+    }
+
     /// Returns whether the candidates differ in speed, and their speeds are known.
     pub(crate) fn has_speeds(&self) -> bool {
         self.mean.is_some()
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -26,6 +26,7 @@
 use crate::cross_region_budget::CrossRegionBudget;
 use crate::link_load;
 use crate::scheduling;
+use crate::spare_forecast::SpareCapacity;
 use crate::target_estimate;
 use crate::target_estimate::TargetEstimate;
 use crate::target_speed::RouteKey;
@@ -101,6 +102,8 @@
     /// The number of concurrent requests above which the throughput of the target
     /// does not increase; `None` if it increases up to the limit.
     pub efficient_limit: Option<u32>,
+    /// The most urgent priority among the waiting requests; `None` if none waits.
+    pub waiting_priority: Option<u32>,
 }
 
 /// The distance of a target from this host, nearest first.
@@ -138,7 +141,8 @@
     /// The longest acceptable time until the answer; for a call of a target it
     /// may exceed the objective.
     pub patience: Duration,
-    /// The priority; 0 is the most urgent.
+    /// The priority with which the request competes; 0 is the most urgent. For a
+    /// call, it is that of the request on whose behalf it is made.
     pub priority: u32,
     /// The length of the request body in bytes.
     pub body_bytes: u64,
@@ -322,6 +326,91 @@
         self.counts
     }
 
+    /// Chooses a target for a request that has missed its objective, and counts the
+    /// request as in flight there until [`TargetPlacer::finish`]. Returns `None` if
+    /// all candidates reported recently that they have no slot to spare.
+    pub fn place_late(
+        &mut self,
+        candidates: &[PlaceCandidate],
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Option<SmolStr> {
+        let survey =
+            CandidateSurvey::new(&self.estimates, &self.route_times, candidates, request, now);
+        let answer_bytes = self.answer_lengths.long(request.route);
+        let mut best: Option<(f64, &PlaceCandidate)> = None;
+        for candidate in candidates {
+            let noise = self.random.random_range(0.0..1.0);
+            let estimate = self.estimates.entry(candidate.id.clone()).or_default();
+            if estimate.paused_until > now || !estimate.may_have_spare_slot(candidate.capacity, now)
+            {
+                continue;
+            }
+            let input = CostInput {
+                estimate,
+                candidate,
+                request,
+                times: survey.times(estimate, now),
+                usual: 0.0,
+                answer_bytes: match candidate.distance {
+                    TargetDistance::SameHost => 0,
+                    _ => answer_bytes,
+                },
+                round_trip: self.round_trips[candidate.distance as usize],
+                now,
+            };
+            let cost = input.cost(noise);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate));
+            }
+        }
+        let (_, chosen) = best?;
+        if chosen.distance == TargetDistance::OtherRegion {
+            self.cross_region.record_sent(request.body_bytes, now);
+            self.cross_region_answers.record_sent(answer_bytes, now);
+        }
+        let estimate = self.estimates.entry(chosen.id.clone()).or_default();
+        estimate.in_flight += 1;
+        Some(chosen.id.clone())
+    }
+
+    /// Returns the service time that is expected of a request.
+    pub fn expected_service_time(
+        &self,
+        candidates: &[PlaceCandidate],
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Duration {
+        CandidateSurvey::new(&self.estimates, &self.route_times, candidates, request, now)
+            .shortest_time()
+    }
+
+    /// Returns the capacity that the candidates leave unused, as far as recent reports
+    /// tell; it is extrapolated to those without one. Returns `None` if none has one.
+    pub fn spare_capacity(
+        &self,
+        candidates: &[PlaceCandidate],
+        now: Duration,
+    ) -> Option<SpareCapacity> {
+        let mut spare = SpareCapacity::default();
+        let mut count = 0_u32;
+        for candidate in candidates {
+            let estimate = self.estimates.get(&candidate.id);
+            let reported =
+                estimate.and_then(|estimate| estimate.spare_capacity(candidate.capacity, now));
+            if let Some(reported) = reported {
+                spare.fraction += reported.fraction;
+                spare.rate += reported.rate;
+                count += 1;
+            }
+        }
+        let count = f64::from(count);
+        (count > 0.0).then(|| SpareCapacity {
+            fraction: spare.fraction / count,
+            rate: spare.rate / count * candidates.len() as f64,
+        })
+    }
+
     /// Records a load report from the owner of a target.
     pub fn report(&mut self, id: &SmolStr, report: LoadReport, now: Duration) {
         let estimate = self.estimates.entry(id.clone()).or_default();
@@ -565,6 +654,20 @@
         // out.
         let wait = estimate.wait(limit, 0.0, self.times.mean, self.now);
         let allowed = scheduling::allowed_wait(request.patience, self.times.run, request.priority);
+        let (wait, allowed) = match estimate.waiting_priority(self.now) {
+            // The request passes all that wait, and needs one slot.
+            Some(waiting) if request.priority < waiting => {
+                let slot_wait = self.times.mean / limit.max(1);
+                (wait.min(slot_wait), allowed)
+            }
+            // More urgent requests pass this one, so the owner admits it only for a
+            // short wait.
+            Some(waiting) if request.priority > waiting => {
+                let short = scheduling::short_wait(request.patience, request.priority);
+                (wait, allowed.min(short))
+            }
+            _ => (wait, allowed),
+        };
         let transfer = estimate.transfer_time(request.body_bytes, self.now);
         (wait + transfer + self.answer_time() + estimate.delay(self.now)).saturating_sub(allowed)
     }
--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -4,6 +4,8 @@
 
 use crate::body_admission::LONG_BODY;
 use crate::placement::LoadReport;
+use crate::scheduling;
+use crate::spare_forecast::SpareCapacity;
 use crate::target_speed::TargetSpeed;
 
 /// The weight of one answer in the moving averages of a target.
@@ -22,6 +24,10 @@
 /// The greatest age of a report that limits a target's concurrent requests.
 const MAX_LIMIT_AGE: Duration = Duration::from_secs(2);
 
+/// The greatest age of a report that tells which requests wait at a target. Queues
+/// change faster than service times.
+const MAX_QUEUE_AGE: Duration = Duration::from_secs(1);
+
 /// The weight of one long body in the average transfer rate of a host's link;
 /// links fill up fast.
 const TRANSFER_RATE_WEIGHT: f64 = 0.3;
@@ -171,6 +177,44 @@
         efficient.map_or(capacity, |efficient| capacity.min(efficient))
     }
 
+    /// Returns the most urgent priority among the requests that wait at the target.
+    pub(crate) fn waiting_priority(&self, now: Duration) -> Option<u32> {
+        let (report, at) = self.report?;
+        report
+            .waiting_priority
+            .filter(|_| now.saturating_sub(at) <= MAX_QUEUE_AGE)
+    }
+
+    /// Returns whether the target may have a slot for a request that has missed its
+    /// objective: its last report says so, or is too old to tell.
+    pub(crate) fn may_have_spare_slot(&self, registered: u32, now: Duration) -> bool {
+        let Some((report, at)) = self.report else {
+            return self.in_flight == 0;
+        };
+        if now.saturating_sub(at) > MAX_QUEUE_AGE {
+            return self.in_flight == 0;
+        }
+        let limit = self.capacity(registered, now).max(1);
+        let sent_since = self.in_flight.saturating_sub(self.in_flight_at_report);
+        report.occupied + sent_since + scheduling::reserved_slots(limit) < limit
+    }
+
+    /// Returns the unused capacity; `None` without a recent report.
+    pub(crate) fn spare_capacity(&self, registered: u32, now: Duration) -> Option<SpareCapacity> {
+        let (report, at) = self.report?;
+        let service_time = report.service_time?;
+        if now.saturating_sub(at) > MAX_QUEUE_AGE {
+            return None;
+        }
+        let limit = self.capacity(registered, now).max(1);
+        let usable = limit - scheduling::reserved_slots(limit);
+        let spare = f64::from(usable.saturating_sub(report.occupied));
+        Some(SpareCapacity {
+            fraction: spare / f64::from(limit),
+            rate: spare / service_time.as_secs_f64().max(1e-3),
+        })
+    }
+
     /// Returns the expected wait of one more request at a target that runs `limit`
     /// requests concurrently.
     pub(crate) fn wait(
--- a/crates/mesh/tests/mesh/fleet.rs
+++ b/crates/mesh/tests/mesh/fleet.rs
@@ -403,7 +403,9 @@
             objective: self.objective_left(index, now),
             time_left: TIME_LIMIT.saturating_sub(now - self.requests[index].arrived),
             priority: 1,
+            urgency: 1,
             is_call: false,
+            is_late: false,
         };
         self.requests[index].at_owner = now;
         let target = self.requests[index].target;
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -48,6 +48,7 @@
         service_time: Some(ms(service_time)),
         cold: false,
         efficient_limit: None,
+        waiting_priority: None,
     }
 }
 
@@ -392,3 +393,55 @@
     // Short answers are placed as before.
     assert_eq!(place(300_000, 9_000), "domain");
 }
+
+/// Guards against requests that are sent to queues of more urgent ones, and against
+/// urgent requests that are held back by queues which they pass. A report that is
+/// too old, or from an owner that does not tell what waits, changes nothing.
+#[test]
+fn queue_counts_by_the_priority_of_those_who_wait() {
+    let queue = |waiting_priority| LoadReport {
+        waiting_priority,
+        ..load(20, 220, 100)
+    };
+    let place = |waiting_priority, priority, now| {
+        let report = queue(waiting_priority);
+        let mut placer = placer(&[("domain", report), ("region", report), ("far", report)]);
+        let request = PlaceRequest {
+            priority,
+            ..REQUEST
+        };
+        placer.place(&candidates(), &request, ms(now)).is_ok()
+    };
+    assert!(place(None, 1, 1), "the wait is within the objective");
+    assert!(place(Some(1), 1, 1));
+    assert!(!place(Some(0), 1, 1), "more urgent requests wait");
+    assert!(place(Some(0), 1, 1_200), "the report is old");
+    // A wait of 600 ms, which exceeds the objective.
+    let long = LoadReport {
+        waiting_priority: Some(2),
+        ..load(60, 600, 100)
+    };
+    let mut placer = placer(&[("domain", long), ("region", long), ("far", long)]);
+    assert!(placer.place(&candidates(), &REQUEST, ms(1)).is_ok());
+}
+
+/// Guards against late requests at targets without a slot to spare, and against a
+/// target that is never tried again because its last report is old.
+#[test]
+fn late_request_is_sent_where_a_slot_is_spare() {
+    let mut placer = placer(&[
+        ("domain", load(9, 0, 100)),
+        ("region", load(3, 0, 100)),
+        ("far", load(10, 0, 100)),
+    ]);
+    let late = |placer: &mut TargetPlacer, now| placer.place_late(&candidates(), &REQUEST, ms(now));
+    for _ in 0..5 {
+        assert_eq!(late(&mut placer, 1).unwrap(), "region");
+    }
+    assert_eq!(late(&mut placer, 1), None, "the slots are used since");
+    let spare = placer.spare_capacity(&candidates(), ms(1)).unwrap();
+    // Five of 30 slots, as two of each target's ten are left free.
+    assert!((spare.rate - 50.0).abs() < 1e-6, "{spare:?}");
+    assert_eq!(late(&mut placer, 1_200).unwrap(), "domain");
+    assert_eq!(placer.spare_capacity(&candidates(), ms(1_200)), None);
+}
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -321,7 +321,9 @@
             objective: self.objective_left(index, now),
             time_left,
             priority: 1,
+            urgency: 1,
             is_call: false,
+            is_late: false,
         };
         let state = &mut self.requests[index];
         let target = state.target;
--- a/crates/mesh/tests/mesh/target_speed.rs
+++ b/crates/mesh/tests/mesh/target_speed.rs
@@ -167,7 +167,9 @@
         objective: ms(500),
         time_left: ms(500),
         priority: 0,
+        urgency: 0,
         is_call: false,
+        is_late: false,
     };
     let mut now = Duration::ZERO;
     for run in 0..8_000 {
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -12,6 +12,7 @@
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RequestKind;
 use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::RouteKey;
 use radishgauge_mesh::TenantPolicy;
@@ -19,6 +20,8 @@
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::retry_budget::RetryKind;
+use radishgauge_mesh::return_order;
+use radishgauge_mesh::return_order::RefusedRequest;
 use radishgauge_mesh::tenant::TenantLabel;
 use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
@@ -52,19 +55,15 @@
 use crate::tenant_access::TenantAccess;
 use crate::unread_body;
 use crate::unread_body::close_connection;
+use crate::waiting_lines;
+use crate::waiting_lines::WaitingPlace;
 
-/// The least time after which a refused caller may retry. An earlier retry
-/// would only repeat the load that led to the refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+mod late;
 
 /// The time after which a caller may retry when no estimate is available: about
 /// the time in which a target starts or a state arrives.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// The greatest fraction by which the retry time of a refused caller is
-/// randomly extended, so that callers do not all retry at once.
-const RETRY_JITTER: f64 = 0.5;
-
 /// The greatest number of targets to which one request is offered while owners
 /// refuse it for lack of capacity.
 const MAX_OFFERS: usize = 4;
@@ -239,7 +238,7 @@
     fn record_request(&self, now: Duration) {
         let mut budget = self.node.budget();
         budget.record_request(&self.service, now);
-        if self.origin == (RequestOrigin::Run { retried: true }) {
+        if self.origin.is_retried() {
             budget.record_retried_call(&self.service, now);
         }
     }
@@ -258,11 +257,11 @@
             };
             let candidate = match self.place(candidates) {
                 Ok(candidate) => candidate,
-                Err(error) => return self.finish_unserved(history, error),
+                Err(error) => return self.wait_or_refuse(history, error).await,
             };
             let id = candidate.place.id.clone();
             history.tried.push(id.clone());
-            match self.send(&candidate, history).await {
+            match self.send(&candidate, history, None).await {
                 TargetOutcome::Answered(answer) => {
                     history.reached += 1;
                     if !answer.status.is_server_error() || !self.may_retry(history, &id, "failure")
@@ -293,7 +292,11 @@
                     };
                     if !try_another {
                         let retry_after = refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
-                        return self.finish_unserved(history, PlacementError::Full { retry_after });
+                        let error = PlacementError::Full { retry_after };
+                        return match attempt::is_for_lack_of_capacity(&refusal) {
+                            true => self.wait_or_refuse(history, error).await,
+                            false => self.finish_unserved(history, error),
+                        };
                     }
                 }
                 TargetOutcome::MayHaveRun(reason) => {
@@ -316,9 +319,9 @@
     }
 
     fn refusal_retry_kind(&self) -> RetryKind {
-        match self.origin {
+        match &self.origin {
             RequestOrigin::Caller => RetryKind::Refused,
-            RequestOrigin::Run { .. } => RetryKind::RefusedCall,
+            RequestOrigin::Run(_) => RetryKind::RefusedCall,
         }
     }
 
@@ -362,6 +365,7 @@
             .iter()
             .map(|candidate| candidate.place.clone())
             .collect();
+        self.observe_spare(&places);
         let objective = self.objective_left(now);
         let patience = match self.is_call() {
             true => self.deadline.saturating_sub(now),
@@ -370,7 +374,7 @@
         let request = PlaceRequest {
             objective,
             patience,
-            priority: self.priority(),
+            priority: self.competing_urgency(now),
             body_bytes: self.request.body.len() as u64,
             route: self.route_key(),
             receive_rate: self.node.link().free_receive_rate(now) as u64,
@@ -403,8 +407,36 @@
         RouteKey::new(&self.service, &self.route.name)
     }
 
+    /// Returns what the placement of the request depends on after its objective.
+    fn late_request(&self, now: Duration) -> PlaceRequest {
+        PlaceRequest {
+            objective: self.route.objective,
+            patience: self.deadline.saturating_sub(now),
+            priority: self.competing_urgency(now),
+            body_bytes: self.request.body.len() as u64,
+            route: self.route_key(),
+            receive_rate: self.node.link().free_receive_rate(now) as u64,
+        }
+    }
+
     fn is_call(&self) -> bool {
-        matches!(self.origin, RequestOrigin::Run { .. })
+        matches!(self.origin, RequestOrigin::Run(_))
+    }
+
+    fn kind(&self) -> RequestKind {
+        RequestKind {
+            route: self.route.name.clone(),
+            urgency: self.origin.urgency(self.priority()),
+            is_call: self.is_call(),
+        }
+    }
+
+    /// Returns the urgency with which the request competes at its service.
+    fn competing_urgency(&self, now: Duration) -> u32 {
+        let kind = self.kind();
+        self.node
+            .shares()
+            .effective_urgency(&self.service, &kind, now)
     }
 
     fn objective_left(&self, now: Duration) -> Duration {
@@ -413,6 +445,14 @@
         self.route.objective.saturating_sub(spent).min(left)
     }
 
+    /// Returns the priority behind a call, as messages state it.
+    fn call_priority(&self) -> u32 {
+        match &self.origin {
+            RequestOrigin::Caller => 0,
+            RequestOrigin::Run(running) => running.urgency.saturating_add(1),
+        }
+    }
+
     fn head(&self, id: &str, history: &AttemptHistory) -> HopHead {
         let now = self.node.now();
         let position = self.node.position();
@@ -428,7 +468,8 @@
             era: position.era,
             reservation: 0,
             call: self.is_call(),
-            repeated: history.reached > 0 || self.origin == (RequestOrigin::Run { retried: true }),
+            call_priority: self.call_priority(),
+            repeated: history.reached > 0 || self.origin.is_retried(),
             content_fingerprint: self.prints.content.0,
             exact_fingerprint: self.prints.exact.0,
             suspicions: suspect_exchange::records_of(self.node, &self.prints),
@@ -438,10 +479,18 @@
         }
     }
 
-    async fn send(&self, candidate: &Candidate, history: &mut AttemptHistory) -> TargetOutcome {
+    /// Sends the request to a target. A late request leaves its place in the line as
+    /// soon as the owner has a slot for it.
+    async fn send(
+        &self,
+        candidate: &Candidate,
+        history: &mut AttemptHistory,
+        waiting: Option<&mut WaitingPlace>,
+    ) -> TargetOutcome {
         let started = self.node.now();
         let id = &candidate.place.id;
-        let head = self.head(id, history);
+        let mut head = self.head(id, history);
+        head.late = waiting.is_some();
         let mut pending_attempt = PendingAttempt {
             node: self.node,
             id,
@@ -452,10 +501,11 @@
             outcome: None,
         };
         let (outcome, spent) = if candidate.place.distance == TargetDistance::SameHost {
-            let outcome = self.node.owner.run(&self.request, &head, None).await;
+            let outcome = self.run_here(&head, waiting).await;
             let load = self.node.owner.report();
             let route_time = self.node.owner.route_service_time(&self.route.name);
             self.record_load(id, load, route_time);
+            self.record_call(load.waiting_priority);
             if self.node.owner.is_leaving(id) {
                 self.node.mark_leaving(id);
             }
@@ -463,10 +513,11 @@
         } else {
             let progress = Arc::new(RequestProgress::default());
             history.progress = Some(Arc::clone(&progress));
-            let hop = self.send_to_peer(candidate, head, &progress).await;
+            let hop = self.send_to_peer(candidate, head, &progress, waiting).await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
                 let load = hop::load_from_report(report);
+                self.record_call(load.waiting_priority);
                 self.record_load(id, load, hop::route_service_time(report));
                 let unoffered_rate = report.unoffered_rate as f64;
                 self.node
@@ -515,21 +566,47 @@
         }
     }
 
+    /// Runs the request at this host's target.
+    async fn run_here(&self, head: &HopHead, waiting: Option<&mut WaitingPlace>) -> TargetOutcome {
+        let owner = &self.node.owner;
+        let Some(place) = waiting else {
+            return owner.run(&self.request, head, None).await;
+        };
+        match owner.admit(head) {
+            Ok(admitted) => {
+                place.record_served();
+                owner.run(&self.request, head, Some(admitted)).await
+            }
+            Err(refusal) => TargetOutcome::NotRun(refusal),
+        }
+    }
+
+    /// Tells the owner of the run that makes this call which requests compete with it.
+    fn record_call(&self, waiting_priority: Option<u32>) {
+        if let RequestOrigin::Run(running) = &self.origin {
+            self.node.owner.record_call(running, waiting_priority);
+        }
+    }
+
     /// Sends the request to the owner on another host, and offers it first if its
-    /// body would load a link.
+    /// body would load a link or if it is late.
     async fn send_to_peer(
         &self,
         candidate: &Candidate,
         mut head: HopHead,
         progress: &RequestProgress,
+        waiting: Option<&mut WaitingPlace>,
     ) -> HopOutcome {
         let node = self.node;
         let peer = candidate.peer;
         let body_bytes = self.request.body.len() as u64;
-        if self.needs_offer(candidate, body_bytes) {
+        if waiting.is_some() || self.needs_offer(candidate, body_bytes) {
             let offer = slot_offer::send(node, peer, &head, &self.request.id, body_bytes).await;
             match offer.decision {
                 Ok(reservation) => {
+                    if let Some(place) = waiting {
+                        place.record_served();
+                    }
                     let now = node.now();
                     head.reservation = reservation;
                     head.objective_us = hop::micros(self.objective_left(now));
@@ -565,11 +642,12 @@
         let now = self.node.now();
         let took_ms = now.saturating_sub(self.arrived).as_millis();
         let fields = format_args!(
-            "route={} tenant={} target={id} status={} attempts={} took_ms={took_ms} version={} revision={}",
+            "route={} tenant={} target={id} status={} attempts={} line={} took_ms={took_ms} version={} revision={}",
             self.route.name,
             self.tenant_label(),
             answer.status.as_u16(),
             history.tried.len(),
+            history.line.as_str(),
             self.version,
             self.node.position(),
         );
@@ -608,23 +686,25 @@
             }
             (PlacementError::NoTarget, None) => DEFAULT_RETRY_AFTER,
         };
-        let spread = 1.0 + rand::rng().random_range(0.0..RETRY_JITTER);
-        let retry_after = hint.max(MIN_RETRY_AFTER).mul_f64(spread);
         let now = self.node.now();
+        let retry_after = self.retry_after(hint, now);
         self.count(RequestOutcome::Refused, now);
         let place = match error {
             PlacementError::Full { .. } => "full",
             PlacementError::NoTarget => "no target",
         };
+        let competes_as = self.competing_urgency(now);
         let owner = history.refusal.map(|refusal| refusal.reason.as_str_name());
         self.node.request_log.log_other(
             &events::REQUEST_REFUSED,
             &self.request.id,
             format_args!(
-                "route={} tenant={} place={place} owner={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
+                "route={} tenant={} place={place} owner={} urgency={} competes_as={competes_as} line={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
                 self.route.name,
                 self.tenant_label(),
                 owner.unwrap_or("-"),
+                self.kind().urgency,
+                history.line.as_str(),
                 retry_after.as_millis(),
                 history.tried,
                 now.saturating_sub(self.arrived).as_millis(),
@@ -637,9 +717,24 @@
         local_reply::refused(Some(&self.request.id), "not run", retry_after)
     }
 
+    /// Returns the time after which a refused request should be sent again. A run waits
+    /// for its call, so it repeats a call as soon as a target may have capacity.
+    fn retry_after(&self, hint: Duration, now: Duration) -> Duration {
+        if self.is_call() {
+            let draw = rand::rng().random_range(0.0..1.0);
+            return return_order::spread(hint, draw);
+        }
+        let request = RefusedRequest {
+            hint,
+            time_left: self.deadline.saturating_sub(now),
+        };
+        waiting_lines::return_time(self.node, &self.service, &request)
+    }
+
     fn timed_out(&self, history: &mut AttemptHistory) -> HttpAnswer {
         let sent = match history.progress.take() {
             Some(progress) => progress.may_have_been_sent(),
+            None if history.is_waiting => false,
             // An attempt at this host's target has no progress, and the target
             // may have run the request.
             None => !history.tried.is_empty(),
@@ -657,6 +752,11 @@
         if let Some(tenant) = &self.tenant {
             metrics.tenants.count(tenant, outcome);
         }
+        let is_served = outcome != RequestOutcome::Refused;
+        let kind = self.kind();
+        self.node
+            .shares()
+            .record(&self.service, &kind, is_served, now);
     }
 
     fn fail(
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod tenant_access;
 pub mod tenant_metrics;
 mod unread_body;
+pub mod waiting_lines;
 
 pub use sidecar::Sidecar;
 pub use sidecar::StopReport;
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,6 +16,7 @@
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MisplacedTargets;
 use radishgauge_mesh::RetryBudget;
+use radishgauge_mesh::ServiceShares;
 use radishgauge_mesh::StateFreshness;
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::StopPlan;
@@ -44,6 +45,7 @@
 use crate::request_log::RequestLog;
 use crate::reservation::SlotReservations;
 use crate::suspect_exchange;
+use crate::waiting_lines::WaitingLines;
 
 /// The state that the tasks of one daemon share.
 pub struct SidecarNode {
@@ -65,6 +67,8 @@
     known: Mutex<KnownState>,
     placer: Mutex<TargetPlacer>,
     budget: Mutex<RetryBudget>,
+    shares: Mutex<ServiceShares>,
+    waiting_lines: Mutex<WaitingLines>,
     /// The greatest position that a peer reported, and the peer.
     newest_report: Mutex<Option<(StatePosition, SocketAddr)>>,
     pub(crate) position: watch::Sender<StatePosition>,
@@ -123,6 +127,8 @@
             store_moved: Notify::new(),
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
+            shares: Mutex::default(),
+            waiting_lines: Mutex::default(),
             newest_report: Mutex::default(),
             position: watch::Sender::new(StatePosition::UNKNOWN),
             changes: watch::Sender::new(0),
@@ -301,6 +307,16 @@
         self.stop_plan.load().is_some()
     }
 
+    /// Waits until the daemon begins to stop.
+    pub async fn wait_for_stop(&self) {
+        let mut changes = self.changes.subscribe();
+        while !self.is_stopping() {
+            // The sender is owned by `self`, so the channel cannot close during the
+            // wait.
+            let _ = changes.changed().await;
+        }
+    }
+
     /// Returns whether a request that lasts for `longest` at most can be served
     /// before the daemon stops.
     pub fn accepts(&self, longest: Duration) -> bool {
@@ -421,6 +437,18 @@
         lock(&self.budget)
     }
 
+    /// Locks the requests that wait for spare capacity; callers must not keep the lock
+    /// across I/O.
+    pub fn waiting_lines(&self) -> MutexGuard<'_, WaitingLines> {
+        lock(&self.waiting_lines)
+    }
+
+    /// Locks the counts of served requests by service and kind; callers must not keep the lock
+    /// across I/O.
+    pub fn shares(&self) -> MutexGuard<'_, ServiceShares> {
+        lock(&self.shares)
+    }
+
     /// Records the position of a peer's state, and wakes the state exchange if
     /// it is newer than the state known here.
     pub fn record_peer_position(&self, peer: SocketAddr, position: StatePosition) {
