Bound the service times that are taken from reports

A faulty owner may report any service time. Placement multiplies it with the relative speeds of other targets, and a product beyond the range of a duration would panic under the placer's lock. Times above an hour now count as an hour.

The new test plays the greatest and the least times that a report can state. It passes without the bound too: none of the tried reports led to a panic, the bound is a precaution.

--- a/crates/mesh/src/target_speed.rs
+++ b/crates/mesh/src/target_speed.rs
@@ -50,6 +50,10 @@
 /// The greatest number of routes for which typical times are kept.
 const MAX_ROUTES: usize = 2_048;
 
+/// The greatest service time that is taken from a report. A faulty owner may report
+/// any time, and multiples of it must remain valid durations.
+const MAX_TIME: Duration = Duration::from_secs(3_600);
+
 /// The least weight of one report in the typical time of a route.
 const MIN_ROUTE_WEIGHT: f64 = 0.02;
 
@@ -99,7 +103,7 @@
         if route == RouteKey::UNKNOWN || time.is_zero() {
             return;
         }
-        let log_time = time.as_secs_f64().ln();
+        let log_time = time.min(MAX_TIME).as_secs_f64().ln();
         if self.routes.len() >= MAX_ROUTES && !self.routes.contains_key(&route) {
             // Routes of former configurations are the oldest ones.
             self.routes.shift_remove_index(0);
--- a/crates/mesh/tests/mesh/target_speed.rs
+++ b/crates/mesh/tests/mesh/target_speed.rs
@@ -134,6 +134,23 @@
     assert!(share < 0.1, "{share}");
 }
 
+/// Guards against a panic because of the service time that a faulty owner reports: its
+/// target is avoided.
+#[test]
+fn absurd_service_time_is_bounded() {
+    let mut placer = placer(100);
+    let route = RouteKey::new("shop", "read");
+    let absurd = Duration::from_micros(u64::MAX);
+    for now in (6_000..20_000).step_by(100) {
+        placer.record_route_time(&"slow".into(), route, absurd, ms(now));
+        placer.record_route_time(&"fast".into(), route, Duration::from_nanos(1), ms(now));
+        let chosen = placer.place(&candidates(), &request(route), ms(now));
+        if now > 10_000 {
+            assert_eq!(chosen.unwrap(), "fast");
+        }
+    }
+}
+
 /// Guards against a target that looks slow only because it runs an expensive route:
 /// the times of one route count.
 #[test]
