--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -17,7 +17,7 @@
 mod interrupted_runs;
 pub mod known_hosts;
 pub mod known_state;
-mod local_reply;
+pub mod local_reply;
 pub mod metrics;
 pub mod node;
 mod origin;
--- a/crates/sidecar/src/local_reply.rs
+++ b/crates/sidecar/src/local_reply.rs
@@ -73,7 +73,7 @@
 
 /// Logs the refusal of a request over its tenant's limit, and returns the answer: the
 /// request has not run.
-pub(crate) fn refuse_over_limit(
+pub fn refuse_over_limit(
     node: &SidecarNode,
     id: &str,
     route: &str,
--- a/crates/sidecar/tests/tenant_access.rs
+++ b/crates/sidecar/tests/tenant_access.rs
@@ -14,8 +14,10 @@
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_net::clock::ProcessClock;
 use radishgauge_platform::StoreItem;
+use radishgauge_sidecar::local_reply;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
+use radishgauge_sidecar::quota::QuotaRefusal;
 use radishgauge_sidecar::request_outcome::RequestOutcome;
 use radishgauge_sidecar::tenant_access;
 use radishgauge_sidecar::tenant_access::AccessRefusal;
@@ -247,3 +249,22 @@
     assert!(page.lines().any(|line| line == rest), "{page}");
     assert!(page.lines().any(|line| line == "radishgauge.last 1"));
 }
+
+/// Guards against a refusal over the limit that a caller cannot tell from another one,
+/// that does not say when to come back, or that is not counted.
+#[test]
+fn refusal_over_the_limit_says_when_to_come_back() {
+    let node = AccessSetup::new().node;
+    let config = node.config().unwrap();
+    let tenant = config.tenant("acme").unwrap();
+    let refusal = QuotaRefusal {
+        retry_after: Duration::from_millis(1_250),
+    };
+    let answer = local_reply::refuse_over_limit(&node, "id-1", "read", tenant, &refusal);
+    assert_eq!(answer.status(), 429);
+    assert_eq!(answer.headers()["retry-after"], "1.250");
+    assert_eq!(answer.headers()["radishgauge-request-id"], "id-1");
+    let series = "radishgauge.tenant_requests{tenant:acme,outcome:over_limit} 1";
+    let page = node.metrics.page(&node);
+    assert!(page.lines().any(|line| line == series), "{page}");
+}
