--- a/crates/mesh/src/config.rs
+++ b/crates/mesh/src/config.rs
@@ -167,8 +167,8 @@
         !self.tenants.is_empty()
     }
 
-    /// Returns the tenant that holds a key. The look-up allocates no memory, and its
-    /// duration does not depend on the stored keys.
+    /// Returns the tenant that holds a key. The look-up allocates no memory, and compares
+    /// the hashes of keys in constant time.
     pub fn tenant_of_key(&self, key: &[u8]) -> Option<&Arc<TenantPolicy>> {
         self.tenants.of_key(key)
     }
--- a/crates/mesh/src/tenant_directory.rs
+++ b/crates/mesh/src/tenant_directory.rs
@@ -1,8 +1,7 @@
 //! The tenants of one configuration, found by name or by the hash of a key.
 //!
 //! Only hashes of the keys are kept. The hash is cryptographic, so a key cannot be
-//! derived from it, and two hashes are compared in constant time, so the duration of a
-//! look-up tells a caller nothing about the keys.
+//! derived from it, and two hashes are compared in constant time.
 
 use std::fmt;
 use std::hash::Hash;
