Ask the owner that another daemon names

Cause: lists of hosts change at the daemons one after the other. A daemon whose list is older asked a host that is no longer the owner for 90 ms, and took its answers for those of an owner without tokens: it refused the request instead of using its own part of the tolerance.

Change: a daemon that is not the owner names the one in its view, which the entry asks for a second; only answers of an owner count as such. A token is granted by the owner's own view only, as before. The benchmark of the check separates tokens in stock from those of the daemon's own bucket.

Ruled out: granting by the asker's view, with which two daemons accrue the same share.

Test: daemon_with_another_list_of_hosts_finds_the_owner fails without the redirect (no admission within 60 s) and passes with it.

--- a/crates/mesh/src/quota/entry.rs
+++ b/crates/mesh/src/quota/entry.rs
@@ -26,8 +26,9 @@
 /// lease, so that few of them expire.
 const AHEAD_S: f64 = 0.5;
 
-/// When to ask again after an answer from a daemon that is not the owner.
-const NOT_OWNER_WAIT: Duration = Duration::from_millis(20);
+/// When to ask again after an answer from a daemon that is not the owner: long enough for
+/// it to find out that the owner before it has ended.
+const NOT_OWNER_WAIT: Duration = Duration::from_millis(10);
 
 /// The time after which a caller may come back that was refused because no owner
 /// answered, and the time between two such callers.
@@ -345,11 +346,13 @@
                 entry.ask_after = now + NOT_OWNER_WAIT;
                 continue;
             };
-            entry.last_grant = Some(LastGrant {
-                owner,
-                at: now,
-                left: f64::from(grant.left),
-            });
+            if is_of_owner(grant) {
+                entry.last_grant = Some(LastGrant {
+                    owner,
+                    at: now,
+                    left: f64::from(grant.left),
+                });
+            }
             entry.apply(grant, ask.sent + TOKEN_LEASE, now);
             entry.settle(grant, now, &mut outcomes);
             if entry.waiting.is_empty() {
@@ -442,6 +445,14 @@
     }
 }
 
+/// Returns whether an answer is that of an owner who knows the tenant.
+fn is_of_owner(grant: &TokenGrant) -> bool {
+    !matches!(
+        grant.state(),
+        GrantState::NotOwner | GrantState::UnknownTenant
+    )
+}
+
 fn from_micros(micros: u32) -> Duration {
     Duration::from_micros(u64::from(micros))
 }
--- a/crates/mesh/src/quota/reach.rs
+++ b/crates/mesh/src/quota/reach.rs
@@ -63,21 +63,6 @@
         reachable.max_by_key(|host| (rendezvous_hash(tenant, *host), Reverse(*host)))
     }
 
-    /// Returns the hosts that would own a tenant's bucket instead of `host` if they could
-    /// be reached.
-    pub fn unreachable_before<'a>(
-        &'a self,
-        host: IpAddr,
-        tenant: &'a str,
-        hosts: &'a [IpAddr],
-    ) -> impl Iterator<Item = IpAddr> + 'a {
-        let own = rendezvous_hash(tenant, host);
-        let hosts = hosts.iter().copied();
-        hosts.filter(move |other| {
-            self.is_unreachable(*other) && rendezvous_hash(tenant, *other) > own
-        })
-    }
-
     /// Returns the fraction of the hosts that can be reached; 1 if there are none.
     pub fn reachable_fraction(&self, hosts: &[IpAddr]) -> f64 {
         if hosts.is_empty() || self.unreachable.is_empty() {
--- a/crates/mesh/tests/mesh/quota.rs
+++ b/crates/mesh/tests/mesh/quota.rs
@@ -295,7 +295,7 @@
     };
     grant.set_state(GrantState::Exhausted);
     let tenant = SmolStr::from("shop");
-    let (mut entry, decisions) = answered(grant, 3);
+    let (mut entry, decisions) = answered(grant.clone(), 3);
     let refused = Err(RefusalCause::Exhausted);
     assert_eq!(decisions, [Ok(()), refused, refused]);
     let AdmitDecision::Refused(refusal) = entry.admit(&tenant, ms(50)) else {
--- a/crates/sidecar/examples/quota_cost.rs
+++ b/crates/sidecar/examples/quota_cost.rs
@@ -89,8 +89,14 @@
         .collect()
 }
 
-fn node(tenants: &[TenantPolicy]) -> Arc<SidecarNode> {
-    let settings = HostSettings::parse(SETTINGS, Path::new("cost.conf")).expect("valid settings");
+/// Returns a daemon without tolerance, whose buckets start empty, unless `starts_filled`.
+fn node(tenants: &[TenantPolicy], starts_filled: bool) -> Arc<SidecarNode> {
+    let mut settings =
+        HostSettings::parse(SETTINGS, Path::new("cost.conf")).expect("valid settings");
+    if !starts_filled {
+        settings.quota_bounds.overage = 0.0;
+        settings.quota_bounds.slack = 0.0;
+    }
     let clock = Arc::new(SystemClock::start());
     let owner = Arc::new(TargetOwner::new(&settings, clock.clone()));
     let node = Arc::new(SidecarNode::new(settings, clock, owner, 1));
@@ -142,13 +148,24 @@
         per_second: 1.0,
         burst: 1.0,
     };
-    for (name, limit) in [
-        ("no limit", None),
-        ("below the limit", Some(ample)),
-        ("above the limit", Some(scarce)),
+    // A bucket that starts empty is not half full in the time of the run, so no tokens are
+    // granted ahead.
+    let unfilled = TenantLimit {
+        per_second: 1e8,
+        burst: 1e12,
+    };
+    for (name, limit, starts_filled) in [
+        ("no limit", None, true),
+        ("below the limit, tokens in stock", Some(ample), true),
+        (
+            "below the limit, tokens of the bucket",
+            Some(unfilled),
+            false,
+        ),
+        ("above the limit", Some(scarce), true),
     ] {
         let tenants = tenants(count, limit);
-        let node = node(&tenants);
+        let node = node(&tenants, starts_filled);
         let before = resident();
         let (nanoseconds, admitted) = measure(&node, &tenants).await;
         let bytes = resident().saturating_sub(before) / count;
--- a/crates/sidecar/src/quota_exchange.rs
+++ b/crates/sidecar/src/quota_exchange.rs
@@ -22,6 +22,7 @@
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpBody;
 use radishgauge_net::exchange::AnswerBody;
+use radishgauge_schema::quota::GrantState;
 use radishgauge_schema::quota::LoanRequest;
 use radishgauge_schema::quota::QuotaAsk;
 use radishgauge_schema::quota::QuotaReply;
@@ -100,7 +101,9 @@
 /// Starts the messages that waiting requests need. The caller holds the lock of `state`.
 pub(crate) fn start_asks(node: &Arc<SidecarNode>, state: &mut QuotaState, now: Duration) {
     let due = state.entry.due_tenants(now);
-    let owners: IndexSet<IpAddr> = due.filter_map(|tenant| state.owner_of(tenant)).collect();
+    let owners: IndexSet<IpAddr> = due
+        .filter_map(|tenant| state.asked_host(tenant, now))
+        .collect();
     for owner in owners {
         if state.own() == Some(owner) {
             ask_self(node, state, owner, now);
@@ -149,7 +152,7 @@
 fn next_ask(state: &mut QuotaState, owner: IpAddr, now: Duration) -> Option<SentAsk> {
     let tenants = state.entry.due_tenants(now);
     let owned: IndexSet<_> = tenants
-        .filter(|tenant| state.owner_of(tenant) == Some(owner))
+        .filter(|tenant| state.asked_host(tenant, now) == Some(owner))
         .cloned()
         .collect();
     state.entry.ask(|tenant| owned.contains(tenant), now)
@@ -183,6 +186,7 @@
                 state.mark_reachable(owner, now);
                 let outcomes = state.entry.apply(&ask, &reply.tokens, owner, now);
                 state.resolve(outcomes);
+                follow_redirects(&node, state, &ask, &reply, owner);
             }
             Err(error) => {
                 state.entry.fail(&ask);
@@ -195,6 +199,25 @@
     }
 }
 
+/// Turns to the owners that a daemon has named which is not the owner itself.
+fn follow_redirects(
+    node: &Arc<SidecarNode>,
+    state: &mut QuotaState,
+    ask: &SentAsk,
+    reply: &QuotaReply,
+    asked: IpAddr,
+) {
+    let now = node.now();
+    let answers = ask.message.tokens.iter().zip(&reply.tokens);
+    for (request, grant) in answers {
+        if grant.state() == GrantState::NotOwner {
+            let owner = read_address(&grant.owner);
+            let doubted = state.redirect(&request.tenant, asked, owner, now);
+            probe_all(node, state, doubted);
+        }
+    }
+}
+
 /// Requests loans from the owners of other failure domains.
 fn start_loans(node: &Arc<SidecarNode>, state: &mut QuotaState, orders: Vec<LoanOrder>) {
     let mut by_host: IndexMap<IpAddr, Vec<LoanOrder>> = IndexMap::new();
@@ -308,7 +331,7 @@
     v4.or(v6).ok()
 }
 
-fn write_address(address: IpAddr) -> Bytes {
+pub(crate) fn write_address(address: IpAddr) -> Bytes {
     match address {
         IpAddr::V4(address) => Bytes::copy_from_slice(&address.octets()),
         IpAddr::V6(address) => Bytes::copy_from_slice(&address.octets()),
--- a/crates/sidecar/src/quota_state.rs
+++ b/crates/sidecar/src/quota_state.rs
@@ -28,11 +28,23 @@
 use tokio::sync::oneshot;
 
 use crate::node::SidecarNode;
+use crate::quota_exchange;
 
 /// The time without any work after which the process counts as paused: another daemon may
 /// have taken its buckets over. The watch works several times in this time.
 const PAUSE_TIME: Duration = Duration::from_secs(1);
 
+/// How long a daemon asks the owner that another daemon has named, which knows hosts that
+/// this one does not know yet, or knows no more.
+const REDIRECT_TIME: Duration = Duration::from_secs(1);
+
+/// The owner of a tenant as another daemon has named it.
+#[derive(Debug, Clone, Copy)]
+struct OwnerRedirect {
+    owner: IpAddr,
+    until: Duration,
+}
+
 /// The hosts of the fleet as far as quotas need them.
 #[derive(Debug, Default)]
 struct QuotaHosts {
@@ -58,6 +70,7 @@
     pub(crate) next_ask: Option<Duration>,
     /// The time before which the whole failure domain is not probed again.
     pub(crate) next_sweep: Duration,
+    redirects: IndexMap<SmolStr, OwnerRedirect>,
     hosts: QuotaHosts,
     active_at: Duration,
 }
@@ -74,6 +87,7 @@
             probing: IndexSet::new(),
             next_ask: None,
             next_sweep: Duration::ZERO,
+            redirects: IndexMap::new(),
             hosts: QuotaHosts::default(),
             active_at: now,
         }
@@ -124,6 +138,7 @@
         self.hosts.by_domain = by_domain;
         self.hosts.settings = Some(settings);
         if !is_same {
+            self.redirects.clear();
             self.keep_owned(now);
         }
     }
@@ -158,6 +173,40 @@
         self.reach.owner(tenant, self.hosts.own_domain())
     }
 
+    /// Returns the daemon to ask for a tenant's tokens. Whether it grants any depends on
+    /// its own view of who the owner is.
+    pub(crate) fn asked_host(&self, tenant: &str, now: Duration) -> Option<IpAddr> {
+        let redirect = self.redirects.get(tenant);
+        let redirect = redirect.filter(|redirect| redirect.until > now);
+        let redirect = redirect.map(|redirect| redirect.owner);
+        redirect
+            .filter(|owner| !self.reach.is_unreachable(*owner))
+            .or_else(|| self.owner_of(tenant))
+    }
+
+    /// Applies the answer of a daemon that is not the owner of a tenant. Returns the hosts
+    /// that this daemon should probe, as the other one reaches the owner among them.
+    pub(crate) fn redirect(
+        &mut self,
+        tenant: &str,
+        asked: IpAddr,
+        owner: Option<IpAddr>,
+        now: Duration,
+    ) -> Vec<IpAddr> {
+        self.redirects.swap_remove(tenant);
+        let Some(owner) = owner.filter(|owner| *owner != asked && Some(*owner) != self.own())
+        else {
+            return Vec::new();
+        };
+        if self.reach.is_unreachable(owner) {
+            return vec![owner];
+        }
+        let until = now + REDIRECT_TIME;
+        let redirect = OwnerRedirect { owner, until };
+        self.redirects.insert(tenant.into(), redirect);
+        Vec::new()
+    }
+
     /// Returns the owner of a tenant in another failure domain.
     pub(crate) fn owner_in(&self, domain: &str, tenant: &str) -> Option<IpAddr> {
         self.reach
@@ -207,7 +256,10 @@
         now: Duration,
     ) -> TokenGrant {
         if !self.owns(&request.tenant) {
-            return answer(GrantState::NotOwner);
+            let owner = self.owner_of(&request.tenant);
+            let mut grant = answer(GrantState::NotOwner);
+            grant.owner = owner.map(quota_exchange::write_address).unwrap_or_default();
+            return grant;
         }
         let limit = match limit_of(node, &request.tenant) {
             TenantLookup::Unknown => return answer(GrantState::UnknownTenant),
--- a/crates/sidecar/tests/quota.rs
+++ b/crates/sidecar/tests/quota.rs
@@ -12,6 +12,7 @@
 
 use indexmap::IndexMap;
 use radishgauge_mesh::MeshConfig;
+use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::TenantLimit;
 use radishgauge_mesh::TenantPolicy;
@@ -241,6 +242,29 @@
     }
 }
 
+/// Guards against refusals at a daemon whose list of hosts lacks the owner, or has an owner
+/// that others know no more: changes of the list reach the daemons one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_with_another_list_of_hosts_finds_the_owner() {
+    let daemons = start(&["north-a"; 4], STRICT, Some(LIMIT));
+    let owner = owner_of(&daemons);
+    let others = daemons.iter().map(|daemon| daemon.ip);
+    let others: Vec<IpAddr> = others.filter(|ip| *ip != daemons[owner].ip).collect();
+    // The next host would grant tokens of its own.
+    let next = HostReach::default().owner("bozi", &others);
+    let is_asker =
+        |daemon: &&QuotaDaemon| daemon.ip != daemons[owner].ip && Some(daemon.ip) != next;
+    let asker = daemons.iter().find(is_asker).unwrap();
+    let known = others.iter().map(|ip| record(*ip, "north-a"));
+    let mut changes: Vec<StateChange> = known.collect();
+    changes.insert(0, config(2, Some(LIMIT)));
+    let node = &asker.node;
+    apply(node, changes);
+    // Makes the daemon read its list again.
+    node.begin_stop(StopPlan::new(node.now(), Duration::from_secs(60)));
+    wait_admitted(asker).await;
+}
+
 /// Guards against daemons that wait, allocate or send messages for tenants without a limit.
 #[tokio::test]
 async fn nothing_happens_without_a_limit() {
