Test that a silent owner of rate limits is replaced

Cause: the tests with several daemons had no owner that accepts connections and never answers, as that of a paused host does.

Change: a test in which another daemon gets tokens from the next host.

Ruled out: a shorter time limit than 250 ms, within which an owner with a tenth of a core may not answer.

--- a/crates/sidecar/tests/quota.rs
+++ b/crates/sidecar/tests/quota.rs
@@ -243,6 +243,22 @@
     }
 }
 
+/// Guards against daemons that wait for an owner which accepts connections and never
+/// answers, as that of a paused host does.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_owner_is_replaced() {
+    let mut daemons = start(&["north-a"; 4], STRICT, Some(LIMIT));
+    let owner = owner_of(&daemons);
+    daemons[owner].listener.take().unwrap().stop().await;
+    let address = daemons[owner].node.settings().peer_address;
+    let _silent = tokio::net::TcpListener::bind(address).await.unwrap();
+    for (index, daemon) in daemons.iter().enumerate() {
+        if index != owner {
+            wait_admitted(daemon).await;
+        }
+    }
+}
+
 /// Guards against refusals at a daemon whose list of hosts lacks the owner, or has an owner
 /// that others know no more: changes of the list reach the daemons one after the other.
 #[tokio::test(flavor = "multi_thread")]
