--- a/crates/sidecar/tests/quota.rs
+++ b/crates/sidecar/tests/quota.rs
@@ -12,6 +12,7 @@
 
 use indexmap::IndexMap;
 use radishgauge_mesh::MeshConfig;
+use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::TargetRecord;
 use radishgauge_mesh::TenantDirectory;
 use radishgauge_mesh::TenantLimit;
@@ -19,6 +20,7 @@
 use radishgauge_mesh::config::RequestLimits;
 use radishgauge_mesh::quota::HostReach;
 use radishgauge_mesh::quota::QuotaBounds;
+use radishgauge_mesh::quota::QuotaCounts;
 use radishgauge_mesh::quota::RefusalCause;
 use radishgauge_mesh::state_table::StateChange;
 use radishgauge_mesh::state_table::StateSource;
@@ -244,6 +246,45 @@
     }
 }
 
+/// Guards against daemons that wait for an owner which accepts connections and never
+/// answers, as that of a paused host does.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_owner_is_replaced() {
+    let mut daemons = start(&["north-a"; 4], STRICT, Some(LIMIT));
+    let owner = owner_of(&daemons);
+    daemons[owner].listener.take().unwrap().stop().await;
+    let address = daemons[owner].node.settings().peer_address;
+    let _silent = tokio::net::TcpListener::bind(address).await.unwrap();
+    for (index, daemon) in daemons.iter().enumerate() {
+        if index != owner {
+            wait_admitted(daemon).await;
+        }
+    }
+}
+
+/// Guards against refusals at a daemon whose list of hosts lacks the owner, or has an owner
+/// that others know no more: changes of the list reach the daemons one after the other.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_with_another_list_of_hosts_finds_the_owner() {
+    let daemons = start(&["north-a"; 4], STRICT, Some(LIMIT));
+    let owner = owner_of(&daemons);
+    let others = daemons.iter().map(|daemon| daemon.ip);
+    let others: Vec<IpAddr> = others.filter(|ip| *ip != daemons[owner].ip).collect();
+    // The next host would grant tokens of its own.
+    let next = HostReach::default().owner("bozi", &others);
+    let is_asker =
+        |daemon: &&QuotaDaemon| daemon.ip != daemons[owner].ip && Some(daemon.ip) != next;
+    let asker = daemons.iter().find(is_asker).unwrap();
+    let known = others.iter().map(|ip| record(*ip, "north-a"));
+    let mut changes: Vec<StateChange> = known.collect();
+    changes.insert(0, config(2, Some(LIMIT)));
+    let node = &asker.node;
+    apply(node, changes);
+    // Makes the daemon read its list again.
+    node.begin_stop(StopPlan::new(node.now(), Duration::from_secs(60)));
+    wait_admitted(asker).await;
+}
+
 /// Guards against daemons that wait, allocate or send messages for tenants without a limit.
 #[tokio::test]
 async fn nothing_happens_without_a_limit() {
@@ -258,6 +299,44 @@
     }
 }
 
+/// Guards against a request that waits although no host can decide on it.
+#[tokio::test(start_paused = true)]
+async fn daemon_without_owner_decides_at_once() {
+    let daemons = start(&["north-a"], STRICT, Some(LIMIT));
+    let node = &daemons[0].node;
+    apply(node, vec![config(2, Some(LIMIT))]);
+    // Makes the daemon read its list again.
+    node.begin_stop(StopPlan::new(node.now(), Duration::from_secs(60)));
+    let started = tokio::time::Instant::now();
+    let decision = node.quota().admit(&tenant(Some(LIMIT))).await;
+    assert_eq!(
+        decision.map_err(|refusal| refusal.cause),
+        Err(RefusalCause::NoOwner)
+    );
+    assert_eq!(started.elapsed(), Duration::ZERO);
+}
+
+/// Guards against a metrics page that grows with each tenant.
+#[tokio::test]
+async fn metrics_have_a_bounded_number_of_tenants() {
+    let daemons = start(&["north-a"], STRICT, None);
+    let node = &daemons[0].node;
+    let counts = QuotaCounts {
+        admitted: 2,
+        local: 0,
+        refused: 1,
+    };
+    for index in 0..100 {
+        node.metrics.quota(&format!("t{index}").into(), counts);
+    }
+    let page = node.metrics.page(node);
+    let lines = page.lines();
+    let admitted = lines.filter(|line| line.starts_with("radishgauge.quota_admitted{"));
+    assert_eq!(admitted.count(), 65);
+    assert!(page.contains("radishgauge.quota_admitted{tenant:(other)} 72\n"));
+    assert!(page.contains("radishgauge.quota_refused{tenant:t63} 1\n"));
+}
+
 /// Guards against tables and probes that remain when the last limit has been removed.
 #[tokio::test(flavor = "multi_thread")]
 async fn removed_limit_ends_the_watch() {
