Count the bodies of requests against one budget of memory

Cause: a body was kept in pieces and then copied whole, at the entry daemon and at the owner, without a budget; each chunk cost 32 bytes of bookkeeping; answers, messages and bodies had limits that together exceeded the memory. At an owner, a body over a quarter of the memory was refused. Change: bodies, answers and messages share 0.8 of limits.memoryMb. A body is kept once, in the pieces in which it arrived, with pieces under 3 KiB merged (body_pieces), and its share is held by its last user (body_budget). A declared length that does not fit is refused with 503 before it is read. An eighth is kept for bodies up to 64 KiB, and a 32nd from each client address. A body that stalls for two seconds while others lack memory, or for idleTime, loses its share (408, not run). An answer counts until it is delivered. The fingerprint of a body in pieces is that of the whole, and pieces are written 16 at a time. Ruled out: streaming to the target, since a request may be offered to several targets and its fingerprint covers the whole body; own buffers for all pieces, which copy every long body.

--- a/crates/mesh/src/fingerprint.rs
+++ b/crates/mesh/src/fingerprint.rs
@@ -65,7 +65,33 @@
         caller_service: &str,
         service: &str,
     ) -> RequestPrints {
-        let content = Fingerprint::of_fields([method.as_bytes(), path.as_bytes(), body]);
+        RequestPrints::of_pieces(method, path, [body], caller_service, service)
+    }
+
+    /// As [`RequestPrints::new`], for a body in pieces. How it is divided does not matter.
+    pub fn of_pieces<'a, I>(
+        method: &str,
+        path: &str,
+        body: I,
+        caller_service: &str,
+        service: &str,
+    ) -> RequestPrints
+    where
+        I: IntoIterator<Item = &'a [u8]>,
+        I::IntoIter: Clone,
+    {
+        let body = body.into_iter();
+        let length: usize = body.clone().map(<[u8]>::len).sum();
+        let mut hash = Xxh3::new();
+        for field in [method, path] {
+            hash.update(&(field.len() as u64).to_le_bytes());
+            hash.update(field.as_bytes());
+        }
+        hash.update(&(length as u64).to_le_bytes());
+        for piece in body {
+            hash.update(piece);
+        }
+        let content = Fingerprint(hash.digest());
         let exact = Fingerprint::of_fields([
             &content.0.to_le_bytes()[..],
             caller_service.as_bytes(),
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -1,16 +1,22 @@
-//! A limit on the memory of all bodies that are being received.
+//! A limit on the memory of all bodies that are held.
 //!
 //! A faulty target or daemon may send a body without end. The limit of a single body
 //! does not bound the memory of many such bodies together.
 
+use std::borrow::Borrow;
+use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use bytes::Bytes;
+
 /// The bytes that several bodies may hold together.
 #[derive(Debug)]
 pub struct ByteBudget {
     limit: usize,
     used: AtomicUsize,
+    /// The budget from which all bytes of this one are taken as well.
+    pool: Option<Arc<ByteBudget>>,
 }
 
 impl ByteBudget {
@@ -19,6 +25,15 @@
         ByteBudget {
             limit,
             used: AtomicUsize::new(0),
+            pool: None,
+        }
+    }
+
+    /// Returns a budget of `limit` bytes, all of which are also taken from `pool`.
+    pub fn within(pool: Arc<ByteBudget>, limit: usize) -> ByteBudget {
+        ByteBudget {
+            pool: Some(pool),
+            ..ByteBudget::new(limit)
         }
     }
 
@@ -33,34 +48,55 @@
     }
 
     /// Adds `bytes` to those in use, and returns whether they fit.
-    fn try_reserve(&self, bytes: usize) -> bool {
+    pub(crate) fn try_reserve(&self, bytes: usize) -> bool {
         let add = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= self.limit);
-        self.used
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add)
-            .is_ok()
+        let updated = self
+            .used
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+        if updated.is_err() {
+            return false;
+        }
+        let fits = self
+            .pool
+            .as_ref()
+            .is_none_or(|pool| pool.try_reserve(bytes));
+        if !fits {
+            self.used.fetch_sub(bytes, Ordering::Relaxed);
+        }
+        fits
     }
 
-    fn release(&self, bytes: usize) {
+    pub(crate) fn release(&self, bytes: usize) {
         self.used.fetch_sub(bytes, Ordering::Relaxed);
+        if let Some(pool) = &self.pool {
+            pool.release(bytes);
+        }
     }
 }
 
 /// The part of a budget that one body uses; dropping it releases the part.
 #[derive(Debug)]
-pub(crate) struct BudgetShare<'a> {
-    budget: Option<&'a ByteBudget>,
+pub(crate) struct BudgetShare<B>
+where
+    B: Borrow<ByteBudget>,
+{
+    budget: Option<B>,
     bytes: usize,
 }
 
-impl BudgetShare<'_> {
+impl<B> BudgetShare<B>
+where
+    B: Borrow<ByteBudget>,
+{
     /// Returns an empty share. Without a budget it is unlimited.
-    pub(crate) fn new(budget: Option<&ByteBudget>) -> BudgetShare<'_> {
+    pub(crate) fn new(budget: Option<B>) -> BudgetShare<B> {
         BudgetShare { budget, bytes: 0 }
     }
 
     /// Extends the share by `bytes`, and returns whether they fit.
     pub(crate) fn extend(&mut self, bytes: usize) -> bool {
-        let fits = self.budget.is_none_or(|budget| budget.try_reserve(bytes));
+        let budget = self.budget.as_ref().map(Borrow::borrow);
+        let fits = budget.is_none_or(|budget: &ByteBudget| budget.try_reserve(bytes));
         if fits {
             self.bytes += bytes;
         }
@@ -68,10 +104,25 @@
     }
 }
 
-impl Drop for BudgetShare<'_> {
+impl<B> Drop for BudgetShare<B>
+where
+    B: Borrow<ByteBudget>,
+{
     fn drop(&mut self) {
-        if let Some(budget) = self.budget {
-            budget.release(self.bytes);
+        if let Some(budget) = &self.budget {
+            budget.borrow().release(self.bytes);
         }
     }
 }
+
+/// Bytes that use a part of a budget until their last clone is dropped.
+pub(crate) struct CountedBytes {
+    pub(crate) bytes: Bytes,
+    pub(crate) _share: BudgetShare<Arc<ByteBudget>>,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -16,10 +16,17 @@
 use xitca_web::body::Frame;
 use xitca_web::body::RequestBody;
 
+use crate::body_budget::BodyShare;
+use crate::body_pieces::BodyPieces;
+use crate::body_pieces::PieceCollector;
 use crate::byte_budget::BudgetShare;
 use crate::byte_budget::ByteBudget;
 use crate::connection::ConnectionActivity;
 
+/// How long a body may be without progress before it is checked whether others lack its
+/// memory.
+const STALL_TIME: Duration = Duration::from_secs(1);
+
 /// An error of any type, as returned by body streams.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -38,6 +45,17 @@
     pub body: HttpBody,
 }
 
+/// Bounds of one body that is being received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// The greatest length in bytes.
+    pub bytes: u64,
+    /// How long the complete body may take.
+    pub time: Duration,
+    /// How long the body may be without progress.
+    pub idle: Duration,
+}
+
 /// Why a body could not be read completely.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum BodyFault {
@@ -131,16 +149,64 @@
         self.collect(limit, None).await
     }
 
-    /// As [`HttpBody::whole`], for a body that must arrive within `time`.
+    /// Receives the complete body in pieces, within its share of the memory. A body whose
+    /// declared length does not fit is refused before it is read.
     ///
     /// # Errors
     ///
-    /// As [`HttpBody::whole`], and when the time has passed.
-    pub async fn whole_in(&mut self, limit: u64, time: Duration) -> Result<Bytes, BodyFault> {
-        let received = tokio::time::timeout(time, self.whole(limit)).await;
+    /// As [`HttpBody::data`], when the body is longer than its limit or does not fit into
+    /// the memory, when its time has passed, and when it stalls while other bodies lack the
+    /// memory.
+    pub async fn pieces(
+        &mut self,
+        limits: BodyLimits,
+        share: BodyShare,
+    ) -> Result<BodyPieces, BodyFault> {
+        if self.declared == Some(0) {
+            return Ok(BodyPieces::default());
+        }
+        self.limit = self.limit.min(limits.bytes);
+        if self.declared.is_some_and(|length| length > self.limit) {
+            return Err(BodyFault::TooLarge { limit: self.limit });
+        }
+        let declared = self.declared.map(|length| length as usize);
+        let collector = PieceCollector::new(declared, share).ok_or(BodyFault::NoMemory)?;
+        let received = self.collect_pieces(collector, limits.idle);
+        let received = tokio::time::timeout(limits.time, received).await;
         received.unwrap_or(Err(BodyFault::Late))
     }
 
+    async fn collect_pieces(
+        &mut self,
+        mut collector: PieceCollector,
+        idle_limit: Duration,
+    ) -> Result<BodyPieces, BodyFault> {
+        let mut idle = Duration::ZERO;
+        // The refusals of other bodies when this one began to stall.
+        let mut refusals = None;
+        loop {
+            match tokio::time::timeout(STALL_TIME, self.data()).await {
+                Ok(Ok(Some(data))) => {
+                    idle = Duration::ZERO;
+                    refusals = None;
+                    if !collector.push(data) {
+                        return Err(BodyFault::NoMemory);
+                    }
+                }
+                Ok(Ok(None)) => return Ok(collector.finish()),
+                Ok(Err(fault)) => return Err(fault),
+                Err(_) => {
+                    idle += STALL_TIME;
+                    let now = collector.refusals();
+                    let before = *refusals.get_or_insert(now);
+                    if idle >= idle_limit || now > before {
+                        return Err(BodyFault::Late);
+                    }
+                }
+            }
+        }
+    }
+
     /// Receives the complete body, in memory that is shared with other bodies.
     ///
     /// # Errors
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,8 @@
 
 mod answer_reader;
 pub mod authority;
+mod body_budget;
+mod body_pieces;
 mod byte_budget;
 pub mod call;
 mod caller_stream;
@@ -29,6 +31,9 @@
 mod write_tracker;
 
 pub use authority::KeyAuthority;
+pub use body_budget::BodyBudget;
+pub use body_budget::BodyShare;
+pub use body_pieces::BodyPieces;
 pub use byte_budget::ByteBudget;
 pub use call::AnswerSender;
 pub use call::BodyReceiver;
@@ -39,6 +44,7 @@
 pub use error::PeerFault;
 pub use exchange::AnswerBody;
 pub use exchange::BodyFault;
+pub use exchange::BodyLimits;
 pub use exchange::BoxError;
 pub use exchange::HttpAnswer;
 pub use exchange::HttpBody;
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -36,6 +36,7 @@
 use crate::answer_reader::invalid;
 use crate::byte_budget::BudgetShare;
 use crate::byte_budget::ByteBudget;
+use crate::byte_budget::CountedBytes;
 use crate::target_body::TargetBody;
 use crate::target_connection::OpenConnections;
 use crate::target_connection::OutgoingRequest;
@@ -547,7 +548,7 @@
     /// when the client's budget does not allow it. The connection is then closed.
     pub async fn whole(&mut self, limit: usize) -> Result<Bytes, TargetError> {
         let shared = self.shared.clone();
-        let mut share = BudgetShare::new(shared.budget.as_deref());
+        let mut share = BudgetShare::new(shared.budget.clone());
         // The chunks are copied, because many small ones would use far more memory
         // than their bytes.
         let mut body = BytesMut::new();
@@ -563,7 +564,15 @@
             }
             body.extend_from_slice(&data);
         }
-        Ok(body.freeze())
+        let bytes = body.freeze();
+        Ok(match shared.budget {
+            None => bytes,
+            // The bytes count until the answer was delivered.
+            Some(_) => Bytes::from_owner(CountedBytes {
+                bytes,
+                _share: share,
+            }),
+        })
     }
 
     /// Closes the connection of an answer that is not read to its end.
--- a/crates/net/src/target_connection.rs
+++ b/crates/net/src/target_connection.rs
@@ -5,6 +5,7 @@
 //! continues after the answer was received.
 
 use std::io;
+use std::io::IoSlice;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -36,6 +37,9 @@
 /// does not read.
 const WHOLE_REQUEST: usize = 16 * 1024;
 
+/// The greatest number of pieces of a body that are written at once.
+const WRITTEN_PIECES: usize = 16;
+
 /// Counts the open connections to a target, and how often the target closed the
 /// last remaining one.
 #[derive(Debug, Default)]
@@ -270,6 +274,9 @@
 ) -> io::Result<()> {
     let chunked = body.size_hint().exact().is_none();
     write_all(half, head, tracker).await?;
+    if let Some(pieces) = body.as_pieces() {
+        return write_pieces(half, pieces.pieces(), tracker).await;
+    }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(io::Error::other)?;
         let Ok(data) = frame.into_data() else {
@@ -293,6 +300,41 @@
     Ok(())
 }
 
+/// Writes the pieces of a body, several at a time.
+async fn write_pieces(
+    half: &mut OwnedWriteHalf,
+    mut pieces: &[Bytes],
+    tracker: &WriteTracker,
+) -> io::Result<()> {
+    // The bytes of the first piece that are written already.
+    let mut offset = 0;
+    while let Some((first, rest)) = pieces.split_first() {
+        half.writable().await?;
+        let mut slices = [IoSlice::new(&[]); WRITTEN_PIECES];
+        let following = rest.iter().map(|piece| &piece[..]);
+        let data = std::iter::once(&first[offset..]).chain(following);
+        for (slice, data) in slices.iter_mut().zip(data) {
+            *slice = IoSlice::new(data);
+        }
+        // The head was written before, so the tracker only tells of a cancellation.
+        tracker.begin_write()?;
+        let mut written = match half.try_write_vectored(&slices) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(written) => written + offset,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+            Err(error) => return Err(error),
+        };
+        while let Some((first, rest)) = pieces.split_first()
+            && written >= first.len()
+        {
+            written -= first.len();
+            pieces = rest;
+        }
+        offset = written;
+    }
+    Ok(())
+}
+
 async fn write_all(
     half: &mut OwnedWriteHalf,
     bytes: &[u8],
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -32,6 +32,7 @@
 use crate::attempt;
 use crate::attempt::AttemptHistory;
 use crate::attempt::PendingAttempt;
+use crate::body_receipt;
 use crate::hop;
 use crate::known_hosts::Candidate;
 use crate::local_reply;
@@ -79,7 +80,12 @@
 /// Serves one request of a caller or of this host's target.
 pub async fn serve(node: Arc<SidecarNode>, request: HttpRequest) -> HttpAnswer {
     let arrived = node.now();
-    let HttpRequest { head, mut body, .. } = request;
+    let HttpRequest {
+        head,
+        mut body,
+        remote,
+        ..
+    } = request;
     let id = message::request_id(&head.headers);
     let Some(config) = node.config() else {
         return local_reply::refuse(
@@ -107,7 +113,7 @@
     };
     let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
     let longest = time_left.min(route.timeout);
-    let body = match body.whole_in(config.limits().body_bytes, longest).await {
+    let body = match body_receipt::receive(&node, &mut body, remote.ip(), longest).await {
         Ok(body) => body,
         Err(BodyFault::Late) => {
             let status = StatusCode::REQUEST_TIMEOUT;
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod answer;
 mod attempt;
+mod body_receipt;
 pub mod entry;
 mod fleet_scope;
 pub mod follow;
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -21,6 +21,7 @@
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
+use radishgauge_net::BodyBudget;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -69,12 +70,19 @@
 /// the refusal arrives in time even in another region.
 pub(crate) const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
-/// The fraction of the process's memory that answers which are being received may
-/// use.
+/// The fraction of the process's memory that bodies, answers and messages may use
+/// together. The rest is for the daemon itself and its connections.
+const SHARED_MEMORY_FRACTION: f64 = 0.8;
+
+/// The fraction of the process's memory that the bodies of requests may use, of callers
+/// and of other daemons. The greatest body that configurations allow, 64 MiB, fits into a
+/// process of 110 MB beside the part for small bodies.
+const BODY_MEMORY_FRACTION: f64 = 0.72;
+
+/// The fraction of the process's memory that answers may use until they are delivered.
 const ANSWER_MEMORY_FRACTION: f64 = 0.25;
 
-/// The fraction of the process's memory that requests and messages of other daemons
-/// which are being received may use.
+/// The fraction of the process's memory that messages of other daemons may use.
 const MESSAGE_MEMORY_FRACTION: f64 = 0.25;
 
 /// The owner of this host's target.
@@ -83,7 +91,9 @@
     client: ArcSwap<TargetClient>,
     /// The memory for the answers of targets and of other daemons.
     answer_budget: Arc<ByteBudget>,
-    /// The memory for requests and messages of other daemons.
+    /// The memory for the bodies of requests, of callers and of other daemons.
+    pub(crate) body_budget: Arc<BodyBudget>,
+    /// The memory for messages of other daemons.
     pub(crate) message_budget: ByteBudget,
     state: Mutex<OwnerState>,
     /// Requests a health check of the target.
@@ -104,15 +114,16 @@
 impl TargetOwner {
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
-        let budget = |fraction| {
-            let bytes = settings.memory_limit as f64 * fraction;
-            ByteBudget::new(bytes as usize)
-        };
+        let bytes = |fraction| (settings.memory_limit as f64 * fraction) as usize;
+        let pool = Arc::new(ByteBudget::new(bytes(SHARED_MEMORY_FRACTION)));
+        let budget = |fraction| ByteBudget::within(Arc::clone(&pool), bytes(fraction));
+        let body_budget = BodyBudget::new(bytes(BODY_MEMORY_FRACTION), Arc::clone(&pool));
         let answer_budget = Arc::new(budget(ANSWER_MEMORY_FRACTION));
         TargetOwner {
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
             answer_budget,
+            body_budget: Arc::new(body_budget),
             message_budget: budget(MESSAGE_MEMORY_FRACTION),
             state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -2,14 +2,13 @@
 //! and requests for the platform's state.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
 use radishgauge_events::events;
 use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
-use radishgauge_net::HttpBody;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
@@ -21,6 +20,7 @@
 use crate::answer;
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
+use crate::body_receipt;
 use crate::hop;
 use crate::node::SidecarNode;
 use crate::reservation;
@@ -56,7 +56,8 @@
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
     let claimed_slot = reservation::claim(&node, hop_head.reservation);
-    let body = match receive_body(&node, &mut body).await {
+    let time_left = Duration::from_micros(hop_head.time_left_us);
+    let body = match body_receipt::receive(&node, &mut body, remote.ip(), time_left).await {
         Ok(body) => body,
         Err(BodyFault::Cut(_)) => return answer::empty(StatusCode::BAD_REQUEST),
         Err(fault) => {
@@ -88,16 +89,6 @@
     hop_answer(outcome, report)
 }
 
-/// Receives the body of a request, as far as a caller may send one and the memory for
-/// requests of other daemons allows it.
-async fn receive_body(node: &SidecarNode, body: &mut HttpBody) -> Result<Bytes, BodyFault> {
-    let limit = node
-        .config()
-        .map_or(u64::MAX, |config| config.limits().body_bytes);
-    let budget = &node.owner.message_budget;
-    body.whole_within(limit, budget).await
-}
-
 fn log_outcome(
     node: &SidecarNode,
     id: &str,
--- a/crates/sidecar/src/target_call.rs
+++ b/crates/sidecar/src/target_call.rs
@@ -10,6 +10,7 @@
 use http::response::Parts;
 use radishgauge_mesh::RequestPrints;
 use radishgauge_mesh::declared_rate_limit::RateStatement;
+use radishgauge_net::BodyPieces;
 use radishgauge_net::RequestProgress;
 use radishgauge_net::TargetBody;
 use radishgauge_net::TargetClient;
@@ -79,7 +80,7 @@
     /// The header fields, without those that apply to a single connection.
     pub headers: HeaderMap,
     /// The complete body.
-    pub body: Bytes,
+    pub body: BodyPieces,
 }
 
 impl BufferedRequest {
@@ -87,10 +88,10 @@
     /// `service`.
     pub fn prints(&self, caller_service: &str, service: &str) -> RequestPrints {
         let path = self.uri.path_and_query().map_or("", |path| path.as_str());
-        RequestPrints::new(
+        RequestPrints::of_pieces(
             self.method.as_str(),
             path,
-            &self.body,
+            self.body.pieces().iter().map(|piece| &piece[..]),
             caller_service,
             service,
         )
@@ -106,7 +107,7 @@
         let mut request = Request::builder()
             .method(self.method.clone())
             .uri(self.uri.clone())
-            .body(TargetBody::whole(self.body.clone()))?;
+            .body(TargetBody::pieces(self.body.clone()))?;
         *request.headers_mut() = headers;
         Ok(request)
     }
