Bound heads, connections and unread answers of callers

Cause: a head could be twice 64 KiB whatever the configuration allows, at each of any number of connections; an answer that its caller does not read was copied whole into the write buffer and held for ever; a refusal of a body that is still sent was lost when the connection was reset. Change: heads of callers are received up to twice headerBytes and for headerTimeout and a second, and those over 1 KiB count against a tenth of the memory. Long answers are passed on in parts of 64 KiB; a caller that leaves bytes unacknowledged for 30 s is disconnected. A connection with an unread body is drained for half a second after its answer.

--- a/crates/net/src/body_budget.rs
+++ b/crates/net/src/body_budget.rs
@@ -128,7 +128,7 @@
 impl BodyShare {
     /// Extends the share to `bytes` in total, and returns whether they fit. A share is
     /// never reduced.
-    pub(crate) fn extend_to(&mut self, bytes: usize) -> bool {
+    pub fn extend_to(&mut self, bytes: usize) -> bool {
         let missing = bytes.saturating_sub(self.bytes);
         if missing == 0 {
             return true;
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -93,6 +93,11 @@
         BudgetShare { budget, bytes: 0 }
     }
 
+    /// Returns whether the share is one of a budget.
+    pub(crate) fn has_budget(&self) -> bool {
+        self.budget.is_some()
+    }
+
     /// Extends the share by `bytes`, and returns whether they fit.
     pub(crate) fn extend(&mut self, bytes: usize) -> bool {
         let budget = self.budget.as_ref().map(Borrow::borrow);
--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -7,10 +7,16 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::Shutdown;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Buf;
 use bytes::BytesMut;
+use socket2::SockRef;
 use tokio::time::Instant;
 use xitca_io::io::AsyncBufRead;
 use xitca_io::io::AsyncBufWrite;
@@ -19,6 +25,8 @@
 use xitca_io::net::TcpStream;
 use xitca_web::service::Service;
 
+use crate::byte_budget::BudgetShare;
+use crate::byte_budget::ByteBudget;
 use crate::request_framing;
 use crate::request_framing::BodyEnd;
 use crate::request_framing::HeadScan;
@@ -47,8 +55,30 @@
 /// Refuses a head that does not arrive in time.
 const HEAD_TOO_LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
 
-/// Bounds of the request heads of a connection.
-#[derive(Debug, Clone, Copy)]
+/// Refuses a head for which there is no memory.
+const HEAD_WITHOUT_MEMORY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
+
+/// How long a connection with an unread body is drained after its answer. A close at once
+/// resets it, and the caller may lose the answer.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// The greatest number of bytes that are drained.
+const LINGER_BYTES: usize = 1024 * 1024;
+
+/// Bounds of the request heads of all connections to an address. They can be changed while
+/// connections are open.
+#[derive(Debug)]
+pub struct HeadBounds {
+    bytes: AtomicUsize,
+    time_ms: AtomicU64,
+    /// The greatest values that can be set.
+    greatest: HeadLimits,
+    /// The memory for heads that are longer than one read.
+    budget: OnceLock<Arc<ByteBudget>>,
+}
+
+/// Bounds of one request head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct HeadLimits {
     /// The greatest length in bytes.
     pub(crate) bytes: usize,
@@ -56,6 +86,41 @@
     pub(crate) time: Duration,
 }
 
+impl HeadBounds {
+    pub(crate) fn new(greatest: HeadLimits) -> HeadBounds {
+        HeadBounds {
+            bytes: AtomicUsize::new(greatest.bytes),
+            time_ms: AtomicU64::new(greatest.time.as_millis() as u64),
+            greatest,
+            budget: OnceLock::new(),
+        }
+    }
+
+    /// Sets the memory for long heads, once.
+    pub fn set_budget(&self, budget: Arc<ByteBudget>) {
+        // A second call would leave bytes of the first budget uncounted, so it has no effect.
+        let _ = self.budget.set(budget);
+    }
+
+    /// Sets the greatest length in bytes of a head, and how long it may take, as far as the
+    /// listener's own bounds allow.
+    pub fn set(&self, bytes: usize, time: Duration) {
+        let bytes = bytes.min(self.greatest.bytes);
+        let time = time.min(self.greatest.time);
+        self.bytes.store(bytes, Ordering::Relaxed);
+        self.time_ms
+            .store(time.as_millis() as u64, Ordering::Relaxed);
+    }
+
+    fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    fn time(&self) -> Duration {
+        Duration::from_millis(self.time_ms.load(Ordering::Relaxed))
+    }
+}
+
 /// The part of a request to which the next bytes belong.
 enum RequestPart {
     /// The head.
@@ -78,6 +143,8 @@
     head_due: Option<Instant>,
     /// Whether the caller waits to be asked for the body.
     continue_due: bool,
+    /// The memory of a long head.
+    share: BudgetShare<Arc<ByteBudget>>,
 }
 
 impl InboundState {
@@ -90,6 +157,7 @@
             empty_lines: 0,
             head_due: None,
             continue_due: false,
+            share: BudgetShare::new(None),
         }
     }
 
@@ -162,11 +230,20 @@
         Ok(())
     }
 
+    /// Counts `bytes` more of a long head, and returns whether they fit.
+    fn extend_share(&mut self, budget: Option<&Arc<ByteBudget>>, bytes: usize) -> bool {
+        if !self.share.has_budget() {
+            self.share = BudgetShare::new(budget.cloned());
+        }
+        self.share.extend(bytes)
+    }
+
     fn begin_request(&mut self, head: RequestHead) {
         self.ready = head.length;
         self.searched = 0;
         self.empty_lines = 0;
         self.head_due = None;
+        self.share = BudgetShare::new(None);
         self.continue_due = head.expects_continue;
         self.part = RequestPart::Body(head.body);
         self.end_body();
@@ -187,6 +264,7 @@
     TooLong,
     TooLate,
     EmptyLines,
+    NoMemory,
 }
 
 impl HeadFault {
@@ -195,6 +273,7 @@
         match self {
             HeadFault::TooLong => HEAD_TOO_LONG,
             HeadFault::TooLate => HEAD_TOO_LATE,
+            HeadFault::NoMemory => HEAD_WITHOUT_MEMORY,
             HeadFault::EmptyLines => b"",
         }
     }
@@ -203,7 +282,7 @@
 /// The connection of a caller, as the library reads and writes it.
 pub(crate) struct CallerStream {
     socket: TcpStream,
-    limits: HeadLimits,
+    bounds: Arc<HeadBounds>,
     state: RefCell<InboundState>,
 }
 
@@ -218,10 +297,10 @@
 }
 
 impl CallerStream {
-    pub(crate) fn new(socket: TcpStream, limits: HeadLimits) -> CallerStream {
+    pub(crate) fn new(socket: TcpStream, bounds: Arc<HeadBounds>) -> CallerStream {
         CallerStream {
             socket,
-            limits,
+            bounds,
             state: RefCell::new(InboundState::new()),
         }
     }
@@ -235,10 +314,17 @@
             return Ok(ReadStep::Pass);
         }
         Ok(match &state.part {
-            RequestPart::Head if state.inbox.len() >= self.limits.bytes => {
+            RequestPart::Head if state.inbox.len() >= self.bounds.bytes() => {
                 return Err(HeadFault::TooLong);
             }
-            RequestPart::Head => ReadStep::Receive(HEAD_READ.max(state.inbox.len())),
+            RequestPart::Head if state.inbox.len() < HEAD_READ => ReadStep::Receive(HEAD_READ),
+            RequestPart::Head => {
+                let most = state.inbox.len();
+                if !state.extend_share(self.bounds.budget.get(), most) {
+                    return Err(HeadFault::NoMemory);
+                }
+                ReadStep::Receive(most)
+            }
             RequestPart::Body(BodyEnd::Length(left)) if *left < spare as u64 => {
                 ReadStep::Receive(*left as usize)
             }
@@ -270,7 +356,7 @@
     fn head_due(&self) -> Option<Instant> {
         let mut state = self.state.borrow_mut();
         let has_begun = matches!(state.part, RequestPart::Head) && !state.inbox.is_empty();
-        let limit = self.limits.time;
+        let limit = self.bounds.time();
         has_begun.then(|| *state.head_due.get_or_insert_with(|| Instant::now() + limit))
     }
 
@@ -291,6 +377,33 @@
         io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
     }
 
+    /// Gives a caller whose body is not read to its end the time to read the answer.
+    async fn linger(&self) {
+        let is_unread = matches!(self.state.borrow().part, RequestPart::Body(_));
+        if !is_unread {
+            return;
+        }
+        let socket = SockRef::from(&self.socket);
+        if socket.shutdown(Shutdown::Write).is_err() {
+            return;
+        }
+        let drain = async {
+            let mut drained = 0;
+            let mut buffer = BytesMut::with_capacity(BODY_READ);
+            while drained < LINGER_BYTES {
+                buffer.clear();
+                let (read, returned) = self.socket.read(buffer).await;
+                buffer = returned;
+                match read {
+                    Ok(bytes @ 1..) => drained += bytes,
+                    Ok(0) | Err(_) => return,
+                }
+            }
+        };
+        // The caller had its time, whether or not it has closed.
+        let _ = tokio::time::timeout(LINGER_TIME, drain).await;
+    }
+
     async fn read_step<B>(&self, mut buffer: B) -> (io::Result<Option<usize>>, B)
     where
         B: BoundedBufMut,
@@ -352,30 +465,31 @@
     }
 
     async fn shutdown(self, direction: Shutdown) -> io::Result<()> {
+        self.linger().await;
         self.socket.shutdown(direction).await
     }
 }
 
 /// Builds the library's service that wraps each accepted connection.
-pub(crate) struct CallerStreamFactory(pub(crate) HeadLimits);
+pub(crate) struct CallerStreamFactory(pub(crate) Arc<HeadBounds>);
 
 impl Service for CallerStreamFactory {
     type Response = CallerStreamService;
     type Error = io::Error;
 
     async fn call(&self, (): ()) -> io::Result<CallerStreamService> {
-        Ok(CallerStreamService(self.0))
+        Ok(CallerStreamService(Arc::clone(&self.0)))
     }
 }
 
 /// Wraps each accepted connection.
-pub(crate) struct CallerStreamService(HeadLimits);
+pub(crate) struct CallerStreamService(Arc<HeadBounds>);
 
 impl Service<TcpStream> for CallerStreamService {
     type Response = CallerStream;
     type Error = std::convert::Infallible;
 
     async fn call(&self, socket: TcpStream) -> Result<CallerStream, std::convert::Infallible> {
-        Ok(CallerStream::new(socket, self.0))
+        Ok(CallerStream::new(socket, Arc::clone(&self.0)))
     }
 }
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -13,6 +13,7 @@
 use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use socket2::SockRef;
@@ -26,6 +27,10 @@
 use xitca_server::net::Listen;
 use xitca_web::service::Service;
 
+/// How long a caller may leave the bytes of an answer unread or unacknowledged before its
+/// connection is closed. It is twice the idle time that configurations allow by default.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 tokio::task_local! {
     static CONNECTION: Rc<ConnectionActivity>;
 }
@@ -123,6 +128,7 @@
     // A connection that cannot be configured or watched is closed.
     let Ok(watched) = stream
         .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT)))
         .and_then(|()| duplicate_socket(&stream))
     else {
         return Ok(());
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -40,6 +40,7 @@
 pub use call::CallReceiver;
 pub use call::CallSender;
 pub use call::Responder;
+pub use caller_stream::HeadBounds;
 pub use error::PeerError;
 pub use error::PeerFault;
 pub use exchange::AnswerBody;
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -38,6 +38,7 @@
 use xitca_web::service::fn_service;
 
 use crate::caller_stream::CallerStreamFactory;
+use crate::caller_stream::HeadBounds;
 use crate::caller_stream::HeadLimits;
 use crate::connection;
 use crate::connection::ConnectionGuard;
@@ -59,6 +60,8 @@
 /// The write buffer of one connection in bytes; an answer that fills it waits
 /// until the caller has read some of it.
 const WRITE_BUFFER: usize = 256 * 1024;
+/// The length in bytes of the parts in which a long answer is written.
+const ANSWER_PART: usize = 64 * 1024;
 /// How long an idle connection of a caller is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
 /// How long the listener's threads may take to start.
@@ -78,6 +81,9 @@
     /// The greatest number of requests under way; further requests are refused
     /// with status 503 before they run.
     pub requests: usize,
+    /// The greatest number of open connections to the first address; further ones are
+    /// closed at once, so that descriptors are left for the other addresses.
+    pub connections: usize,
     /// How long a stop waits for the requests under way.
     pub stop: Duration,
 }
@@ -89,6 +95,7 @@
             body: 64 * 1024 * 1024,
             threads: 4,
             requests: 4096,
+            connections: usize::MAX,
             stop: Duration::from_secs(30),
         }
     }
@@ -149,6 +156,11 @@
         &self.0.runtime
     }
 
+    /// Returns the bounds of request heads at the first address, which can be changed.
+    pub fn head_bounds(&self) -> Option<Arc<HeadBounds>> {
+        self.0.heads.clone()
+    }
+
     /// Returns the number of requests under way.
     pub fn running(&self) -> usize {
         self.0.state.running.load(Ordering::Acquire)
@@ -214,6 +226,8 @@
 
 struct RunningListener {
     address: SocketAddr,
+    /// The bounds of heads at the first address.
+    heads: Option<Arc<HeadBounds>>,
     state: Arc<ListenState>,
     stop: Box<dyn Fn() + Send + Sync>,
     ended: oneshot::Receiver<()>,
@@ -224,6 +238,26 @@
 struct ListenState {
     stop: StopSignal,
     running: AtomicUsize,
+    /// The number of open connections to the first address.
+    connections: AtomicUsize,
+}
+
+impl ListenState {
+    /// Counts one more connection until the result is dropped; `None` if there are too many.
+    fn open_connection(&self, limit: usize) -> Option<OpenConnection<'_>> {
+        let before = self.connections.fetch_add(1, Ordering::Relaxed);
+        let connection = OpenConnection(self);
+        (before < limit).then_some(connection)
+    }
+}
+
+/// Counts one connection until dropped.
+struct OpenConnection<'a>(&'a ListenState);
+
+impl Drop for OpenConnection<'_> {
+    fn drop(&mut self) {
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl RunningListener {
@@ -251,10 +285,14 @@
             .max_read_buf_size::<READ_BUFFER>()
             .max_write_buf_size::<WRITE_BUFFER>()
             .max_request_headers::<HEADER_FIELDS>();
-        let heads = HeadLimits {
+        let head_limits = HeadLimits {
             bytes: limits.head.saturating_mul(HEAD_FACTOR).min(READ_BUFFER),
             time: HEAD_TIMEOUT,
         };
+        let heads: Vec<Arc<HeadBounds>> = addresses
+            .iter()
+            .map(|_| Arc::new(HeadBounds::new(head_limits)))
+            .collect();
         let (started, runtimes) = std::sync::mpsc::channel();
         let mut builder = xitca_server::Builder::new()
             .worker_threads(limits.threads.max(1))
@@ -273,15 +311,22 @@
                 }
             });
             let watched = state.clone();
+            let connections = (address_index == 0).then_some(limits.connections);
             let service = service
                 .enclosed(RuntimeReporter(started.clone()))
                 .enclosed(
                     HttpServiceBuilder::h1()
                         .config(config)
-                        .with_tls(CallerStreamFactory(heads)),
+                        .with_tls(CallerStreamFactory(Arc::clone(&heads[address_index]))),
                 )
                 .enclosed_fn(
                     async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
+                        let open = connections.map(|limit| watched.open_connection(limit));
+                        if matches!(open, Some(None)) {
+                            // The connection is closed without an answer: none of its
+                            // requests was read.
+                            return Ok(());
+                        }
                         connection::serve(service, stream, remote, &watched.stop).await
                     },
                 );
@@ -306,6 +351,7 @@
             })?;
         Ok(RunningListener {
             address,
+            heads: heads.into_iter().next(),
             state,
             stop: Box::new(move || handle.stop(true)),
             ended,
@@ -415,7 +461,11 @@
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     let body = match body.into_kind() {
-        AnswerKind::Whole(bytes) => ResponseBody::bytes(bytes),
+        AnswerKind::Whole(bytes) if bytes.len() <= WRITE_BUFFER => ResponseBody::bytes(bytes),
+        AnswerKind::Whole(bytes) => ResponseBody::boxed(LongBody {
+            rest: bytes,
+            _running: running,
+        }),
         AnswerKind::Stream(stream) => ResponseBody::boxed(CountedBody {
             chunks: stream,
             _running: running,
@@ -424,6 +474,34 @@
     Response::from_parts(head, body)
 }
 
+/// A long answer that is passed to the library in parts, so that its write buffer does not
+/// hold a second copy.
+struct LongBody {
+    rest: Bytes,
+    _running: RunningRequest,
+}
+
+impl Body for LongBody {
+    type Data = Bytes;
+    type Error = BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BoxError>>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.rest.len().min(ANSWER_PART);
+        let part = self.rest.split_to(length);
+        Poll::Ready(Some(Ok(Frame::Data(part))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::Exact(self.rest.len() as u64)
+    }
+}
+
 /// A streamed answer that counts as a request under way until its end.
 ///
 /// The library's own adapter uses the stream's size hint, a number of chunks, as
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -82,6 +82,10 @@
 /// The fraction of the process's memory that answers may use until they are delivered.
 const ANSWER_MEMORY_FRACTION: f64 = 0.25;
 
+/// The fraction of the process's memory that heads of callers' requests may use that are
+/// longer than most.
+const HEAD_MEMORY_FRACTION: f64 = 0.1;
+
 /// The fraction of the process's memory that messages of other daemons may use.
 const MESSAGE_MEMORY_FRACTION: f64 = 0.25;
 
@@ -93,6 +97,8 @@
     answer_budget: Arc<ByteBudget>,
     /// The memory for the bodies of requests, of callers and of other daemons.
     pub(crate) body_budget: Arc<BodyBudget>,
+    /// The memory for long heads of callers' requests.
+    pub(crate) head_budget: Arc<ByteBudget>,
     /// The memory for messages of other daemons.
     pub(crate) message_budget: ByteBudget,
     state: Mutex<OwnerState>,
@@ -124,6 +130,7 @@
             client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
             answer_budget,
             body_budget: Arc::new(body_budget),
+            head_budget: Arc::new(budget(HEAD_MEMORY_FRACTION)),
             message_budget: budget(MESSAGE_MEMORY_FRACTION),
             state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -11,6 +11,7 @@
 use radishgauge_events::events;
 use radishgauge_mesh::StopPlan;
 use radishgauge_net::CallerListener;
+use radishgauge_net::HeadBounds;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::ListenLimits;
@@ -47,6 +48,14 @@
 /// Each of them keeps its body in memory.
 const MAX_REQUESTS: usize = 2048;
 
+/// How many times the configuration's greatest head is received from callers. A head
+/// somewhat over the limit is answered, not cut off.
+const HEAD_FACTOR: usize = 2;
+
+/// How much longer than the configuration's time a head of a caller may take, for the time
+/// in which the network delivers it.
+const HEAD_TIME_MARGIN: Duration = Duration::from_secs(1);
+
 /// The interval at which the daemon removes expired targets and closes unused
 /// connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -84,6 +93,7 @@
             head: MAX_HEAD_BYTES,
             threads: 1,
             requests: MAX_REQUESTS,
+            connections: settings.caller_connections(),
             ..ListenLimits::default()
         };
         let mut addresses = vec![
@@ -113,7 +123,11 @@
         runtime.spawn(suspect_exchange::run_pushes(Arc::clone(&node)));
         runtime.spawn(suspect_exchange::run_fetches(Arc::clone(&node)));
         runtime.spawn(probe::run(Arc::clone(&node)));
-        runtime.spawn(run_maintenance(Arc::clone(&node)));
+        let heads = listener.head_bounds();
+        if let Some(heads) = &heads {
+            heads.set_budget(Arc::clone(&node.owner.head_budget));
+        }
+        runtime.spawn(run_maintenance(Arc::clone(&node), heads));
         Ok(Sidecar { node, listener })
     }
 
@@ -180,8 +194,15 @@
     answer::empty(status)
 }
 
-async fn run_maintenance(node: Arc<SidecarNode>) {
+async fn run_maintenance(node: Arc<SidecarNode>, heads: Option<Arc<HeadBounds>>) {
     loop {
+        if let (Some(heads), Some(config)) = (&heads, node.config()) {
+            let limits = config.limits();
+            heads.set(
+                limits.head_bytes.saturating_mul(HEAD_FACTOR),
+                limits.head_time + HEAD_TIME_MARGIN,
+            );
+        }
         // A target must not be used after its expiry, so the next maintenance
         // runs no later than that.
         let expiry = node.next_expiry().map(|at| at.saturating_sub(node.now()));
