Take an early answer as cut off when its request could not be written

Cause: an answer without a length ends with its connection. While a long request is still being written, a reset may be noticed by the write first, which uses up the socket's error; the read then sees a regular end, and a part of the answer counted as complete. Change: such an answer is complete only after its request was written completely.

--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -500,7 +500,13 @@
         let Some(connection) = &mut self.connection else {
             return Ok(None);
         };
-        match connection.reader.data(&mut self.rest).await {
+        let ends_with_connection = self.rest == BodyRest::UntilEnd;
+        let mut read = connection.reader.data(&mut self.rest).await;
+        if ends_with_connection && matches!(read, Ok(None)) {
+            // A reset that the write notices first reads like the end of the answer.
+            read = connection.finish_write().await.map(|()| None);
+        }
+        match read {
             Ok(Some(data)) => Ok(Some(data)),
             Ok(None) => {
                 self.end();
--- a/crates/net/src/target_connection.rs
+++ b/crates/net/src/target_connection.rs
@@ -174,6 +174,19 @@
         self.reader.head(method).await
     }
 
+    /// Waits until the request has been written completely.
+    pub(crate) async fn finish_write(&mut self) -> io::Result<()> {
+        if let WriteSide::Busy(task) = &mut self.writer {
+            let written = task.await;
+            self.writer = WriteSide::Lost;
+            self.writer = WriteSide::Free(written.map_err(io::Error::other)??);
+        }
+        match self.writer {
+            WriteSide::Free(_) => Ok(()),
+            WriteSide::Busy(_) | WriteSide::Lost => Err(io::ErrorKind::ConnectionReset.into()),
+        }
+    }
+
     /// Returns how much of the request has been written, without waiting.
     pub(crate) fn written(&mut self) -> WriteState {
         if let WriteSide::Busy(task) = &mut self.writer {
