Refuse answers with a status that does not exist or a signed length

Cause: statuses up to 999 were passed on to callers, 101 was skipped like other informational answers, and a length with a sign was read. Change: 101, statuses over 599 and lengths that are not digits make an answer invalid. Ruled out: refusing statuses below 599 without a registered meaning, which callers may know. Statuses 000, 099, with letters or of four digits, and 1xx as the last answer were refused before.

--- a/crates/net/src/answer_reader.rs
+++ b/crates/net/src/answer_reader.rs
@@ -27,6 +27,9 @@
 /// The greatest number of header fields in an answer.
 const HEADER_FIELDS: usize = 96;
 
+/// The greatest status code of an answer (RFC 9110, section 15).
+const GREATEST_STATUS: u16 = 599;
+
 /// The greatest length of a chunk size line or trailer field, in bytes.
 const GREATEST_LINE: usize = 8 * 1024;
 
@@ -256,8 +259,7 @@
             Ok(Status::Partial) => return Ok(None),
             Err(error) => return Err(invalid(&error.to_string())),
         };
-        let status = StatusCode::from_u16(answer.code.unwrap_or_default())
-            .map_err(|error| invalid(&error.to_string()))?;
+        let status = final_or_informational(answer.code.unwrap_or_default())?;
         let mut headers = HeaderMap::with_capacity(answer.headers.len());
         for field in answer.headers.iter() {
             let name = HeaderName::from_bytes(field.name.as_bytes());
@@ -284,6 +286,16 @@
     }
 }
 
+/// Returns the status of an answer; 101 and those over 599 are no valid answers.
+fn final_or_informational(code: u16) -> io::Result<StatusCode> {
+    let status = StatusCode::from_u16(code).map_err(|error| invalid(&error.to_string()))?;
+    // No request asks for another protocol.
+    if status == StatusCode::SWITCHING_PROTOCOLS || code > GREATEST_STATUS {
+        return Err(invalid("the status of the answer is not valid"));
+    }
+    Ok(status)
+}
+
 /// The state of an idle connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum IdleState {
@@ -323,7 +335,10 @@
     if lengths.any(|length| length != first) {
         return Err(invalid("the answer has several lengths"));
     }
-    let length = first.to_str().ok().and_then(|text| text.parse().ok());
+    let text = first.to_str().unwrap_or_default().trim();
+    // The number parser also accepts a sign.
+    let is_number = text.bytes().all(|byte| byte.is_ascii_digit());
+    let length = text.parse().ok().filter(|_| is_number);
     length
         .map(BodyRest::Length)
         .ok_or_else(|| invalid("the length of the answer cannot be read"))
