Name the limits on clients as settings

Cause: the limits on what clients can make a daemon hold were constants. Change: clients.* in the platform's settings file, with units, ranges and defaults, checked when the file is read; docs/settings.md has a line for each.

--- a/crates/config/tests/reference.rs
+++ b/crates/config/tests/reference.rs
@@ -21,6 +21,30 @@
 [examples/settings.yaml](../examples/settings.yaml) is a complete file.
 ";
 
+/// The limits of `radishgauged --platform`, whose settings file is the platform's.
+const PLATFORM_LIMITS: &str = "
+## Limits on clients on the users' platform
+
+`radishgauged --platform` reads the platform's settings file, with lines of the form `a.b=value`. The \
+fields below may be missing. Shares of the memory are fractions of `limits.memoryMb`. A change takes \
+effect at the next start (RG6007).
+
+| field | accepted values | default | meaning |
+|---|---|---|---|
+| `clients.sharedMemory` | 0.01 to 0.95 | `0.8` | The memory for bodies, long heads, answers and messages together. The rest is for the daemon itself. |
+| `clients.bodyMemory` | 0.01 to 0.95 | `0.72` | The memory for the bodies of requests. An eighth of it is kept for bodies up to 64 KiB, a 32nd from each client address. |
+| `clients.answerMemory` | 0.01 to 0.95 | `0.25` | The memory for answers until they are delivered. |
+| `clients.messageMemory` | 0.01 to 0.95 | `0.25` | The memory for messages of other daemons. |
+| `clients.headMemory` | 0.01 to 0.95 | `0.1` | The memory for heads of more than 1 KiB that are being received. |
+| `clients.connections` | 0.01 to 0.95 | `0.75` | The fraction of `limits.maxFds` less 200 that connections of callers may use, two descriptors each. Without `limits.maxFds` they are not limited. |
+| `clients.stallTime` | 100ms to 600s | `1s` | A body without progress for twice this time is given up if another one lacked memory in the second half. |
+| `clients.unreadTime` | 100ms to 600s | `30s` | How long a caller may leave the bytes of an answer unacknowledged. |
+
+Limits that follow from the configuration: a head of a caller is received up to twice `headerBytes` and for \
+`headerTimeout` and a second, a body up to `bodyBytes`, within the time of its request, and without \
+progress for at most `idleTimeout`.
+";
+
 const CONFIGURATION: &str = "\
 # Configuration of a fleet
 
@@ -131,7 +155,8 @@
 
 #[test]
 fn settings_page_is_current() {
-    compare("settings.md", &page(SETTINGS, &settings_reference()));
+    let page = page(SETTINGS, &settings_reference()) + PLATFORM_LIMITS;
+    compare("settings.md", &page);
 }
 
 #[test]
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -27,10 +27,6 @@
 use xitca_server::net::Listen;
 use xitca_web::service::Service;
 
-/// How long a caller may leave the bytes of an answer unread or unacknowledged before its
-/// connection is closed. It is twice the idle time that configurations allow by default.
-const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
-
 tokio::task_local! {
     static CONNECTION: Rc<ConnectionActivity>;
 }
@@ -115,12 +111,14 @@
 }
 
 /// Serves one connection until it ends, until its caller disconnects during a
-/// request, or until the listener stops and the connection is idle.
+/// request or leaves bytes unacknowledged for the time `unread`, or until the listener
+/// stops and the connection is idle.
 pub(crate) async fn serve<S>(
     service: &S,
     stream: TcpStream,
     remote: SocketAddr,
     stop: &StopSignal,
+    unread: Duration,
 ) -> Result<(), S::Error>
 where
     S: Service<(TcpStream, SocketAddr), Response = ()>,
@@ -128,7 +126,7 @@
     // A connection that cannot be configured or watched is closed.
     let Ok(watched) = stream
         .set_nodelay(true)
-        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT)))
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(unread)))
         .and_then(|()| duplicate_socket(&stream))
     else {
         return Ok(());
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -23,10 +23,6 @@
 use crate::byte_budget::ByteBudget;
 use crate::connection::ConnectionActivity;
 
-/// How long a body may be without progress before it is checked whether others lack its
-/// memory.
-const STALL_TIME: Duration = Duration::from_secs(1);
-
 /// An error of any type, as returned by body streams.
 pub type BoxError = Box<dyn std::error::Error + Send + Sync>;
 
@@ -52,6 +48,9 @@
     pub bytes: u64,
     /// How long the complete body may take.
     pub time: Duration,
+    /// How long the body may be without progress before it is checked whether others lack
+    /// its memory.
+    pub stall: Duration,
     /// How long the body may be without progress.
     pub idle: Duration,
 }
@@ -171,7 +170,7 @@
         }
         let declared = self.declared.map(|length| length as usize);
         let collector = PieceCollector::new(declared, share).ok_or(BodyFault::NoMemory)?;
-        let received = self.collect_pieces(collector, limits.idle);
+        let received = self.collect_pieces(collector, limits);
         let received = tokio::time::timeout(limits.time, received).await;
         received.unwrap_or(Err(BodyFault::Late))
     }
@@ -179,13 +178,13 @@
     async fn collect_pieces(
         &mut self,
         mut collector: PieceCollector,
-        idle_limit: Duration,
+        limits: BodyLimits,
     ) -> Result<BodyPieces, BodyFault> {
         let mut idle = Duration::ZERO;
         // The refusals of other bodies when this one began to stall.
         let mut refusals = None;
         loop {
-            match tokio::time::timeout(STALL_TIME, self.data()).await {
+            match tokio::time::timeout(limits.stall, self.data()).await {
                 Ok(Ok(Some(data))) => {
                     idle = Duration::ZERO;
                     refusals = None;
@@ -196,10 +195,10 @@
                 Ok(Ok(None)) => return Ok(collector.finish()),
                 Ok(Err(fault)) => return Err(fault),
                 Err(_) => {
-                    idle += STALL_TIME;
+                    idle += limits.stall;
                     let now = collector.refusals();
                     let before = *refusals.get_or_insert(now);
-                    if idle >= idle_limit || now > before {
+                    if idle >= limits.idle || now > before {
                         return Err(BodyFault::Late);
                     }
                 }
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -84,6 +84,9 @@
     /// The greatest number of open connections to the first address; further ones are
     /// closed at once, so that descriptors are left for the other addresses.
     pub connections: usize,
+    /// How long a caller may leave the bytes of an answer unacknowledged before its
+    /// connection is closed.
+    pub unread: Duration,
     /// How long a stop waits for the requests under way.
     pub stop: Duration,
 }
@@ -96,6 +99,7 @@
             threads: 4,
             requests: 4096,
             connections: usize::MAX,
+            unread: Duration::from_secs(30),
             stop: Duration::from_secs(30),
         }
     }
@@ -327,7 +331,8 @@
                             // requests was read.
                             return Ok(());
                         }
-                        connection::serve(service, stream, remote, &watched.stop).await
+                        connection::serve(service, stream, remote, &watched.stop, limits.unread)
+                            .await
                     },
                 );
             builder = builder.listen(
--- a/crates/net/tests/caller_limits.rs
+++ b/crates/net/tests/caller_limits.rs
@@ -33,6 +33,7 @@
 const LIMITS: BodyLimits = BodyLimits {
     bytes: 64 * MEGABYTE as u64,
     time: Duration::from_secs(60),
+    stall: Duration::from_secs(1),
     idle: Duration::from_secs(60),
 };
 
--- a/crates/sidecar/src/body_receipt.rs
+++ b/crates/sidecar/src/body_receipt.rs
@@ -30,6 +30,7 @@
     let limits = BodyLimits {
         bytes: limits.map_or(u64::MAX, |limits| limits.body_bytes),
         time,
+        stall: node.settings().client_limits.stall_time,
         idle: limits.map_or(UNKNOWN_IDLE_TIME, |limits| limits.idle_time),
     };
     let received = body
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -70,25 +70,6 @@
 /// the refusal arrives in time even in another region.
 pub(crate) const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
-/// The fraction of the process's memory that bodies, answers and messages may use
-/// together. The rest is for the daemon itself and its connections.
-const SHARED_MEMORY_FRACTION: f64 = 0.8;
-
-/// The fraction of the process's memory that the bodies of requests may use, of callers
-/// and of other daemons. The greatest body that configurations allow, 64 MiB, fits into a
-/// process of 110 MB beside the part for small bodies.
-const BODY_MEMORY_FRACTION: f64 = 0.72;
-
-/// The fraction of the process's memory that answers may use until they are delivered.
-const ANSWER_MEMORY_FRACTION: f64 = 0.25;
-
-/// The fraction of the process's memory that heads of callers' requests may use that are
-/// longer than most.
-const HEAD_MEMORY_FRACTION: f64 = 0.1;
-
-/// The fraction of the process's memory that messages of other daemons may use.
-const MESSAGE_MEMORY_FRACTION: f64 = 0.25;
-
 /// The owner of this host's target.
 pub struct TargetOwner {
     pub(crate) clock: Arc<dyn ProcessClock>,
@@ -120,18 +101,19 @@
 impl TargetOwner {
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
+        let limits = settings.client_limits;
         let bytes = |fraction| (settings.memory_limit as f64 * fraction) as usize;
-        let pool = Arc::new(ByteBudget::new(bytes(SHARED_MEMORY_FRACTION)));
+        let pool = Arc::new(ByteBudget::new(bytes(limits.shared_memory)));
         let budget = |fraction| ByteBudget::within(Arc::clone(&pool), bytes(fraction));
-        let body_budget = BodyBudget::new(bytes(BODY_MEMORY_FRACTION), Arc::clone(&pool));
-        let answer_budget = Arc::new(budget(ANSWER_MEMORY_FRACTION));
+        let body_budget = BodyBudget::new(bytes(limits.body_memory), Arc::clone(&pool));
+        let answer_budget = Arc::new(budget(limits.answer_memory));
         TargetOwner {
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
             answer_budget,
             body_budget: Arc::new(body_budget),
-            head_budget: Arc::new(budget(HEAD_MEMORY_FRACTION)),
-            message_budget: budget(MESSAGE_MEMORY_FRACTION),
+            head_budget: Arc::new(budget(limits.head_memory)),
+            message_budget: budget(limits.message_memory),
             state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -94,6 +94,7 @@
             threads: 1,
             requests: MAX_REQUESTS,
             connections: settings.caller_connections(),
+            unread: settings.client_limits.unread_time,
             ..ListenLimits::default()
         };
         let mut addresses = vec![
