--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -13,6 +13,7 @@
 use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use socket2::SockRef;
@@ -110,12 +111,14 @@
 }
 
 /// Serves one connection until it ends, until its caller disconnects during a
-/// request, or until the listener stops and the connection is idle.
+/// request or leaves bytes unacknowledged for the time `unread`, or until the listener
+/// stops and the connection is idle.
 pub(crate) async fn serve<S>(
     service: &S,
     stream: TcpStream,
     remote: SocketAddr,
     stop: &StopSignal,
+    unread: Duration,
 ) -> Result<(), S::Error>
 where
     S: Service<(TcpStream, SocketAddr), Response = ()>,
@@ -123,6 +126,7 @@
     // A connection that cannot be configured or watched is closed.
     let Ok(watched) = stream
         .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(unread)))
         .and_then(|()| duplicate_socket(&stream))
     else {
         return Ok(());
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod answer;
 pub mod answer_lease;
 mod attempt;
+mod body_receipt;
 pub mod entry;
 mod fleet_scope;
 pub mod follow;
--- a/crates/sidecar/tests/tenant_access.rs
+++ b/crates/sidecar/tests/tenant_access.rs
@@ -11,13 +11,14 @@
 use http::HeaderMap;
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::TenantPolicy;
+use radishgauge_mesh::quota::QuotaRefusal;
+use radishgauge_mesh::quota::RefusalCause;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_net::clock::ProcessClock;
 use radishgauge_platform::StoreItem;
 use radishgauge_sidecar::local_reply;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
-use radishgauge_sidecar::quota::QuotaRefusal;
 use radishgauge_sidecar::request_outcome::RequestOutcome;
 use radishgauge_sidecar::tenant_access;
 use radishgauge_sidecar::tenant_access::AccessRefusal;
@@ -254,13 +255,17 @@
 /// that does not say when to come back, or that is not counted.
 #[test]
 fn refusal_over_the_limit_says_when_to_come_back() {
-    let node = AccessSetup::new().node;
+    let node = Arc::new(AccessSetup::new().node);
     let config = node.config().unwrap();
     let tenant = config.tenant("acme").unwrap();
     let refusal = QuotaRefusal {
         retry_after: Duration::from_millis(1_250),
+        cause: RefusalCause::Exhausted,
+        owner: None,
+        left: 0.0,
+        grant_age: None,
     };
-    let answer = local_reply::refuse_over_limit(&node, "id-1", "read", tenant, &refusal);
+    let answer = local_reply::refuse_over_limit(&node, "id-1", tenant, &refusal);
     assert_eq!(answer.status(), 429);
     assert_eq!(answer.headers()["retry-after"], "1.250");
     assert_eq!(answer.headers()["radishgauge-request-id"], "id-1");
