Offer less to owners that have just refused for lack of capacity

Cause: in an overload, an owner admits only what waits for a tenth of its objective, while senders count on the whole objective and on reports that fade within milliseconds. Each request was refused by up to four owners. Change: for two runs after such a refusal, the sender counts on the short wait, too. Calls, which owners let wait, are sent as before, also behind more urgent requests.

--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -404,7 +404,8 @@
                     estimate.paused_until = now + estimate.down_pause;
                 }
             }
-            SendOutcome::Full | SendOutcome::Cancelled => {}
+            SendOutcome::Full => estimate.full_at = Some(now),
+            SendOutcome::Cancelled => {}
         }
     }
 
@@ -517,19 +518,21 @@
     // Without a recent report the target may have room, so it is not ruled out.
     let wait = estimate.wait(candidate.capacity, 0.0, service_time, now);
     let allowed = scheduling::allowed_wait(request.patience, service_time, request.priority);
-    let (wait, allowed) = match estimate.waiting_priority(now) {
-        // The request passes all that wait, and needs one slot.
-        Some(waiting) if request.priority < waiting => {
-            let slot_wait = estimate.slot_interval(candidate.capacity, service_time, now);
-            (wait.min(slot_wait), allowed)
-        }
-        // More urgent requests pass this one, so the owner admits it only for a
-        // short wait.
-        Some(waiting) if request.priority > waiting => {
-            let short = scheduling::short_wait(request.patience, request.priority);
-            (wait, allowed.min(short))
-        }
-        _ => (wait, allowed),
+    let waiting = estimate.waiting_priority(now);
+    let passes_all = waiting.is_some_and(|waiting| request.priority < waiting);
+    let is_passed = waiting.is_some_and(|waiting| request.priority > waiting);
+    // Owners let calls wait as long as the runs that make them.
+    let is_call = request.patience > request.objective;
+    let wait = match passes_all {
+        // The request needs only one slot.
+        true => wait.min(estimate.slot_interval(candidate.capacity, service_time, now)),
+        false => wait,
+    };
+    let is_short = !is_call && (is_passed || (!passes_all && estimate.was_full(service_time, now)));
+    let allowed = match is_short {
+        // The owner admits the request only for a short wait.
+        true => allowed.min(scheduling::short_wait(request.patience, request.priority)),
+        false => allowed,
     };
     let transfer = estimate.transfer_time(request.body_bytes, now);
     (wait + transfer + estimate.delay(now)).saturating_sub(allowed)
--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -27,6 +27,10 @@
 /// change faster than service times.
 const MAX_QUEUE_AGE: Duration = Duration::from_secs(1);
 
+/// For how many runs after a refusal for lack of capacity an owner is expected to keep
+/// its queue short. Each slot then becomes free more than once.
+const FULL_RUNS: u32 = 2;
+
 /// The weight of one long body in the average transfer rate of a host's link;
 /// links fill up fast.
 const TRANSFER_RATE_WEIGHT: f64 = 0.3;
@@ -57,6 +61,8 @@
     failures: f64,
     failures_at: Duration,
     pub(crate) paused_until: Duration,
+    /// When the owner last refused a request for lack of capacity.
+    pub(crate) full_at: Option<Duration>,
     /// The last pause of a target that accepts no connections; zero after it has
     /// answered.
     pub(crate) down_pause: Duration,
@@ -155,6 +161,13 @@
             .filter(|_| now.saturating_sub(at) <= MAX_QUEUE_AGE)
     }
 
+    /// Returns whether the owner refused a request a short time ago, as it does when the
+    /// slots have been in use for some time.
+    pub(crate) fn was_full(&self, service_time: Duration, now: Duration) -> bool {
+        self.full_at
+            .is_some_and(|at| now.saturating_sub(at) <= service_time * FULL_RUNS)
+    }
+
     /// Returns whether the target may have a slot for a request that has missed its
     /// objective: its last report says so, or is too old to tell.
     pub(crate) fn may_have_spare_slot(&self, registered: u32, now: Duration) -> bool {
--- a/crates/mesh/tests/mesh/fleet.rs
+++ b/crates/mesh/tests/mesh/fleet.rs
@@ -102,6 +102,8 @@
     pub waiting: bool,
     /// Refused callers return when capacity is expected to be spare.
     pub return_order: bool,
+    /// Senders remember which owners refused requests for lack of capacity.
+    pub refusals: bool,
 }
 
 /// The outcomes of the requests of one kind.
@@ -616,7 +618,12 @@
     }
 
     fn offer_refused(&mut self, index: usize, now: Duration) {
-        self.finish_attempt(index, SendOutcome::Full, now);
+        // Before, a refusal had no effect but its report.
+        let outcome = match self.rules.refusals {
+            true => SendOutcome::Full,
+            false => SendOutcome::Cancelled,
+        };
+        self.finish_attempt(index, outcome, now);
         self.record_call(index, now);
         if self.requests[index].place.is_some() {
             self.line_of(index).record_refused(now);
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -10,6 +10,7 @@
 mod freshness;
 mod leaving_targets;
 mod load;
+mod offers;
 mod placement;
 mod reader;
 mod retry_budget;
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -410,3 +410,36 @@
     assert_eq!(late(&mut placer, 1_200).unwrap(), "domain");
     assert_eq!(placer.spare_capacity(&candidates(), ms(1_200)), None);
 }
+
+/// Guards against further offers to an owner that has just refused one, against calls
+/// that are held back although owners let them wait, and against a target that is left
+/// out for longer than its queue may last.
+#[test]
+fn target_that_refused_for_lack_of_capacity_is_left_out_for_two_runs() {
+    // A wait of 90 ms, which is within the objective but not within a tenth of it.
+    let busy = load(18, 90, 100);
+    let mut placer = TargetPlacer::new(1);
+    let only = [candidate("domain", TargetDistance::SameDomain)];
+    let place = |placer: &mut TargetPlacer, request: &PlaceRequest, now| {
+        let placed = placer.place(&only, request, ms(now));
+        if let Ok(id) = &placed {
+            let outcome = SendOutcome::Cancelled;
+            placer.finish(id, TargetDistance::SameDomain, 0, outcome, ms(now));
+        }
+        placed.is_ok()
+    };
+    placer.report(&only[0].id, busy, ms(0));
+    assert!(place(&mut placer, &REQUEST, 1));
+    let id = placer.place(&only, &REQUEST, ms(1)).unwrap();
+    let full = SendOutcome::Full;
+    placer.report(&id, busy, ms(2));
+    placer.finish(&id, TargetDistance::SameDomain, 0, full, ms(2));
+    assert!(!place(&mut placer, &REQUEST, 3));
+    let call = PlaceRequest {
+        patience: ms(2_000),
+        ..REQUEST
+    };
+    assert!(place(&mut placer, &call, 3));
+    placer.report(&id, busy, ms(203));
+    assert!(place(&mut placer, &REQUEST, 204));
+}
--- a/crates/mesh/tests/mesh/shares.rs
+++ b/crates/mesh/tests/mesh/shares.rs
@@ -19,6 +19,7 @@
     shares: true,
     waiting: false,
     return_order: false,
+    refusals: false,
 };
 
 /// The rules of earlier versions, the baseline.
@@ -26,6 +27,7 @@
     shares: false,
     waiting: false,
     return_order: false,
+    refusals: false,
 };
 
 fn ms(millis: u64) -> Duration {
--- a/crates/mesh/tests/mesh/waiting.rs
+++ b/crates/mesh/tests/mesh/waiting.rs
@@ -19,6 +19,7 @@
     shares: true,
     waiting: true,
     return_order: false,
+    refusals: false,
 };
 
 /// The rules without a waiting line, the baseline.
@@ -26,6 +27,7 @@
     shares: true,
     waiting: false,
     return_order: false,
+    refusals: false,
 };
 
 fn ms(millis: u64) -> Duration {
