Leave more time for late runs, and keep them from queues of called services

Cause: late requests ran when 1.25 times their mean service time was left, so that some were cut off, and in free slots although their calls then competed for scarce capacity of another service. Change: twice the mean service time must be left. An owner refuses a late request if most calls of its route met a queue within the last second.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -22,6 +22,7 @@
 use smol_str::SmolStr;
 
 use crate::call_pressure::CallPressure;
+use crate::call_pressure::CalledQueue;
 use crate::cold_rate_limit::ColdRateLimit;
 use crate::declared_rate_limit::DeclaredRateLimit;
 use crate::placement::LoadReport;
@@ -216,10 +217,10 @@
         &mut self.rates.declared
     }
 
-    /// Records that a call of a run of `route` was answered, and whether more urgent
-    /// requests wait at the called target.
-    pub fn record_call(&mut self, route: &SmolStr, is_contested: bool, now: Duration) {
-        self.call_pressure.record(route, is_contested, now);
+    /// Records that a call of a run of `route` was answered, and which requests wait at
+    /// the called target.
+    pub fn record_call(&mut self, route: &SmolStr, queue: CalledQueue, now: Duration) {
+        self.call_pressure.record(route, queue, now);
     }
 
     /// Returns the number of running requests.
@@ -257,8 +258,9 @@
         let is_limited = self.rates.lowest(now).is_some();
         let spare = self.limit - scheduling::reserved_slots(self.limit);
         let has_spare_slot = self.running < spare && self.queue.is_empty();
-        let is_in_time = request.time_left >= self.service_time(&request.route, request.time_left);
-        let gives_way = self.call_pressure.is_high(&request.route, now);
+        let service_time = self.service_time(&request.route, request.time_left);
+        let is_in_time = request.time_left >= scheduling::late_run(service_time);
+        let gives_way = self.call_pressure.meets_queues(&request.route, now);
         if is_limited || !has_spare_slot || !is_in_time || gives_way {
             return AdmissionDecision::Refuse(AdmissionRefusal {
                 reason: self.full_reason(now),
--- a/crates/mesh/src/scheduling.rs
+++ b/crates/mesh/src/scheduling.rs
@@ -17,6 +17,10 @@
 /// times are skewed, and only about half of the runs end within the mean.
 const SERVICE_TIME_MARGIN: f64 = 1.25;
 
+/// The multiple of the mean service time that must be left for a run past the
+/// objective. Nearly all runs end within it; one that is cut off is wasted.
+const LATE_RUN_MARGIN: f64 = 2.0;
+
 /// The least allowed wait, as a fraction of the objective, so that slow targets
 /// still absorb a short burst.
 const MIN_WAIT_FRACTION: f64 = 0.1;
@@ -42,17 +46,18 @@
 /// fraction of its objective.
 const PRIORITY_DEADLINE_STEP: f64 = 0.25;
 
-/// Returns the time that is reserved for a run.
-pub fn expected_run(service_time: Duration) -> Duration {
-    service_time.mul_f64(SERVICE_TIME_MARGIN)
+/// Returns the time that must be left for a run of a request past its objective.
+pub fn late_run(service_time: Duration) -> Duration {
+    service_time.mul_f64(LATE_RUN_MARGIN)
 }
 
 /// Returns how long a request may wait for a slot, given the mean service time.
 /// Priority 0 is the most urgent.
 pub fn allowed_wait(objective: Duration, service_time: Duration, priority: u32) -> Duration {
+    let expected_run = service_time.mul_f64(SERVICE_TIME_MARGIN);
     let min_wait = objective.mul_f64(MIN_WAIT_FRACTION);
     objective
-        .saturating_sub(expected_run(service_time))
+        .saturating_sub(expected_run)
         .max(min_wait)
         .mul_f64(priority_fraction(priority))
 }
--- a/crates/mesh/src/waiting_line.rs
+++ b/crates/mesh/src/waiting_line.rs
@@ -106,7 +106,7 @@
         }
         let give_up_at = request
             .deadline
-            .saturating_sub(REFUSAL_MARGIN + scheduling::expected_run(request.run));
+            .saturating_sub(REFUSAL_MARGIN + scheduling::late_run(request.run));
         if give_up_at <= now {
             return Err(LineRefusal::NoChance);
         }
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -6,6 +6,7 @@
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
 use radishgauge_mesh::admission::WaitKey;
+use radishgauge_mesh::call_pressure::CalledQueue;
 use smol_str::SmolStr;
 
 fn ms(millis: u64) -> Duration {
@@ -293,3 +294,29 @@
     cold.cold_mut().set_cold(ms(10_000), 5.0);
     assert!(!is_run(&mut cold), "the rate is limited");
 }
+
+/// Guards against late runs whose calls take scarce capacity of another service from
+/// requests in time, and against late runs that are cut off at their time limit.
+#[test]
+fn late_request_does_not_run_when_its_calls_would_wait() {
+    let mut admission = admission(9);
+    let late = |time_left| AdmissionRequest {
+        is_late: true,
+        time_left: ms(time_left),
+        ..request("read", 1000, 1)
+    };
+    let route = SmolStr::new("read");
+    for call in 0..5 {
+        admission.record_call(&route, CalledQueue::Waiting, ms(call));
+    }
+    let decision = admission.decide(&late(4_000), ms(10));
+    assert!(matches!(decision, AdmissionDecision::Refuse(_)));
+    let in_time = request("read", 1000, 1);
+    assert_eq!(admission.decide(&in_time, ms(10)), AdmissionDecision::Run);
+    // No call has met a queue lately.
+    let decision = admission.decide(&late(4_000), ms(3_000));
+    assert_eq!(decision, AdmissionDecision::Run);
+    // A run takes 100 ms on average.
+    let decision = admission.decide(&late(190), ms(3_000));
+    assert!(matches!(decision, AdmissionDecision::Refuse(_)));
+}
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -21,6 +21,7 @@
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
+use radishgauge_mesh::call_pressure::CalledQueue;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -174,12 +175,10 @@
     /// Records that a call of a run was answered by an owner at which
     /// `waiting_priority` waits.
     pub(crate) fn record_call(&self, running: &RunningRequest, waiting_priority: Option<u32>) {
-        let is_contested = waiting_priority.is_some_and(|waiting| waiting < running.urgency);
+        let queue = CalledQueue::of(waiting_priority, running.urgency);
         let now = self.clock.now();
         let mut state = self.state();
-        state
-            .admission
-            .record_call(&running.route, is_contested, now);
+        state.admission.record_call(&running.route, queue, now);
     }
 
     /// Stops admitting requests.
