--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -528,7 +528,8 @@
                     estimate.paused_until = now + estimate.down_pause;
                 }
             }
-            SendOutcome::Full | SendOutcome::Cancelled => {}
+            SendOutcome::Full => estimate.full_at = Some(now),
+            SendOutcome::Cancelled => {}
         }
     }
 
@@ -654,19 +655,22 @@
         // out.
         let wait = estimate.wait(limit, 0.0, self.times.mean, self.now);
         let allowed = scheduling::allowed_wait(request.patience, self.times.run, request.priority);
-        let (wait, allowed) = match estimate.waiting_priority(self.now) {
-            // The request passes all that wait, and needs one slot.
-            Some(waiting) if request.priority < waiting => {
-                let slot_wait = self.times.mean / limit.max(1);
-                (wait.min(slot_wait), allowed)
-            }
-            // More urgent requests pass this one, so the owner admits it only for a
-            // short wait.
-            Some(waiting) if request.priority > waiting => {
-                let short = scheduling::short_wait(request.patience, request.priority);
-                (wait, allowed.min(short))
-            }
-            _ => (wait, allowed),
+        let waiting = estimate.waiting_priority(self.now);
+        let passes_all = waiting.is_some_and(|waiting| request.priority < waiting);
+        let is_passed = waiting.is_some_and(|waiting| request.priority > waiting);
+        // Owners let calls wait as long as the runs that make them.
+        let is_call = request.patience > request.objective;
+        let wait = match passes_all {
+            // The request needs only one slot.
+            true => wait.min(self.times.mean / limit.max(1)),
+            false => wait,
+        };
+        let was_full = estimate.was_full(self.times.mean, self.now);
+        let is_short = !is_call && (is_passed || (!passes_all && was_full));
+        let allowed = match is_short {
+            // The owner admits the request only for a short wait.
+            true => allowed.min(scheduling::short_wait(request.patience, request.priority)),
+            false => allowed,
         };
         let transfer = estimate.transfer_time(request.body_bytes, self.now);
         (wait + transfer + self.answer_time() + estimate.delay(self.now)).saturating_sub(allowed)
--- a/crates/mesh/tests/mesh/contended_fleet.rs
+++ b/crates/mesh/tests/mesh/contended_fleet.rs
@@ -21,6 +21,7 @@
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::WaitingLine;
 use radishgauge_mesh::admission::WaitKey;
+use radishgauge_mesh::call_pressure::CalledQueue;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::SendOutcome;
@@ -103,6 +104,8 @@
     pub waiting: bool,
     /// Refused callers return when capacity is expected to be spare.
     pub return_order: bool,
+    /// Senders remember which owners refused requests for lack of capacity.
+    pub refusals: bool,
 }
 
 /// The outcomes of the requests of one kind.
@@ -613,13 +616,18 @@
         };
         let priority = self.kind(index).urgency;
         let waiting = self.requests[index].report.waiting_priority;
-        let is_contested = waiting.is_some_and(|waiting| waiting < priority);
+        let queue = CalledQueue::of(waiting, priority);
         let route = self.route(parent);
-        self.owners[self.requests[parent].target].record_call(&route, is_contested, now);
+        self.owners[self.requests[parent].target].record_call(&route, queue, now);
     }
 
     fn offer_refused(&mut self, index: usize, now: Duration) {
-        self.finish_attempt(index, SendOutcome::Full, now);
+        // Before, a refusal had no effect but its report.
+        let outcome = match self.rules.refusals {
+            true => SendOutcome::Full,
+            false => SendOutcome::Cancelled,
+        };
+        self.finish_attempt(index, outcome, now);
         self.record_call(index, now);
         if self.requests[index].place.is_some() {
             self.line_of(index).record_refused(now);
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -12,6 +12,7 @@
 mod leaving_targets;
 mod load;
 mod long_answers;
+mod offers;
 mod placement;
 mod quota;
 mod quota_load;
