--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -340,7 +340,6 @@
         let answer_bytes = self.answer_lengths.long(request.route);
         let mut best: Option<(f64, &PlaceCandidate)> = None;
         for candidate in candidates {
-            let noise = self.random.random_range(0.0..1.0);
             let estimate = self.estimates.entry(candidate.id.clone()).or_default();
             if estimate.paused_until > now || !estimate.may_have_spare_slot(candidate.capacity, now)
             {
@@ -359,7 +358,7 @@
                 round_trip: self.round_trips[candidate.distance as usize],
                 now,
             };
-            let cost = input.cost(noise);
+            let cost = input.cost(self.random.random_range(0.0..1.0));
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, candidate));
             }
