Keep a part of each share of the memory for small bodies

Cause: answers count until they are delivered, so large answers to callers that read nothing could fail the small answers of others for as long as clients.unreadTime. Change: bodies over 64 KiB leave a sixteenth of each budget, and of the memory that all of them share, to smaller ones. Ruled out: counting answers only while they are received, which leaves those for slow readers unbounded.

--- a/crates/net/src/body_budget.rs
+++ b/crates/net/src/body_budget.rs
@@ -12,10 +12,7 @@
 use indexmap::IndexMap;
 
 use crate::byte_budget::ByteBudget;
-
-/// The greatest share in bytes of a small body. Bodies of most calls between services are
-/// shorter.
-const SMALL_SHARE: usize = 64 * 1024;
+use crate::byte_budget::SMALL_BODY;
 
 /// The fraction of the memory that is kept for small bodies.
 const SMALL_RESERVE: f64 = 0.125;
@@ -78,7 +75,7 @@
     /// Returns the greatest number of bytes in use with which a body may have a share of
     /// `share` bytes.
     fn ceiling(&self, share: usize) -> usize {
-        match share > SMALL_SHARE {
+        match share > SMALL_BODY {
             true => self.limit - self.part(SMALL_RESERVE),
             false => self.limit,
         }
@@ -94,7 +91,7 @@
         let address_limit = self.limit - self.part(ADDRESS_RESERVE);
         let fits = state.used + bytes <= self.ceiling(held + bytes)
             && of_address + bytes <= address_limit
-            && self.pool.try_reserve(bytes);
+            && self.pool.try_reserve(bytes, held + bytes);
         if fits {
             state.used += bytes;
             state.addresses.insert(address, of_address + bytes);
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -10,6 +10,13 @@
 
 use bytes::Bytes;
 
+/// The greatest length in bytes of a small body.
+pub(crate) const SMALL_BODY: usize = 64 * 1024;
+
+/// The fraction of a budget that is kept for small bodies, so that a few large ones, whose
+/// receivers are slow, do not fail ordinary requests.
+const SMALL_RESERVE: f64 = 1.0 / 16.0;
+
 /// The bytes that several bodies may hold together.
 #[derive(Debug)]
 pub struct ByteBudget {
@@ -47,9 +54,14 @@
         self.limit
     }
 
-    /// Adds `bytes` to those in use, and returns whether they fit.
-    pub(crate) fn try_reserve(&self, bytes: usize) -> bool {
-        let add = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= self.limit);
+    /// Adds `bytes` of a body that then holds `held` to those in use, and returns whether
+    /// they fit.
+    pub(crate) fn try_reserve(&self, bytes: usize, held: usize) -> bool {
+        let ceiling = match held > SMALL_BODY {
+            true => self.limit - (self.limit as f64 * SMALL_RESERVE) as usize,
+            false => self.limit,
+        };
+        let add = |used: usize| used.checked_add(bytes).filter(|sum| *sum <= ceiling);
         let updated = self
             .used
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
@@ -59,7 +71,7 @@
         let fits = self
             .pool
             .as_ref()
-            .is_none_or(|pool| pool.try_reserve(bytes));
+            .is_none_or(|pool| pool.try_reserve(bytes, held));
         if !fits {
             self.used.fetch_sub(bytes, Ordering::Relaxed);
         }
@@ -101,7 +113,8 @@
     /// Extends the share by `bytes`, and returns whether they fit.
     pub(crate) fn extend(&mut self, bytes: usize) -> bool {
         let budget = self.budget.as_ref().map(Borrow::borrow);
-        let fits = budget.is_none_or(|budget: &ByteBudget| budget.try_reserve(bytes));
+        let held = self.bytes + bytes;
+        let fits = budget.is_none_or(|budget: &ByteBudget| budget.try_reserve(bytes, held));
         if fits {
             self.bytes += bytes;
         }
--- a/crates/net/tests/caller_limits.rs
+++ b/crates/net/tests/caller_limits.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Request;
 use http::StatusCode;
 use radishgauge_net::AnswerBody;
 use radishgauge_net::BodyBudget;
@@ -18,6 +19,9 @@
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::ListenLimits;
+use radishgauge_net::TargetBody;
+use radishgauge_net::TargetClient;
+use radishgauge_net::TargetLimits;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -324,3 +328,41 @@
         assert_eq!((status, body.len()), (200, 5 * MEGABYTE));
     }
 }
+
+/// Guards against large answers to callers that read nothing, for which small answers to
+/// others fail.
+#[tokio::test]
+async fn small_answers_fit_beside_large_ones() {
+    const LARGE: usize = 500_000;
+    let handler = |request: HttpRequest| async move {
+        let length = match request.head.uri.path() {
+            "/large" => LARGE,
+            _ => 10_000,
+        };
+        HttpAnswer::new(AnswerBody::whole(vec![b'a'; length]))
+    };
+    let limits = ListenLimits::default();
+    let target = CallerListener::bind(common::loopback(), limits, handler).unwrap();
+    let budget = Arc::new(ByteBudget::new(BUDGET / 2));
+    let client = TargetClient::with_budget(
+        target.local_address(),
+        TargetLimits::default(),
+        Arc::clone(&budget),
+    );
+    let get = async |path: &str| {
+        let request = Request::get(path).header("host", "a");
+        let request = request.body(TargetBody::whole("")).unwrap();
+        let answer = client.send(request).await.unwrap();
+        answer.into_body().whole(MEGABYTE).await
+    };
+    let mut held = Vec::new();
+    while let Ok(answer) = get("/large").await {
+        held.push(answer);
+    }
+    assert!(held.len() > 6 && held.len() < 8, "{}", held.len());
+    for _ in 0..10 {
+        held.push(get("/small").await.unwrap());
+    }
+    drop(held);
+    assert_eq!(budget.used(), 0);
+}
