Keep a daemon that cannot grant from counting as an owner

A restarted daemon answered /quota with an empty reply until its maintenance task had opened the quota state, up to 500 ms after the configuration came. The reply marked its host as reachable, so callers asked it again and were refused although another host could have owned the bucket.

A daemon without a configuration answers 503, which leaves its host unreachable for quotas. With limits in its configuration it opens the state when it is asked. A reply that is shorter than the request counts as a failure of the host.

Ruled out: an empty reply as a sign of failure on its own, since probes have an empty reply as well.

restarted_owner_without_configuration_is_replaced and owner_grants_before_its_first_maintenance failed after 60 s before, and pass now.

--- a/crates/sidecar/src/quota.rs
+++ b/crates/sidecar/src/quota.rs
@@ -107,13 +107,21 @@
 
     /// Starts the watch once some tenant has a limit.
     pub fn maintain(&self) {
-        let has_limits = has_limits(self.node);
         let mut state = lock(&self.node.quota_state);
-        if has_limits && state.is_none() {
-            self.open(&mut state);
+        if state.is_none() {
+            self.open_if_limited(&mut state);
         }
     }
 
+    /// Opens the state if it is open already or the known configuration has limits.
+    pub(crate) fn open_if_limited<'s>(
+        &self,
+        state: &'s mut Option<Box<QuotaState>>,
+    ) -> Option<&'s mut QuotaState> {
+        let is_needed = state.is_some() || has_limits(self.node);
+        is_needed.then(|| self.open(state))
+    }
+
     /// Opens the state at the first use of quotas.
     fn open<'s>(&self, state: &'s mut Option<Box<QuotaState>>) -> &'s mut QuotaState {
         let now = self.node.now();
--- a/crates/sidecar/src/quota_exchange.rs
+++ b/crates/sidecar/src/quota_exchange.rs
@@ -66,6 +66,10 @@
     let Ok(ask) = QuotaAsk::decode(body) else {
         return answer::empty(StatusCode::BAD_REQUEST);
     };
+    if node.config().is_none() {
+        // A daemon without a configuration cannot grant, so it must not count as an owner.
+        return answer::empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let sender = read_address(&ask.sender).unwrap_or(peer);
     let reply = reply(node, sender, &ask);
     Response::new(AnswerBody::whole(reply.encode_to_vec()))
@@ -74,11 +78,9 @@
 fn reply(node: &Arc<SidecarNode>, peer: IpAddr, ask: &QuotaAsk) -> QuotaReply {
     let now = node.now();
     let mut state = lock(&node.quota_state);
-    let Some(state) = state.as_mut() else {
-        // No tenant has a limit here, so each part is answered as for an unknown tenant.
+    let Some(state) = node.quota().open_if_limited(&mut state) else {
         return QuotaReply::default();
     };
-    state.refresh(node, now);
     state.mark_reachable(peer, now);
     let mut orders = Vec::new();
     let mut suspected = IndexSet::new();
@@ -366,5 +368,8 @@
         .await;
     let (status, body) = answer?;
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
-    Ok(QuotaReply::decode(body)?)
+    let reply = QuotaReply::decode(body)?;
+    let is_whole = reply.tokens.len() >= ask.tokens.len() && reply.loans.len() >= ask.loans.len();
+    anyhow::ensure!(is_whole, "reply is shorter than the request");
+    Ok(reply)
 }
--- a/crates/sidecar/tests/quota.rs
+++ b/crates/sidecar/tests/quota.rs
@@ -28,6 +28,7 @@
 use radishgauge_net::HttpRequest;
 use radishgauge_net::ListenLimits;
 use radishgauge_net::clock::SystemClock;
+use radishgauge_platform::HostSettings;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
 use radishgauge_sidecar::peer_server;
@@ -110,9 +111,7 @@
                 .collect();
             settings.peer_address = SocketAddr::new(*ip, PEER_PORT);
             settings.quota_bounds = bounds;
-            let clock = Arc::new(SystemClock::start());
-            let owner = Arc::new(TargetOwner::new(&settings, clock.clone()));
-            let node = Arc::new(SidecarNode::new(settings, clock, owner, 1));
+            let node = new_node(settings);
             let mut changes = vec![config(1, limit)];
             let hosts = domains.iter().zip(&ips);
             changes.extend(hosts.map(|(domain, ip)| record(*ip, domain)));
@@ -128,6 +127,12 @@
         .collect()
 }
 
+fn new_node(settings: HostSettings) -> Arc<SidecarNode> {
+    let clock = Arc::new(SystemClock::start());
+    let owner = Arc::new(TargetOwner::new(&settings, clock.clone()));
+    Arc::new(SidecarNode::new(settings, clock, owner, 1))
+}
+
 fn apply(node: &SidecarNode, changes: Vec<StateChange>) {
     let now = node.now();
     node.known().table.replace(changes, StateSource::Store, now);
@@ -246,6 +251,42 @@
     }
 }
 
+/// Guards against a daemon without a configuration that counts as an owner because it
+/// answers, while it cannot grant any token.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_owner_without_configuration_is_replaced() {
+    let mut daemons = start(&["north-a"; 3], STRICT, Some(LIMIT));
+    let owner = owner_of(&daemons);
+    daemons[owner].listener.take().unwrap().stop().await;
+    let settings = daemons[owner].node.settings();
+    daemons[owner].node = new_node(HostSettings::clone(&settings));
+    daemons[owner].listener = Some(serve(&daemons[owner].node));
+    for (index, daemon) in daemons.iter().enumerate() {
+        if index != owner {
+            wait_admitted(daemon).await;
+        }
+    }
+}
+
+/// Guards against an owner that answers without granting until its maintenance task has
+/// seen the limits of its configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_grants_before_its_first_maintenance() {
+    let mut daemons = start(&["north-a"; 2], STRICT, Some(LIMIT));
+    let owner = owner_of(&daemons);
+    let ips: Vec<IpAddr> = daemons.iter().map(|daemon| daemon.ip).collect();
+    daemons[owner].listener.take().unwrap().stop().await;
+    let settings = daemons[owner].node.settings();
+    let node = new_node(HostSettings::clone(&settings));
+    let mut changes = vec![config(1, Some(LIMIT))];
+    changes.extend(ips.iter().map(|ip| record(*ip, "north-a")));
+    apply(&node, changes);
+    daemons[owner].listener = Some(serve(&node));
+    daemons[owner].node = node;
+    wait_admitted(&daemons[1 - owner]).await;
+    assert!(daemons[owner].node.quota().is_open());
+}
+
 /// Guards against daemons that wait for an owner which accepts connections and never
 /// answers, as that of a paused host does.
 #[tokio::test(flavor = "multi_thread")]
