Schedule delayed quota messages beside tenants that are due

The timer for delayed messages used the least time of all waiting tenants, so it was not set while another tenant was due, whose message was under way to another owner. A tenant whose owner changed while a message was under way, and the tenants beyond the 64 of one message to this daemon itself, were not asked for either until another request arrived or their callers gave up.

The timer takes the least time after the present one. The end of a series of messages starts the tenants that are due at other owners. A daemon asks itself until no tenant is due. An owner's time of zero counts as 1 ms, as the tenant would be due again at once.

Ruled out: a timer for each tenant, which costs a task for each.

next_delayed_message_is_found_beside_due_tenants returned 0 ns in place of 21 ms before, with only the argument added, and passes now. The end of a series and the loop have no test of their own at the daemon; the played fleet asks itself in the same loop, and the tests of quota_load pass.

--- a/crates/mesh/src/quota/entry.rs
+++ b/crates/mesh/src/quota/entry.rs
@@ -30,6 +30,10 @@
 /// it to find out that the owner before it has ended.
 const NOT_OWNER_WAIT: Duration = Duration::from_millis(10);
 
+/// The least time until a tenant is asked for again whose owner expects tokens: a time of
+/// zero would ask without end.
+const MIN_PENDING_WAIT: Duration = Duration::from_millis(1);
+
 /// The time after which a caller may come back that was refused because no owner
 /// answered, and the time between two such callers.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(200);
@@ -203,7 +207,9 @@
         self.add_tokens(grant.tokens, expires);
         match grant.state() {
             GrantState::Granted | GrantState::Unlimited => self.refuse_until = now,
-            GrantState::Pending => self.ask_after = now + from_micros(grant.retry_us),
+            GrantState::Pending => {
+                self.ask_after = now + from_micros(grant.retry_us).max(MIN_PENDING_WAIT);
+            }
             GrantState::NotOwner | GrantState::UnknownTenant => {
                 self.ask_after = now + NOT_OWNER_WAIT;
             }
@@ -317,14 +323,14 @@
         })
     }
 
-    /// Returns the time of the next message that is delayed.
-    pub fn next_ask(&self) -> Option<Duration> {
+    /// Returns the time of the next message that is delayed beyond the time `now`.
+    pub fn next_ask(&self, now: Duration) -> Option<Duration> {
         let entries = self
             .waiting
             .iter()
             .filter_map(|name| self.tenants.get(name));
-        let entries = entries.filter(|entry| !entry.is_asking);
-        entries.map(|entry| entry.ask_after).min()
+        let delayed = entries.filter(|entry| !entry.is_asking && entry.ask_after > now);
+        delayed.map(|entry| entry.ask_after).min()
     }
 
     /// Applies an owner's answers, which are in the order of the message.
--- a/crates/mesh/tests/mesh/quota.rs
+++ b/crates/mesh/tests/mesh/quota.rs
@@ -343,6 +343,23 @@
     assert_eq!(give_up(&mut entry, ms(11_000)), Ok(()));
 }
 
+/// Guards against a tenant whose delayed message is never sent because another tenant is
+/// due, or because the owner names no time.
+#[test]
+fn next_delayed_message_is_found_beside_due_tenants() {
+    for (retry_us, expected) in [(20_000, ms(21)), (0, ms(2))] {
+        let mut grant = TokenGrant {
+            retry_us,
+            ..TokenGrant::default()
+        };
+        grant.set_state(GrantState::Pending);
+        let (mut entry, _) = answered(grant, 1);
+        entry.admit(&"due".into(), ms(1));
+        assert_eq!(entry.due_tenants(ms(1)).count(), 1);
+        assert_eq!(entry.next_ask(ms(1)), Some(expected));
+    }
+}
+
 /// Guards against a daemon that keeps every tenant which ever sent a request.
 #[test]
 fn idle_tenants_are_dropped() {
--- a/crates/mesh/tests/mesh/quota_load/fleet.rs
+++ b/crates/mesh/tests/mesh/quota_load/fleet.rs
@@ -599,7 +599,7 @@
             }
         }
         let daemon = &mut self.daemons[host];
-        let next = daemon.entry.next_ask().filter(|at| *at > now);
+        let next = daemon.entry.next_ask(now).filter(|at| *at > now);
         if let Some(at) = next
             && daemon.next_ask.is_none_or(|scheduled| at < scheduled)
         {
@@ -620,14 +620,13 @@
     }
 
     fn ask_self(&mut self, host: usize) {
-        let Some(ask) = self.next_ask(host, host) else {
-            return;
-        };
         let ip = address(host);
-        let reply = self.answer(host, ip, &ask.message);
-        let entry = &mut self.daemons[host].entry;
-        let outcomes = entry.apply(&ask, &reply.tokens, ip, self.now);
-        self.settle(host, outcomes);
+        while let Some(ask) = self.next_ask(host, host) {
+            let reply = self.answer(host, ip, &ask.message);
+            let entry = &mut self.daemons[host].entry;
+            let outcomes = entry.apply(&ask, &reply.tokens, ip, self.now);
+            self.settle(host, outcomes);
+        }
     }
 
     fn ask_next(&mut self, host: usize, owner: usize) {
--- a/crates/sidecar/src/quota_exchange.rs
+++ b/crates/sidecar/src/quota_exchange.rs
@@ -118,7 +118,7 @@
 
 /// Starts the next delayed messages when they are due.
 fn schedule_asks(node: &Arc<SidecarNode>, state: &mut QuotaState, now: Duration) {
-    let Some(at) = state.entry.next_ask().filter(|at| *at > now) else {
+    let Some(at) = state.entry.next_ask(now) else {
         return;
     };
     if state.next_ask.is_some_and(|scheduled| scheduled <= at) {
@@ -138,16 +138,16 @@
 
 /// Takes tokens from the buckets that this daemon owns itself.
 fn ask_self(node: &Arc<SidecarNode>, state: &mut QuotaState, own: IpAddr, now: Duration) {
-    let Some(ask) = next_ask(state, own, now) else {
-        return;
-    };
     let mut orders = Vec::new();
-    let requests = ask.message.tokens.iter();
-    let grants: Vec<_> = requests
-        .map(|request| state.grant(node, own, request, &mut orders, now))
-        .collect();
-    let outcomes = state.entry.apply(&ask, &grants, own, now);
-    state.resolve(outcomes);
+    // Each answer decides on the tenants of its message or delays them, so this ends.
+    while let Some(ask) = next_ask(state, own, now) {
+        let requests = ask.message.tokens.iter();
+        let grants: Vec<_> = requests
+            .map(|request| state.grant(node, own, request, &mut orders, now))
+            .collect();
+        let outcomes = state.entry.apply(&ask, &grants, own, now);
+        state.resolve(outcomes);
+    }
     start_loans(node, state, orders);
 }
 
@@ -171,7 +171,8 @@
             };
             let Some(ask) = next_ask(state, owner, now) else {
                 state.in_flight.swap_remove(&owner);
-                schedule_asks(&node, state, now);
+                // Tenants whose owner has changed meanwhile are due at another host.
+                start_asks(&node, state, now);
                 return;
             };
             ask
