Answer about each tenant where no tenant has a limit

A daemon whose configuration has no limits has no quota state and answered /quota with an empty reply. Its callers, whose configuration still had a limit or had it already, took this for a failure of the owner: the host counted as lost, and a second owner granted the tenant's tokens.

Such a daemon answers for each tenant that it is unlimited or unknown, and lends nothing.

Ruled out: opening the state for the answer, as tables and probes are kept only where some tenant has a limit.

owner_without_limits_answers_that_the_tenant_is_unlimited admitted 0 of 50 before and admits 50 now; owner_without_the_tenant_stays_the_owner admitted a request at the second owner before, and is refused now.

--- a/crates/sidecar/src/quota_exchange.rs
+++ b/crates/sidecar/src/quota_exchange.rs
@@ -23,6 +23,7 @@
 use radishgauge_net::HttpBody;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_schema::quota::GrantState;
+use radishgauge_schema::quota::Loan;
 use radishgauge_schema::quota::LoanRequest;
 use radishgauge_schema::quota::QuotaAsk;
 use radishgauge_schema::quota::QuotaReply;
@@ -31,6 +32,7 @@
 use crate::answer;
 use crate::node::SidecarNode;
 use crate::node::lock;
+use crate::quota_state;
 use crate::quota_state::QuotaState;
 
 /// The path of requests about tokens.
@@ -79,7 +81,7 @@
     let now = node.now();
     let mut state = lock(&node.quota_state);
     let Some(state) = node.quota().open_if_limited(&mut state) else {
-        return QuotaReply::default();
+        return reply_without_limits(node, ask);
     };
     state.mark_reachable(peer, now);
     let mut orders = Vec::new();
@@ -100,6 +102,17 @@
     reply
 }
 
+/// Answers where no tenant has a limit, so that there are no buckets.
+fn reply_without_limits(node: &SidecarNode, ask: &QuotaAsk) -> QuotaReply {
+    let requests = ask.tokens.iter();
+    QuotaReply {
+        tokens: requests
+            .map(|request| quota_state::answer_without_limit(node, &request.tenant))
+            .collect(),
+        loans: vec![Loan::default(); ask.loans.len()],
+    }
+}
+
 /// Starts the messages that waiting requests need. The caller holds the lock of `state`.
 pub(crate) fn start_asks(node: &Arc<SidecarNode>, state: &mut QuotaState, now: Duration) {
     let due = state.entry.due_tenants(now);
--- a/crates/sidecar/src/quota_state.rs
+++ b/crates/sidecar/src/quota_state.rs
@@ -340,6 +340,15 @@
     }
 }
 
+/// Returns the answer on a tenant at a daemon whose configuration has no limits.
+pub(crate) fn answer_without_limit(node: &SidecarNode, tenant: &str) -> TokenGrant {
+    match limit_of(node, tenant) {
+        TenantLookup::Unlimited => answer(GrantState::Unlimited),
+        // A limit that has arrived since is answered with the next message.
+        TenantLookup::Unknown | TenantLookup::Limited(_) => answer(GrantState::UnknownTenant),
+    }
+}
+
 fn answer(state: GrantState) -> TokenGrant {
     let mut grant = TokenGrant::default();
     grant.set_state(state);
--- a/crates/sidecar/tests/quota.rs
+++ b/crates/sidecar/tests/quota.rs
@@ -79,6 +79,12 @@
     StateChange::Config(Arc::new(config.with_tenants(tenants)))
 }
 
+fn config_without_tenants(version: u64) -> StateChange {
+    let limits = RequestLimits::default();
+    let config = MeshConfig::new(version, limits, Vec::new(), IndexMap::new());
+    StateChange::Config(Arc::new(config))
+}
+
 fn record(ip: IpAddr, domain: &str) -> StateChange {
     StateChange::Target(TargetRecord {
         id: format!("i-{ip}").into(),
@@ -400,6 +406,42 @@
     );
 }
 
+/// Guards against an owner that counts as lost, or grants nothing, where its configuration
+/// has no limit any more while that of the asking daemon still has one.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_without_limits_answers_that_the_tenant_is_unlimited() {
+    let daemons = start(&["north-a"; 2], STRICT, None);
+    let owner = owner_of(&daemons);
+    let asker = &daemons[1 - owner];
+    let hosts = daemons.iter().map(|daemon| record(daemon.ip, "north-a"));
+    let changes = std::iter::once(config(2, Some(LIMIT))).chain(hosts);
+    apply(&asker.node, changes.collect());
+    assert_eq!(admit(asker, 50).await, 50);
+    assert!(!daemons[owner].node.quota().is_open());
+}
+
+/// Guards against an owner that counts as lost, so that a second owner grants the same
+/// tokens, while its configuration does not have the tenant yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn owner_without_the_tenant_stays_the_owner() {
+    let daemons = start(&["north-a"; 2], STRICT, Some(LIMIT));
+    let owner = owner_of(&daemons);
+    let hosts = daemons.iter().map(|daemon| record(daemon.ip, "north-a"));
+    let changes = std::iter::once(config_without_tenants(2)).chain(hosts);
+    apply(&daemons[owner].node, changes.collect());
+    let closed = async {
+        while daemons[owner].node.quota().is_open() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let closed = tokio::time::timeout(Duration::from_secs(60), closed).await;
+    assert!(closed.is_ok());
+    let asker = daemons[1 - owner].node.quota();
+    let decision = asker.admit(&tenant(Some(LIMIT))).await;
+    let cause = decision.map_err(|refusal| refusal.cause);
+    assert_eq!(cause, Err(RefusalCause::NoOwner));
+}
+
 /// Guards against a request that waits for long, or is admitted without bound, at a daemon
 /// that reaches no other one.
 #[tokio::test(flavor = "multi_thread")]
