Give each refused caller a time of its own to come back

Refusals because of too many waiting requests sent Retry-After 0.000 to all callers, and refusals of requests that had waited in vain 50 ms to all, as the step was zero until an owner had refused. The line of refused callers at the owner outlived its shortage: 1 s after the bucket was full again, the first caller of the next shortage was told 8 s. The entry daemon kept the times of a shortage after a grant as well.

One function sets a least first time and a least step for each cause of a refusal. The line ends when the bucket reaches its burst, and a grant resets the times at the entry daemon. Times are at most 15 s, whatever an owner sends.

Ruled out: ending the line at the first token, since callers in the line are still to come back for it.

crowded_callers_come_back_one_after_the_other, callers_that_gave_up_come_back_one_after_the_other, grant_ends_the_times_of_an_earlier_shortage and full_bucket_ends_the_line_of_refused_callers failed before (the last with 8,025,000 in place of 25,000 us) and pass now.

--- a/crates/mesh/src/quota/bucket.rs
+++ b/crates/mesh/src/quota/bucket.rs
@@ -127,6 +127,10 @@
         self.refreshed = self.refreshed.max(now);
         self.level = (self.level + share.per_second * passed).min(share.burst);
         self.loans.retain(|loan| loan.expires > now);
+        // A full bucket shows that the callers in the line have been served or have gone.
+        if share.burst >= 1.0 && self.level >= share.burst {
+            self.line_end = Duration::ZERO;
+        }
     }
 
     /// Decides on a request for tokens.
--- a/crates/mesh/src/quota/entry.rs
+++ b/crates/mesh/src/quota/entry.rs
@@ -39,8 +39,10 @@
 const NO_OWNER_RETRY: Duration = Duration::from_millis(200);
 const NO_OWNER_STEP: Duration = Duration::from_millis(20);
 
-/// The least time after which a caller may come back whose request has waited in vain.
+/// The least time after which a caller may come back whose tenant has used up its limit or
+/// has too many requests waiting, and the least time between two such callers.
 const SHORT_RETRY: Duration = Duration::from_millis(50);
+const SHORT_STEP: Duration = Duration::from_millis(1);
 
 /// The greatest time after which a refused caller is told to come back.
 const MAX_RETRY: Duration = Duration::from_secs(15);
@@ -63,6 +65,17 @@
     Crowded,
 }
 
+impl RefusalCause {
+    /// Returns the least time after which a caller may come back, and the least time
+    /// between two callers.
+    fn least_retry(self) -> (Duration, Duration) {
+        match self {
+            RefusalCause::Exhausted | RefusalCause::Crowded => (SHORT_RETRY, SHORT_STEP),
+            RefusalCause::NoOwner => (NO_OWNER_RETRY, NO_OWNER_STEP),
+        }
+    }
+}
+
 /// The refusal of a request, with the inputs of the decision.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaRefusal {
@@ -178,10 +191,9 @@
 
     fn refuse(&mut self, cause: RefusalCause, now: Duration) -> QuotaRefusal {
         self.counts.refused += 1;
-        let retry = self.next_retry.max(now);
-        self.next_retry = (retry + self.retry_step).min(now + MAX_RETRY);
+        let retry = self.take_retry(cause, now);
         QuotaRefusal {
-            retry_after: retry - now,
+            retry_after: retry.saturating_sub(now),
             cause,
             owner: self.last_grant.map(|grant| grant.owner),
             left: self.last_grant.map_or(0.0, |grant| grant.left),
@@ -189,6 +201,17 @@
         }
     }
 
+    /// Returns when the next refused caller may come back, and moves the time of the one
+    /// after it.
+    fn take_retry(&mut self, cause: RefusalCause, now: Duration) -> Duration {
+        let (least_wait, least_step) = cause.least_retry();
+        let greatest = now + MAX_RETRY;
+        let retry = self.next_retry.max(now + least_wait).min(greatest);
+        let step = self.retry_step.max(least_step);
+        self.next_retry = retry.saturating_add(step).min(greatest);
+        retry
+    }
+
     fn request(&mut self, tenant: &SmolStr, now: Duration) -> TokenRequest {
         self.is_asking = true;
         TokenRequest {
@@ -206,7 +229,11 @@
         self.ask_after = now;
         self.add_tokens(grant.tokens, expires);
         match grant.state() {
-            GrantState::Granted | GrantState::Unlimited => self.refuse_until = now,
+            GrantState::Granted | GrantState::Unlimited => {
+                self.refuse_until = now;
+                self.next_retry = now;
+                self.retry_step = Duration::ZERO;
+            }
             GrantState::Pending => {
                 self.ask_after = now + from_micros(grant.retry_us).max(MIN_PENDING_WAIT);
             }
@@ -400,7 +427,6 @@
         let has_answer = entry.last_grant.is_some_and(|grant| grant.at >= since);
         if has_answer {
             entry.refused = entry.refused.saturating_add(1);
-            entry.next_retry = entry.next_retry.max(now + SHORT_RETRY);
             return Err(entry.refuse(RefusalCause::Exhausted, now));
         }
         // A daemon that has just started may have used its part before the restart.
@@ -409,8 +435,6 @@
             entry.counts.local += 1;
             return Ok(());
         }
-        entry.next_retry = entry.next_retry.max(now + NO_OWNER_RETRY);
-        entry.retry_step = entry.retry_step.max(NO_OWNER_STEP);
         Err(entry.refuse(RefusalCause::NoOwner, now))
     }
 
--- a/crates/mesh/tests/mesh/quota.rs
+++ b/crates/mesh/tests/mesh/quota.rs
@@ -360,6 +360,96 @@
     }
 }
 
+/// Guards against callers that are all told the same time, or no time at all, when too many
+/// requests wait.
+#[test]
+fn crowded_callers_come_back_one_after_the_other() {
+    let tenant = SmolStr::from("shop");
+    let mut entry = EntryQuota::new(Duration::ZERO);
+    let mut times = Vec::new();
+    for _ in 0..520 {
+        if let AdmitDecision::Refused(refusal) = entry.admit(&tenant, ms(0)) {
+            assert_eq!(refusal.cause, RefusalCause::Crowded);
+            times.push(refusal.retry_after);
+        }
+    }
+    assert_eq!(times.len(), 8);
+    assert!(times[0] >= ms(50), "{times:?}");
+    assert!(times.is_sorted_by(|a, b| a < b), "{times:?}");
+}
+
+/// Returns when three callers may come back that give up after an owner's answer.
+fn give_up_times(entry: &mut EntryQuota, now: Duration) -> Vec<Duration> {
+    let tenant = SmolStr::from("shop");
+    let keys: Vec<_> = (0..3)
+        .map(|_| match entry.admit(&tenant, now) {
+            AdmitDecision::Wait(key) => key,
+            decision => panic!("decided at once: {decision:?}"),
+        })
+        .collect();
+    let ask = entry.ask(|_| true, now).unwrap();
+    let mut grant = TokenGrant {
+        retry_us: 200_000,
+        ..TokenGrant::default()
+    };
+    grant.set_state(GrantState::Pending);
+    assert!(entry.apply(&ask, &[grant], host(1), now + ms(1)).is_empty());
+    let window = Duration::from_secs(5);
+    keys.into_iter()
+        .map(|key| {
+            let decision = entry.give_up(&tenant, key, now, 0, window, now + ms(90));
+            decision.unwrap_err().retry_after
+        })
+        .collect()
+}
+
+/// Guards against callers that have waited in vain and are all told the same time.
+#[test]
+fn callers_that_gave_up_come_back_one_after_the_other() {
+    let mut entry = EntryQuota::new(Duration::ZERO);
+    let times = give_up_times(&mut entry, ms(1000));
+    assert!(times[0] >= ms(50), "{times:?}");
+    assert!(times.is_sorted_by(|a, b| a < b), "{times:?}");
+}
+
+/// Guards against callers that are told the times of an earlier shortage, after the owner
+/// has granted tokens again.
+#[test]
+fn grant_ends_the_times_of_an_earlier_shortage() {
+    let mut grant = TokenGrant {
+        retry_us: 10_000_000,
+        step_us: 1_000_000,
+        hold_us: 10_000,
+        ..TokenGrant::default()
+    };
+    grant.set_state(GrantState::Exhausted);
+    let (mut entry, _) = answered(grant, 2);
+    assert!(matches!(
+        entry.admit(&"shop".into(), ms(20)),
+        AdmitDecision::Wait(_)
+    ));
+    let ask = entry.ask(|_| true, ms(20)).unwrap();
+    let granted = TokenGrant {
+        tokens: 1,
+        ..TokenGrant::default()
+    };
+    assert_eq!(entry.apply(&ask, &[granted], host(1), ms(21)).len(), 1);
+    let times = give_up_times(&mut entry, ms(2000));
+    assert!(times[2] < ms(100), "{times:?}");
+}
+
+/// Guards against a line of refused callers that outlives the shortage, so that callers of
+/// the next one come back long after there are tokens.
+#[test]
+fn full_bucket_ends_the_line_of_refused_callers() {
+    let mut owner = OwnerQuota::new(Duration::ZERO);
+    let hot = owner.grant(host(1), &request(440, 0), &SHARE, ms(5000)).0;
+    assert_eq!(hot.state(), GrantState::Exhausted);
+    let later = owner.grant(host(1), &request(60, 0), &SHARE, ms(7000)).0;
+    assert_eq!((later.tokens, later.state()), (40, GrantState::Exhausted));
+    assert_eq!(later.retry_us, 25_000);
+}
+
 /// Guards against a daemon that keeps every tenant which ever sent a request.
 #[test]
 fn idle_tenants_are_dropped() {
