Check the numbers of tokens in messages of peers

A loan request of NaN or infinite tokens emptied the lender's bucket, and an infinite loan was taken as the loan that was asked for. A grant was added to the stock whatever its size.

Numbers that are not finite lend and borrow nothing. A grant counts for the tokens that were asked for, waiting and ahead, at most. Sums of numbers from messages saturate.

Ruled out: rejecting the whole message, since its other tenants are valid.

--- a/crates/mesh/src/quota/bucket.rs
+++ b/crates/mesh/src/quota/bucket.rs
@@ -152,7 +152,8 @@
             ..TokenGrant::default()
         };
         if missing == 0 {
-            grant.tokens += self.grant_ahead(request.ahead, share);
+            let ahead = self.grant_ahead(request.ahead, share);
+            grant.tokens = grant.tokens.saturating_add(ahead);
             self.askers.swap_remove(&asker);
         } else if let Some(wait) = self.wait_for(missing, share, lenders, now) {
             grant.set_state(GrantState::Pending);
@@ -228,7 +229,8 @@
             .min(MAX_RETRY);
         let first = self.line_end.max(now + self.accrual_time(1, share));
         let first = first.min(greatest);
-        self.line_end = (first + step.saturating_mul(refused)).min(greatest);
+        let line = step.saturating_mul(refused);
+        self.line_end = first.saturating_add(line).min(greatest);
         let hold = step.saturating_mul(self.askers.len() as u32);
         grant.retry_us = micros(first - now);
         grant.step_us = micros(step);
@@ -274,7 +276,8 @@
         let state = self.lenders.entry(lender.into()).or_default();
         state.expected_until = None;
         // No more than was asked for, whatever the message says.
-        let tokens = if tokens > 0.0 { tokens.min(asked) } else { 0.0 };
+        let is_valid = tokens.is_finite() && tokens > 0.0;
+        let tokens = if is_valid { tokens.min(asked) } else { 0.0 };
         if tokens + ROUNDING < asked / 2.0 {
             state.ask_after = sent + EMPTY_LENDER_TIME;
         }
@@ -297,6 +300,9 @@
     /// Takes tokens out for the owner of another failure domain, as far as they are not
     /// expected to be needed here soon.
     pub fn lend(&mut self, wanted: f64, share: &DomainShare, now: Duration) -> f64 {
+        if !wanted.is_finite() {
+            return 0.0;
+        }
         self.refresh(share, now);
         let reserve = self.demand.per_second(now) * LEND_RESERVE_S;
         let lent = wanted.min(self.level - reserve);
--- a/crates/mesh/src/quota/entry.rs
+++ b/crates/mesh/src/quota/entry.rs
@@ -224,10 +224,18 @@
     }
 
     /// Applies an owner's answer to the tokens and times of the tenant.
-    fn apply(&mut self, grant: &TokenGrant, expires: Duration, now: Duration) {
+    fn apply(
+        &mut self,
+        request: &TokenRequest,
+        grant: &TokenGrant,
+        expires: Duration,
+        now: Duration,
+    ) {
         self.is_asking = false;
         self.ask_after = now;
-        self.add_tokens(grant.tokens, expires);
+        // No more than was asked for, whatever the message says.
+        let asked = request.waiting.saturating_add(request.ahead);
+        self.add_tokens(grant.tokens.min(asked), expires);
         match grant.state() {
             GrantState::Granted | GrantState::Unlimited => {
                 self.refuse_until = now;
@@ -386,7 +394,7 @@
                     left: f64::from(grant.left),
                 });
             }
-            entry.apply(grant, ask.sent + TOKEN_LEASE, now);
+            entry.apply(request, grant, ask.sent + TOKEN_LEASE, now);
             entry.settle(grant, now, &mut outcomes);
             if entry.waiting.is_empty() {
                 self.waiting.swap_remove(request.tenant.as_str());
