Refuse a request only after an answer to a message about it

A request that had waited in vain was refused as over the limit if any answer of an owner had come since it arrived, also the answer to a message that was sent before it arrived and did not count it. With an owner that had stopped answering since, the daemon's own part was not used.

The entry daemon keeps when the answered message was sent and compares that with the arrival of the request.

Ruled out: a mark at each waiting request, which has to be kept up to date with each message.

answer_to_an_earlier_message_does_not_refuse_a_request was refused as exhausted before and is admitted now.

--- a/crates/mesh/src/quota/entry.rs
+++ b/crates/mesh/src/quota/entry.rs
@@ -130,6 +130,8 @@
 #[derive(Debug, Clone, Copy)]
 struct LastGrant {
     owner: IpAddr,
+    /// When the message was sent that it answers.
+    sent: Duration,
     at: Duration,
     left: f64,
 }
@@ -390,6 +392,7 @@
             if is_of_owner(grant) {
                 entry.last_grant = Some(LastGrant {
                     owner,
+                    sent: ask.sent,
                     at: now,
                     left: f64::from(grant.left),
                 });
@@ -432,7 +435,8 @@
         if entry.waiting.is_empty() {
             self.waiting.swap_remove(tenant);
         }
-        let has_answer = entry.last_grant.is_some_and(|grant| grant.at >= since);
+        // An answer to an earlier message did not consider this request.
+        let has_answer = entry.last_grant.is_some_and(|grant| grant.sent >= since);
         if has_answer {
             entry.refused = entry.refused.saturating_add(1);
             return Err(entry.refuse(RefusalCause::Exhausted, now));
--- a/crates/mesh/tests/mesh/quota.rs
+++ b/crates/mesh/tests/mesh/quota.rs
@@ -486,6 +486,28 @@
     assert_eq!(admitted.count(), ahead as usize);
 }
 
+/// Guards against a request that is refused because of an answer to a message which was
+/// sent before the request arrived.
+#[test]
+fn answer_to_an_earlier_message_does_not_refuse_a_request() {
+    let tenant = SmolStr::from("shop");
+    let window = Duration::from_secs(5);
+    let mut entry = EntryQuota::new(Duration::ZERO);
+    let arrived = ms(6000);
+    let AdmitDecision::Wait(_) = entry.admit(&tenant, arrived) else {
+        panic!("decided without an owner");
+    };
+    let ask = entry.ask(|_| true, arrived).unwrap();
+    let AdmitDecision::Wait(later) = entry.admit(&tenant, arrived + ms(5)) else {
+        panic!("decided without an owner");
+    };
+    let mut grant = TokenGrant::default();
+    grant.set_state(GrantState::Pending);
+    entry.apply(&ask, &[grant], host(1), arrived + ms(10));
+    let decision = entry.give_up(&tenant, later, arrived + ms(5), 2, window, arrived + ms(95));
+    assert_eq!(decision, Ok(()));
+}
+
 /// Guards against a daemon that keeps every tenant which ever sent a request.
 #[test]
 fn idle_tenants_are_dropped() {
