Lend a whole token or nothing

A lender with a fraction of a token above its reserve lent that fraction. It admitted no request at the borrower and expired there after 250 ms, so small tenants lost tokens that one domain could have granted.

A lender lends at least one token, or what was wanted if that is less.

Ruled out: whole tokens only, as a borrower may lack a fraction of one.

lender_lends_a_whole_token_or_nothing lent 0.4 of 5 tokens before and lends nothing now.

--- a/crates/mesh/src/quota/bucket.rs
+++ b/crates/mesh/src/quota/bucket.rs
@@ -298,7 +298,8 @@
     }
 
     /// Takes tokens out for the owner of another failure domain, as far as they are not
-    /// expected to be needed here soon.
+    /// expected to be needed here soon. A loan of less than a token is of no use unless less
+    /// was wanted, so nothing is lent then.
     pub fn lend(&mut self, wanted: f64, share: &DomainShare, now: Duration) -> f64 {
         if !wanted.is_finite() {
             return 0.0;
@@ -306,7 +307,7 @@
         self.refresh(share, now);
         let reserve = self.demand.per_second(now) * LEND_RESERVE_S;
         let lent = wanted.min(self.level - reserve);
-        if lent > ROUNDING {
+        if lent > ROUNDING && lent + ROUNDING >= wanted.min(1.0) {
             self.level -= lent;
             lent
         } else {
--- a/crates/mesh/tests/mesh/quota.rs
+++ b/crates/mesh/tests/mesh/quota.rs
@@ -508,6 +508,17 @@
     assert_eq!(decision, Ok(()));
 }
 
+/// Guards against loans of fractions of a token, which admit no request and expire.
+#[test]
+fn lender_lends_a_whole_token_or_nothing() {
+    let mut owner = OwnerQuota::new(Duration::ZERO);
+    // The bucket holds 2.4 tokens.
+    assert_eq!(owner.lend(&loan_request(2.0), &SHARE, ms(10)), 2.0);
+    assert_eq!(owner.lend(&loan_request(5.0), &SHARE, ms(10)), 0.0);
+    let lent = owner.lend(&loan_request(0.25), &SHARE, ms(10));
+    assert_eq!(lent, 0.25);
+}
+
 /// Guards against a daemon that keeps every tenant which ever sent a request.
 #[test]
 fn idle_tenants_are_dropped() {
