--- a/crates/mesh/src/quota/bucket.rs
+++ b/crates/mesh/src/quota/bucket.rs
@@ -127,6 +127,10 @@
         self.refreshed = self.refreshed.max(now);
         self.level = (self.level + share.per_second * passed).min(share.burst);
         self.loans.retain(|loan| loan.expires > now);
+        // A full bucket shows that the callers in the line have been served or have gone.
+        if share.burst >= 1.0 && self.level >= share.burst {
+            self.line_end = Duration::ZERO;
+        }
     }
 
     /// Decides on a request for tokens.
@@ -148,7 +152,8 @@
             ..TokenGrant::default()
         };
         if missing == 0 {
-            grant.tokens += self.grant_ahead(request.ahead, share);
+            let ahead = self.grant_ahead(request.ahead, share);
+            grant.tokens = grant.tokens.saturating_add(ahead);
             self.askers.swap_remove(&asker);
         } else if let Some(wait) = self.wait_for(missing, share, lenders, now) {
             grant.set_state(GrantState::Pending);
@@ -224,7 +229,8 @@
             .min(MAX_RETRY);
         let first = self.line_end.max(now + self.accrual_time(1, share));
         let first = first.min(greatest);
-        self.line_end = (first + step.saturating_mul(refused)).min(greatest);
+        let line = step.saturating_mul(refused);
+        self.line_end = first.saturating_add(line).min(greatest);
         let hold = step.saturating_mul(self.askers.len() as u32);
         grant.retry_us = micros(first - now);
         grant.step_us = micros(step);
@@ -270,7 +276,8 @@
         let state = self.lenders.entry(lender.into()).or_default();
         state.expected_until = None;
         // No more than was asked for, whatever the message says.
-        let tokens = if tokens > 0.0 { tokens.min(asked) } else { 0.0 };
+        let is_valid = tokens.is_finite() && tokens > 0.0;
+        let tokens = if is_valid { tokens.min(asked) } else { 0.0 };
         if tokens + ROUNDING < asked / 2.0 {
             state.ask_after = sent + EMPTY_LENDER_TIME;
         }
@@ -291,12 +298,16 @@
     }
 
     /// Takes tokens out for the owner of another failure domain, as far as they are not
-    /// expected to be needed here soon.
+    /// expected to be needed here soon. A loan of less than a token is of no use unless less
+    /// was wanted, so nothing is lent then.
     pub fn lend(&mut self, wanted: f64, share: &DomainShare, now: Duration) -> f64 {
+        if !wanted.is_finite() {
+            return 0.0;
+        }
         self.refresh(share, now);
         let reserve = self.demand.per_second(now) * LEND_RESERVE_S;
         let lent = wanted.min(self.level - reserve);
-        if lent > ROUNDING {
+        if lent > ROUNDING && lent + ROUNDING >= wanted.min(1.0) {
             self.level -= lent;
             lent
         } else {
--- a/crates/mesh/src/quota/entry.rs
+++ b/crates/mesh/src/quota/entry.rs
@@ -30,13 +30,19 @@
 /// it to find out that the owner before it has ended.
 const NOT_OWNER_WAIT: Duration = Duration::from_millis(10);
 
+/// The least time until a tenant is asked for again whose owner expects tokens: a time of
+/// zero would ask without end.
+const MIN_PENDING_WAIT: Duration = Duration::from_millis(1);
+
 /// The time after which a caller may come back that was refused because no owner
 /// answered, and the time between two such callers.
 const NO_OWNER_RETRY: Duration = Duration::from_millis(200);
 const NO_OWNER_STEP: Duration = Duration::from_millis(20);
 
-/// The least time after which a caller may come back whose request has waited in vain.
+/// The least time after which a caller may come back whose tenant has used up its limit or
+/// has too many requests waiting, and the least time between two such callers.
 const SHORT_RETRY: Duration = Duration::from_millis(50);
+const SHORT_STEP: Duration = Duration::from_millis(1);
 
 /// The greatest time after which a refused caller is told to come back.
 const MAX_RETRY: Duration = Duration::from_secs(15);
@@ -59,6 +65,17 @@
     Crowded,
 }
 
+impl RefusalCause {
+    /// Returns the least time after which a caller may come back, and the least time
+    /// between two callers.
+    fn least_retry(self) -> (Duration, Duration) {
+        match self {
+            RefusalCause::Exhausted | RefusalCause::Crowded => (SHORT_RETRY, SHORT_STEP),
+            RefusalCause::NoOwner => (NO_OWNER_RETRY, NO_OWNER_STEP),
+        }
+    }
+}
+
 /// The refusal of a request, with the inputs of the decision.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaRefusal {
@@ -113,6 +130,8 @@
 #[derive(Debug, Clone, Copy)]
 struct LastGrant {
     owner: IpAddr,
+    /// When the message was sent that it answers.
+    sent: Duration,
     at: Duration,
     left: f64,
 }
@@ -174,10 +193,9 @@
 
     fn refuse(&mut self, cause: RefusalCause, now: Duration) -> QuotaRefusal {
         self.counts.refused += 1;
-        let retry = self.next_retry.max(now);
-        self.next_retry = (retry + self.retry_step).min(now + MAX_RETRY);
+        let retry = self.take_retry(cause, now);
         QuotaRefusal {
-            retry_after: retry - now,
+            retry_after: retry.saturating_sub(now),
             cause,
             owner: self.last_grant.map(|grant| grant.owner),
             left: self.last_grant.map_or(0.0, |grant| grant.left),
@@ -185,6 +203,17 @@
         }
     }
 
+    /// Returns when the next refused caller may come back, and moves the time of the one
+    /// after it.
+    fn take_retry(&mut self, cause: RefusalCause, now: Duration) -> Duration {
+        let (least_wait, least_step) = cause.least_retry();
+        let greatest = now + MAX_RETRY;
+        let retry = self.next_retry.max(now + least_wait).min(greatest);
+        let step = self.retry_step.max(least_step);
+        self.next_retry = retry.saturating_add(step).min(greatest);
+        retry
+    }
+
     fn request(&mut self, tenant: &SmolStr, now: Duration) -> TokenRequest {
         self.is_asking = true;
         TokenRequest {
@@ -197,13 +226,27 @@
     }
 
     /// Applies an owner's answer to the tokens and times of the tenant.
-    fn apply(&mut self, grant: &TokenGrant, expires: Duration, now: Duration) {
+    fn apply(
+        &mut self,
+        request: &TokenRequest,
+        grant: &TokenGrant,
+        expires: Duration,
+        now: Duration,
+    ) {
         self.is_asking = false;
         self.ask_after = now;
-        self.add_tokens(grant.tokens, expires);
+        // No more than was asked for, whatever the message says.
+        let asked = request.waiting.saturating_add(request.ahead);
+        self.add_tokens(grant.tokens.min(asked), expires);
         match grant.state() {
-            GrantState::Granted | GrantState::Unlimited => self.refuse_until = now,
-            GrantState::Pending => self.ask_after = now + from_micros(grant.retry_us),
+            GrantState::Granted | GrantState::Unlimited => {
+                self.refuse_until = now;
+                self.next_retry = now;
+                self.retry_step = Duration::ZERO;
+            }
+            GrantState::Pending => {
+                self.ask_after = now + from_micros(grant.retry_us).max(MIN_PENDING_WAIT);
+            }
             GrantState::NotOwner | GrantState::UnknownTenant => {
                 self.ask_after = now + NOT_OWNER_WAIT;
             }
@@ -309,6 +352,20 @@
         (!message.tokens.is_empty()).then_some(SentAsk { message, sent: now })
     }
 
+    /// Returns the next message to this daemon itself as an owner, like [`EntryQuota::ask`]
+    /// but for the waiting requests only: tokens taken in advance could expire in stock,
+    /// while those in the bucket cost no message.
+    pub fn ask_own<F>(&mut self, is_owner: F, now: Duration) -> Option<SentAsk>
+    where
+        F: FnMut(&str) -> bool,
+    {
+        let mut ask = self.ask(is_owner, now)?;
+        for request in &mut ask.message.tokens {
+            request.ahead = 0;
+        }
+        Some(ask)
+    }
+
     /// Returns the tenants with waiting requests that are due to be asked for.
     pub fn due_tenants(&self, now: Duration) -> impl Iterator<Item = &SmolStr> {
         self.waiting.iter().filter(move |tenant| {
@@ -317,14 +374,14 @@
         })
     }
 
-    /// Returns the time of the next message that is delayed.
-    pub fn next_ask(&self) -> Option<Duration> {
+    /// Returns the time of the next message that is delayed beyond the time `now`.
+    pub fn next_ask(&self, now: Duration) -> Option<Duration> {
         let entries = self
             .waiting
             .iter()
             .filter_map(|name| self.tenants.get(name));
-        let entries = entries.filter(|entry| !entry.is_asking);
-        entries.map(|entry| entry.ask_after).min()
+        let delayed = entries.filter(|entry| !entry.is_asking && entry.ask_after > now);
+        delayed.map(|entry| entry.ask_after).min()
     }
 
     /// Applies an owner's answers, which are in the order of the message.
@@ -349,11 +406,12 @@
             if is_of_owner(grant) {
                 entry.last_grant = Some(LastGrant {
                     owner,
+                    sent: ask.sent,
                     at: now,
                     left: f64::from(grant.left),
                 });
             }
-            entry.apply(grant, ask.sent + TOKEN_LEASE, now);
+            entry.apply(request, grant, ask.sent + TOKEN_LEASE, now);
             entry.settle(grant, now, &mut outcomes);
             if entry.waiting.is_empty() {
                 self.waiting.swap_remove(request.tenant.as_str());
@@ -391,10 +449,10 @@
         if entry.waiting.is_empty() {
             self.waiting.swap_remove(tenant);
         }
-        let has_answer = entry.last_grant.is_some_and(|grant| grant.at >= since);
+        // An answer to an earlier message did not consider this request.
+        let has_answer = entry.last_grant.is_some_and(|grant| grant.sent >= since);
         if has_answer {
             entry.refused = entry.refused.saturating_add(1);
-            entry.next_retry = entry.next_retry.max(now + SHORT_RETRY);
             return Err(entry.refuse(RefusalCause::Exhausted, now));
         }
         // A daemon that has just started may have used its part before the restart.
@@ -403,8 +461,6 @@
             entry.counts.local += 1;
             return Ok(());
         }
-        entry.next_retry = entry.next_retry.max(now + NO_OWNER_RETRY);
-        entry.retry_step = entry.retry_step.max(NO_OWNER_STEP);
         Err(entry.refuse(RefusalCause::NoOwner, now))
     }
 
--- a/crates/sidecar/src/quota_exchange.rs
+++ b/crates/sidecar/src/quota_exchange.rs
@@ -23,6 +23,7 @@
 use radishgauge_net::HttpBody;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_schema::quota::GrantState;
+use radishgauge_schema::quota::Loan;
 use radishgauge_schema::quota::LoanRequest;
 use radishgauge_schema::quota::QuotaAsk;
 use radishgauge_schema::quota::QuotaReply;
@@ -31,6 +32,7 @@
 use crate::answer;
 use crate::node::SidecarNode;
 use crate::node::lock;
+use crate::quota_state;
 use crate::quota_state::QuotaState;
 
 /// The path of requests about tokens.
@@ -66,6 +68,10 @@
     let Ok(ask) = QuotaAsk::decode(body) else {
         return answer::empty(StatusCode::BAD_REQUEST);
     };
+    if node.config().is_none() {
+        // A daemon without a configuration cannot grant, so it must not count as an owner.
+        return answer::empty(StatusCode::SERVICE_UNAVAILABLE);
+    }
     let sender = read_address(&ask.sender).unwrap_or(peer);
     let reply = reply(node, sender, &ask);
     Response::new(AnswerBody::whole(reply.encode_to_vec()))
@@ -74,11 +80,9 @@
 fn reply(node: &Arc<SidecarNode>, peer: IpAddr, ask: &QuotaAsk) -> QuotaReply {
     let now = node.now();
     let mut state = lock(&node.quota_state);
-    let Some(state) = state.as_mut() else {
-        // No tenant has a limit here, so each part is answered as for an unknown tenant.
-        return QuotaReply::default();
+    let Some(state) = node.quota().open_if_limited(&mut state) else {
+        return reply_without_limits(node, ask);
     };
-    state.refresh(node, now);
     state.mark_reachable(peer, now);
     let mut orders = Vec::new();
     let mut suspected = IndexSet::new();
@@ -98,6 +102,17 @@
     reply
 }
 
+/// Answers where no tenant has a limit, so that there are no buckets.
+fn reply_without_limits(node: &SidecarNode, ask: &QuotaAsk) -> QuotaReply {
+    let requests = ask.tokens.iter();
+    QuotaReply {
+        tokens: requests
+            .map(|request| quota_state::answer_without_limit(node, &request.tenant))
+            .collect(),
+        loans: vec![Loan::default(); ask.loans.len()],
+    }
+}
+
 /// Starts the messages that waiting requests need. The caller holds the lock of `state`.
 pub(crate) fn start_asks(node: &Arc<SidecarNode>, state: &mut QuotaState, now: Duration) {
     let due = state.entry.due_tenants(now);
@@ -116,7 +131,7 @@
 
 /// Starts the next delayed messages when they are due.
 fn schedule_asks(node: &Arc<SidecarNode>, state: &mut QuotaState, now: Duration) {
-    let Some(at) = state.entry.next_ask().filter(|at| *at > now) else {
+    let Some(at) = state.entry.next_ask(now) else {
         return;
     };
     if state.next_ask.is_some_and(|scheduled| scheduled <= at) {
@@ -136,16 +151,16 @@
 
 /// Takes tokens from the buckets that this daemon owns itself.
 fn ask_self(node: &Arc<SidecarNode>, state: &mut QuotaState, own: IpAddr, now: Duration) {
-    let Some(ask) = next_ask(state, own, now) else {
-        return;
-    };
     let mut orders = Vec::new();
-    let requests = ask.message.tokens.iter();
-    let grants: Vec<_> = requests
-        .map(|request| state.grant(node, own, request, &mut orders, now))
-        .collect();
-    let outcomes = state.entry.apply(&ask, &grants, own, now);
-    state.resolve(outcomes);
+    // Each answer decides on the tenants of its message or delays them, so this ends.
+    while let Some(ask) = next_ask(state, own, now) {
+        let requests = ask.message.tokens.iter();
+        let grants: Vec<_> = requests
+            .map(|request| state.grant(node, own, request, &mut orders, now))
+            .collect();
+        let outcomes = state.entry.apply(&ask, &grants, own, now);
+        state.resolve(outcomes);
+    }
     start_loans(node, state, orders);
 }
 
@@ -155,7 +170,12 @@
         .filter(|tenant| state.asked_host(tenant, now) == Some(owner))
         .cloned()
         .collect();
-    state.entry.ask(|tenant| owned.contains(tenant), now)
+    let is_owner = |tenant: &str| owned.contains(tenant);
+    if state.own() == Some(owner) {
+        state.entry.ask_own(is_owner, now)
+    } else {
+        state.entry.ask(is_owner, now)
+    }
 }
 
 /// Sends messages to an owner, one after the other, while requests wait for its tokens.
@@ -169,7 +189,8 @@
             };
             let Some(ask) = next_ask(state, owner, now) else {
                 state.in_flight.swap_remove(&owner);
-                schedule_asks(&node, state, now);
+                // Tenants whose owner has changed meanwhile are due at another host.
+                start_asks(&node, state, now);
                 return;
             };
             ask
@@ -366,5 +387,8 @@
         .await;
     let (status, body) = answer?;
     anyhow::ensure!(status == StatusCode::OK, "status {status}");
-    Ok(QuotaReply::decode(body)?)
+    let reply = QuotaReply::decode(body)?;
+    let is_whole = reply.tokens.len() >= ask.tokens.len() && reply.loans.len() >= ask.loans.len();
+    anyhow::ensure!(is_whole, "reply is shorter than the request");
+    Ok(reply)
 }
