Refuse requests whose bodies have no unambiguous end

The scanner took any list with chunked for chunks, preferred the transfer coding over a length, took the last of several lengths, and left what it did not understand to the library, so that a part of a body could be read as the next request. RFC 9112 section 6 asks to refuse these forms.

Answer 400 with connection: close to everything but no length, one length of digits (or equal repeats, which are reduced to the first one, as the library refuses repeats), and a single chunked in HTTP/1.1 without a length. What the caller still sends is drained, so that it can read the answer. CONNECT still goes to the library, but not with an ambiguous body.

Ruled out: leaving the refusal to the library, which ignores codings that it does not know, and a zero length next to chunks.

--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -58,6 +58,9 @@
 /// Refuses a head for which there is no memory.
 const HEAD_WITHOUT_MEMORY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
 
+/// Refuses a head whose body has no unambiguous end.
+const AMBIGUOUS_BODY: &[u8] = b"HTTP/1.1 400 Bad Request\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
+
 /// How long a connection with an unread body is drained after its answer. A close at once
 /// resets it, and the caller may lose the answer.
 const LINGER_TIME: Duration = Duration::from_millis(500);
@@ -226,6 +229,7 @@
                 self.ready = self.inbox.len();
                 self.part = RequestPart::Body(BodyEnd::Unknown);
             }
+            HeadScan::AmbiguousBody => return Err(HeadFault::AmbiguousBody),
         }
         Ok(())
     }
@@ -265,6 +269,7 @@
     TooLate,
     EmptyLines,
     NoMemory,
+    AmbiguousBody,
 }
 
 impl HeadFault {
@@ -274,6 +279,7 @@
             HeadFault::TooLong => HEAD_TOO_LONG,
             HeadFault::TooLate => HEAD_TOO_LATE,
             HeadFault::NoMemory => HEAD_WITHOUT_MEMORY,
+            HeadFault::AmbiguousBody => AMBIGUOUS_BODY,
             HeadFault::EmptyLines => b"",
         }
     }
@@ -374,15 +380,22 @@
     async fn refuse(&self, fault: HeadFault) -> io::Error {
         // The connection is closed whether or not the caller receives the answer.
         let _ = self.socket.write_all(fault.answer()).await;
+        if fault == HeadFault::AmbiguousBody {
+            self.drain().await;
+        }
         io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
     }
 
     /// Gives a caller whose body is not read to its end the time to read the answer.
     async fn linger(&self) {
         let is_unread = matches!(self.state.borrow().part, RequestPart::Body(_));
-        if !is_unread {
-            return;
+        if is_unread {
+            self.drain().await;
         }
+    }
+
+    /// Reads and drops what the caller still sends, within bounds.
+    async fn drain(&self) {
         let socket = SockRef::from(&self.socket);
         if socket.shutdown(Shutdown::Write).is_err() {
             return;
--- a/crates/net/src/request_framing.rs
+++ b/crates/net/src/request_framing.rs
@@ -13,6 +13,9 @@
 /// The greatest number of header fields in a request.
 pub(crate) const HEADER_FIELDS: usize = 128;
 
+/// The minor version of HTTP/1.1, as the parser reports it.
+const HTTP_11: u8 = 1;
+
 /// The fields on which the library acts, and which are to change nothing.
 const REMOVED_FIELDS: [&str; 3] = ["upgrade", "http2-settings", "expect"];
 
@@ -25,6 +28,9 @@
     Complete(RequestHead),
     /// The bytes are no request head. The library refuses them.
     Invalid,
+    /// The head does not tell where its body ends, or does so in a form on which
+    /// recipients may differ.
+    AmbiguousBody,
 }
 
 /// What the head of a request declares.
@@ -74,16 +80,18 @@
         Ok(Status::Partial) => return HeadScan::Partial,
         Err(_) => return HeadScan::Invalid,
     };
-    let is_connect = request.method == Some("CONNECT");
-    let body = match is_connect {
+    let Some(declared) = body_end(request.headers, request.version) else {
+        return HeadScan::AmbiguousBody;
+    };
+    let body = match request.method == Some("CONNECT") {
         true => BodyEnd::Unknown,
-        false => body_end(request.headers),
+        false => declared,
     };
     let expects_continue = request.headers.iter().any(is_expectation);
     let removed: Vec<(usize, usize)> = request
         .headers
         .iter()
-        .filter(|field| is_removed(field))
+        .filter(|field| is_removed(field) || is_repeated_length(request.headers, field))
         .map(|field| position_in(inbox, field))
         .collect();
     let mut head = RequestHead {
@@ -102,6 +110,14 @@
     names.any(|name| field.name.eq_ignore_ascii_case(name))
 }
 
+/// Returns whether a field repeats an earlier length. The library refuses repeats.
+fn is_repeated_length(fields: &[Header<'_>], field: &Header<'_>) -> bool {
+    let name = header::CONTENT_LENGTH;
+    let is_length = |field: &Header<'_>| field.name.eq_ignore_ascii_case(name.as_str());
+    let first = fields.iter().find(|field| is_length(field));
+    is_length(field) && first.is_some_and(|first| !std::ptr::eq(first.name, field.name))
+}
+
 fn is_expectation(field: &Header<'_>) -> bool {
     let name = header::EXPECT;
     field.name.eq_ignore_ascii_case(name.as_str())
@@ -132,30 +148,38 @@
     removed
 }
 
-fn body_end(fields: &[Header<'_>]) -> BodyEnd {
-    let mut end = BodyEnd::Length(0);
+/// Returns where the body ends, or `None` if RFC 9112 demands or allows a refusal of the
+/// declared framing. Another recipient could read a different end, and take a part of the
+/// body for a request.
+fn body_end(fields: &[Header<'_>], version: Option<u8>) -> Option<BodyEnd> {
+    let mut declared: Option<BodyEnd> = None;
     for field in fields {
-        if field
-            .name
-            .eq_ignore_ascii_case(header::TRANSFER_ENCODING.as_str())
-        {
-            let codings = field.value.split(|byte| *byte == b',');
-            let mut codings = codings.map(<[u8]>::trim_ascii);
-            if codings.any(|coding| coding.eq_ignore_ascii_case(b"chunked")) {
-                return BodyEnd::Chunks(ChunkScanner::default());
+        let is_field = |name: &str| field.name.eq_ignore_ascii_case(name);
+        if is_field(header::TRANSFER_ENCODING.as_str()) {
+            let is_chunked = field.value.eq_ignore_ascii_case(b"chunked");
+            let is_supported = is_chunked && version == Some(HTTP_11);
+            if !is_supported || declared.is_some() {
+                return None;
+            }
+            declared = Some(BodyEnd::Chunks(ChunkScanner::default()));
+        } else if is_field(header::CONTENT_LENGTH.as_str()) {
+            let length = parse_length(field.value)?;
+            match declared {
+                None => declared = Some(BodyEnd::Length(length)),
+                Some(BodyEnd::Length(first)) if first == length => {}
+                Some(_) => return None,
             }
-        } else if field
-            .name
-            .eq_ignore_ascii_case(header::CONTENT_LENGTH.as_str())
-        {
-            let length = std::str::from_utf8(field.value).ok();
-            end = match length.and_then(|text| text.parse().ok()) {
-                Some(length) => BodyEnd::Length(length),
-                None => BodyEnd::Unknown,
-            };
         }
     }
-    end
+    Some(declared.unwrap_or(BodyEnd::Length(0)))
+}
+
+/// Returns the value of a length field, which consists of digits only.
+fn parse_length(value: &[u8]) -> Option<u64> {
+    if !value.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(value).ok()?.parse().ok()
 }
 
 /// Removes the empty lines at the start of `inbox`, and returns their length in bytes.
