Close connections on which a chunk is malformed

The chunk scanner took an empty size for 0, bare line feeds for line ends, any byte after the size for an extension, and any bytes before the line feed after the data, so it could find another end of the body than the library or another recipient.

Require a digit, optional blanks, then an extension or CR LF; exactly CR LF after the data and each trailer line. Anything else ends the reading of the connection, after the valid bytes are passed on. No answer is written there, as the handler's answer may be under way.

malformed_chunks_end_the_connection failed before and passes now.

--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -189,7 +189,12 @@
                 self.ready = available.min(*left) as usize;
                 *left -= self.ready as u64;
             }
-            RequestPart::Body(BodyEnd::Chunks(scanner)) => self.ready = scanner.scan(&self.inbox),
+            RequestPart::Body(BodyEnd::Chunks(scanner)) => {
+                self.ready = scanner.scan(&self.inbox);
+                if self.ready == 0 && scanner.is_invalid() {
+                    return Err(HeadFault::InvalidChunks);
+                }
+            }
             RequestPart::Body(BodyEnd::Unknown) => self.ready = self.inbox.len(),
         }
         self.end_body();
@@ -262,7 +267,7 @@
     }
 }
 
-/// Why no more heads are read from a connection.
+/// Why no more requests are read from a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HeadFault {
     TooLong,
@@ -270,6 +275,7 @@
     EmptyLines,
     NoMemory,
     AmbiguousBody,
+    InvalidChunks,
 }
 
 impl HeadFault {
@@ -280,6 +286,8 @@
             HeadFault::TooLate => HEAD_TOO_LATE,
             HeadFault::NoMemory => HEAD_WITHOUT_MEMORY,
             HeadFault::AmbiguousBody => AMBIGUOUS_BODY,
+            // An answer of the handler may be under way.
+            HeadFault::InvalidChunks => b"",
             HeadFault::EmptyLines => b"",
         }
     }
--- a/crates/net/src/request_framing.rs
+++ b/crates/net/src/request_framing.rs
@@ -193,22 +193,34 @@
 /// The part of a chunked body in which the next byte lies.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 enum ChunkPart {
-    /// The digits of a chunk's size.
+    /// The first digit of a chunk's size.
     #[default]
+    SizeStart,
+    /// The further digits of a chunk's size.
     Size,
-    /// The rest of the line after the size.
-    SizeLine,
+    /// The blanks after the size.
+    Blanks,
+    /// The extensions of a chunk.
+    Extension,
+    /// The line feed after the size or the extensions.
+    SizeLineFeed,
     /// The data of a chunk, of which this number of bytes is left.
     Data(u64),
-    /// The line end after the data.
+    /// The carriage return after the data.
     DataEnd,
+    /// The line feed after the data.
+    DataLineFeed,
     /// The start of a line after the last chunk.
     TrailerStart,
     /// The rest of a trailer line.
     Trailer,
+    /// The line feed after a trailer line.
+    TrailerLineFeed,
+    /// The line feed after the empty line that ends the body.
+    LastLineFeed,
     /// Nothing; the body has ended.
     End,
-    /// Bytes that are no chunks. The library closes the connection.
+    /// Bytes that are no chunks.
     Invalid,
 }
 
@@ -226,6 +238,11 @@
         self.part == ChunkPart::End
     }
 
+    /// Returns whether the bytes that follow the scanned ones are no chunks.
+    pub(crate) fn is_invalid(&self) -> bool {
+        self.part == ChunkPart::Invalid
+    }
+
     /// Scans the next bytes, and returns how many of them belong to the body.
     pub(crate) fn scan(&mut self, bytes: &[u8]) -> usize {
         let mut position = 0;
@@ -240,10 +257,10 @@
                 };
                 continue;
             }
-            if self.part == ChunkPart::Invalid {
-                return bytes.len();
-            }
             self.part = self.after(bytes[position]);
+            if self.is_invalid() {
+                return position;
+            }
             position += 1;
         }
         position
@@ -252,25 +269,33 @@
     /// Returns the part after a byte that is no data.
     fn after(&mut self, byte: u8) -> ChunkPart {
         match (self.part, byte) {
-            (ChunkPart::Size | ChunkPart::SizeLine, b'\n') => {
-                match std::mem::take(&mut self.size) {
-                    0 => ChunkPart::TrailerStart,
-                    size => ChunkPart::Data(size),
-                }
-            }
+            (ChunkPart::SizeStart, _) => self.after_digit(byte),
+            (ChunkPart::Size | ChunkPart::Blanks, b' ' | b'\t') => ChunkPart::Blanks,
+            (ChunkPart::Size | ChunkPart::Blanks, b';') => ChunkPart::Extension,
+            (ChunkPart::Size | ChunkPart::Blanks, b'\r') => ChunkPart::SizeLineFeed,
             (ChunkPart::Size, _) => self.after_digit(byte),
-            (ChunkPart::DataEnd, b'\n') => ChunkPart::Size,
-            (ChunkPart::TrailerStart, b'\r') => ChunkPart::TrailerStart,
-            (ChunkPart::TrailerStart, b'\n') => ChunkPart::End,
-            (ChunkPart::Trailer, b'\n') => ChunkPart::TrailerStart,
-            (ChunkPart::TrailerStart, _) => ChunkPart::Trailer,
-            (part, _) => part,
+            (ChunkPart::Extension, b'\r') => ChunkPart::SizeLineFeed,
+            (ChunkPart::Extension, b'\n') => ChunkPart::Invalid,
+            (ChunkPart::Extension, _) => ChunkPart::Extension,
+            (ChunkPart::SizeLineFeed, b'\n') => match std::mem::take(&mut self.size) {
+                0 => ChunkPart::TrailerStart,
+                size => ChunkPart::Data(size),
+            },
+            (ChunkPart::DataEnd, b'\r') => ChunkPart::DataLineFeed,
+            (ChunkPart::DataLineFeed, b'\n') => ChunkPart::SizeStart,
+            (ChunkPart::TrailerStart, b'\r') => ChunkPart::LastLineFeed,
+            (ChunkPart::Trailer, b'\r') => ChunkPart::TrailerLineFeed,
+            (ChunkPart::TrailerStart | ChunkPart::Trailer, b'\n') => ChunkPart::Invalid,
+            (ChunkPart::TrailerStart | ChunkPart::Trailer, _) => ChunkPart::Trailer,
+            (ChunkPart::TrailerLineFeed, b'\n') => ChunkPart::TrailerStart,
+            (ChunkPart::LastLineFeed, b'\n') => ChunkPart::End,
+            _ => ChunkPart::Invalid,
         }
     }
 
     fn after_digit(&mut self, byte: u8) -> ChunkPart {
         let Some(digit) = char::from(byte).to_digit(16) else {
-            return ChunkPart::SizeLine;
+            return ChunkPart::Invalid;
         };
         let size = self.size.checked_mul(16);
         match size.and_then(|size| size.checked_add(u64::from(digit))) {
--- a/crates/net/tests/request_framing.rs
+++ b/crates/net/tests/request_framing.rs
@@ -126,6 +126,48 @@
     assert!(faults.is_empty(), "{}", faults.join("\n"));
 }
 
+/// Guards against chunks whose lines another recipient reads differently, and against a
+/// part of such a body that is run as a request.
+#[tokio::test]
+async fn malformed_chunks_end_the_connection() {
+    let bodies = [
+        "\r\n\r\n",
+        "\n0\r\n\r\n",
+        ";x\r\n\r\n",
+        " 0\r\n\r\n",
+        "+0\r\n\r\n",
+        "0x\r\n\r\n",
+        "0x5\r\nhello\r\n0\r\n\r\n",
+        "0 0\r\n\r\n",
+        "5\nhello\r\n0\r\n\r\n",
+        "5\r\rhello\r\n0\r\n\r\n",
+        "5;a=b\nhello\r\n0\r\n\r\n",
+        "5;a=b\rc\r\nhello\r\n0\r\n\r\n",
+        "5\r\nhello\n0\r\n\r\n",
+        "5\r\nhellox\r\n0\r\n\r\n",
+        "5\r\nhello\r\r\n0\r\n\r\n",
+        "5\r\nhello0\r\n\r\n",
+        "11111111111111111\r\n",
+        "0\r\n\n",
+    ];
+    let counting = CountingListener::start();
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    let mut faults = Vec::new();
+    for body in bodies {
+        let answer = counting
+            .exchange(&format!("{head}{body}{NEXT_REQUEST}"))
+            .await;
+        let complete = counting.complete.swap(0, Ordering::SeqCst);
+        let handled = counting.handled.swap(0, Ordering::SeqCst);
+        if complete > 0 || handled > 1 {
+            faults.push(format!(
+                "{body:?}: {handled} handled, {complete} complete, {answer:?}"
+            ));
+        }
+    }
+    assert!(faults.is_empty(), "{}", faults.join("\n"));
+}
+
 /// Guards against the refusal of bodies whose ends every recipient finds alike.
 #[tokio::test]
 async fn unambiguous_body_ends_are_accepted() {
