Count the buffer of a long head, not its reads

Each read of a head over 1 KiB added the length of the inbox to the head's share of the memory again, so a head that arrives in single bytes used up the memory for all heads.

Count the capacity that the inbox has or is about to get, and fill the capacity before it grows. A share is only ever extended to a total.

head_in_single_bytes_uses_no_more_memory_than_its_length (2 KB of head, then 200 single bytes) failed before and passes now.

--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -107,6 +107,11 @@
         }
         fits
     }
+
+    /// Extends the share to at least `bytes`, and returns whether they fit.
+    pub(crate) fn extend_to(&mut self, bytes: usize) -> bool {
+        self.extend(bytes.saturating_sub(self.bytes))
+    }
 }
 
 impl<B> Drop for BudgetShare<B>
--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -239,12 +239,12 @@
         Ok(())
     }
 
-    /// Counts `bytes` more of a long head, and returns whether they fit.
-    fn extend_share(&mut self, budget: Option<&Arc<ByteBudget>>, bytes: usize) -> bool {
+    /// Counts a buffer of `capacity` bytes for a long head, and returns whether it fits.
+    fn extend_share(&mut self, budget: Option<&Arc<ByteBudget>>, capacity: usize) -> bool {
         if !self.share.has_budget() {
             self.share = BudgetShare::new(budget.cloned());
         }
-        self.share.extend(bytes)
+        self.share.extend_to(capacity)
     }
 
     fn begin_request(&mut self, head: RequestHead) {
@@ -333,8 +333,12 @@
             }
             RequestPart::Head if state.inbox.len() < HEAD_READ => ReadStep::Receive(HEAD_READ),
             RequestPart::Head => {
-                let most = state.inbox.len();
-                if !state.extend_share(self.bounds.budget.get(), most) {
+                let length = state.inbox.len();
+                let most = match state.inbox.capacity() - length {
+                    0 => length,
+                    spare => spare,
+                };
+                if !state.extend_share(self.bounds.budget.get(), length + most) {
                     return Err(HeadFault::NoMemory);
                 }
                 ReadStep::Receive(most)
--- a/crates/net/tests/caller_limits.rs
+++ b/crates/net/tests/caller_limits.rs
@@ -324,3 +324,30 @@
         assert_eq!((status, body.len()), (200, 5 * MEGABYTE));
     }
 }
+
+/// Guards against a head that arrives in single bytes and uses up the memory for heads.
+#[tokio::test]
+async fn head_in_single_bytes_uses_no_more_memory_than_its_length() {
+    const BEGINNING: usize = 2_048;
+    const SINGLE_BYTES: usize = 200;
+    let bounded = Bounded::start(ListenLimits::default());
+    let memory = Arc::new(ByteBudget::new(MEGABYTE));
+    let heads = bounded.listener.head_bounds().unwrap();
+    heads.set_budget(Arc::clone(&memory));
+    let mut stream = bounded.connect().await;
+    stream.set_nodelay(true).unwrap();
+    let start = "GET / HTTP/1.1\r\nhost: a\r\nx: ";
+    let beginning = format!("{start}{}", "x".repeat(BEGINNING - start.len()));
+    stream.write_all(beginning.as_bytes()).await.unwrap();
+    for _ in 0..SINGLE_BYTES {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        stream.write_all(b"x").await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let used = memory.used();
+    let length = BEGINNING + SINGLE_BYTES;
+    assert!((length..=2 * length).contains(&used), "{used}");
+    stream.write_all(b"\r\n\r\n").await.unwrap();
+    assert_eq!(answer(&mut stream).await.0, 200);
+    assert_eq!(memory.used(), 0);
+}
