Keep the received bytes of a caller when a read is dropped

The inbox was taken out of the state during a read, so a dropped read lost what had been received, and the search for the end of the head would have started beyond the end of the new inbox.

Lend only the free end of the inbox to the read and join it afterwards, which copies nothing; search from the end of a shorter buffer. Ruled out: a guard around the lent buffer, as the traits for buffers are unsafe to implement and the workspace forbids unsafe code.

No test fails before: the library drops reads only when it closes the connection. The tests caller_limits, http and request_framing pass.

--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -352,12 +352,18 @@
     }
 
     /// Receives bytes into the inbox; returns their number, 0 at the end of the stream.
+    ///
+    /// Only the free end of the inbox is lent to the read, so a read that is dropped loses
+    /// no bytes that were received before.
     async fn receive(&self, most: usize) -> io::Result<usize> {
-        let mut inbox = std::mem::take(&mut self.state.borrow_mut().inbox);
-        let length = inbox.len();
-        inbox.reserve(most);
-        let (received, slice) = self.socket.read(inbox.slice(length..)).await;
-        self.state.borrow_mut().inbox = slice.into_inner();
+        let free_end = {
+            let inbox = &mut self.state.borrow_mut().inbox;
+            inbox.reserve(most);
+            let length = inbox.len();
+            inbox.split_off(length)
+        };
+        let (received, free_end) = self.socket.read(free_end).await;
+        self.state.borrow_mut().inbox.unsplit(free_end);
         received
     }
 
--- a/crates/net/src/request_framing.rs
+++ b/crates/net/src/request_framing.rs
@@ -56,9 +56,9 @@
 }
 
 /// Returns the position after the first empty line, from which on a head may be complete;
-/// the search begins at `start`.
+/// the search begins at `start`, or at the end of a shorter buffer.
 pub(crate) fn find_head_end(bytes: &[u8], start: usize) -> Option<usize> {
-    let mut line = start;
+    let mut line = start.min(bytes.len());
     while let Some(end) = bytes[line..].iter().position(|byte| *byte == b'\n') {
         line += end + 1;
         match &bytes[line..] {
