Do not ask for the body of a refused request

The refusal before the body looked for Expect, which the scanner has removed from the head by then, so it read the body and thereby asked for it.

Keep on the connection whether a continuation is due; HttpBody tells it, and a refusal then leaves the body unread and says connection: close. Ruled out: leaving the field in the head, as the library acts on it.

refusal_after_an_expected_continuation_tells_whether_the_connection_stays now asserts that no 100 precedes the refusal and that it announces the close, where it allowed both outcomes.

--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::Shutdown;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
@@ -27,6 +28,7 @@
 
 use crate::byte_budget::BudgetShare;
 use crate::byte_budget::ByteBudget;
+use crate::connection::ConnectionActivity;
 use crate::request_framing;
 use crate::request_framing::BodyEnd;
 use crate::request_framing::HeadScan;
@@ -144,8 +146,8 @@
     empty_lines: usize,
     /// When the head must have arrived; `None` before its first byte.
     head_due: Option<Instant>,
-    /// Whether the caller waits to be asked for the body.
-    continue_due: bool,
+    /// Records whether the caller waits to be asked for the body.
+    connection: Rc<ConnectionActivity>,
     /// The memory of a long head.
     share: BudgetShare<Arc<ByteBudget>>,
 }
@@ -159,7 +161,7 @@
             searched: 0,
             empty_lines: 0,
             head_due: None,
-            continue_due: false,
+            connection: ConnectionActivity::current(),
             share: BudgetShare::new(None),
         }
     }
@@ -211,7 +213,7 @@
         };
         if has_ended {
             self.part = RequestPart::Head;
-            self.continue_due = false;
+            self.connection.set_continue_due(false);
         }
     }
 
@@ -253,7 +255,7 @@
         self.empty_lines = 0;
         self.head_due = None;
         self.share = BudgetShare::new(None);
-        self.continue_due = head.expects_continue;
+        self.connection.set_continue_due(head.expects_continue);
         self.part = RequestPart::Body(head.body);
         self.end_body();
     }
@@ -386,10 +388,11 @@
 
     /// Asks the caller for the body if it waits for that.
     async fn ask_for_body(&self) -> io::Result<()> {
-        let is_due = std::mem::take(&mut self.state.borrow_mut().continue_due);
-        if !is_due {
+        let connection = Rc::clone(&self.state.borrow().connection);
+        if !connection.is_continue_due() {
             return Ok(());
         }
+        connection.set_continue_due(false);
         let (written, _) = self.socket.write_all(CONTINUE).await;
         written
     }
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -61,6 +61,8 @@
 pub(crate) struct ConnectionActivity {
     requests: Cell<usize>,
     idle: Notify,
+    /// Whether the caller waits to be asked for the body of its request.
+    continue_due: Cell<bool>,
     /// A second handle of the connection's socket.
     watched: Option<Rc<tokio::net::TcpStream>>,
 }
@@ -84,6 +86,16 @@
         }
     }
 
+    /// Records whether the caller waits to be asked for the body of its request.
+    pub(crate) fn set_continue_due(&self, is_due: bool) {
+        self.continue_due.set(is_due);
+    }
+
+    /// Returns whether the caller waits to be asked for the body of its request.
+    pub(crate) fn is_continue_due(&self) -> bool {
+        self.continue_due.get()
+    }
+
     async fn wait_idle(&self) {
         while self.requests.get() > 0 {
             self.idle.notified().await;
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Returns whether the caller waits to be asked for the body, which the first read does.
+    pub fn awaits_continue(&self) -> bool {
+        self.connection.is_continue_due()
+    }
+
     /// Returns the next chunk, or `None` after the end of the complete body.
     ///
     /// # Errors
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -124,7 +124,7 @@
     let tenant = match admit(&node, &config, route, &head.headers, &id).await {
         Ok(tenant) => tenant,
         Err(mut answer) => {
-            unread_body::skip(&head.headers, &mut body, &mut answer).await;
+            unread_body::skip(&mut body, &mut answer).await;
             return answer;
         }
     };
--- a/crates/sidecar/src/unread_body.rs
+++ b/crates/sidecar/src/unread_body.rs
@@ -6,7 +6,6 @@
 
 use std::time::Duration;
 
-use http::HeaderMap;
 use http::HeaderValue;
 use http::header;
 use radishgauge_net::HttpAnswer;
@@ -27,10 +26,9 @@
 
 /// Reads and drops the body of a refused request if it is short, and otherwise tells the
 /// caller in the answer that the connection is closed.
-pub(crate) async fn skip(headers: &HeaderMap, body: &mut HttpBody, answer: &mut HttpAnswer) {
-    // A caller that waits for leave to send the body has not sent it.
-    let is_expected = !headers.contains_key(header::EXPECT);
-    let is_skipped = is_expected
+pub(crate) async fn skip(body: &mut HttpBody, answer: &mut HttpAnswer) {
+    // Reading the body would ask a caller that waits for that to send it.
+    let is_skipped = !body.awaits_continue()
         && matches!(
             tokio::time::timeout(SKIP_TIMEOUT, drop_data(body)).await,
             Ok(true)
