Announce the close after every refusal before the body

Only refusals for the key or the tenant's limit told the caller that its connection closes; those without configuration, request id or route, for the body's length, its memory or its time did not, so the caller's next request on the connection was lost.

Decide on a request up to its body in one function, whose refusals all leave through unread_body::skip. A body that declares more than is skipped is not read at all, and one that was cut off is not read again: after an error the library ends a body in chunks as if it were complete.

--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Returns the length of the complete body in bytes; `None` for a body in chunks.
+    pub fn declared_length(&self) -> Option<u64> {
+        self.declared
+    }
+
     /// Returns whether the caller waits to be asked for the body, which the first read does.
     pub fn awaits_continue(&self) -> bool {
         self.connection.is_continue_due()
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -1,5 +1,6 @@
 //! Serves requests of callers on this host and of this host's target.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::request::Parts;
 use radishgauge_events::events;
 use radishgauge_mesh::LoadReport;
 use radishgauge_mesh::MeshConfig;
@@ -24,7 +26,9 @@
 use radishgauge_mesh::return_order::RefusedRequest;
 use radishgauge_mesh::tenant::TenantLabel;
 use radishgauge_net::BodyFault;
+use radishgauge_net::BodyPieces;
 use radishgauge_net::HttpAnswer;
+use radishgauge_net::HttpBody;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::RequestProgress;
 use radishgauge_net::exchange::AnswerBody;
@@ -87,6 +91,17 @@
     version: u64,
 }
 
+/// A request that was received completely, and has a route.
+struct AcceptedRequest<'a> {
+    id: SmolStr,
+    config: &'a MeshConfig,
+    route: &'a MeshRoute,
+    tenant: Option<Arc<TenantPolicy>>,
+    /// How long the request may take.
+    longest: Duration,
+    body: BodyPieces,
+}
+
 /// Serves one request of a caller or of this host's target.
 pub async fn serve(node: Arc<SidecarNode>, request: HttpRequest) -> HttpAnswer {
     let arrived = node.now();
@@ -96,56 +111,23 @@
         remote,
         ..
     } = request;
-    let id = message::request_id(&head.headers);
-    let Some(config) = node.config() else {
-        return local_reply::refuse(
-            &node,
-            id.as_deref(),
-            "no configuration",
-            DEFAULT_RETRY_AFTER,
-        );
-    };
-    let Some(id) = id else {
-        return local_reply::error(StatusCode::BAD_REQUEST, None, "no request id");
-    };
-    let host = head.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let Some(route) = config.find(host, head.uri.path()) else {
-        if node.may_lack_changes() {
-            return local_reply::refuse(
-                &node,
-                Some(&id),
-                "no route in an old state",
-                DEFAULT_RETRY_AFTER,
-            );
-        }
-        return local_reply::error(StatusCode::NOT_FOUND, Some(&id), "no route");
-    };
-    let tenant = match admit(&node, &config, route, &head.headers, &id).await {
-        Ok(tenant) => tenant,
-        Err(mut answer) => {
-            unread_body::skip(&mut body, &mut answer).await;
-            return answer;
-        }
-    };
-    let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
-    let longest = time_left.min(route.timeout);
-    let body = match body_receipt::receive(&node, &mut body, remote.ip(), longest).await {
-        Ok(body) => body,
-        Err(BodyFault::Late) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            return local_reply::error(status, Some(&id), "body did not arrive in time");
-        }
-        Err(BodyFault::TooLarge { .. }) => {
-            return local_reply::error(StatusCode::PAYLOAD_TOO_LARGE, Some(&id), "body too large");
-        }
-        Err(BodyFault::NoMemory) => {
-            return local_reply::refuse(&node, Some(&id), "no memory", DEFAULT_RETRY_AFTER);
-        }
-        Err(BodyFault::Cut(_)) => {
-            return local_reply::error(StatusCode::BAD_REQUEST, Some(&id), "body was cut off");
+    let config = node.config();
+    let accepted = accept(&node, config.as_deref(), &head, &mut body, remote.ip()).await;
+    let accepted = match accepted {
+        Ok(accepted) => accepted,
+        Err(mut refusal) => {
+            unread_body::skip(&mut body, &mut refusal).await;
+            return refusal;
         }
     };
+    let AcceptedRequest {
+        id,
+        config,
+        route,
+        tenant,
+        longest,
+        body,
+    } = accepted;
     if !node.accepts(longest) {
         let mut answer = local_reply::refuse(&node, Some(&id), "stopping", DEFAULT_RETRY_AFTER);
         close_connection(&mut answer);
@@ -194,6 +176,70 @@
     answer
 }
 
+/// Finds the route and the tenant of a request, and receives its body.
+///
+/// # Errors
+///
+/// When the request is refused before its body was read to the end.
+async fn accept<'a>(
+    node: &Arc<SidecarNode>,
+    config: Option<&'a MeshConfig>,
+    head: &Parts,
+    body: &mut HttpBody,
+    address: IpAddr,
+) -> Result<AcceptedRequest<'a>, HttpAnswer> {
+    let id = message::request_id(&head.headers);
+    let refuse =
+        |id: Option<&str>, reason| local_reply::refuse(node, id, reason, DEFAULT_RETRY_AFTER);
+    let Some(config) = config else {
+        return Err(refuse(id.as_deref(), "no configuration"));
+    };
+    let Some(id) = id else {
+        let status = StatusCode::BAD_REQUEST;
+        return Err(local_reply::error(status, None, "no request id"));
+    };
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let Some(route) = config.find(host, head.uri.path()) else {
+        if node.may_lack_changes() {
+            return Err(refuse(Some(&id), "no route in an old state"));
+        }
+        let status = StatusCode::NOT_FOUND;
+        return Err(local_reply::error(status, Some(&id), "no route"));
+    };
+    let tenant = admit(node, config, route, &head.headers, &id).await?;
+    let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
+    let longest = time_left.min(route.timeout);
+    let received = body_receipt::receive(node, body, address, longest).await;
+    let body = received.map_err(|fault| refuse_body(node, &id, &fault))?;
+    Ok(AcceptedRequest {
+        id,
+        config,
+        route,
+        tenant,
+        longest,
+        body,
+    })
+}
+
+/// Returns the answer to a request whose body could not be received.
+fn refuse_body(node: &SidecarNode, id: &str, fault: &BodyFault) -> HttpAnswer {
+    let (status, reason) = match fault {
+        BodyFault::Late => (StatusCode::REQUEST_TIMEOUT, "body did not arrive in time"),
+        BodyFault::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        BodyFault::Cut(_) => (StatusCode::BAD_REQUEST, "body was cut off"),
+        BodyFault::NoMemory => {
+            return local_reply::refuse(node, Some(id), "no memory", DEFAULT_RETRY_AFTER);
+        }
+    };
+    let mut answer = local_reply::error(status, Some(id), reason);
+    if matches!(fault, BodyFault::Cut(_)) {
+        // The rest of the body cannot be read.
+        close_connection(&mut answer);
+    }
+    answer
+}
+
 /// Returns the tenant of a request, if it has one.
 ///
 /// # Errors
--- a/crates/sidecar/src/unread_body.rs
+++ b/crates/sidecar/src/unread_body.rs
@@ -27,8 +27,15 @@
 /// Reads and drops the body of a refused request if it is short, and otherwise tells the
 /// caller in the answer that the connection is closed.
 pub(crate) async fn skip(body: &mut HttpBody, answer: &mut HttpAnswer) {
+    if answer.headers().contains_key(header::CONNECTION) {
+        return;
+    }
+    let is_long = body
+        .declared_length()
+        .is_some_and(|length| length > MAX_SKIPPED_BYTES as u64);
     // Reading the body would ask a caller that waits for that to send it.
-    let is_skipped = !body.awaits_continue()
+    let is_skipped = !is_long
+        && !body.awaits_continue()
         && matches!(
             tokio::time::timeout(SKIP_TIMEOUT, drop_data(body)).await,
             Ok(true)
