--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -7,6 +7,7 @@
 use std::cell::RefCell;
 use std::io;
 use std::net::Shutdown;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicU64;
@@ -27,6 +28,7 @@
 
 use crate::byte_budget::BudgetShare;
 use crate::byte_budget::ByteBudget;
+use crate::connection::ConnectionActivity;
 use crate::request_framing;
 use crate::request_framing::BodyEnd;
 use crate::request_framing::HeadScan;
@@ -58,6 +60,9 @@
 /// Refuses a head for which there is no memory.
 const HEAD_WITHOUT_MEMORY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
 
+/// Refuses a head whose body has no unambiguous end.
+const AMBIGUOUS_BODY: &[u8] = b"HTTP/1.1 400 Bad Request\r\nconnection: close\r\nx-radishgauge-verdict: not-run\r\ncontent-length: 0\r\n\r\n";
+
 /// How long a connection with an unread body is drained after its answer. A close at once
 /// resets it, and the caller may lose the answer.
 const LINGER_TIME: Duration = Duration::from_millis(500);
@@ -141,8 +146,8 @@
     empty_lines: usize,
     /// When the head must have arrived; `None` before its first byte.
     head_due: Option<Instant>,
-    /// Whether the caller waits to be asked for the body.
-    continue_due: bool,
+    /// Records whether the caller waits to be asked for the body.
+    connection: Rc<ConnectionActivity>,
     /// The memory of a long head.
     share: BudgetShare<Arc<ByteBudget>>,
 }
@@ -156,7 +161,7 @@
             searched: 0,
             empty_lines: 0,
             head_due: None,
-            continue_due: false,
+            connection: ConnectionActivity::current(),
             share: BudgetShare::new(None),
         }
     }
@@ -186,7 +191,12 @@
                 self.ready = available.min(*left) as usize;
                 *left -= self.ready as u64;
             }
-            RequestPart::Body(BodyEnd::Chunks(scanner)) => self.ready = scanner.scan(&self.inbox),
+            RequestPart::Body(BodyEnd::Chunks(scanner)) => {
+                self.ready = scanner.scan(&self.inbox);
+                if self.ready == 0 && scanner.is_invalid() {
+                    return Err(HeadFault::InvalidChunks);
+                }
+            }
             RequestPart::Body(BodyEnd::Unknown) => self.ready = self.inbox.len(),
         }
         self.end_body();
@@ -203,7 +213,7 @@
         };
         if has_ended {
             self.part = RequestPart::Head;
-            self.continue_due = false;
+            self.connection.set_continue_due(false);
         }
     }
 
@@ -226,16 +236,17 @@
                 self.ready = self.inbox.len();
                 self.part = RequestPart::Body(BodyEnd::Unknown);
             }
+            HeadScan::AmbiguousBody => return Err(HeadFault::AmbiguousBody),
         }
         Ok(())
     }
 
-    /// Counts `bytes` more of a long head, and returns whether they fit.
-    fn extend_share(&mut self, budget: Option<&Arc<ByteBudget>>, bytes: usize) -> bool {
+    /// Counts a buffer of `capacity` bytes for a long head, and returns whether it fits.
+    fn extend_share(&mut self, budget: Option<&Arc<ByteBudget>>, capacity: usize) -> bool {
         if !self.share.has_budget() {
             self.share = BudgetShare::new(budget.cloned());
         }
-        self.share.extend(bytes)
+        self.share.extend_to(capacity)
     }
 
     fn begin_request(&mut self, head: RequestHead) {
@@ -244,7 +255,7 @@
         self.empty_lines = 0;
         self.head_due = None;
         self.share = BudgetShare::new(None);
-        self.continue_due = head.expects_continue;
+        self.connection.set_continue_due(head.expects_continue);
         self.part = RequestPart::Body(head.body);
         self.end_body();
     }
@@ -258,13 +269,15 @@
     }
 }
 
-/// Why no more heads are read from a connection.
+/// Why no more requests are read from a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum HeadFault {
     TooLong,
     TooLate,
     EmptyLines,
     NoMemory,
+    AmbiguousBody,
+    InvalidChunks,
 }
 
 impl HeadFault {
@@ -274,6 +287,9 @@
             HeadFault::TooLong => HEAD_TOO_LONG,
             HeadFault::TooLate => HEAD_TOO_LATE,
             HeadFault::NoMemory => HEAD_WITHOUT_MEMORY,
+            HeadFault::AmbiguousBody => AMBIGUOUS_BODY,
+            // An answer of the handler may be under way.
+            HeadFault::InvalidChunks => b"",
             HeadFault::EmptyLines => b"",
         }
     }
@@ -319,8 +335,12 @@
             }
             RequestPart::Head if state.inbox.len() < HEAD_READ => ReadStep::Receive(HEAD_READ),
             RequestPart::Head => {
-                let most = state.inbox.len();
-                if !state.extend_share(self.bounds.budget.get(), most) {
+                let length = state.inbox.len();
+                let most = match state.inbox.capacity() - length {
+                    0 => length,
+                    spare => spare,
+                };
+                if !state.extend_share(self.bounds.budget.get(), length + most) {
                     return Err(HeadFault::NoMemory);
                 }
                 ReadStep::Receive(most)
@@ -334,12 +354,18 @@
     }
 
     /// Receives bytes into the inbox; returns their number, 0 at the end of the stream.
+    ///
+    /// Only the free end of the inbox is lent to the read, so a read that is dropped loses
+    /// no bytes that were received before.
     async fn receive(&self, most: usize) -> io::Result<usize> {
-        let mut inbox = std::mem::take(&mut self.state.borrow_mut().inbox);
-        let length = inbox.len();
-        inbox.reserve(most);
-        let (received, slice) = self.socket.read(inbox.slice(length..)).await;
-        self.state.borrow_mut().inbox = slice.into_inner();
+        let free_end = {
+            let inbox = &mut self.state.borrow_mut().inbox;
+            inbox.reserve(most);
+            let length = inbox.len();
+            inbox.split_off(length)
+        };
+        let (received, free_end) = self.socket.read(free_end).await;
+        self.state.borrow_mut().inbox.unsplit(free_end);
         received
     }
 
@@ -362,10 +388,11 @@
 
     /// Asks the caller for the body if it waits for that.
     async fn ask_for_body(&self) -> io::Result<()> {
-        let is_due = std::mem::take(&mut self.state.borrow_mut().continue_due);
-        if !is_due {
+        let connection = Rc::clone(&self.state.borrow().connection);
+        if !connection.is_continue_due() {
             return Ok(());
         }
+        connection.set_continue_due(false);
         let (written, _) = self.socket.write_all(CONTINUE).await;
         written
     }
@@ -374,15 +401,22 @@
     async fn refuse(&self, fault: HeadFault) -> io::Error {
         // The connection is closed whether or not the caller receives the answer.
         let _ = self.socket.write_all(fault.answer()).await;
+        if fault == HeadFault::AmbiguousBody {
+            self.drain().await;
+        }
         io::Error::new(io::ErrorKind::InvalidData, format!("{fault:?}"))
     }
 
     /// Gives a caller whose body is not read to its end the time to read the answer.
     async fn linger(&self) {
         let is_unread = matches!(self.state.borrow().part, RequestPart::Body(_));
-        if !is_unread {
-            return;
+        if is_unread {
+            self.drain().await;
         }
+    }
+
+    /// Reads and drops what the caller still sends, within bounds.
+    async fn drain(&self) {
         let socket = SockRef::from(&self.socket);
         if socket.shutdown(Shutdown::Write).is_err() {
             return;
