Bound all numbers that are taken from hop reports

A report with a service time of u64::MAX microseconds and u32::MAX occupied requests made the expected wait overflow a Duration, which panicked under the placer's lock; the sum in may_have_spare_slot could overflow too, and any Retry-After of an owner was passed on. load_from_report, route_service_time and retry_after now bound every number once, and the sum saturates. The slowness of a target and the exponent of its factor are clamped, since the ratio of two valid route times times a valid service time was not a valid Duration either.

Bounding at each use was ruled out: the numbers are used in many places.

--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -196,7 +196,11 @@
         }
         let limit = self.capacity(registered, now).max(1);
         let sent_since = self.in_flight.saturating_sub(self.in_flight_at_report);
-        report.occupied + sent_since + scheduling::reserved_slots(limit) < limit
+        let needed = report
+            .occupied
+            .saturating_add(sent_since)
+            .saturating_add(scheduling::reserved_slots(limit));
+        needed < limit
     }
 
     /// Returns the unused capacity; `None` without a recent report.
--- a/crates/mesh/src/target_speed.rs
+++ b/crates/mesh/src/target_speed.rs
@@ -54,6 +54,10 @@
 /// any time, and multiples of it must remain valid durations.
 const MAX_TIME: Duration = Duration::from_secs(3_600);
 
+/// The greatest slowness that is assumed of a target, as a logarithm: about 150 times
+/// the usual time. Service times multiplied with it must remain valid durations.
+const MAX_SLOWNESS: f64 = 5.0;
+
 /// The least weight of one report in the typical time of a route.
 const MIN_ROUTE_WEIGHT: f64 = 0.02;
 
@@ -139,6 +143,7 @@
 
 impl TargetSpeed {
     fn record(&mut self, slowness: f64, now: Duration) {
+        let slowness = slowness.clamp(-MAX_SLOWNESS, MAX_SLOWNESS);
         let gap = self
             .reported_at
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
@@ -227,12 +232,14 @@
             true => 0.0,
             false => (speed.slowness - self.mean()) * speed.certainty,
         };
-        (slowness + speed.current_excess(now)).exp()
+        let exponent = slowness + speed.current_excess(now);
+        exponent.clamp(-MAX_SLOWNESS, MAX_SLOWNESS).exp()
     }
 
     /// Returns the expected time of a route at a target of mean speed.
     pub(crate) fn route_time(&self, routes: &RouteTimes, route: RouteKey) -> Option<Duration> {
         let log_time = routes.log_time(route)?;
-        Some(Duration::from_secs_f64((log_time + self.mean()).exp()))
+        let log_time = (log_time + self.mean()).min(MAX_TIME.as_secs_f64().ln());
+        Some(Duration::from_secs_f64(log_time.exp()))
     }
 }
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -27,6 +27,17 @@
 /// The field of an answer that contains a [`HopReport`].
 const REPORT: HeaderName = HeaderName::from_static("x-mesh-report");
 
+/// The greatest service time or wait that is taken from a report. A faulty owner may
+/// report any time, and multiples of it must remain valid durations.
+const MAX_REPORTED_TIME: Duration = Duration::from_secs(3_600);
+
+/// The greatest number of requests that is taken from a report, for the same reason.
+const MAX_REPORTED_REQUESTS: u32 = 1_000_000;
+
+/// The greatest time that an owner may keep callers away. With a longer one, they
+/// would stay away long after capacity is free again.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
 /// Adds the hop head to a request for an owner.
 pub fn set_head(headers: &mut HeaderMap, head: &HopHead) {
     set(headers, HEAD, head);
@@ -82,13 +93,18 @@
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// Returns the load in a hop report.
+/// Returns a time of a report within its bound.
+fn reported_time(micros: u64) -> Duration {
+    Duration::from_micros(micros).min(MAX_REPORTED_TIME)
+}
+
+/// Returns the load in a hop report, with all numbers within their bounds.
 pub fn load_from_report(report: &HopReport) -> LoadReport {
     LoadReport {
-        occupied: report.occupied,
-        limit: report.limit,
-        wait: Duration::from_micros(report.wait_us),
-        service_time: (report.service_us > 0).then(|| Duration::from_micros(report.service_us)),
+        occupied: report.occupied.min(MAX_REPORTED_REQUESTS),
+        limit: report.limit.min(MAX_REPORTED_REQUESTS),
+        wait: reported_time(report.wait_us),
+        service_time: (report.service_us > 0).then(|| reported_time(report.service_us)),
         cold: report.cold,
         efficient_limit: (report.efficient_limit > 0).then_some(report.efficient_limit),
         waiting_priority: report.waiting_priority.checked_sub(1),
@@ -97,12 +113,13 @@
 
 /// Returns the mean service time of the request's route, if the owner reported it.
 pub fn route_service_time(report: &HopReport) -> Option<Duration> {
-    (report.route_service_us > 0).then(|| Duration::from_micros(report.route_service_us))
+    (report.route_service_us > 0).then(|| reported_time(report.route_service_us))
 }
 
 /// Returns the time after which the owner may have capacity, if it reported one.
 pub fn retry_after(report: &HopReport) -> Option<Duration> {
-    (report.retry_after_us > 0).then(|| Duration::from_micros(report.retry_after_us))
+    let time = Duration::from_micros(report.retry_after_us).min(MAX_RETRY_AFTER);
+    (!time.is_zero()).then_some(time)
 }
 
 /// Returns a hop report with the given load; its other fields have their
