Do not rule out targets by the time of answers on idle links

The whole time of a long answer counted as wait, so that answers of 900 kB on links of 10 Mbit/s, which take 0.72 s, ruled out all idle targets at an objective of 0.8 s. Only what exceeds the time on an idle link counts as wait now; the idle time counts as part of the run. The rate of an idle link is the greatest that its host reported lately, as a host does not report its link's capacity.

The entry host's own receiving link is common to all candidates and rules none out any more. Its free rate was 0 on a full link, taken as 1 byte a second, which led to a Retry-After of hours; at least a tenth of the link counts as free. What bodies may be sent without an offer is computed as before.

The simple removal of the answer's time from the comparison was ruled out: answers of 90 kB would wait longer than their objective allows.

--- a/crates/mesh/src/link_load.rs
+++ b/crates/mesh/src/link_load.rs
@@ -28,6 +28,10 @@
 /// is left for the bodies that are on their way when senders learn of it.
 const OFFER_ALL_SHARE: f64 = 0.5;
 
+/// The least fraction of a link at which one more answer is received: a full link is
+/// shared with the answers that it already carries.
+const MIN_RECEIVE_FRACTION: f64 = 0.1;
+
 /// A decaying average of a rate, in bytes a second.
 #[derive(Debug, Clone, Copy, Default)]
 struct ByteRate {
@@ -95,8 +99,14 @@
         (self.capacity - self.sent.get(now)).max(0.0)
     }
 
-    /// Returns the rate at which this host can still receive, in bytes a second.
+    /// Returns the rate at which this host can receive one more answer, in bytes a
+    /// second.
     pub fn free_receive_rate(&self, now: Duration) -> f64 {
+        let least = self.capacity * MIN_RECEIVE_FRACTION;
+        self.unused_receive_rate(now).max(least)
+    }
+
+    fn unused_receive_rate(&self, now: Duration) -> f64 {
         (self.capacity - self.received.get(now)).max(0.0)
     }
 
@@ -107,7 +117,7 @@
         if refused > self.capacity * MAX_REFUSED_FRACTION * OFFER_ALL_SHARE {
             return 0.0;
         }
-        self.free_receive_rate(now)
+        self.unused_receive_rate(now)
     }
 }
 
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -445,7 +445,7 @@
     /// second.
     pub fn record_send_rate(&mut self, id: &SmolStr, rate: f64, now: Duration) {
         let estimate = self.estimates.entry(id.clone()).or_default();
-        estimate.send_rate = Some((rate, now));
+        estimate.record_send_rate(rate, now);
     }
 
     /// Records the length of an answer on a route in bytes.
@@ -646,6 +646,9 @@
     }
 
     /// Returns by how much the expected wait exceeds the allowed wait.
+    ///
+    /// The time of a long answer on an idle link counts as part of the run, since no
+    /// wait avoids it. The link of this host rules out no target: it is common to all.
     fn excess_wait(&self) -> Duration {
         let estimate = self.estimate;
         let request = self.request;
@@ -653,7 +656,8 @@
         // Without a recent report the target may have room, so it is not ruled
         // out.
         let wait = estimate.wait(limit, 0.0, self.times.mean, self.now);
-        let allowed = scheduling::allowed_wait(request.patience, self.times.run, request.priority);
+        let run = self.times.run + estimate.idle_answer_time(self.answer_bytes, self.now);
+        let allowed = scheduling::allowed_wait(request.patience, run, request.priority);
         let (wait, allowed) = match estimate.waiting_priority(self.now) {
             // The request passes all that wait, and needs one slot.
             Some(waiting) if request.priority < waiting => {
@@ -669,7 +673,8 @@
             _ => (wait, allowed),
         };
         let transfer = estimate.transfer_time(request.body_bytes, self.now);
-        (wait + transfer + self.answer_time() + estimate.delay(self.now)).saturating_sub(allowed)
+        let answer_wait = estimate.answer_wait(self.answer_bytes, self.now);
+        (wait + transfer + answer_wait + estimate.delay(self.now)).saturating_sub(allowed)
     }
 
     /// Returns for how long a slow target has sent no report, if a request may be
--- a/crates/mesh/src/target_estimate.rs
+++ b/crates/mesh/src/target_estimate.rs
@@ -35,6 +35,10 @@
 /// The greatest age of a reported rate of long answers.
 const MAX_SEND_RATE_AGE: Duration = Duration::from_secs(1);
 
+/// The time constant with which the greatest reported rate of long answers decays; the
+/// link of a host may become slower.
+const IDLE_RATE_DECAY_TIME: Duration = Duration::from_secs(30);
+
 /// The factor by which an estimated transfer rate grows for each second of its
 /// age.
 const TRANSFER_RATE_GROWTH: f64 = 1.5;
@@ -75,7 +79,10 @@
     answer_rate: Option<(f64, Duration)>,
     /// The rate at which the target's host can send a long answer, in bytes a second,
     /// and when it was reported.
-    pub(crate) send_rate: Option<(f64, Duration)>,
+    send_rate: Option<(f64, Duration)>,
+    /// The greatest rate that was reported recently, in bytes a second. It is that of
+    /// an idle link, or lower if the link was never idle.
+    idle_send_rate: f64,
     /// By how much recent short requests exceeded the usual round-trip time, in
     /// seconds, and when it was updated.
     delay: Option<(f64, Duration)>,
@@ -102,14 +109,50 @@
         receive_rate: u64,
         now: Duration,
     ) -> Duration {
-        let recent = self
-            .send_rate
-            .filter(|(_, at)| now.saturating_sub(*at) <= MAX_SEND_RATE_AGE);
-        let send_rate = recent.map_or(f64::MAX, |(rate, _)| rate);
+        let send_rate = self.recent_send_rate(now).unwrap_or(f64::MAX);
         let rate = send_rate.min(receive_rate as f64).max(1.0);
+        Duration::from_secs_f64(self.requested_bytes(answer_bytes) / rate)
+    }
+
+    /// Returns the time for which the target's host sends a long answer on an idle
+    /// link; zero without a recent report.
+    pub(crate) fn idle_answer_time(&self, answer_bytes: u64, now: Duration) -> Duration {
+        match self.recent_send_rate(now) {
+            Some(_) => Duration::from_secs_f64(answer_bytes as f64 / self.idle_send_rate),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Returns for how long a long answer waits for the link of the target's host;
+    /// zero without a recent report.
+    pub(crate) fn answer_wait(&self, answer_bytes: u64, now: Duration) -> Duration {
+        let Some(rate) = self.recent_send_rate(now) else {
+            return Duration::ZERO;
+        };
+        let time = Duration::from_secs_f64(self.requested_bytes(answer_bytes) / rate);
+        time.saturating_sub(self.idle_answer_time(answer_bytes, now))
+    }
+
+    pub(crate) fn record_send_rate(&mut self, rate: f64, now: Duration) {
+        let rate = rate.max(1.0);
+        let age = self
+            .send_rate
+            .map_or(Duration::ZERO, |(_, at)| now.saturating_sub(at));
+        let kept = (-age.as_secs_f64() / IDLE_RATE_DECAY_TIME.as_secs_f64()).exp();
+        self.idle_send_rate = rate.max(self.idle_send_rate * kept);
+        self.send_rate = Some((rate, now));
+    }
+
+    fn recent_send_rate(&self, now: Duration) -> Option<f64> {
+        let (rate, at) = self.send_rate?;
+        (now.saturating_sub(at) <= MAX_SEND_RATE_AGE).then_some(rate)
+    }
+
+    /// Returns the length of a long answer with those that this host has requested
+    /// since the last report, in bytes.
+    fn requested_bytes(&self, answer_bytes: u64) -> f64 {
         let requested = self.in_flight.saturating_sub(self.in_flight_at_report);
-        let bytes = answer_bytes as f64 * f64::from(requested + 1);
-        Duration::from_secs_f64(bytes / rate)
+        answer_bytes as f64 * (f64::from(requested) + 1.0)
     }
 
     /// Returns the recent delay beyond the usual round trip and the service time.
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use radishgauge_mesh::LinkLoad;
 use radishgauge_mesh::LoadReport;
 use radishgauge_mesh::PlaceRequest;
 use radishgauge_mesh::RouteKey;
@@ -394,6 +395,52 @@
     assert_eq!(place(300_000, 9_000), "domain");
 }
 
+/// Guards against targets that are all ruled out by the time of long answers on idle
+/// links or by the full link of the caller's host, and against a `Retry-After` of hours.
+#[test]
+fn long_answers_on_idle_links_rule_no_target_out() {
+    const LINK_RATE: f64 = 1_250_000.0;
+    let route = RouteKey::new("shop", "export");
+    let mut placer = placer(&[]);
+    placer.record_answer_length(route, 900_000);
+    let mut place = |receive_rate, send_rate, now| {
+        for candidate in candidates() {
+            let id = &candidate.id;
+            placer.report(id, load(0, 0, 150), ms(now));
+            placer.record_send_rate(id, send_rate, ms(now));
+        }
+        let request = PlaceRequest {
+            objective: ms(800),
+            patience: ms(800),
+            route,
+            receive_rate,
+            ..REQUEST
+        };
+        let chosen = placer.place(&candidates()[1..], &request, ms(now))?;
+        let distance = TargetDistance::SameDomain;
+        placer.finish(&chosen, distance, 0, SendOutcome::Cancelled, ms(now));
+        Ok(chosen)
+    };
+    assert!(place(u64::MAX, LINK_RATE, 0).is_ok(), "links are idle");
+    assert!(place(0, LINK_RATE, 2_000).is_ok(), "the own link is full");
+    // Twice as many bytes wait for the links of all targets.
+    let retry_after = match place(u64::MAX, LINK_RATE / 3.0, 4_000) {
+        Err(PlacementError::Full { retry_after }) => retry_after,
+        other => panic!("{other:?}"),
+    };
+    assert!(retry_after < ms(2_000), "{retry_after:?}");
+}
+
+/// Guards against a full link that seems to receive nothing more, and against bodies
+/// that are sent to it unasked.
+#[test]
+fn full_link_still_receives_answers() {
+    let mut link = LinkLoad::new(1_000_000.0);
+    link.record_received(5_000_000, ms(1_000));
+    assert!(link.free_receive_rate(ms(1_000)) >= 50_000.0);
+    assert_eq!(link.unoffered_rate(ms(1_000)), 0.0);
+}
+
 /// Guards against requests that are sent to queues of more urgent ones, and against
 /// urgent requests that are held back by queues which they pass. A report that is
 /// too old, or from an owner that does not tell what waits, changes nothing.
