Serve requests whose body arrived after the objective

A request's objective counts from its head. When it had passed before the first placement, the allowed wait was 0, and any delay of a host ruled it out: a request with a slow body was refused although targets were idle. With less than a tenth of the objective left at the start, a target that may have a slot to spare is chosen first; without one the request is placed as before. The owner still admits it as other requests and not as a late one, because it refuses late ones at targets that declare a rate.

Counting the objective from the body's end was ruled out: the caller's wait began earlier.

--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -73,6 +73,10 @@
 /// have ended or cannot be reached.
 const MAX_TRIED: usize = 12;
 
+/// The least fraction of the objective with which a request is placed by it. With less,
+/// the allowed wait is so short that a small delay rules out idle targets.
+const MIN_OBJECTIVE_FRACTION: f64 = 0.1;
+
 /// One request with the data that its attempts need.
 struct EntryCall<'a> {
     node: &'a Arc<SidecarNode>,
@@ -83,6 +87,8 @@
     request: BufferedRequest,
     prints: RequestPrints,
     arrived: Duration,
+    /// Whether the objective passed before the first attempt, while the body arrived.
+    is_late_at_start: bool,
     deadline: Duration,
     version: u64,
 }
@@ -184,6 +190,7 @@
         request,
         prints,
         arrived,
+        is_late_at_start: is_objective_over(route, node.now().saturating_sub(arrived)),
         deadline: arrived + longest,
         version: config.version(),
     };
@@ -194,6 +201,12 @@
     answer
 }
 
+/// Returns whether too little of the objective is left to place a request by it.
+fn is_objective_over(route: &MeshRoute, spent: Duration) -> bool {
+    let left = route.objective.saturating_sub(spent);
+    left <= route.objective.mul_f64(MIN_OBJECTIVE_FRACTION)
+}
+
 /// Returns the tenant of a request, if it has one.
 ///
 /// # Errors
@@ -226,6 +239,14 @@
     }
 }
 
+/// Returns the candidate with this ID.
+fn find_candidate(candidates: Vec<Candidate>, id: &str) -> Result<Candidate, PlacementError> {
+    candidates
+        .into_iter()
+        .find(|candidate| candidate.place.id == id)
+        .ok_or(PlacementError::NoTarget)
+}
+
 impl EntryCall<'_> {
     async fn run(&self) -> HttpAnswer {
         let now = self.node.now();
@@ -372,6 +393,14 @@
             .map(|candidate| candidate.place.clone())
             .collect();
         self.observe_spare(&places);
+        if self.is_late_at_start {
+            // No target answers it in time, but an idle one still serves it.
+            let request = self.late_request(now);
+            let chosen = self.node.placer().place_late(&places, &request, now);
+            if let Some(id) = chosen {
+                return find_candidate(candidates, &id);
+            }
+        }
         let objective = self.objective_left(now);
         let patience = match self.is_call() {
             true => self.deadline.saturating_sub(now),
@@ -386,10 +415,7 @@
             receive_rate: self.node.link().free_receive_rate(now) as u64,
         };
         let id = self.node.placer().place(&places, &request, now)?;
-        candidates
-            .into_iter()
-            .find(|candidate| candidate.place.id == id)
-            .ok_or(PlacementError::NoTarget)
+        find_candidate(candidates, &id)
     }
 
     /// Returns the priority of the request; that of its tenant goes before that of its
