Admit late requests with long answers by their time limit

An owner compared the backlog of its link with what is left of the objective, which is 0 for a late request, so that any backlog refused it. For a request that is marked late or whose objective has passed, the time left until its caller stops waiting counts, as for calls.

The new test failed before (a late request refused with 20 s left and a backlog of 4 s) and passes now, as do the other tests of the node.

--- a/crates/sidecar/src/answer_lease.rs
+++ b/crates/sidecar/src/answer_lease.rs
@@ -79,7 +79,9 @@
     if bytes == 0 {
         return Ok(());
     }
-    let time_left = Duration::from_micros(match head.call {
+    // After the objective, an answer is useful until its caller stops waiting.
+    let is_late = head.late || head.objective_us == 0;
+    let time_left = Duration::from_micros(match head.call || is_late {
         true => head.time_left_us,
         false => head.objective_us.min(head.time_left_us),
     });
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -444,3 +444,26 @@
     assert!(answer_lease::check(&node, &call).is_ok());
     assert!(answer_lease::check(&node, &head("read")).is_ok());
 }
+
+/// Guards against late requests that any backlog of the link refuses, because nothing is
+/// left of their objective.
+#[test]
+fn late_request_is_admitted_by_the_time_that_its_caller_waits() {
+    let mut settings = common::settings();
+    settings.link_rate = 1_250_000.0;
+    let node = Arc::new(node_with(settings));
+    let head = |late, objective_us, time_left_us| HopHead {
+        route: "export".to_owned(),
+        late,
+        objective_us,
+        time_left_us,
+        ..HopHead::default()
+    };
+    // The link sends the answer for 4 s.
+    answer_lease::begin(&node, &head(false, 800_000, 9_000_000)).end(&answered(5_000_000));
+    assert!(answer_lease::check(&node, &head(false, 800_000, 20_000_000)).is_err());
+    assert!(answer_lease::check(&node, &head(true, 0, 20_000_000)).is_ok());
+    assert!(answer_lease::check(&node, &head(true, 5_000, 20_000_000)).is_ok());
+    assert!(answer_lease::check(&node, &head(false, 0, 20_000_000)).is_ok());
+    assert!(answer_lease::check(&node, &head(true, 0, 5_000_000)).is_err());
+}
