Let one request wait at an idle service of a large fleet

Each daemon counts on its equal part of the spare rate. In a fleet of 6,000 daemons that part serves less than one request within a time limit, so that nobody could wait at an idle service, although one could at a service of which nothing is known. The probing place is now given unless a busy period is in progress.

The new test failed before and passes now.

--- a/crates/mesh/src/spare_forecast.rs
+++ b/crates/mesh/src/spare_forecast.rs
@@ -93,6 +93,11 @@
         };
     }
 
+    /// Returns whether a busy period is in progress.
+    pub fn is_busy(&self) -> bool {
+        self.busy_since.is_some()
+    }
+
     /// Returns how much longer nothing is expected to be spare.
     pub fn busy_left(&self, now: Duration) -> Duration {
         self.busy_since.map_or(Duration::ZERO, |since| {
--- a/crates/mesh/src/waiting_line.rs
+++ b/crates/mesh/src/waiting_line.rs
@@ -18,8 +18,8 @@
 /// its caller in time.
 const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
-/// The number of requests that may wait while nothing is known of spare capacity. It
-/// finds out whether there is some.
+/// The number of requests that may wait while nothing is known of spare capacity, or
+/// while this daemon's part of it is less. They find out whether there is some.
 const PROBING_PLACES: usize = 1;
 
 /// The greatest number of requests that wait for one service.
@@ -120,7 +120,11 @@
         let ahead = self.places.range(..place).count();
         let served = match self.spare.is_known(now) {
             true => self.spare.served_within(give_up_at - now, now),
-            false => PROBING_PLACES as f64,
+            false => 0.0,
+        };
+        let served = match self.spare.is_known(now) && self.spare.is_busy() {
+            true => served,
+            false => served.max(PROBING_PLACES as f64),
         };
         if ahead as f64 + 1.0 > served {
             return Err(LineRefusal::NoChance);
--- a/crates/mesh/tests/mesh/waiting.rs
+++ b/crates/mesh/tests/mesh/waiting.rs
@@ -258,6 +258,31 @@
     assert_eq!(second, Err(LineRefusal::NoChance), "the reports are old");
 }
 
+/// Guards against an idle service that lets nobody wait, because each daemon of a large
+/// fleet gets a small part of its spare rate, and against waiting at a busy one.
+#[test]
+fn one_request_waits_in_a_large_fleet_unless_the_service_is_busy() {
+    let line_with = |fraction| {
+        let mut line = WaitingLine::default();
+        // 300 a second of 6,000 daemons.
+        line.record_spare(
+            SpareCapacity {
+                fraction,
+                rate: 0.05,
+            },
+            ms(0),
+        );
+        line
+    };
+    let mut idle = line_with(0.9);
+    assert!(idle.join(&line_request(0, 5_000), ms(0)).is_ok());
+    let second = idle.join(&line_request(0, 5_000), ms(0));
+    assert_eq!(second, Err(LineRefusal::NoChance));
+    let mut busy = line_with(0.0);
+    let first = busy.join(&line_request(0, 5_000), ms(0));
+    assert_eq!(first, Err(LineRefusal::NoChance));
+}
+
 /// Guards against requests that wait through a busy period that outlasts them, and
 /// against those that are refused shortly before its end.
 #[test]
