Check the time limit before the candidates for waiting are listed

A refused request whose caller does not wait beyond the objective still built the list of all candidates and estimated their service times under the placer's lock, only to be refused by the line. The line checks the time limit itself too, as its other users rely on it. The outcome is the same, so no test can fail before.

--- a/crates/sidecar/src/entry/late.rs
+++ b/crates/sidecar/src/entry/late.rs
@@ -107,6 +107,11 @@
     }
 
     fn join_line(&self) -> Result<WaitingPlace, LineRefusal> {
+        // Most refused requests end here, so it comes before the list of all candidates.
+        let time_limit = self.deadline.saturating_sub(self.arrived);
+        if !scheduling::may_wait_late(self.route.objective, time_limit) {
+            return Err(LineRefusal::TimeLimit);
+        }
         let now = self.node.now();
         let places: Vec<PlaceCandidate> = self
             .node
@@ -122,7 +127,7 @@
             urgency: self.kind().urgency,
             objective: self.route.objective,
             deadline: self.deadline,
-            time_limit: self.deadline.saturating_sub(self.arrived),
+            time_limit,
             run,
         };
         let body_bytes = self.request.body.len();
