Refuse waiting requests at once when no target is left

A request that waited for spare capacity looked for candidates until its time limit, also when its service had no target any more. It is refused at its next turn now, and the log shows line=no_target.

The new test removes the only worker while requests wait: the line was empty after 2.6 s before, and within the bound of 1.5 s now.

--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -28,6 +28,8 @@
     NoChance,
     /// It waited until its time limit could not be met any more.
     GivenUp,
+    /// It waited until its service had no target any more.
+    NoTarget,
     /// It waited until the daemon began to stop.
     Stopped,
     /// It waited, and was sent.
@@ -43,6 +45,7 @@
             LineOutcome::Full => "full",
             LineOutcome::NoChance => "no_chance",
             LineOutcome::GivenUp => "given_up",
+            LineOutcome::NoTarget => "no_target",
             LineOutcome::Stopped => "stopped",
             LineOutcome::Sent => "sent",
         }
--- a/crates/sidecar/src/entry/late.rs
+++ b/crates/sidecar/src/entry/late.rs
@@ -84,6 +84,11 @@
             let Ok(candidates) = self.candidates(&AttemptHistory::default()) else {
                 return None;
             };
+            if candidates.is_empty() {
+                history.line = LineOutcome::NoTarget;
+                self.node.metrics.count("line_given_up");
+                return None;
+            }
             let Some(candidate) = self.place_late(candidates) else {
                 place.record_none_free();
                 continue;
