Bound the refused tries of one waiting request

A request in the line was offered again and again until its time limit, 800 ms apart in the end. With a long limit, that loads owners for a request without a chance. It gives up after twelve refused tries; the next request of the line has all its own.

--- a/crates/mesh/src/waiting_line.rs
+++ b/crates/mesh/src/waiting_line.rs
@@ -38,6 +38,10 @@
 /// The longest time between two tries.
 const MAX_PAUSE: Duration = Duration::from_millis(800);
 
+/// The number of tries of one request that owners may refuse. Further ones would load
+/// the owners for a request that has little chance.
+const MAX_REFUSED_TRIES: u32 = 12;
+
 /// A request that may wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LineRequest {
@@ -78,15 +82,22 @@
     Try,
     /// Waits until the given time, or until it is the first.
     Wait(Duration),
-    /// Is refused: its time limit cannot be met any more.
+    /// Is refused: its time limit cannot be met any more, or owners refused too many
+    /// of its tries.
     GiveUp,
 }
 
+/// The state of one waiting request.
+#[derive(Debug, Clone, Copy)]
+struct WaitingState {
+    give_up_at: Duration,
+    refused_tries: u32,
+}
+
 /// The requests for one service that wait at one daemon.
 #[derive(Debug, Default)]
 pub struct WaitingLine {
-    /// When each request gives up.
-    places: BTreeMap<LinePlace, Duration>,
+    places: BTreeMap<LinePlace, WaitingState>,
     next_number: u64,
     /// The capacity that requests in time leave to this daemon.
     spare: SpareForecast,
@@ -130,16 +141,21 @@
             return Err(LineRefusal::NoChance);
         }
         self.next_number += 1;
-        self.places.insert(place, give_up_at);
+        let state = WaitingState {
+            give_up_at,
+            refused_tries: 0,
+        };
+        self.places.insert(place, state);
         Ok(place)
     }
 
     /// Returns what a waiting request does next.
     pub fn next_step(&self, place: LinePlace, now: Duration) -> LineStep {
-        let Some(&give_up_at) = self.places.get(&place) else {
+        let Some(&state) = self.places.get(&place) else {
             return LineStep::GiveUp;
         };
-        if now >= give_up_at {
+        let give_up_at = state.give_up_at;
+        if now >= give_up_at || state.refused_tries >= MAX_REFUSED_TRIES {
             LineStep::GiveUp
         } else if self.first() != Some(place) {
             LineStep::Wait(give_up_at)
@@ -186,8 +202,11 @@
         self.next_try = now + CHECK_INTERVAL;
     }
 
-    /// Records that an owner refused a try.
-    pub fn record_refused(&mut self, now: Duration) {
+    /// Records that an owner refused a try of a request.
+    pub fn record_refused(&mut self, place: LinePlace, now: Duration) {
+        if let Some(state) = self.places.get_mut(&place) {
+            state.refused_tries += 1;
+        }
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.next_try = now + self.pause;
     }
--- a/crates/mesh/tests/mesh/contended_fleet.rs
+++ b/crates/mesh/tests/mesh/contended_fleet.rs
@@ -621,8 +621,8 @@
     fn offer_refused(&mut self, index: usize, now: Duration) {
         self.finish_attempt(index, SendOutcome::Full, now);
         self.record_call(index, now);
-        if self.requests[index].place.is_some() {
-            self.line_of(index).record_refused(now);
+        if let Some(place) = self.requests[index].place {
+            self.line_of(index).record_refused(place, now);
             return self.schedule_turn(index, now);
         }
         let request = &mut self.requests[index];
--- a/crates/mesh/tests/mesh/waiting.rs
+++ b/crates/mesh/tests/mesh/waiting.rs
@@ -204,7 +204,7 @@
     let mut now = ms(0);
     let mut pauses = Vec::new();
     for _ in 0..6 {
-        line.record_refused(now);
+        line.record_refused(urgent, now);
         let LineStep::Wait(until) = line.next_step(urgent, now) else {
             panic!("a refused request must pause");
         };
@@ -221,6 +221,29 @@
     assert!(line.is_empty());
 }
 
+/// Guards against a request that loads owners with tries until its time limit: after
+/// twelve refusals it gives up, and the next request still has all its tries.
+#[test]
+fn refused_tries_of_a_request_are_bounded() {
+    let mut line = line();
+    let first = line.join(&line_request(0, 60_000), ms(0)).unwrap();
+    let second = line.join(&line_request(1, 60_000), ms(0)).unwrap();
+    let mut now = ms(0);
+    let mut tries = 0;
+    while line.next_step(first, now) != LineStep::GiveUp {
+        if line.next_step(first, now) == LineStep::Try {
+            line.record_refused(first, now);
+            tries += 1;
+        }
+        now += ms(50);
+        assert!(now < ms(50_000), "{tries} tries");
+    }
+    assert_eq!(tries, 12);
+    line.leave(first);
+    now += ms(800);
+    assert_eq!(line.next_step(second, now), LineStep::Try);
+}
+
 /// Guards against requests that wait although their callers do not, although they will
 /// not be served in time, or in unbounded numbers.
 #[test]
--- a/crates/sidecar/src/waiting_lines.rs
+++ b/crates/sidecar/src/waiting_lines.rs
@@ -194,8 +194,9 @@
     pub(crate) fn record_refused(&self) {
         let now = self.node.now();
         let mut lines = self.node.waiting_lines();
-        if let Some(service_line) = lines.services.get_mut(&self.service) {
-            service_line.line.record_refused(now);
+        let service_line = lines.services.get_mut(&self.service);
+        if let Some((service_line, place)) = service_line.zip(self.place) {
+            service_line.line.record_refused(place, now);
         }
     }
 
