--- a/crates/mesh/tests/mesh/contended_fleet.rs
+++ b/crates/mesh/tests/mesh/contended_fleet.rs
@@ -629,8 +629,8 @@
         };
         self.finish_attempt(index, outcome, now);
         self.record_call(index, now);
-        if self.requests[index].place.is_some() {
-            self.line_of(index).record_refused(now);
+        if let Some(place) = self.requests[index].place {
+            self.line_of(index).record_refused(place, now);
             return self.schedule_turn(index, now);
         }
         let request = &mut self.requests[index];
