Take tokens out of a daemon's own bucket only when they are needed

A daemon that owns a tenant's bucket itself also granted itself tokens for expected requests. They expire in its stock after 1 s, while in the bucket they stay, and taking them there costs no message.

Messages of a daemon to itself ask for the waiting requests only.

Ruled out: a longer lease for own tokens, since the bound counts tokens that are granted before a window and used in it.

daemon_asks_itself_for_waiting_requests_only is a test of the new method, so it has no result before the change.

--- a/crates/mesh/src/quota/entry.rs
+++ b/crates/mesh/src/quota/entry.rs
@@ -352,6 +352,20 @@
         (!message.tokens.is_empty()).then_some(SentAsk { message, sent: now })
     }
 
+    /// Returns the next message to this daemon itself as an owner, like [`EntryQuota::ask`]
+    /// but for the waiting requests only: tokens taken in advance could expire in stock,
+    /// while those in the bucket cost no message.
+    pub fn ask_own<F>(&mut self, is_owner: F, now: Duration) -> Option<SentAsk>
+    where
+        F: FnMut(&str) -> bool,
+    {
+        let mut ask = self.ask(is_owner, now)?;
+        for request in &mut ask.message.tokens {
+            request.ahead = 0;
+        }
+        Some(ask)
+    }
+
     /// Returns the tenants with waiting requests that are due to be asked for.
     pub fn due_tenants(&self, now: Duration) -> impl Iterator<Item = &SmolStr> {
         self.waiting.iter().filter(move |tenant| {
--- a/crates/mesh/tests/mesh/quota.rs
+++ b/crates/mesh/tests/mesh/quota.rs
@@ -519,6 +519,23 @@
     assert_eq!(lent, 0.25);
 }
 
+/// Guards against a daemon that takes tokens out of its own bucket before it needs them, as
+/// they expire in its stock and would not do so in the bucket.
+#[test]
+fn daemon_asks_itself_for_waiting_requests_only() {
+    let tenant = SmolStr::from("shop");
+    let mut entry = EntryQuota::new(Duration::ZERO);
+    for _ in 0..10 {
+        entry.admit(&tenant, ms(0));
+    }
+    let ask = entry.ask(|_| true, ms(0)).unwrap();
+    assert_eq!(ask.message.tokens[0].ahead, 5);
+    entry.fail(&ask);
+    let ask = entry.ask_own(|_| true, ms(0)).unwrap();
+    let request = &ask.message.tokens[0];
+    assert_eq!((request.waiting, request.ahead), (10, 0));
+}
+
 /// Guards against a daemon that keeps every tenant which ever sent a request.
 #[test]
 fn idle_tenants_are_dropped() {
--- a/crates/mesh/tests/mesh/quota_load/fleet.rs
+++ b/crates/mesh/tests/mesh/quota_load/fleet.rs
@@ -616,7 +616,12 @@
             .cloned()
             .collect();
         let entry = &mut self.daemons[host].entry;
-        entry.ask(|tenant| owned.contains(tenant), self.now)
+        let is_owner = |tenant: &str| owned.contains(tenant);
+        if owner == host {
+            entry.ask_own(is_owner, self.now)
+        } else {
+            entry.ask(is_owner, self.now)
+        }
     }
 
     fn ask_self(&mut self, host: usize) {
--- a/crates/sidecar/src/quota_exchange.rs
+++ b/crates/sidecar/src/quota_exchange.rs
@@ -170,7 +170,12 @@
         .filter(|tenant| state.asked_host(tenant, now) == Some(owner))
         .cloned()
         .collect();
-    state.entry.ask(|tenant| owned.contains(tenant), now)
+    let is_owner = |tenant: &str| owned.contains(tenant);
+    if state.own() == Some(owner) {
+        state.entry.ask_own(is_owner, now)
+    } else {
+        state.entry.ask(is_owner, now)
+    }
 }
 
 /// Sends messages to an owner, one after the other, while requests wait for its tokens.
