Count waiting requests by urgency

Each report scanned the whole queue for the most urgent priority, under the lock of the owner. The counts by urgency are kept up as requests join and leave the queue.

The priority is that of the request itself, while the queue is ordered by the urgency with which it competes, so the first of the queue is not it.

The new test checks the report for each way out of the queue; it guards the counts and passes with the scan as well. The tests of admission and shares pass as before.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -31,6 +31,7 @@
 use crate::scheduling;
 use crate::shares::RequestKind;
 use crate::shares::ServedShares;
+use crate::urgency_counts::UrgencyCounts;
 
 /// The weight of one run in the moving averages of service times.
 const RUN_WEIGHT: f64 = 0.1;
@@ -151,6 +152,8 @@
     closed: Option<CloseReason>,
     rates: RateLimits,
     queue: BTreeMap<WaitKey, WaitingRequest>,
+    /// The requests in the queue by their own urgency.
+    waiting_urgencies: UrgencyCounts,
     next_number: u64,
     shares: ServedShares,
     call_pressure: CallPressure,
@@ -177,6 +180,7 @@
             closed: None,
             rates: RateLimits::default(),
             queue: BTreeMap::new(),
+            waiting_urgencies: UrgencyCounts::default(),
             next_number: 0,
             shares: ServedShares::default(),
             call_pressure: CallPressure::default(),
@@ -328,6 +332,7 @@
             number: self.next_number,
         };
         self.next_number += 1;
+        self.waiting_urgencies.add(request.urgency);
         self.queue.insert(
             key,
             WaitingRequest {
@@ -346,7 +351,7 @@
     pub fn decide_next(&mut self, now: Duration) -> Option<QueueDecision> {
         let (&key, _) = self.queue.first_key_value()?;
         if let Some(reason) = self.closed {
-            self.queue.remove(&key);
+            self.take_waiting(key);
             return Some(QueueDecision {
                 key,
                 decision: Err(closed_refusal(reason)),
@@ -356,7 +361,7 @@
             return None;
         }
         let key = self.overdue_key(key, now).unwrap_or(key);
-        let waiting = self.queue.remove(&key)?;
+        let waiting = self.take_waiting(key)?;
         let left = waiting.deadline.saturating_sub(now);
         // The request would probably time out during its run, which would be
         // wasted.
@@ -414,7 +419,13 @@
     /// if it was still waiting. Otherwise it has been decided on, and a run must
     /// be ended with [`LocalAdmission::finish`].
     pub fn remove_waiting(&mut self, key: WaitKey) -> bool {
-        self.queue.remove(&key).is_some()
+        self.take_waiting(key).is_some()
+    }
+
+    fn take_waiting(&mut self, key: WaitKey) -> Option<WaitingRequest> {
+        let waiting = self.queue.remove(&key)?;
+        self.waiting_urgencies.remove(waiting.urgency);
+        Some(waiting)
     }
 
     /// Returns when [`LocalAdmission::decide_next`] must be called if nothing else
@@ -456,7 +467,7 @@
             service_time: self.mean.map(Duration::from_secs_f64),
             cold: self.rates.cold.is_cold(now),
             efficient_limit: self.efficient_limit.get(),
-            waiting_priority: self.waiting_priority(),
+            waiting_priority: self.waiting_urgencies.most_urgent(),
         }
     }
 
@@ -466,11 +477,6 @@
         self.routes.get(route).copied().map(Duration::from_secs_f64)
     }
 
-    /// Returns the most urgent priority among the waiting requests.
-    fn waiting_priority(&self) -> Option<u32> {
-        self.queue.values().map(|waiting| waiting.urgency).min()
-    }
-
     fn start(&mut self, now: Duration) {
         self.running += 1;
         self.rates.record(now);
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod target_speed;
 pub mod tenant;
 pub mod tenant_directory;
+mod urgency_counts;
 pub mod waiting_line;
 pub mod well_runs;
 
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -293,3 +293,30 @@
     cold.cold_mut().set_cold(ms(10_000), 5.0);
     assert!(!is_run(&mut cold), "the rate is limited");
 }
+
+/// Guards against a report of a priority that waits no longer, or that is missing,
+/// however the requests leave the queue.
+#[test]
+fn report_tells_the_most_urgent_of_those_that_still_wait() {
+    let mut admission = admission(1);
+    let urgency = |urgency| request("read", 1000, urgency);
+    assert_eq!(admission.decide(&urgency(1), ms(0)), AdmissionDecision::Run);
+    let first = wait_key(&mut admission, &urgency(0));
+    let keys = [1, 1, 2, 2].map(|number| wait_key(&mut admission, &urgency(number)));
+    let reported = |admission: &LocalAdmission| admission.report(ms(0)).waiting_priority;
+    assert_eq!(reported(&admission), Some(0));
+    // One runs.
+    admission.finish(&SmolStr::new("read"), Some(ms(100)));
+    assert_eq!(admission.decide_next(ms(0)).unwrap().key, first);
+    assert_eq!(reported(&admission), Some(1));
+    // The callers of two disconnect, of one twice.
+    assert!(admission.remove_waiting(keys[0]));
+    assert!(!admission.remove_waiting(keys[0]));
+    assert_eq!(reported(&admission), Some(1));
+    assert!(admission.remove_waiting(keys[1]));
+    assert_eq!(reported(&admission), Some(2));
+    // The others are refused.
+    admission.set_closed(Some(CloseReason::Draining));
+    while admission.decide_next(ms(0)).is_some() {}
+    assert_eq!(reported(&admission), None);
+}
