Bound the times that other daemons state of their requests

Cause: the times in a hop head were taken as they are. At a busy owner, a request with the greatest objective and priority overflowed its virtual deadline and ended the daemon. Change: the bound on times in reports holds for those in heads, too. Ruled out: saturating arithmetic in each use, which would have to be repeated.

--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -27,9 +27,9 @@
 /// The field of an answer that contains a [`HopReport`].
 const REPORT: HeaderName = HeaderName::from_static("x-mesh-report");
 
-/// The greatest service time or wait that is taken from a report. A faulty owner may
-/// report any time, and multiples of it must remain valid durations.
-const MAX_REPORTED_TIME: Duration = Duration::from_secs(3_600);
+/// The greatest time that is taken from another daemon. A faulty one may state any
+/// time, and multiples of it must remain valid durations.
+const MAX_STATED_TIME: Duration = Duration::from_secs(3_600);
 
 /// The greatest number of requests that is taken from a report, for the same reason.
 const MAX_REPORTED_REQUESTS: u32 = 1_000_000;
@@ -93,9 +93,9 @@
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
 
-/// Returns a time of a report within its bound.
-fn reported_time(micros: u64) -> Duration {
-    Duration::from_micros(micros).min(MAX_REPORTED_TIME)
+/// Returns a time that another daemon states, within its bound.
+pub(crate) fn stated_time(micros: u64) -> Duration {
+    Duration::from_micros(micros).min(MAX_STATED_TIME)
 }
 
 /// Returns the load in a hop report, with all numbers within their bounds.
@@ -103,8 +103,8 @@
     LoadReport {
         occupied: report.occupied.min(MAX_REPORTED_REQUESTS),
         limit: report.limit.min(MAX_REPORTED_REQUESTS),
-        wait: reported_time(report.wait_us),
-        service_time: (report.service_us > 0).then(|| reported_time(report.service_us)),
+        wait: stated_time(report.wait_us),
+        service_time: (report.service_us > 0).then(|| stated_time(report.service_us)),
         cold: report.cold,
         efficient_limit: (report.efficient_limit > 0).then_some(report.efficient_limit),
         waiting_priority: report.waiting_priority.checked_sub(1),
@@ -113,7 +113,7 @@
 
 /// Returns the mean service time of the request's route, if the owner reported it.
 pub fn route_service_time(report: &HopReport) -> Option<Duration> {
-    (report.route_service_us > 0).then(|| reported_time(report.route_service_us))
+    (report.route_service_us > 0).then(|| stated_time(report.route_service_us))
 }
 
 /// Returns the time after which the owner may have capacity, if it reported one.
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -312,7 +312,7 @@
         head: &HopHead,
         admitted: Option<AdmittedRequest>,
     ) -> TargetOutcome {
-        let deadline = self.clock.now() + Duration::from_micros(head.time_left_us);
+        let deadline = self.clock.now() + hop::stated_time(head.time_left_us);
         let prints = hop::prints(head, request);
         let software = self.state().software(&head.target);
         let is_reserved = admitted.is_some();
@@ -428,8 +428,8 @@
     pub fn admit(self: &Arc<Self>, head: &HopHead) -> Result<AdmittedRequest, NotRun> {
         let request = AdmissionRequest {
             route: SmolStr::from(head.route.as_str()),
-            objective: Duration::from_micros(head.objective_us),
-            time_left: Duration::from_micros(head.time_left_us),
+            objective: hop::stated_time(head.objective_us),
+            time_left: hop::stated_time(head.time_left_us),
             priority: head.priority,
             urgency: hop::urgency(head),
             is_call: head.call,
--- a/crates/sidecar/tests/owner.rs
+++ b/crates/sidecar/tests/owner.rs
@@ -166,3 +166,22 @@
         assert!(!refusal.reached_target);
     }
 }
+
+/// Guards against a daemon that ends because another one states times and priorities
+/// that no request has.
+#[tokio::test]
+async fn absurd_numbers_of_another_daemon_are_bounded() {
+    let mut setup = OwnerSetup::new();
+    let ready = setup.registration(false);
+    setup.apply(ready);
+    let _running = setup.owner.admit(&head()).ok().unwrap();
+    let absurd = HopHead {
+        objective_us: u64::MAX,
+        time_left_us: u64::MAX,
+        priority: u32::MAX,
+        ..head()
+    };
+    // The slot is in use, so the request is ordered by its virtual deadline.
+    let _waiting = setup.owner.admit(&absurd);
+    assert!(setup.owner.admit(&head()).is_ok());
+}
