Say in names, comments and pages what a first reader missed

Mended: comments that said something else than the code (quota.proto, hop.proto, loans, closed connections, service times), names (upper and lower bounds of speeds, the shortest service time, the backlog of a link, timeouts in tests), one margin that stood three times, the end of two placing functions that stood twice, times of peers that were not bounded, a fault that called a list of keys empty, and pages that named other events, limits or ranges than the code.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -76,7 +76,7 @@
     SETTING_UNAPPLIED = 6007, Warn, "changed setting is not applied", "field, in_force, in_file", "Restart the daemon, which then uses the value of the file.";
     STORE_LOST = 6101, Warn, "store cannot be read", "error, revision", "Check the platform's store; the daemon keeps its state, or receives it from peers.";
     STORE_REGAINED = 6102, Info, "store can be read again", "revision, away_ms", "None.";
-    ITEM_UNREADABLE = 6103, Warn, "store item cannot be decoded", "item", "None; another program wrote the item, and it is ignored.";
+    ITEM_UNREADABLE = 6103, Warn, "store item cannot be decoded", "item", "If the item is op/config, correct the field that the line names and publish a greater version; the version in force stays. Else none: another program wrote the item, and it is ignored.";
     PLATFORM_STATE_CHANGED = 6104, Info, "platform state changed", "change, source, health, revision", "None.";
     STATE_RECEIVED = 6105, Info, "state received from a peer", "peer, from, to", "None; the store could not be read in time.";
     STATE_EXCHANGE_FAILED = 6106, Debug, "state exchange with a peer failed", "peer, error", "None while other peers answer.";
--- a/crates/mesh/src/answer_link.rs
+++ b/crates/mesh/src/answer_link.rs
@@ -42,7 +42,7 @@
         }
     }
 
-    /// Changes the capacity.
+    /// Changes the rate of the link in bytes a second; its backlog remains.
     pub fn set_capacity(&mut self, capacity: f64) {
         self.capacity = capacity.max(1.0);
     }
@@ -87,8 +87,8 @@
         self.admitted = self.admitted.saturating_sub(lease.bytes);
     }
 
-    /// Records that the link must send an answer.
-    pub fn record_sent(&mut self, bytes: u64, now: Duration) {
+    /// Adds an answer to the bytes that wait for the link.
+    pub fn enqueue(&mut self, bytes: u64, now: Duration) {
         self.drain(now);
         self.backlog += bytes as f64;
     }
--- a/crates/mesh/src/call_pressure.rs
+++ b/crates/mesh/src/call_pressure.rs
@@ -13,9 +13,12 @@
 /// The time constant with which the answers to calls lose their weight.
 const ANSWER_DECAY_TIME: Duration = Duration::from_secs(1);
 
-/// The part of the calls of a route that more urgent requests must wait behind, from
-/// which its requests give way. Short queues form below full use, too.
-const HIGH_PRESSURE: f64 = 0.5;
+/// The fraction of a route's calls that must meet a queue, or a more urgent request in it,
+/// before requests of the route are refused. Short queues also form below full use.
+const QUEUED_CALLS_FRACTION: f64 = 0.5;
+
+/// The weight of answered calls below which a route may be dropped.
+const MIN_PRESENT_WEIGHT: f64 = 0.5;
 
 /// The weight of the assumption that no request waits, against chance results of a
 /// few calls.
@@ -81,7 +84,7 @@
     pub fn record(&mut self, route: &SmolStr, queue: CalledQueue, now: Duration) {
         if !self.routes.contains_key(route) && self.routes.len() >= MAX_ROUTES {
             self.routes
-                .retain(|_, counts| counts.at(now).answered >= HIGH_PRESSURE);
+                .retain(|_, counts| counts.at(now).answered >= MIN_PRESENT_WEIGHT);
             if self.routes.len() >= MAX_ROUTES {
                 return;
             }
@@ -101,7 +104,7 @@
     pub fn is_high(&self, route: &SmolStr, now: Duration) -> bool {
         self.routes.get(route).is_some_and(|counts| {
             let counts = counts.at(now);
-            counts.contested > (counts.answered + PRIOR_WEIGHT) * HIGH_PRESSURE
+            counts.contested > (counts.answered + PRIOR_WEIGHT) * QUEUED_CALLS_FRACTION
         })
     }
 
@@ -109,7 +112,7 @@
     pub fn meets_queues(&self, route: &SmolStr, now: Duration) -> bool {
         self.routes.get(route).is_some_and(|counts| {
             let counts = counts.at(now);
-            counts.queued > (counts.answered + PRIOR_WEIGHT) * HIGH_PRESSURE
+            counts.queued > (counts.answered + PRIOR_WEIGHT) * QUEUED_CALLS_FRACTION
         })
     }
 }
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -312,13 +312,7 @@
             (None, None, Some((_, candidate))) => candidate,
             (None, None, None) => return Err(PlacementError::NoTarget),
         };
-        if chosen.distance == TargetDistance::OtherRegion {
-            self.cross_region.record_sent(request.body_bytes, now);
-            self.cross_region_answers.record_sent(answer_bytes, now);
-        }
-        let estimate = self.estimates.entry(chosen.id.clone()).or_default();
-        estimate.in_flight += 1;
-        Ok(chosen.id.clone())
+        Ok(self.record_placed(chosen, request, answer_bytes, now))
     }
 
     /// Returns how requests were placed so far.
@@ -364,17 +358,30 @@
             }
         }
         let (_, chosen) = best?;
+        Some(self.record_placed(chosen, request, answer_bytes, now))
+    }
+
+    /// Counts a request as in flight at the chosen target, and its bytes against the budgets
+    /// between regions.
+    fn record_placed(
+        &mut self,
+        chosen: &PlaceCandidate,
+        request: &PlaceRequest,
+        answer_bytes: u64,
+        now: Duration,
+    ) -> SmolStr {
         if chosen.distance == TargetDistance::OtherRegion {
             self.cross_region.record_sent(request.body_bytes, now);
             self.cross_region_answers.record_sent(answer_bytes, now);
         }
         let estimate = self.estimates.entry(chosen.id.clone()).or_default();
         estimate.in_flight += 1;
-        Some(chosen.id.clone())
+        chosen.id.clone()
     }
 
-    /// Returns the service time that is expected of a request.
-    pub fn expected_service_time(
+    /// Returns the shortest mean service time, over all routes, that a candidate reported
+    /// recently; a default fraction of the objective without a report.
+    pub fn shortest_service_time(
         &self,
         candidates: &[PlaceCandidate],
         request: &PlaceRequest,
--- a/crates/mesh/src/quota/bucket.rs
+++ b/crates/mesh/src/quota/bucket.rs
@@ -41,7 +41,8 @@
 /// times the round trip.
 const NEAR_LOAN_WAIT: Duration = Duration::from_millis(3);
 
-/// When an entry daemon asks again while a loan from another region is expected.
+/// When an entry daemon asks again while a loan from another region is expected: half of a
+/// usual round trip, so that little time is lost when the loan has come.
 const FAR_LOAN_WAIT: Duration = Duration::from_millis(14);
 
 /// The longest time that a request waits for a token which the bucket gets by itself.
@@ -290,7 +291,8 @@
         }
     }
 
-    /// Records that a lender did not answer, or is not the owner there.
+    /// Records that a lender did not answer, or that its failure domain has no reachable
+    /// owner.
     pub fn fail_loan(&mut self, lender: &str, now: Duration) {
         let state = self.lenders.entry(lender.into()).or_default();
         state.expected_until = None;
--- a/crates/mesh/src/return_order.rs
+++ b/crates/mesh/src/return_order.rs
@@ -54,8 +54,8 @@
         let free_after = forecast.busy_left(now).max(spread);
         let latest = request.time_left.mul_f64(MAX_RETURN_FRACTION);
         if free_after > latest {
-            // Nothing will be spare while this caller waits. By chance, a slot is free
-            // while an answer is still in time.
+            // No capacity is expected before the caller gives up. It returns early, since
+            // a slot may be free contrary to the forecast.
             return spread;
         }
         let served_first = interval.saturating_mul(waiting as u32);
--- a/crates/mesh/src/scheduling.rs
+++ b/crates/mesh/src/scheduling.rs
@@ -9,6 +9,10 @@
 
 use std::time::Duration;
 
+/// How long before the caller's deadline a waiting request is refused, so that
+/// the refusal arrives in time even in another region.
+pub const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
+
 /// The service time that is assumed while none is known, as a fraction of the
 /// objective; operators set objectives well above the mean service time.
 pub const DEFAULT_SERVICE_FRACTION: f64 = 0.4;
--- a/crates/mesh/src/shares.rs
+++ b/crates/mesh/src/shares.rs
@@ -7,6 +7,10 @@
 //! strict priority with a proportional loss-rate floor, after the proportional
 //! differentiated services of Dovrolis, Stoica and Ramanathan. The rule only orders
 //! requests that compete, so it never leaves capacity unused.
+//!
+//! In the code, the urgency of a request is its priority, or for a call that of the request
+//! on whose behalf it is made; the effective urgency is the one with which it competes after
+//! the floor. 0 is the most urgent in both.
 
 use std::time::Duration;
 
@@ -14,7 +18,7 @@
 use smol_str::SmolStr;
 
 /// The least served fraction of a kind, relative to the served fraction of all
-/// requests. Callers count a kind as starved below a quarter.
+/// requests: above 0.25, below which a kind counts as starved.
 const FLOOR_FRACTION: f64 = 0.35;
 
 /// The time constant with which counted requests lose their weight. It contains
--- a/crates/mesh/src/spare_forecast.rs
+++ b/crates/mesh/src/spare_forecast.rs
@@ -100,6 +100,7 @@
 
     /// Returns how much longer nothing is expected to be spare.
     pub fn busy_left(&self, now: Duration) -> Duration {
+        // Before the usual length, the rest of it; after it, as long as it was exceeded.
         self.busy_since.map_or(Duration::ZERO, |since| {
             now.saturating_sub(since).abs_diff(self.busy_time)
         })
--- a/crates/mesh/src/target_speed.rs
+++ b/crates/mesh/src/target_speed.rs
@@ -183,9 +183,14 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct SpeedSummary {
     sum: f64,
-    weight: f64,
-    least: f64,
-    greatest: f64,
+    /// The number of candidates that were observed for long enough.
+    count: f64,
+    /// The least upper bound of a candidate's slowness. Below the mean, a candidate is
+    /// faster than the others.
+    least_upper: f64,
+    /// The greatest lower bound of a candidate's slowness. Above the mean, a candidate
+    /// is slower than the others.
+    greatest_lower: f64,
 }
 
 impl SpeedSummary {
@@ -194,34 +199,31 @@
         if speed.observed < MIN_OBSERVED_TIME {
             return;
         }
-        // The bound of a target's slowness that is nearer to that of the others.
         let margin = SIGNIFICANT_DEVIATIONS * speed.uncertainty;
-        let (low, high) = (speed.slowness + margin, speed.slowness - margin);
-        self.least = if self.weight > 0.0 {
-            self.least.min(low)
-        } else {
-            low
+        let (upper, lower) = (speed.slowness + margin, speed.slowness - margin);
+        let is_first = self.count == 0.0;
+        self.least_upper = match is_first {
+            true => upper,
+            false => self.least_upper.min(upper),
         };
-        self.greatest = if self.weight > 0.0 {
-            self.greatest.max(high)
-        } else {
-            high
+        self.greatest_lower = match is_first {
+            true => lower,
+            false => self.greatest_lower.max(lower),
         };
         self.sum += speed.slowness;
-        self.weight += 1.0;
+        self.count += 1.0;
     }
 
     /// Returns whether the candidates differ by more than their uncertainty.
     pub(crate) fn differs(&self) -> bool {
         let mean = self.mean();
-        self.weight > 1.0 && (self.least < mean || self.greatest > mean)
+        self.count > 1.0 && (self.least_upper < mean || self.greatest_lower > mean)
     }
 
     fn mean(&self) -> f64 {
-        if self.weight > 0.0 {
-            self.sum / self.weight
-        } else {
-            0.0
+        match self.count > 0.0 {
+            true => self.sum / self.count,
+            false => 0.0,
         }
     }
 
--- a/crates/mesh/src/waiting_line.rs
+++ b/crates/mesh/src/waiting_line.rs
@@ -14,12 +14,9 @@
 use crate::spare_forecast::SpareCapacity;
 use crate::spare_forecast::SpareForecast;
 
-/// How long before its time limit a request is refused, so that the refusal reaches
-/// its caller in time.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
-
-/// The number of requests that may wait while nothing is known of spare capacity, or
-/// while this daemon's part of it is less. They find out whether there is some.
+/// The number of requests that may wait outside of busy periods, or while the spare
+/// capacity is unknown, even if none is forecast. Their tries find out whether there is
+/// some.
 const PROBING_PLACES: usize = 1;
 
 /// The greatest number of requests that wait for one service.
@@ -53,7 +50,7 @@
     pub deadline: Duration,
     /// The time limit of the request when it arrived.
     pub time_limit: Duration,
-    /// The expected time of the run.
+    /// The shortest service time that is expected at any target.
     pub run: Duration,
 }
 
@@ -117,7 +114,7 @@
         }
         let give_up_at = request
             .deadline
-            .saturating_sub(REFUSAL_MARGIN + scheduling::late_run(request.run));
+            .saturating_sub(scheduling::REFUSAL_MARGIN + scheduling::late_run(request.run));
         if give_up_at <= now {
             return Err(LineRefusal::NoChance);
         }
--- a/crates/mesh/tests/mesh/contended_fleet.rs
+++ b/crates/mesh/tests/mesh/contended_fleet.rs
@@ -27,6 +27,7 @@
 use radishgauge_mesh::placement::SendOutcome;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::return_order::RefusedRequest;
+use radishgauge_mesh::scheduling::REFUSAL_MARGIN;
 use radishgauge_mesh::waiting_line::LinePlace;
 use radishgauge_mesh::waiting_line::LineRequest;
 use radishgauge_mesh::waiting_line::LineStep;
@@ -38,9 +39,6 @@
 /// The latency of a message between two daemons.
 const LATENCY: Duration = Duration::from_millis(1);
 
-/// How long before its time limit a waiting request is refused, as at owners.
-const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
-
 /// The greatest number of refused offers of one request, as at entry daemons.
 const MAX_OFFERS: usize = 4;
 
@@ -703,7 +701,7 @@
             objective: kind.objective,
             deadline: request.deadline,
             time_limit: request.deadline - request.arrived,
-            run: self.placers[sender].expected_service_time(&candidates, &place_request, now),
+            run: self.placers[sender].shortest_service_time(&candidates, &place_request, now),
         };
         let Ok(place) = self.line_of(index).join(&line_request, now) else {
             return false;
--- a/crates/mesh/tests/mesh/fleet.rs
+++ b/crates/mesh/tests/mesh/fleet.rs
@@ -461,7 +461,7 @@
         let host = self.host(target);
         let bytes = HEAD_BYTES + route.answer_bytes;
         self.end_lease(index);
-        self.answer_links[target].record_sent(bytes, now);
+        self.answer_links[target].enqueue(bytes, now);
         let key = self.route_key(index);
         self.owner_lengths[target].record(key, route.answer_bytes);
         self.send(host, sender, bytes, now, (index, Step::Answer));
--- a/crates/mesh/tests/mesh/long_answers.rs
+++ b/crates/mesh/tests/mesh/long_answers.rs
@@ -138,7 +138,7 @@
     let run = Duration::from_millis(60);
     let short = Duration::from_millis(50);
     assert_eq!(link.check(1_000_000, run, short, now), Ok(()));
-    link.record_sent(2_000_000, now);
+    link.enqueue(2_000_000, now);
     let left = Duration::from_millis(800);
     let retry_after = link.check(90_000, run, left, now).unwrap_err();
     now += retry_after + Duration::from_millis(1);
--- a/crates/net/src/answer_reader.rs
+++ b/crates/net/src/answer_reader.rs
@@ -259,7 +259,7 @@
             Ok(Status::Partial) => return Ok(None),
             Err(error) => return Err(invalid(&error.to_string())),
         };
-        let status = final_or_informational(answer.code.unwrap_or_default())?;
+        let status = parse_status(answer.code.unwrap_or_default())?;
         let mut headers = HeaderMap::with_capacity(answer.headers.len());
         for field in answer.headers.iter() {
             let name = HeaderName::from_bytes(field.name.as_bytes());
@@ -286,10 +286,13 @@
     }
 }
 
-/// Returns the status of an answer; 101 and those over 599 are no valid answers.
-fn final_or_informational(code: u16) -> io::Result<StatusCode> {
+/// Parses the status of an answer.
+///
+/// # Errors
+///
+/// When the status is 101, which no request asks for, is over 599, or is no status.
+fn parse_status(code: u16) -> io::Result<StatusCode> {
     let status = StatusCode::from_u16(code).map_err(|error| invalid(&error.to_string()))?;
-    // No request asks for another protocol.
     if status == StatusCode::SWITCHING_PROTOCOLS || code > GREATEST_STATUS {
         return Err(invalid("the status of the answer is not valid"));
     }
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -319,6 +319,8 @@
             let service = service
                 .enclosed(RuntimeReporter(started.clone()))
                 .enclosed(
+                    // There is no TLS here: the library's hook for it is the only way to put
+                    // a stream of our own between the socket and its parser.
                     HttpServiceBuilder::h1()
                         .config(config)
                         .with_tls(CallerStreamFactory(Arc::clone(&heads[address_index]))),
--- a/crates/net/src/request_framing.rs
+++ b/crates/net/src/request_framing.rs
@@ -24,7 +24,7 @@
 pub(crate) enum HeadScan {
     /// The end of the head has not arrived.
     Partial,
-    /// The head ends after this number of bytes.
+    /// The head is complete, and the removed fields are taken out of it.
     Complete(RequestHead),
     /// The bytes are no request head. The library refuses them.
     Invalid,
--- a/crates/net/src/target_body.rs
+++ b/crates/net/src/target_body.rs
@@ -27,7 +27,8 @@
     inner: UnsyncBoxBody<Bytes, BoxError>,
     /// The bytes, when the complete body is in memory in one piece.
     whole: Option<Bytes>,
-    /// The pieces, when the complete body is in memory in several.
+    /// The body in pieces, if it was received so and is not copied. A single piece is also in
+    /// `whole`. Keeps the body's share of the memory.
     pieces: Option<BodyPieces>,
 }
 
--- a/crates/net/tests/caller_limits.rs
+++ b/crates/net/tests/caller_limits.rs
@@ -32,7 +32,7 @@
 const BUDGET: usize = 8 * MEGABYTE;
 
 /// How long a test waits for what must happen.
-const PATIENCE: Duration = Duration::from_secs(20);
+const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
 
 const LIMITS: BodyLimits = BodyLimits {
     bytes: 64 * MEGABYTE as u64,
@@ -105,7 +105,7 @@
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
-        tokio::time::timeout(PATIENCE, used).await.unwrap();
+        tokio::time::timeout(WAIT_TIMEOUT, used).await.unwrap();
     }
 
     async fn wait_unused(&self) {
@@ -114,7 +114,7 @@
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
         };
-        tokio::time::timeout(PATIENCE, released).await.unwrap();
+        tokio::time::timeout(WAIT_TIMEOUT, released).await.unwrap();
     }
 }
 
@@ -137,7 +137,7 @@
             assert!(read > 0, "{answer}");
         }
     };
-    tokio::time::timeout(PATIENCE, read).await.unwrap()
+    tokio::time::timeout(WAIT_TIMEOUT, read).await.unwrap()
 }
 
 /// Guards against bodies that are cut, mixed up or left in the budget, in pieces of any
@@ -229,7 +229,7 @@
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
     };
-    tokio::time::timeout(PATIENCE, served).await.unwrap();
+    tokio::time::timeout(WAIT_TIMEOUT, served).await.unwrap();
     assert_eq!(answer(&mut stalled).await.0, 408);
 }
 
@@ -278,7 +278,7 @@
     let mut lines = bounded.connect().await;
     let _ = lines.write_all("\r\n".repeat(100_000).as_bytes()).await;
     let mut rest = Vec::new();
-    let closed = tokio::time::timeout(PATIENCE, lines.read_to_end(&mut rest));
+    let closed = tokio::time::timeout(WAIT_TIMEOUT, lines.read_to_end(&mut rest));
     assert!(closed.await.is_ok(), "the connection stays open");
     assert!(rest.is_empty());
 }
@@ -298,7 +298,7 @@
         open.push(stream);
     }
     let mut refused = bounded.connect().await;
-    let read = tokio::time::timeout(PATIENCE, refused.read_u8()).await;
+    let read = tokio::time::timeout(WAIT_TIMEOUT, refused.read_u8()).await;
     assert!(read.unwrap().is_err());
     open.pop();
     let served = async {
@@ -310,7 +310,7 @@
             }
         }
     };
-    tokio::time::timeout(PATIENCE, served).await.unwrap();
+    tokio::time::timeout(WAIT_TIMEOUT, served).await.unwrap();
 }
 
 /// Guards against a long answer that loses its length or its end when it is passed on in
--- a/crates/sidecar/src/answer_lease.rs
+++ b/crates/sidecar/src/answer_lease.rs
@@ -4,7 +4,6 @@
 //! Routes whose answers are short get no lease and are never refused here.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use radishgauge_mesh::AnswerLease;
 use radishgauge_mesh::AnswerLengths;
@@ -15,6 +14,7 @@
 
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
+use crate::hop;
 use crate::node::SidecarNode;
 
 /// The long answers of this host's target, and the link that sends them.
@@ -54,7 +54,7 @@
         if !answer.status.is_server_error() {
             answers.lengths.record(self.route, sent);
         }
-        answers.link.record_sent(sent, now);
+        answers.link.enqueue(sent, now);
         if let Some(lease) = self.lease.take() {
             answers.link.end(lease);
         }
@@ -81,7 +81,7 @@
     }
     // After the objective, an answer is useful until its caller stops waiting.
     let is_late = head.late || head.objective_us == 0;
-    let time_left = Duration::from_micros(match head.call || is_late {
+    let time_left = hop::stated_time(match head.call || is_late {
         true => head.time_left_us,
         false => head.objective_us.min(head.time_left_us),
     });
--- a/crates/sidecar/src/attempt.rs
+++ b/crates/sidecar/src/attempt.rs
@@ -26,7 +26,8 @@
     Full,
     /// It was not expected to be served before its time limit.
     NoChance,
-    /// It waited until its time limit could not be met any more.
+    /// It waited until its time limit could not be met any more, or until owners had
+    /// refused too many of its tries.
     GivenUp,
     /// It waited until its service had no target any more.
     NoTarget,
--- a/crates/sidecar/src/body_receipt.rs
+++ b/crates/sidecar/src/body_receipt.rs
@@ -10,9 +10,9 @@
 
 use crate::node::SidecarNode;
 
-/// The bounds of a body while no configuration is known: those of a peer's configuration
-/// hold instead, which has accepted the body.
-const UNKNOWN_IDLE_TIME: Duration = Duration::from_secs(15);
+/// How long a body may make no progress while this daemon has no configuration. The sending
+/// daemon has then already checked the length against its own.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 
 /// Receives the body of a request that a client or daemon at this address sends.
 ///
@@ -31,7 +31,7 @@
         bytes: limits.map_or(u64::MAX, |limits| limits.body_bytes),
         time,
         stall: node.settings().client_limits.stall_time,
-        idle: limits.map_or(UNKNOWN_IDLE_TIME, |limits| limits.idle_time),
+        idle: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time),
     };
     let received = body
         .pieces(limits, node.owner.body_budget.share(address))
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -614,9 +614,7 @@
                 self.node
                     .handle_owner_position(candidate.peer, hop::report_position(report));
             }
-            let spent = hop
-                .report
-                .map(|report| Duration::from_micros(report.spent_us));
+            let spent = hop.report.map(|report| hop::stated_time(report.spent_us));
             (hop.outcome, spent)
         };
         if let TargetOutcome::Answered(answer) = &outcome
--- a/crates/sidecar/src/entry/late.rs
+++ b/crates/sidecar/src/entry/late.rs
@@ -127,7 +127,7 @@
         let run = self
             .node
             .placer()
-            .expected_service_time(&places, &self.late_request(now), now);
+            .shortest_service_time(&places, &self.late_request(now), now);
         let request = LineRequest {
             urgency: self.kind().urgency,
             objective: self.route.objective,
--- a/crates/sidecar/src/hop.rs
+++ b/crates/sidecar/src/hop.rs
@@ -98,7 +98,8 @@
     Duration::from_micros(micros).min(MAX_STATED_TIME)
 }
 
-/// Returns the load in a hop report, with all numbers within their bounds.
+/// Returns the load in a hop report. Times and numbers of requests are bounded; a priority
+/// needs no bound.
 pub fn load_from_report(report: &HopReport) -> LoadReport {
     LoadReport {
         occupied: report.occupied.min(MAX_REPORTED_REQUESTS),
@@ -106,7 +107,8 @@
         wait: stated_time(report.wait_us),
         service_time: (report.service_us > 0).then(|| stated_time(report.service_us)),
         cold: report.cold,
-        efficient_limit: (report.efficient_limit > 0).then_some(report.efficient_limit),
+        efficient_limit: (report.efficient_limit > 0)
+            .then(|| report.efficient_limit.min(MAX_REPORTED_REQUESTS)),
         waiting_priority: report.waiting_priority.checked_sub(1),
     }
 }
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -22,6 +22,7 @@
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
 use radishgauge_mesh::call_pressure::CalledQueue;
+use radishgauge_mesh::scheduling::REFUSAL_MARGIN;
 use radishgauge_net::BodyBudget;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
@@ -68,10 +69,6 @@
 /// use to fewer; this also limits the ones that are being closed.
 const MAX_CONNECTIONS: usize = 96;
 
-/// How long before the caller's deadline a waiting request is refused, so that
-/// the refusal arrives in time even in another region.
-pub(crate) const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
-
 /// The owner of this host's target.
 pub struct TargetOwner {
     pub(crate) clock: Arc<dyn ProcessClock>,
--- a/crates/sidecar/src/owner_suspects.rs
+++ b/crates/sidecar/src/owner_suspects.rs
@@ -16,6 +16,7 @@
 use radishgauge_mesh::RunEvidence;
 use radishgauge_mesh::SuspectRecord;
 use radishgauge_mesh::TargetSoftware;
+use radishgauge_mesh::scheduling::REFUSAL_MARGIN;
 use radishgauge_mesh::suspect::SuspectKey;
 use radishgauge_mesh::suspect::SuspectPolicy;
 use radishgauge_mesh::suspect::SuspectRun;
@@ -27,7 +28,6 @@
 
 use crate::answer::NotRun;
 use crate::node::lock;
-use crate::owner::REFUSAL_MARGIN;
 use crate::owner::TargetOwner;
 use crate::owner_state::OwnerState;
 use crate::run_ledger::TargetRun;
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -2,7 +2,6 @@
 //! and requests for the platform's state.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::Response;
 use http::StatusCode;
@@ -62,7 +61,7 @@
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
     let claimed_slot = reservation::claim(&node, hop_head.reservation);
-    let time_left = Duration::from_micros(hop_head.time_left_us);
+    let time_left = hop::stated_time(hop_head.time_left_us);
     let body = match body_receipt::receive(&node, &mut body, remote.ip(), time_left).await {
         Ok(body) => body,
         Err(BodyFault::Cut(_)) => return answer::empty(StatusCode::BAD_REQUEST),
--- a/crates/sidecar/src/unread_body.rs
+++ b/crates/sidecar/src/unread_body.rs
@@ -18,7 +18,8 @@
 /// refusal is not delayed for others.
 const SKIP_TIMEOUT: Duration = Duration::from_millis(10);
 
-/// Makes the caller open its next connection at another daemon.
+/// Adds `Connection: close` to an answer, so that the caller sends no further request on
+/// this connection.
 pub(crate) fn close_connection(answer: &mut HttpAnswer) {
     let close = HeaderValue::from_static("close");
     answer.headers_mut().insert(header::CONNECTION, close);
