--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -73,6 +73,7 @@
     SETTINGS_RELOADED = 6004, Info, "settings reloaded", "service, target", "None.";
     SETTINGS_REFUSED = 6005, Error, "settings refused", "fault", "Correct the field; the previous settings stay in force.";
     READY_CHANGED = 6006, Info, "readiness changed", "ready, reason", "None.";
+    SETTING_UNAPPLIED = 6007, Warn, "changed setting is not applied", "field, in_force, in_file", "Restart the daemon, which then uses the value of the file.";
     STORE_LOST = 6101, Warn, "store cannot be read", "error, revision", "Check the platform's store; the daemon keeps its state, or receives it from peers.";
     STORE_REGAINED = 6102, Info, "store can be read again", "revision, away_ms", "None.";
     ITEM_UNREADABLE = 6103, Warn, "store item cannot be decoded", "item", "None; another program wrote the item, and it is ignored.";
@@ -84,6 +85,7 @@
     STORE_RESTORED = 6109, Warn, "store has come back from a copy", "from, to, kept, source", "What the store has lost must be written again; `kept` items hold meanwhile. Positions are written as era/revision.";
     STATE_UNCONFIRMED = 6110, Warn, "state is not confirmed by the store in time", "age_ms, role, revision", "The daemon may lack changes that are in force elsewhere. If RG6101 names no fault of the store, look at the daemon that `role` names and at the one that it follows in turn.";
     STATE_CONFIRMED = 6111, Info, "state is confirmed by the store again", "after_ms, role, revision", "None.";
+    STORE_MOVED = 6112, Info, "store is read at another address", "from, to, revision", "None; the settings name the new address. The known state and its position are kept.";
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_RESTART_SUSPECTED = 6203, Info, "target is treated as cold until its next health check", "reason", "None; it may have crashed and restarted.";
@@ -96,22 +98,27 @@
     REQUEST_CLEARED = 6210, Info, "a request under which targets had ended ran well", "fingerprint, ends, target, status, run_ms", "None; it is suspected no longer.";
     SUSPECT_EXCHANGE_FAILED = 6211, Debug, "exchange of suspected requests with a peer failed", "peer, error", "None while other peers answer.";
     QUARANTINE_LEARNED = 6212, Warn, "a request is quarantined by news of a peer", "fingerprint, ends", "As for RG6209. The time since that line at the owner is the delay of the news.";
-    REQUEST_SERVED = 6301, Info, "request answered", "route, target, status, attempts, took_ms, version, revision", "None.";
-    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, place, owner, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
-    REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, target, reason, fingerprint, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
+    REQUEST_SERVED = 6301, Info, "request answered", "route, tenant, target, status, attempts, line, took_ms, version, revision", "None.";
+    REQUEST_REFUSED = 6302, Info, "request refused, not run", "route, tenant, place, owner, urgency, competes_as, line, retry_after_ms, tried, took_ms, left_ms, version, revision", "If frequent, see the page on overload.";
+    REQUEST_FAILED = 6303, Warn, "request failed, may have run", "route, tenant, target, reason, fingerprint, status, attempts, took_ms, version, revision", "Search for the request in the logs of the target's host.";
     REQUEST_RETRIED = 6304, Info, "request retried", "route, target, reason, attempt", "None; the retry counts against the retry budget.";
-    OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, occupied, limit, wait_ms", "None; the sender tries another target.";
+    OWNER_REFUSED = 6305, Info, "owner refused a request", "target, reason, urgency, waiting_priority, occupied, limit, wait_ms", "None; the sender tries another target.";
     TARGET_REQUEST_FAILED = 6306, Warn, "request failed at the target, may have run", "target, reason, fingerprint, took_ms", "Check the target's own logs. Equal requests have the same fingerprint, whatever their IDs.";
     OFFER_REFUSED = 6309, Info, "owner refused an offered request", "target, reason, retry_after_ms", "None; the body was not sent, and the sender tries another target. If frequent, the target or its host's link is fully used.";
     OFFER_FAILED = 6310, Info, "offer of a request failed", "peer, error", "The body was not sent, and the request goes to another target. Check the peer's host.";
+    REQUEST_UNAUTHORIZED = 6311, Info, "request without a valid key refused, not run", "route, reason", "If a tenant's callers are refused, check that the configuration in force has their key; see the page on tenants. The key itself is never logged.";
+    QUOTA_REFUSED = 6312, Info, "request refused by its tenant's rate limit, not run", "tenant, cause, per_second, burst, left, owner, grant_age_ms, retry_after_ms", "None if the tenant sends more than its limit; else see \"a tenant says that it is refused below its limit\" in OPERATIONS.md.";
+    QUOTA_HOST_LOST = 6313, Info, "host does not answer about rate limits", "host, domain, error", "None if the host is being replaced; the next host of its failure domain owns the limits of its tenants meanwhile.";
+    QUOTA_RESTARTED = 6314, Info, "buckets of rate limits start anew", "idle_ms, buckets", "None if rare; the process did not run for idle_ms, and other daemons may have taken its buckets over. Check the host for CPU starvation.";
     LINES_DROPPED = 6401, Info, "log lines dropped", "served, other, items", "None; the rate of log lines about requests is limited.";
 }
 
 impl EventKind {
     /// Writes one event with its fields to the process's log.
     ///
-    /// Fields never contain the path, tenant, key or body of a request: logs may
-    /// leave the region, and data of a request with home regions must not.
+    /// Fields never contain the path, key or body of a request: logs may leave the
+    /// region, and data of a request with home regions must not. Of a tenant they
+    /// contain at most the name that the configuration gives it, never a key.
     pub fn emit(&self, fields: fmt::Arguments<'_>) {
         spdlog::log!(self.level, "RG{} {}", self.number, self.title, kv: {
             event = self.number,
--- a/crates/mesh/src/placement.rs
+++ b/crates/mesh/src/placement.rs
@@ -19,12 +19,18 @@
 use rand_pcg::Pcg32;
 use smol_str::SmolStr;
 
+use crate::answer_lengths::AnswerLengths;
 use crate::body_admission::LONG_BODY;
+use crate::candidate_survey::CandidateSurvey;
+use crate::candidate_survey::TargetTimes;
 use crate::cross_region_budget::CrossRegionBudget;
 use crate::link_load;
 use crate::scheduling;
+use crate::spare_forecast::SpareCapacity;
 use crate::target_estimate;
 use crate::target_estimate::TargetEstimate;
+use crate::target_speed::RouteKey;
+use crate::target_speed::RouteTimes;
 
 /// The greatest age of a report that describes the load of a target's link.
 const MAX_LINK_REPORT_AGE: Duration = Duration::from_secs(2);
@@ -44,12 +50,19 @@
 /// Below it, there is room for all.
 const SCARCE_LOAD: f64 = 0.7;
 
-/// The length of a body that doubles the distance penalty, in bytes.
+/// The length of a body and its answer that doubles the distance penalty, in bytes.
 const PENALTY_DOUBLING_BYTES: f64 = 32_768.0;
 
-/// The greatest factor by which a long body raises the distance penalty.
+/// The greatest factor by which a long body or answer raises the distance penalty.
 const MAX_PENALTY_FACTOR: f64 = 3.0;
 
+/// The time without a report after which a slow target is probed: its speed may
+/// have changed.
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// The fraction of the requests that may be spent on probes of slow targets.
+const PROBE_FRACTION: f64 = 0.01;
+
 /// How long a target is skipped after it did not accept a connection. The time
 /// doubles with each further failure, since each one costs a request its
 /// connection timeout.
@@ -86,6 +99,11 @@
     pub service_time: Option<Duration>,
     /// Whether the target is in its cold phase, in which its rate is limited.
     pub cold: bool,
+    /// The number of concurrent requests above which the throughput of the target
+    /// does not increase; `None` if it increases up to the limit.
+    pub efficient_limit: Option<u32>,
+    /// The most urgent priority among the waiting requests; `None` if none waits.
+    pub waiting_priority: Option<u32>,
 }
 
 /// The distance of a target from this host, nearest first.
@@ -123,10 +141,16 @@
     /// The longest acceptable time until the answer; for a call of a target it
     /// may exceed the objective.
     pub patience: Duration,
-    /// The priority; 0 is the most urgent.
+    /// The priority with which the request competes; 0 is the most urgent. For a
+    /// call, it is that of the request on whose behalf it is made.
     pub priority: u32,
     /// The length of the request body in bytes.
     pub body_bytes: u64,
+    /// The route, by which service times and the length of answers are learnt.
+    pub route: RouteKey,
+    /// The rate at which this host can still receive, in bytes a second;
+    /// `u64::MAX` if it is unknown.
+    pub receive_rate: u64,
 }
 
 /// The reason why no target was chosen for a request.
@@ -149,6 +173,8 @@
         /// The time from sending to the answer, less the time that the owner
         /// accounted for.
         round_trip: Duration,
+        /// The length of the answer's body in bytes.
+        answer_bytes: u64,
     },
     /// The target failed the request, or its answer was lost.
     Failed,
@@ -167,13 +193,27 @@
     Cancelled,
 }
 
+/// How requests were placed so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PlacementCounts {
+    /// The placements among candidates that differ in speed.
+    pub by_speed: u64,
+    /// The requests that were sent to a slow target to learn its speed.
+    pub probes: u64,
+}
+
 /// Chooses targets for the requests of one host, from its observations of them.
 #[derive(Debug)]
 pub struct TargetPlacer {
     estimates: IndexMap<SmolStr, TargetEstimate>,
     /// The average round-trip time in seconds, indexed by [`TargetDistance`].
     round_trips: [f64; 4],
+    route_times: RouteTimes,
+    counts: PlacementCounts,
+    answer_lengths: AnswerLengths,
     cross_region: CrossRegionBudget,
+    /// The budget for long answers from other regions.
+    cross_region_answers: CrossRegionBudget,
     random: Pcg32,
 }
 
@@ -184,7 +224,11 @@
         TargetPlacer {
             estimates: IndexMap::new(),
             round_trips: INITIAL_ROUND_TRIPS.map(|round_trip| round_trip.as_secs_f64()),
+            route_times: RouteTimes::default(),
+            counts: PlacementCounts::default(),
+            answer_lengths: AnswerLengths::default(),
             cross_region: CrossRegionBudget::default(),
+            cross_region_answers: CrossRegionBudget::default(),
             random: Pcg32::new(seed, 0),
         }
     }
@@ -201,15 +245,18 @@
         request: &PlaceRequest,
         now: Duration,
     ) -> Result<SmolStr, PlacementError> {
-        let fastest = self.fastest(candidates, request, now);
-        let usual_load = self.usual_load(candidates, now);
+        let survey =
+            CandidateSurvey::new(&self.estimates, &self.route_times, candidates, request, now);
+        let answer_bytes = self.answer_lengths.long(request.route);
         let link_wait = self.cross_region.wait(request.body_bytes, now);
+        let answer_wait = self.cross_region_answers.wait(answer_bytes, now);
+        let link_wait = link_wait.max(answer_wait);
         let mut best: Option<(f64, &PlaceCandidate)> = None;
         let mut best_paused: Option<(f64, &PlaceCandidate)> = None;
+        let mut best_probe: Option<(Duration, &PlaceCandidate)> = None;
         let mut min_excess: Option<Duration> = None;
         for candidate in candidates {
-            let usual = usual_load[candidate.distance as usize];
-            let cost = self.cost(candidate, request, fastest, usual, now);
+            let noise = self.random.random_range(0.0..1.0);
             let estimate = self.estimates.entry(candidate.id.clone()).or_default();
             if estimate.paused_until > now {
                 let until = Duration::as_secs_f64(&estimate.paused_until);
@@ -218,7 +265,20 @@
                 }
                 continue;
             }
-            let mut excess = excess_wait(estimate, candidate, request, fastest, now);
+            let input = CostInput {
+                estimate,
+                candidate,
+                request,
+                times: survey.times(estimate, now),
+                usual: survey.usual_occupied(candidate),
+                answer_bytes: match candidate.distance {
+                    TargetDistance::SameHost => 0,
+                    _ => answer_bytes,
+                },
+                round_trip: self.round_trips[candidate.distance as usize],
+                now,
+            };
+            let mut excess = input.excess_wait();
             if candidate.distance == TargetDistance::OtherRegion {
                 excess = excess.max(link_wait);
             }
@@ -226,10 +286,24 @@
                 min_excess = Some(min_excess.map_or(excess, |least| least.min(excess)));
                 continue;
             }
+            let cost = input.cost(noise);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, candidate));
             }
+            if let Some(silence) = input.probe_silence()
+                && best_probe.is_none_or(|(longest, _)| silence > longest)
+            {
+                best_probe = Some((silence, candidate));
+            }
         }
+        if let Some((_, probe)) = best_probe
+            && best.is_some_and(|(_, nearest)| probe.distance <= nearest.distance)
+            && self.random.random_bool(PROBE_FRACTION)
+        {
+            best = Some((0.0, probe));
+            self.counts.probes += 1;
+        }
+        self.counts.by_speed += u64::from(survey.has_speeds());
         // Every candidate may be paused. One that is probably down is still
         // better than none.
         let chosen = match (best, min_excess, best_paused) {
@@ -240,12 +314,102 @@
         };
         if chosen.distance == TargetDistance::OtherRegion {
             self.cross_region.record_sent(request.body_bytes, now);
+            self.cross_region_answers.record_sent(answer_bytes, now);
         }
         let estimate = self.estimates.entry(chosen.id.clone()).or_default();
         estimate.in_flight += 1;
         Ok(chosen.id.clone())
     }
 
+    /// Returns how requests were placed so far.
+    pub fn counts(&self) -> PlacementCounts {
+        self.counts
+    }
+
+    /// Chooses a target for a request that has missed its objective, and counts the
+    /// request as in flight there until [`TargetPlacer::finish`]. Returns `None` if
+    /// all candidates reported recently that they have no slot to spare.
+    pub fn place_late(
+        &mut self,
+        candidates: &[PlaceCandidate],
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Option<SmolStr> {
+        let survey =
+            CandidateSurvey::new(&self.estimates, &self.route_times, candidates, request, now);
+        let answer_bytes = self.answer_lengths.long(request.route);
+        let mut best: Option<(f64, &PlaceCandidate)> = None;
+        for candidate in candidates {
+            let estimate = self.estimates.entry(candidate.id.clone()).or_default();
+            if estimate.paused_until > now || !estimate.may_have_spare_slot(candidate.capacity, now)
+            {
+                continue;
+            }
+            let input = CostInput {
+                estimate,
+                candidate,
+                request,
+                times: survey.times(estimate, now),
+                usual: 0.0,
+                answer_bytes: match candidate.distance {
+                    TargetDistance::SameHost => 0,
+                    _ => answer_bytes,
+                },
+                round_trip: self.round_trips[candidate.distance as usize],
+                now,
+            };
+            let cost = input.cost(self.random.random_range(0.0..1.0));
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, candidate));
+            }
+        }
+        let (_, chosen) = best?;
+        if chosen.distance == TargetDistance::OtherRegion {
+            self.cross_region.record_sent(request.body_bytes, now);
+            self.cross_region_answers.record_sent(answer_bytes, now);
+        }
+        let estimate = self.estimates.entry(chosen.id.clone()).or_default();
+        estimate.in_flight += 1;
+        Some(chosen.id.clone())
+    }
+
+    /// Returns the service time that is expected of a request.
+    pub fn expected_service_time(
+        &self,
+        candidates: &[PlaceCandidate],
+        request: &PlaceRequest,
+        now: Duration,
+    ) -> Duration {
+        CandidateSurvey::new(&self.estimates, &self.route_times, candidates, request, now)
+            .shortest_time()
+    }
+
+    /// Returns the capacity that the candidates leave unused, as far as recent reports
+    /// tell; it is extrapolated to those without one. Returns `None` if none has one.
+    pub fn spare_capacity(
+        &self,
+        candidates: &[PlaceCandidate],
+        now: Duration,
+    ) -> Option<SpareCapacity> {
+        let mut spare = SpareCapacity::default();
+        let mut count = 0_u32;
+        for candidate in candidates {
+            let estimate = self.estimates.get(&candidate.id);
+            let reported =
+                estimate.and_then(|estimate| estimate.spare_capacity(candidate.capacity, now));
+            if let Some(reported) = reported {
+                spare.fraction += reported.fraction;
+                spare.rate += reported.rate;
+                count += 1;
+            }
+        }
+        let count = f64::from(count);
+        (count > 0.0).then(|| SpareCapacity {
+            fraction: spare.fraction / count,
+            rate: spare.rate / count * candidates.len() as f64,
+        })
+    }
+
     /// Records a load report from the owner of a target.
     pub fn report(&mut self, id: &SmolStr, report: LoadReport, now: Duration) {
         let estimate = self.estimates.entry(id.clone()).or_default();
@@ -255,6 +419,20 @@
         estimate.report = Some((report, now));
     }
 
+    /// Records the mean service time of a route at a target, as reported by its
+    /// owner.
+    pub fn record_route_time(
+        &mut self,
+        id: &SmolStr,
+        route: RouteKey,
+        time: Duration,
+        now: Duration,
+    ) {
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        self.route_times
+            .record(&mut estimate.speed, route, time, now);
+    }
+
     /// Records the rate at which a target's host can still receive bodies that
     /// were not offered first, in bytes a second.
     pub fn record_unoffered_rate(&mut self, id: &SmolStr, rate: f64, now: Duration) {
@@ -262,6 +440,23 @@
         estimate.unoffered_rate = Some((rate, now));
     }
 
+    /// Records the rate at which a target's host can send a long answer, in bytes a
+    /// second.
+    pub fn record_send_rate(&mut self, id: &SmolStr, rate: f64, now: Duration) {
+        let estimate = self.estimates.entry(id.clone()).or_default();
+        estimate.record_send_rate(rate, now);
+    }
+
+    /// Records the length of an answer on a route in bytes.
+    pub fn record_answer_length(&mut self, route: RouteKey, bytes: u64) {
+        self.answer_lengths.record(route, bytes);
+    }
+
+    /// Returns the number of routes whose answers are long.
+    pub fn long_answer_routes(&self) -> usize {
+        self.answer_lengths.long_routes()
+    }
+
     /// Returns whether a request must be offered to a target's owner before its
     /// body is sent. `send_rate` is what this host's link can still send, in bytes
     /// a second. A target without a recent report may be fully occupied.
@@ -293,23 +488,22 @@
         now: Duration,
     ) {
         if distance == TargetDistance::OtherRegion {
-            match outcome {
-                SendOutcome::Served { round_trip } => self
-                    .cross_region
-                    .record_round_trip(round_trip, body_bytes, now),
-                SendOutcome::TimedOut { .. } => self.cross_region.record_timeout(now),
-                _ => {}
-            }
+            self.record_cross_region(body_bytes, outcome, now);
         }
         let estimate = self.estimates.entry(id.clone()).or_default();
         estimate.in_flight = estimate.in_flight.saturating_sub(1);
         match outcome {
-            SendOutcome::Served { round_trip } => {
+            SendOutcome::Served {
+                round_trip,
+                answer_bytes,
+            } => {
                 estimate.record_failure(false, now);
                 if distance == TargetDistance::SameHost {
                     // The request did not use a link.
                 } else if body_bytes >= LONG_BODY {
                     estimate.record_transfer(body_bytes, round_trip, now);
+                } else if answer_bytes >= LONG_BODY {
+                    estimate.record_answer(answer_bytes, round_trip, now);
                 } else {
                     let average = &mut self.round_trips[distance as usize];
                     let usual = Duration::from_secs_f64(*average);
@@ -333,7 +527,32 @@
                     estimate.paused_until = now + estimate.down_pause;
                 }
             }
-            SendOutcome::Full | SendOutcome::Cancelled => {}
+            SendOutcome::Full => estimate.full_at = Some(now),
+            SendOutcome::Cancelled => {}
+        }
+    }
+
+    /// Records the outcome of a request to another region in the budgets for bodies
+    /// and for long answers.
+    fn record_cross_region(&mut self, body_bytes: u64, outcome: SendOutcome, now: Duration) {
+        match outcome {
+            SendOutcome::Served {
+                round_trip,
+                answer_bytes,
+            } if answer_bytes >= LONG_BODY => {
+                // The answers of a route are about as long, so that their
+                // round-trip times are comparable with each other.
+                self.cross_region_answers
+                    .record_round_trip(round_trip, 0, now);
+            }
+            SendOutcome::Served { round_trip, .. } => self
+                .cross_region
+                .record_round_trip(round_trip, body_bytes, now),
+            SendOutcome::TimedOut { .. } => {
+                self.cross_region.record_timeout(now);
+                self.cross_region_answers.record_timeout(now);
+            }
+            _ => {}
         }
     }
 
@@ -346,106 +565,126 @@
         self.estimates
             .retain(|id, estimate| estimate.in_flight > 0 || known(id));
     }
+}
 
-    /// Returns the shortest service time that any candidate reported recently, or
-    /// a default if there is no such report.
-    fn fastest(
-        &self,
-        candidates: &[PlaceCandidate],
-        request: &PlaceRequest,
-        now: Duration,
-    ) -> Duration {
-        let reported = candidates.iter().filter_map(|candidate| {
-            let (report, at) = self.estimates.get(&candidate.id)?.report?;
-            let recent = now.saturating_sub(at) <= target_estimate::MAX_SERVICE_TIME_AGE;
-            report.service_time.filter(|_| recent)
-        });
-        reported.min().unwrap_or(
-            request
-                .objective
-                .mul_f64(scheduling::DEFAULT_SERVICE_FRACTION),
-        )
+/// One candidate with all that its cost depends on.
+#[derive(Debug, Clone, Copy)]
+struct CostInput<'a> {
+    estimate: &'a TargetEstimate,
+    candidate: &'a PlaceCandidate,
+    request: &'a PlaceRequest,
+    times: TargetTimes,
+    /// The number of requests that usually run or wait at a candidate.
+    usual: f64,
+    /// The expected length of a long answer that is sent over links; 0 if there is
+    /// none.
+    answer_bytes: u64,
+    /// The average round-trip time in seconds.
+    round_trip: f64,
+    now: Duration,
+}
+
+impl CostInput<'_> {
+    /// Returns the expected time until the answer in seconds, with the penalties
+    /// for failures, distance and scarcity. `noise` is random, in `0.0..1.0`.
+    fn cost(&self, noise: f64) -> f64 {
+        let estimate = self.estimate;
+        let candidate = self.candidate;
+        let now = self.now;
+        let objective = self.request.objective.as_secs_f64();
+        let limit = estimate.efficient_capacity(candidate.capacity, now);
+        let wait = estimate.wait(limit, self.usual, self.times.mean, now);
+        let failures = estimate.failure_rate(now) * objective;
+        let transfer = estimate.transfer_time(self.request.body_bytes, now);
+        let added_delay = (transfer + self.answer_time() + estimate.delay(now)).as_secs_f64();
+        // Random noise keeps senders from all choosing the same one of several
+        // targets at about the same cost.
+        let spread = self.times.mean.as_secs_f64() / f64::from(candidate.capacity.max(1));
+        self.round_trip
+            + added_delay
+            + self.times.run.as_secs_f64()
+            + wait.as_secs_f64()
+            + failures
+            + self.distance_penalty()
+            + self.scarce_penalty()
+            + noise * spread
     }
 
-    /// Returns the mean load of the recently reported candidates as a fraction of
-    /// their capacity, indexed by [`TargetDistance`]. Few or old reports are not
-    /// taken for the load of all, so with them the result tends to zero.
-    fn usual_load(&self, candidates: &[PlaceCandidate], now: Duration) -> [f64; 4] {
-        let mut loads = [0.0; 4];
-        let mut weights = [0.0; 4];
-        for candidate in candidates {
-            let estimate = self.estimates.get(&candidate.id);
-            let Some((report, at)) = estimate.and_then(|estimate| estimate.report) else {
-                continue;
-            };
-            let weight = target_estimate::report_weight(now.saturating_sub(at));
-            let load = f64::from(report.occupied) / f64::from(candidate.capacity.max(1));
-            loads[candidate.distance as usize] += load * weight;
-            weights[candidate.distance as usize] += weight;
+    /// Returns the expected time to receive a long answer: as observed, or as reported
+    /// if that is longer.
+    fn answer_time(&self) -> Duration {
+        if self.answer_bytes == 0 {
+            return Duration::ZERO;
         }
-        std::array::from_fn(|distance| match weights[distance] {
-            weight if weight > 0.0 => loads[distance] / f64::max(weight, 1.0),
-            _ => 0.0,
-        })
+        let observed = self.estimate.answer_time(self.answer_bytes, self.now);
+        let receive_rate = self.request.receive_rate;
+        let reported =
+            self.estimate
+                .reported_answer_time(self.answer_bytes, receive_rate, self.now);
+        observed.max(reported)
     }
 
-    fn cost(
-        &mut self,
-        candidate: &PlaceCandidate,
-        request: &PlaceRequest,
-        fastest: Duration,
-        usual_load: f64,
-        now: Duration,
-    ) -> f64 {
-        let estimate = self.estimates.entry(candidate.id.clone()).or_default();
-        let objective = request.objective.as_secs_f64();
-        let service_time = estimate.service_time(fastest, now);
-        let usual = usual_load * f64::from(candidate.capacity);
-        let wait = estimate.wait(candidate.capacity, usual, service_time, now);
-        let failures = estimate.failure_rate(now) * objective;
-        let body_factor = 1.0 + request.body_bytes as f64 / PENALTY_DOUBLING_BYTES;
-        let distance_penalty = match candidate.distance {
+    fn distance_penalty(&self) -> f64 {
+        let bytes = self.request.body_bytes + self.answer_bytes;
+        let body_factor = 1.0 + bytes as f64 / PENALTY_DOUBLING_BYTES;
+        let penalty = match self.candidate.distance {
             TargetDistance::SameHost | TargetDistance::SameDomain => 0.0,
             TargetDistance::SameRegion => OTHER_DOMAIN_PENALTY,
             TargetDistance::OtherRegion => OTHER_REGION_PENALTY,
         };
-        let distance_penalty = distance_penalty * body_factor.min(MAX_PENALTY_FACTOR) * objective;
-        let scarce_penalty = if candidate.is_scarce {
-            let occupied = estimate.occupied(usual, now) / f64::from(candidate.capacity.max(1));
-            let scarcity = (occupied.min(1.0) - SCARCE_LOAD).max(0.0) / (1.0 - SCARCE_LOAD);
-            SCARCE_PENALTY * scarcity * objective
-        } else {
-            0.0
+        penalty * body_factor.min(MAX_PENALTY_FACTOR) * self.request.objective.as_secs_f64()
+    }
+
+    fn scarce_penalty(&self) -> f64 {
+        if !self.candidate.is_scarce {
+            return 0.0;
+        }
+        let capacity = f64::from(self.candidate.capacity.max(1));
+        let occupied = self.estimate.occupied(self.usual, self.now) / capacity;
+        let scarcity = (occupied.min(1.0) - SCARCE_LOAD).max(0.0) / (1.0 - SCARCE_LOAD);
+        SCARCE_PENALTY * scarcity * self.request.objective.as_secs_f64()
+    }
+
+    /// Returns by how much the expected wait exceeds the allowed wait.
+    ///
+    /// The time of a long answer on an idle link counts as part of the run, since no
+    /// wait avoids it. The link of this host rules out no target: it is common to all.
+    fn excess_wait(&self) -> Duration {
+        let estimate = self.estimate;
+        let request = self.request;
+        let limit = estimate.capacity(self.candidate.capacity, self.now);
+        // Without a recent report the target may have room, so it is not ruled
+        // out.
+        let wait = estimate.wait(limit, 0.0, self.times.mean, self.now);
+        let run = self.times.run + estimate.idle_answer_time(self.answer_bytes, self.now);
+        let allowed = scheduling::allowed_wait(request.patience, run, request.priority);
+        let waiting = estimate.waiting_priority(self.now);
+        let passes_all = waiting.is_some_and(|waiting| request.priority < waiting);
+        let is_passed = waiting.is_some_and(|waiting| request.priority > waiting);
+        // Owners let calls wait as long as the runs that make them.
+        let is_call = request.patience > request.objective;
+        let wait = match passes_all {
+            // The request needs only one slot.
+            true => wait.min(self.times.mean / limit.max(1)),
+            false => wait,
+        };
+        let was_full = estimate.was_full(self.times.mean, self.now);
+        let is_short = !is_call && (is_passed || (!passes_all && was_full));
+        let allowed = match is_short {
+            // The owner admits the request only for a short wait.
+            true => allowed.min(scheduling::short_wait(request.patience, request.priority)),
+            false => allowed,
         };
-        let transfer = estimate.transfer_time(request.body_bytes, now);
-        let added_delay = (transfer + estimate.delay(now)).as_secs_f64();
-        let round_trip = self.round_trips[candidate.distance as usize] + added_delay;
-        // Random noise keeps senders from all choosing the same one of several
-        // targets at about the same cost.
-        let spread = service_time.as_secs_f64() / f64::from(candidate.capacity.max(1));
-        let noise = self.random.random_range(0.0..1.0) * spread;
-        round_trip
-            + service_time.as_secs_f64()
-            + wait.as_secs_f64()
-            + failures
-            + distance_penalty
-            + scarce_penalty
-            + noise
+        let transfer = estimate.transfer_time(request.body_bytes, self.now);
+        let answer_wait = estimate.answer_wait(self.answer_bytes, self.now);
+        (wait + transfer + answer_wait + estimate.delay(self.now)).saturating_sub(allowed)
     }
-}
 
-/// Returns by how much the expected wait exceeds the allowed wait.
-fn excess_wait(
-    estimate: &TargetEstimate,
-    candidate: &PlaceCandidate,
-    request: &PlaceRequest,
-    fastest: Duration,
-    now: Duration,
-) -> Duration {
-    let service_time = estimate.service_time(fastest, now);
-    // Without a recent report the target may have room, so it is not ruled out.
-    let wait = estimate.wait(candidate.capacity, 0.0, service_time, now);
-    let allowed = scheduling::allowed_wait(request.patience, service_time, request.priority);
-    let transfer = estimate.transfer_time(request.body_bytes, now);
-    (wait + transfer + estimate.delay(now)).saturating_sub(allowed)
+    /// Returns for how long a slow target has sent no report, if a request may be
+    /// spent on learning whether it is still slow.
+    fn probe_silence(&self) -> Option<Duration> {
+        let in_time = self.times.run * 2 <= self.request.objective;
+        let silence = self.estimate.speed.silence(self.now)?;
+        (self.times.is_slow && in_time && silence >= PROBE_INTERVAL).then_some(silence)
+    }
 }
--- a/crates/mesh/tests/mesh/load.rs
+++ b/crates/mesh/tests/mesh/load.rs
@@ -131,7 +131,9 @@
                 objective: OBJECTIVE,
                 time_left: TIME_LIMIT,
                 priority,
+                urgency: priority,
                 is_call: false,
+                is_late: false,
             };
             match admission.decide(&request, now) {
                 AdmissionDecision::Run => ends.push(Reverse((now + run_time, next, now))),
--- a/crates/mesh/tests/mesh/placement.rs
+++ b/crates/mesh/tests/mesh/placement.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
+use radishgauge_mesh::LinkLoad;
 use radishgauge_mesh::LoadReport;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RouteKey;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
@@ -14,6 +16,8 @@
     patience: Duration::from_millis(500),
     priority: 0,
     body_bytes: 0,
+    route: RouteKey::UNKNOWN,
+    receive_rate: u64::MAX,
 };
 
 fn ms(millis: u64) -> Duration {
@@ -44,6 +48,8 @@
         wait: ms(wait),
         service_time: Some(ms(service_time)),
         cold: false,
+        efficient_limit: None,
+        waiting_priority: None,
     }
 }
 
@@ -164,7 +170,10 @@
             &id,
             TargetDistance::SameDomain,
             0,
-            SendOutcome::Served { round_trip: ms(1) },
+            SendOutcome::Served {
+                round_trip: ms(1),
+                answer_bytes: 0,
+            },
             ms(now),
         );
         chosen.push((now, id));
@@ -209,6 +218,7 @@
         let id: SmolStr = "domain".into();
         let slow = SendOutcome::Served {
             round_trip: ms(1_500),
+            answer_bytes: 0,
         };
         placer.finish(
             &id,
@@ -235,6 +245,7 @@
 fn finish_delayed(placer: &mut TargetPlacer, id: &str, delay: u64, now: u64) {
     let outcome = SendOutcome::Served {
         round_trip: ms(delay),
+        answer_bytes: 0,
     };
     placer.finish(&id.into(), TargetDistance::SameDomain, 0, outcome, ms(now));
 }
@@ -357,3 +368,160 @@
     assert_eq!(place(load(8, 0, 100)), "domain");
     assert_eq!(place(limited), "region");
 }
+
+/// Guards against long answers that are fetched over the full link of their caller's
+/// host although the target on this host could run the request a little later.
+#[test]
+fn long_answer_stays_on_host_with_full_link() {
+    let route = RouteKey::new("shop", "export");
+    let candidates = [
+        candidate("here", TargetDistance::SameHost),
+        candidate("domain", TargetDistance::SameDomain),
+    ];
+    let place = |receive_rate, answer_bytes| {
+        let mut placer = placer(&[("domain", load(0, 0, 100))]);
+        placer.report(&"here".into(), load(11, 30, 100), ms(0));
+        placer.record_answer_length(route, answer_bytes);
+        let request = PlaceRequest {
+            route,
+            receive_rate,
+            ..REQUEST
+        };
+        placer.place(&candidates, &request, ms(1)).unwrap()
+    };
+    assert_eq!(place(10_000_000, 90_000), "domain");
+    assert_eq!(place(300_000, 90_000), "here");
+    // Short answers are placed as before.
+    assert_eq!(place(300_000, 9_000), "domain");
+}
+
+/// Guards against targets that are all ruled out by the time of long answers on idle
+/// links or by the full link of the caller's host, and against a `Retry-After` of hours.
+#[test]
+fn long_answers_on_idle_links_rule_no_target_out() {
+    const LINK_RATE: f64 = 1_250_000.0;
+    let route = RouteKey::new("shop", "export");
+    let mut placer = placer(&[]);
+    placer.record_answer_length(route, 900_000);
+    let mut place = |receive_rate, send_rate, now| {
+        for candidate in candidates() {
+            let id = &candidate.id;
+            placer.report(id, load(0, 0, 150), ms(now));
+            placer.record_send_rate(id, send_rate, ms(now));
+        }
+        let request = PlaceRequest {
+            objective: ms(800),
+            patience: ms(800),
+            route,
+            receive_rate,
+            ..REQUEST
+        };
+        let chosen = placer.place(&candidates()[1..], &request, ms(now))?;
+        let distance = TargetDistance::SameDomain;
+        placer.finish(&chosen, distance, 0, SendOutcome::Cancelled, ms(now));
+        Ok(chosen)
+    };
+    assert!(place(u64::MAX, LINK_RATE, 0).is_ok(), "links are idle");
+    assert!(place(0, LINK_RATE, 2_000).is_ok(), "the own link is full");
+    // Twice as many bytes wait for the links of all targets.
+    let retry_after = match place(u64::MAX, LINK_RATE / 3.0, 4_000) {
+        Err(PlacementError::Full { retry_after }) => retry_after,
+        other => panic!("{other:?}"),
+    };
+    assert!(retry_after < ms(2_000), "{retry_after:?}");
+}
+
+/// Guards against a full link that seems to receive nothing more, and against bodies
+/// that are sent to it unasked.
+#[test]
+fn full_link_still_receives_answers() {
+    let mut link = LinkLoad::new(1_000_000.0);
+    link.record_received(5_000_000, ms(1_000));
+    assert!(link.free_receive_rate(ms(1_000)) >= 50_000.0);
+    assert_eq!(link.unoffered_rate(ms(1_000)), 0.0);
+}
+
+/// Guards against requests that are sent to queues of more urgent ones, and against
+/// urgent requests that are held back by queues which they pass. A report that is
+/// too old, or from an owner that does not tell what waits, changes nothing.
+#[test]
+fn queue_counts_by_the_priority_of_those_who_wait() {
+    let queue = |waiting_priority| LoadReport {
+        waiting_priority,
+        ..load(20, 220, 100)
+    };
+    let place = |waiting_priority, priority, now| {
+        let report = queue(waiting_priority);
+        let mut placer = placer(&[("domain", report), ("region", report), ("far", report)]);
+        let request = PlaceRequest {
+            priority,
+            ..REQUEST
+        };
+        placer.place(&candidates(), &request, ms(now)).is_ok()
+    };
+    assert!(place(None, 1, 1), "the wait is within the objective");
+    assert!(place(Some(1), 1, 1));
+    assert!(!place(Some(0), 1, 1), "more urgent requests wait");
+    assert!(place(Some(0), 1, 1_200), "the report is old");
+    // A wait of 600 ms, which exceeds the objective.
+    let long = LoadReport {
+        waiting_priority: Some(2),
+        ..load(60, 600, 100)
+    };
+    let mut placer = placer(&[("domain", long), ("region", long), ("far", long)]);
+    assert!(placer.place(&candidates(), &REQUEST, ms(1)).is_ok());
+}
+
+/// Guards against late requests at targets without a slot to spare, and against a
+/// target that is never tried again because its last report is old.
+#[test]
+fn late_request_is_sent_where_a_slot_is_spare() {
+    let mut placer = placer(&[
+        ("domain", load(9, 0, 100)),
+        ("region", load(3, 0, 100)),
+        ("far", load(10, 0, 100)),
+    ]);
+    let late = |placer: &mut TargetPlacer, now| placer.place_late(&candidates(), &REQUEST, ms(now));
+    for _ in 0..5 {
+        assert_eq!(late(&mut placer, 1).unwrap(), "region");
+    }
+    assert_eq!(late(&mut placer, 1), None, "the slots are used since");
+    let spare = placer.spare_capacity(&candidates(), ms(1)).unwrap();
+    // Five of 30 slots, as two of each target's ten are left free.
+    assert!((spare.rate - 50.0).abs() < 1e-6, "{spare:?}");
+    assert_eq!(late(&mut placer, 1_200).unwrap(), "domain");
+    assert_eq!(placer.spare_capacity(&candidates(), ms(1_200)), None);
+}
+
+/// Guards against further offers to an owner that has just refused one, against calls
+/// that are held back although owners let them wait, and against a target that is left
+/// out for longer than its queue may last.
+#[test]
+fn target_that_refused_for_lack_of_capacity_is_left_out_for_two_runs() {
+    // A wait of 90 ms, which is within the objective but not within a tenth of it.
+    let busy = load(18, 90, 100);
+    let mut placer = TargetPlacer::new(1);
+    let only = [candidate("domain", TargetDistance::SameDomain)];
+    let place = |placer: &mut TargetPlacer, request: &PlaceRequest, now| {
+        let placed = placer.place(&only, request, ms(now));
+        if let Ok(id) = &placed {
+            let outcome = SendOutcome::Cancelled;
+            placer.finish(id, TargetDistance::SameDomain, 0, outcome, ms(now));
+        }
+        placed.is_ok()
+    };
+    placer.report(&only[0].id, busy, ms(0));
+    assert!(place(&mut placer, &REQUEST, 1));
+    let id = placer.place(&only, &REQUEST, ms(1)).unwrap();
+    let full = SendOutcome::Full;
+    placer.report(&id, busy, ms(2));
+    placer.finish(&id, TargetDistance::SameDomain, 0, full, ms(2));
+    assert!(!place(&mut placer, &REQUEST, 3));
+    let call = PlaceRequest {
+        patience: ms(2_000),
+        ..REQUEST
+    };
+    assert!(place(&mut placer, &call, 3));
+    placer.report(&id, busy, ms(203));
+    assert!(place(&mut placer, &REQUEST, 204));
+}
--- a/crates/mesh/tests/mesh/slow_links.rs
+++ b/crates/mesh/tests/mesh/slow_links.rs
@@ -15,6 +15,7 @@
 use radishgauge_mesh::LinkLoad;
 use radishgauge_mesh::LocalAdmission;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RouteKey;
 use radishgauge_mesh::TargetPlacer;
 use radishgauge_mesh::admission::WaitKey;
 use radishgauge_mesh::placement::PlaceCandidate;
@@ -272,6 +273,8 @@
             patience: objective,
             priority: 1,
             body_bytes: BODY_BYTES,
+            route: RouteKey::UNKNOWN,
+            receive_rate: u64::MAX,
         };
         let placer = &mut self.placers[state.sender];
         let chosen = match placer.place(&candidates, &request, now) {
@@ -318,7 +321,9 @@
             objective: self.objective_left(index, now),
             time_left,
             priority: 1,
+            urgency: 1,
             is_call: false,
+            is_late: false,
         };
         let state = &mut self.requests[index];
         let target = state.target;
@@ -434,7 +439,14 @@
         let took = now - state.sent_at;
         let round_trip = took.saturating_sub(SERVICE_TIME);
         let total = now - state.arrived;
-        self.finish(index, SendOutcome::Served { round_trip }, now);
+        self.finish(
+            index,
+            SendOutcome::Served {
+                round_trip,
+                answer_bytes: 0,
+            },
+            now,
+        );
         if !self.counts(index) {
             return;
         }
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -13,6 +13,7 @@
 use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use socket2::SockRef;
@@ -60,6 +61,8 @@
 pub(crate) struct ConnectionActivity {
     requests: Cell<usize>,
     idle: Notify,
+    /// Whether the caller waits to be asked for the body of its request.
+    continue_due: Cell<bool>,
     /// A second handle of the connection's socket.
     watched: Option<Rc<tokio::net::TcpStream>>,
 }
@@ -83,6 +86,16 @@
         }
     }
 
+    /// Records whether the caller waits to be asked for the body of its request.
+    pub(crate) fn set_continue_due(&self, is_due: bool) {
+        self.continue_due.set(is_due);
+    }
+
+    /// Returns whether the caller waits to be asked for the body of its request.
+    pub(crate) fn is_continue_due(&self) -> bool {
+        self.continue_due.get()
+    }
+
     async fn wait_idle(&self) {
         while self.requests.get() > 0 {
             self.idle.notified().await;
@@ -110,12 +123,14 @@
 }
 
 /// Serves one connection until it ends, until its caller disconnects during a
-/// request, or until the listener stops and the connection is idle.
+/// request or leaves bytes unacknowledged for the time `unread`, or until the listener
+/// stops and the connection is idle.
 pub(crate) async fn serve<S>(
     service: &S,
     stream: TcpStream,
     remote: SocketAddr,
     stop: &StopSignal,
+    unread: Duration,
 ) -> Result<(), S::Error>
 where
     S: Service<(TcpStream, SocketAddr), Response = ()>,
@@ -123,6 +138,7 @@
     // A connection that cannot be configured or watched is closed.
     let Ok(watched) = stream
         .set_nodelay(true)
+        .and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(Some(unread)))
         .and_then(|()| duplicate_socket(&stream))
     else {
         return Ok(());
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::Stream;
@@ -15,6 +16,9 @@
 use xitca_web::body::Frame;
 use xitca_web::body::RequestBody;
 
+use crate::body_budget::BodyShare;
+use crate::body_pieces::BodyPieces;
+use crate::body_pieces::PieceCollector;
 use crate::byte_budget::BudgetShare;
 use crate::byte_budget::ByteBudget;
 use crate::connection::ConnectionActivity;
@@ -37,6 +41,20 @@
     pub body: HttpBody,
 }
 
+/// Bounds of one body that is being received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BodyLimits {
+    /// The greatest length in bytes.
+    pub bytes: u64,
+    /// How long the complete body may take.
+    pub time: Duration,
+    /// How long the body may be without progress before it is checked whether others lack
+    /// its memory.
+    pub stall: Duration,
+    /// How long the body may be without progress.
+    pub idle: Duration,
+}
+
 /// Why a body could not be read completely.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum BodyFault {
@@ -49,6 +67,9 @@
     /// The bodies that are being received use all memory reserved for them.
     #[error("no memory is left for the body")]
     NoMemory,
+    /// The body did not arrive in time.
+    #[error("the body did not arrive in time")]
+    Late,
     /// The caller's connection ended before the end of the body.
     #[error("the body was cut off: {0}")]
     Cut(String),
@@ -75,12 +96,26 @@
         }
     }
 
+    /// Returns the length of the complete body in bytes; `None` for a body in chunks.
+    pub fn declared_length(&self) -> Option<u64> {
+        self.declared
+    }
+
+    /// Returns whether the caller waits to be asked for the body, which the first read does.
+    pub fn awaits_continue(&self) -> bool {
+        self.connection.is_continue_due()
+    }
+
     /// Returns the next chunk, or `None` after the end of the complete body.
     ///
     /// # Errors
     ///
     /// When the body was cut off or exceeds the listener's limit.
     pub async fn data(&mut self) -> Result<Option<Bytes>, BodyFault> {
+        if self.declared == Some(0) {
+            // The library hands over what follows a `CONNECT` request as its body.
+            return Ok(None);
+        }
         loop {
             match self.inner.frame().await {
                 None => return self.end(),
@@ -123,6 +158,64 @@
         self.collect(limit, None).await
     }
 
+    /// Receives the complete body in pieces, within its share of the memory. A body whose
+    /// declared length does not fit is refused before it is read.
+    ///
+    /// # Errors
+    ///
+    /// As [`HttpBody::data`], when the body is longer than its limit or does not fit into
+    /// the memory, when its time has passed, and when it stalls while other bodies lack the
+    /// memory.
+    pub async fn pieces(
+        &mut self,
+        limits: BodyLimits,
+        share: BodyShare,
+    ) -> Result<BodyPieces, BodyFault> {
+        if self.declared == Some(0) {
+            return Ok(BodyPieces::default());
+        }
+        self.limit = self.limit.min(limits.bytes);
+        if self.declared.is_some_and(|length| length > self.limit) {
+            return Err(BodyFault::TooLarge { limit: self.limit });
+        }
+        let declared = self.declared.map(|length| length as usize);
+        let collector = PieceCollector::new(declared, share).ok_or(BodyFault::NoMemory)?;
+        let received = self.collect_pieces(collector, limits);
+        let received = tokio::time::timeout(limits.time, received).await;
+        received.unwrap_or(Err(BodyFault::Late))
+    }
+
+    async fn collect_pieces(
+        &mut self,
+        mut collector: PieceCollector,
+        limits: BodyLimits,
+    ) -> Result<BodyPieces, BodyFault> {
+        let mut idle = Duration::ZERO;
+        // The refusals of other bodies when this one began to stall.
+        let mut refusals = None;
+        loop {
+            match tokio::time::timeout(limits.stall, self.data()).await {
+                Ok(Ok(Some(data))) => {
+                    idle = Duration::ZERO;
+                    refusals = None;
+                    if !collector.push(data) {
+                        return Err(BodyFault::NoMemory);
+                    }
+                }
+                Ok(Ok(None)) => return Ok(collector.finish()),
+                Ok(Err(fault)) => return Err(fault),
+                Err(_) => {
+                    idle += limits.stall;
+                    let now = collector.refusals();
+                    let before = *refusals.get_or_insert(now);
+                    if idle >= limits.idle || now > before {
+                        return Err(BodyFault::Late);
+                    }
+                }
+            }
+        }
+    }
+
     /// Receives the complete body, in memory that is shared with other bodies.
     ///
     /// # Errors
--- a/crates/sidecar/src/entry.rs
+++ b/crates/sidecar/src/entry.rs
@@ -1,22 +1,34 @@
 //! Serves requests of callers on this host and of this host's target.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::HeaderValue;
+use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
 use http::header;
+use http::request::Parts;
 use radishgauge_events::events;
+use radishgauge_mesh::LoadReport;
+use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MeshRoute;
 use radishgauge_mesh::PlaceRequest;
+use radishgauge_mesh::RequestKind;
 use radishgauge_mesh::RequestPrints;
+use radishgauge_mesh::RouteKey;
+use radishgauge_mesh::TenantPolicy;
 use radishgauge_mesh::placement::PlaceCandidate;
 use radishgauge_mesh::placement::PlacementError;
 use radishgauge_mesh::placement::TargetDistance;
 use radishgauge_mesh::retry_budget::RetryKind;
+use radishgauge_mesh::return_order;
+use radishgauge_mesh::return_order::RefusedRequest;
+use radishgauge_mesh::tenant::TenantLabel;
 use radishgauge_net::BodyFault;
+use radishgauge_net::BodyPieces;
 use radishgauge_net::HttpAnswer;
+use radishgauge_net::HttpBody;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::RequestProgress;
 use radishgauge_net::exchange::AnswerBody;
@@ -32,29 +44,31 @@
 use crate::attempt;
 use crate::attempt::AttemptHistory;
 use crate::attempt::PendingAttempt;
+use crate::body_receipt;
 use crate::hop;
 use crate::known_hosts::Candidate;
 use crate::local_reply;
 use crate::node::SidecarNode;
 use crate::origin::RequestOrigin;
 use crate::peers::HopOutcome;
+use crate::request_outcome::RequestOutcome;
 use crate::slot_offer;
 use crate::suspect_exchange;
 use crate::suspect_placing;
 use crate::target_call::BufferedRequest;
+use crate::tenant_access;
+use crate::tenant_access::TenantAccess;
+use crate::unread_body;
+use crate::unread_body::close_connection;
+use crate::waiting_lines;
+use crate::waiting_lines::WaitingPlace;
 
-/// The least time after which a refused caller may retry. An earlier retry
-/// would only repeat the load that led to the refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
+mod late;
 
 /// The time after which a caller may retry when no estimate is available: about
 /// the time in which a target starts or a state arrives.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
-/// The greatest fraction by which the retry time of a refused caller is
-/// randomly extended, so that callers do not all retry at once.
-const RETRY_JITTER: f64 = 0.5;
-
 /// The greatest number of targets to which one request is offered while owners
 /// refuse it for lack of capacity.
 const MAX_OFFERS: usize = 4;
@@ -63,62 +77,63 @@
 /// have ended or cannot be reached.
 const MAX_TRIED: usize = 12;
 
+/// The least fraction of the objective with which a request is placed by it. With less,
+/// the allowed wait is so short that a small delay rules out idle targets.
+const MIN_OBJECTIVE_FRACTION: f64 = 0.1;
+
 /// One request with the data that its attempts need.
 struct EntryCall<'a> {
     node: &'a Arc<SidecarNode>,
     route: &'a MeshRoute,
+    tenant: Option<Arc<TenantPolicy>>,
     service: SmolStr,
     origin: RequestOrigin,
     request: BufferedRequest,
     prints: RequestPrints,
     arrived: Duration,
+    /// Whether the objective passed before the first attempt, while the body arrived.
+    is_late_at_start: bool,
     deadline: Duration,
     version: u64,
 }
 
+/// A request that was received completely, and has a route.
+struct AcceptedRequest<'a> {
+    id: SmolStr,
+    config: &'a MeshConfig,
+    route: &'a MeshRoute,
+    tenant: Option<Arc<TenantPolicy>>,
+    /// How long the request may take.
+    longest: Duration,
+    body: BodyPieces,
+}
+
 /// Serves one request of a caller or of this host's target.
 pub async fn serve(node: Arc<SidecarNode>, request: HttpRequest) -> HttpAnswer {
     let arrived = node.now();
-    let HttpRequest { head, mut body, .. } = request;
-    let id = message::request_id(&head.headers);
-    let Some(config) = node.config() else {
-        return local_reply::refuse(
-            &node,
-            id.as_deref(),
-            "no configuration",
-            DEFAULT_RETRY_AFTER,
-        );
-    };
-    let Some(id) = id else {
-        return local_reply::error(StatusCode::BAD_REQUEST, None, "no request id");
-    };
-    let host = head.headers.get(header::HOST);
-    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
-    let Some(route) = config.find(host, head.uri.path()) else {
-        if node.may_lack_changes() {
-            return local_reply::refuse(
-                &node,
-                Some(&id),
-                "no route in an old state",
-                DEFAULT_RETRY_AFTER,
-            );
+    let HttpRequest {
+        head,
+        mut body,
+        remote,
+        ..
+    } = request;
+    let config = node.config();
+    let accepted = accept(&node, config.as_deref(), &head, &mut body, remote.ip()).await;
+    let accepted = match accepted {
+        Ok(accepted) => accepted,
+        Err(mut refusal) => {
+            unread_body::skip(&mut body, &mut refusal).await;
+            return refusal;
         }
-        return local_reply::error(StatusCode::NOT_FOUND, Some(&id), "no route");
     };
-    let body = match body.whole(config.limits().body_bytes).await {
-        Ok(body) => body,
-        Err(BodyFault::TooLarge { .. }) => {
-            return local_reply::error(StatusCode::PAYLOAD_TOO_LARGE, Some(&id), "body too large");
-        }
-        Err(BodyFault::NoMemory) => {
-            return local_reply::refuse(&node, Some(&id), "no memory", DEFAULT_RETRY_AFTER);
-        }
-        Err(BodyFault::Cut(_)) => {
-            return local_reply::error(StatusCode::BAD_REQUEST, Some(&id), "body was cut off");
-        }
-    };
-    let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
-    let longest = time_left.min(route.timeout);
+    let AcceptedRequest {
+        id,
+        config,
+        route,
+        tenant,
+        longest,
+        body,
+    } = accepted;
     if !node.accepts(longest) {
         let mut answer = local_reply::refuse(&node, Some(&id), "stopping", DEFAULT_RETRY_AFTER);
         close_connection(&mut answer);
@@ -127,11 +142,19 @@
     let mut headers = head.headers;
     message::strip_connection_fields(&mut headers);
     hop::remove_fields(&mut headers);
+    message::remove_tenant(&mut headers);
+    if config.has_tenants() {
+        message::remove_key(&mut headers);
+    }
     let draw = rand::rng().random_range(0.0..1.0);
     let Some(service) = route.service(draw).cloned() else {
         return local_reply::refuse(&node, Some(&id), "no service", DEFAULT_RETRY_AFTER);
     };
-    let origin = RequestOrigin::of(&node, &id);
+    let origin = match tenant {
+        // Only callers send keys.
+        Some(_) => RequestOrigin::Caller,
+        None => RequestOrigin::of(&node, &id),
+    };
     let request = BufferedRequest {
         id,
         method: head.method,
@@ -143,11 +166,13 @@
     let call = EntryCall {
         node: &node,
         route,
+        tenant,
         service,
         origin,
         request,
         prints,
         arrived,
+        is_late_at_start: is_objective_over(route, node.now().saturating_sub(arrived)),
         deadline: arrived + longest,
         version: config.version(),
     };
@@ -158,10 +183,114 @@
     answer
 }
 
-/// Makes the caller open its next connection at another daemon.
-fn close_connection(answer: &mut HttpAnswer) {
-    let close = HeaderValue::from_static("close");
-    answer.headers_mut().insert(header::CONNECTION, close);
+/// Finds the route and the tenant of a request, and receives its body.
+///
+/// # Errors
+///
+/// When the request is refused before its body was read to the end.
+async fn accept<'a>(
+    node: &Arc<SidecarNode>,
+    config: Option<&'a MeshConfig>,
+    head: &Parts,
+    body: &mut HttpBody,
+    address: IpAddr,
+) -> Result<AcceptedRequest<'a>, HttpAnswer> {
+    let id = message::request_id(&head.headers);
+    let refuse =
+        |id: Option<&str>, reason| local_reply::refuse(node, id, reason, DEFAULT_RETRY_AFTER);
+    let Some(config) = config else {
+        return Err(refuse(id.as_deref(), "no configuration"));
+    };
+    let Some(id) = id else {
+        let status = StatusCode::BAD_REQUEST;
+        return Err(local_reply::error(status, None, "no request id"));
+    };
+    let host = head.headers.get(header::HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let Some(route) = config.find(host, head.uri.path()) else {
+        if node.may_lack_changes() {
+            return Err(refuse(Some(&id), "no route in an old state"));
+        }
+        let status = StatusCode::NOT_FOUND;
+        return Err(local_reply::error(status, Some(&id), "no route"));
+    };
+    let tenant = admit(node, config, route, &head.headers, &id).await?;
+    let time_left = message::time_left(&head.headers).unwrap_or(route.timeout);
+    let longest = time_left.min(route.timeout);
+    let received = body_receipt::receive(node, body, address, longest).await;
+    let body = received.map_err(|fault| refuse_body(node, &id, &fault))?;
+    Ok(AcceptedRequest {
+        id,
+        config,
+        route,
+        tenant,
+        longest,
+        body,
+    })
+}
+
+/// Returns the answer to a request whose body could not be received.
+fn refuse_body(node: &SidecarNode, id: &str, fault: &BodyFault) -> HttpAnswer {
+    let (status, reason) = match fault {
+        BodyFault::Late => (StatusCode::REQUEST_TIMEOUT, "body did not arrive in time"),
+        BodyFault::TooLarge { .. } => (StatusCode::PAYLOAD_TOO_LARGE, "body too large"),
+        BodyFault::Cut(_) => (StatusCode::BAD_REQUEST, "body was cut off"),
+        BodyFault::NoMemory => {
+            return local_reply::refuse(node, Some(id), "no memory", DEFAULT_RETRY_AFTER);
+        }
+    };
+    let mut answer = local_reply::error(status, Some(id), reason);
+    if matches!(fault, BodyFault::Cut(_)) {
+        // The rest of the body cannot be read.
+        close_connection(&mut answer);
+    }
+    answer
+}
+
+/// Returns whether too little of the objective is left to place a request by it.
+fn is_objective_over(route: &MeshRoute, spent: Duration) -> bool {
+    let left = route.objective.saturating_sub(spent);
+    left <= route.objective.mul_f64(MIN_OBJECTIVE_FRACTION)
+}
+
+/// Returns the tenant of a request, if it has one.
+///
+/// # Errors
+///
+/// When the request needs a key and has no valid one, or is over its tenant's limit.
+async fn admit(
+    node: &Arc<SidecarNode>,
+    config: &MeshConfig,
+    route: &MeshRoute,
+    headers: &HeaderMap,
+    id: &str,
+) -> Result<Option<Arc<TenantPolicy>>, HttpAnswer> {
+    let tenant = match tenant_access::check(node, config, route, headers, id) {
+        TenantAccess::Tenant(tenant) => tenant,
+        // Calls of targets have no tenant, so they do not count against a limit.
+        TenantAccess::NoTenant => return Ok(None),
+        TenantAccess::Refused(refusal) => {
+            return Err(local_reply::refuse_access(
+                node,
+                id,
+                &route.name,
+                refusal,
+                DEFAULT_RETRY_AFTER,
+            ));
+        }
+    };
+    match node.quota().admit(&tenant).await {
+        Ok(()) => Ok(Some(tenant)),
+        Err(refusal) => Err(local_reply::refuse_over_limit(node, id, &tenant, &refusal)),
+    }
+}
+
+/// Returns the candidate with this ID.
+fn find_candidate(candidates: Vec<Candidate>, id: &str) -> Result<Candidate, PlacementError> {
+    candidates
+        .into_iter()
+        .find(|candidate| candidate.place.id == id)
+        .ok_or(PlacementError::NoTarget)
 }
 
 impl EntryCall<'_> {
@@ -182,7 +311,7 @@
     fn record_request(&self, now: Duration) {
         let mut budget = self.node.budget();
         budget.record_request(&self.service, now);
-        if self.origin == (RequestOrigin::Run { retried: true }) {
+        if self.origin.is_retried() {
             budget.record_retried_call(&self.service, now);
         }
     }
@@ -201,11 +330,11 @@
             };
             let candidate = match self.place(candidates) {
                 Ok(candidate) => candidate,
-                Err(error) => return self.finish_unserved(history, error),
+                Err(error) => return self.wait_or_refuse(history, error).await,
             };
             let id = candidate.place.id.clone();
             history.tried.push(id.clone());
-            match self.send(&candidate, history).await {
+            match self.send(&candidate, history, None).await {
                 TargetOutcome::Answered(answer) => {
                     history.reached += 1;
                     if !answer.status.is_server_error() || !self.may_retry(history, &id, "failure")
@@ -236,7 +365,11 @@
                     };
                     if !try_another {
                         let retry_after = refusal.retry_after.unwrap_or(DEFAULT_RETRY_AFTER);
-                        return self.finish_unserved(history, PlacementError::Full { retry_after });
+                        let error = PlacementError::Full { retry_after };
+                        return match attempt::is_for_lack_of_capacity(&refusal) {
+                            true => self.wait_or_refuse(history, error).await,
+                            false => self.finish_unserved(history, error),
+                        };
                     }
                 }
                 TargetOutcome::MayHaveRun(reason) => {
@@ -259,9 +392,9 @@
     }
 
     fn refusal_retry_kind(&self) -> RetryKind {
-        match self.origin {
+        match &self.origin {
             RequestOrigin::Caller => RetryKind::Refused,
-            RequestOrigin::Run { .. } => RetryKind::RefusedCall,
+            RequestOrigin::Run(_) => RetryKind::RefusedCall,
         }
     }
 
@@ -290,7 +423,9 @@
     ///
     /// When it is quarantined at all that there are.
     fn candidates(&self, history: &AttemptHistory) -> Result<Vec<Candidate>, NotRun> {
-        let mut candidates = self.node.candidates(self.route, &self.service);
+        let mut candidates =
+            self.node
+                .candidates(self.route, self.tenant.as_deref(), &self.service);
         suspect_placing::leave_out_quarantined(&self.node.owner, &self.prints, &mut candidates)?;
         candidates.retain(|candidate| !history.tried.contains(&candidate.place.id));
         suspect_placing::keep_on_trial(&self.node.owner, &self.prints, &mut candidates);
@@ -303,6 +438,15 @@
             .iter()
             .map(|candidate| candidate.place.clone())
             .collect();
+        self.observe_spare(&places);
+        if self.is_late_at_start {
+            // No target answers it in time, but an idle one still serves it.
+            let request = self.late_request(now);
+            let chosen = self.node.placer().place_late(&places, &request, now);
+            if let Some(id) = chosen {
+                return find_candidate(candidates, &id);
+            }
+        }
         let objective = self.objective_left(now);
         let patience = match self.is_call() {
             true => self.deadline.saturating_sub(now),
@@ -311,18 +455,66 @@
         let request = PlaceRequest {
             objective,
             patience,
-            priority: self.route.priority,
+            priority: self.competing_urgency(now),
             body_bytes: self.request.body.len() as u64,
+            route: self.route_key(),
+            receive_rate: self.node.link().free_receive_rate(now) as u64,
         };
         let id = self.node.placer().place(&places, &request, now)?;
-        candidates
-            .into_iter()
-            .find(|candidate| candidate.place.id == id)
-            .ok_or(PlacementError::NoTarget)
+        find_candidate(candidates, &id)
+    }
+
+    /// Returns the priority of the request; that of its tenant goes before that of its
+    /// route.
+    fn priority(&self) -> u32 {
+        let priority = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        priority.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the name of the tenant; empty for none.
+    fn tenant_name(&self) -> &str {
+        self.tenant.as_ref().map_or("", |tenant| &tenant.name)
+    }
+
+    /// Returns the form of the tenant's name in log lines; empty for none.
+    fn tenant_label(&self) -> TenantLabel<'_> {
+        TenantLabel(self.tenant_name())
+    }
+
+    fn route_key(&self) -> RouteKey {
+        RouteKey::new(&self.service, &self.route.name)
+    }
+
+    /// Returns what the placement of the request depends on after its objective.
+    fn late_request(&self, now: Duration) -> PlaceRequest {
+        PlaceRequest {
+            objective: self.route.objective,
+            patience: self.deadline.saturating_sub(now),
+            priority: self.competing_urgency(now),
+            body_bytes: self.request.body.len() as u64,
+            route: self.route_key(),
+            receive_rate: self.node.link().free_receive_rate(now) as u64,
+        }
     }
 
     fn is_call(&self) -> bool {
-        matches!(self.origin, RequestOrigin::Run { .. })
+        matches!(self.origin, RequestOrigin::Run(_))
+    }
+
+    fn kind(&self) -> RequestKind {
+        RequestKind {
+            route: self.route.name.clone(),
+            urgency: self.origin.urgency(self.priority()),
+            is_call: self.is_call(),
+        }
+    }
+
+    /// Returns the urgency with which the request competes at its service.
+    fn competing_urgency(&self, now: Duration) -> u32 {
+        let kind = self.kind();
+        self.node
+            .shares()
+            .effective_urgency(&self.service, &kind, now)
     }
 
     fn objective_left(&self, now: Duration) -> Duration {
@@ -331,6 +523,14 @@
         self.route.objective.saturating_sub(spent).min(left)
     }
 
+    /// Returns the priority behind a call, as messages state it.
+    fn call_priority(&self) -> u32 {
+        match &self.origin {
+            RequestOrigin::Caller => 0,
+            RequestOrigin::Run(running) => running.urgency.saturating_add(1),
+        }
+    }
+
     fn head(&self, id: &str, history: &AttemptHistory) -> HopHead {
         let now = self.node.now();
         let position = self.node.position();
@@ -340,25 +540,35 @@
             route: self.route.name.to_string(),
             objective_us: hop::micros(self.objective_left(now)),
             time_left_us: hop::micros(self.deadline.saturating_sub(now)),
-            priority: self.route.priority,
+            priority: self.priority(),
             idempotent: self.route.idempotent,
             revision: position.revision,
             era: position.era,
             reservation: 0,
             call: self.is_call(),
-            repeated: history.reached > 0 || self.origin == (RequestOrigin::Run { retried: true }),
+            call_priority: self.call_priority(),
+            repeated: history.reached > 0 || self.origin.is_retried(),
             content_fingerprint: self.prints.content.0,
             exact_fingerprint: self.prints.exact.0,
             suspicions: suspect_exchange::records_of(self.node, &self.prints),
             suspicion_digest: self.node.owner.suspects.digest(now),
+            tenant: self.tenant_name().to_owned(),
             ..HopHead::default()
         }
     }
 
-    async fn send(&self, candidate: &Candidate, history: &mut AttemptHistory) -> TargetOutcome {
+    /// Sends the request to a target. A late request leaves its place in the line as
+    /// soon as the owner has a slot for it.
+    async fn send(
+        &self,
+        candidate: &Candidate,
+        history: &mut AttemptHistory,
+        waiting: Option<&mut WaitingPlace>,
+    ) -> TargetOutcome {
         let started = self.node.now();
         let id = &candidate.place.id;
-        let head = self.head(id, history);
+        let mut head = self.head(id, history);
+        head.late = waiting.is_some();
         let mut pending_attempt = PendingAttempt {
             node: self.node,
             id,
@@ -369,9 +579,11 @@
             outcome: None,
         };
         let (outcome, spent) = if candidate.place.distance == TargetDistance::SameHost {
-            let outcome = self.node.owner.run(&self.request, &head, None).await;
+            let outcome = self.run_here(&head, waiting).await;
             let load = self.node.owner.report();
-            self.node.placer().report(id, load, self.node.now());
+            let route_time = self.node.owner.route_service_time(&self.route.name);
+            self.record_load(id, load, route_time);
+            self.record_call(load.waiting_priority);
             if self.node.owner.is_leaving(id) {
                 self.node.mark_leaving(id);
             }
@@ -379,13 +591,20 @@
         } else {
             let progress = Arc::new(RequestProgress::default());
             history.progress = Some(Arc::clone(&progress));
-            let hop = self.send_to_peer(candidate, head, &progress).await;
+            let hop = self.send_to_peer(candidate, head, &progress, waiting).await;
             let now = self.node.now();
             if let Some(report) = &hop.report {
-                let mut placer = self.node.placer();
-                placer.report(id, hop::load_from_report(report), now);
-                placer.record_unoffered_rate(id, report.unoffered_rate as f64, now);
-                drop(placer);
+                let load = hop::load_from_report(report);
+                self.record_call(load.waiting_priority);
+                self.record_load(id, load, hop::route_service_time(report));
+                let unoffered_rate = report.unoffered_rate as f64;
+                self.node
+                    .placer()
+                    .record_unoffered_rate(id, unoffered_rate, now);
+                if report.send_rate > 0 {
+                    let send_rate = report.send_rate as f64;
+                    self.node.placer().record_send_rate(id, send_rate, now);
+                }
                 if report.leaving {
                     self.node.mark_leaving(id);
                 }
@@ -400,27 +619,72 @@
                 .map(|report| Duration::from_micros(report.spent_us));
             (hop.outcome, spent)
         };
+        if let TargetOutcome::Answered(answer) = &outcome
+            && !answer.status.is_server_error()
+        {
+            let bytes = answer.body.len() as u64;
+            self.node
+                .placer()
+                .record_answer_length(self.route_key(), bytes);
+        }
         let took = self.node.now().saturating_sub(started);
         pending_attempt.outcome = Some(attempt::send_outcome(&outcome, took, spent));
         history.progress = None;
         outcome
     }
 
+    /// Records what the owner of a target reports of its load and of the service
+    /// time of this request's route.
+    fn record_load(&self, id: &SmolStr, load: LoadReport, route_time: Option<Duration>) {
+        let now = self.node.now();
+        let mut placer = self.node.placer();
+        placer.report(id, load, now);
+        if let Some(time) = route_time {
+            placer.record_route_time(id, self.route_key(), time, now);
+        }
+    }
+
+    /// Runs the request at this host's target.
+    async fn run_here(&self, head: &HopHead, waiting: Option<&mut WaitingPlace>) -> TargetOutcome {
+        let owner = &self.node.owner;
+        let Some(place) = waiting else {
+            return owner.run(&self.request, head, None).await;
+        };
+        match owner.admit(head) {
+            Ok(admitted) => {
+                place.record_served();
+                owner.run(&self.request, head, Some(admitted)).await
+            }
+            Err(refusal) => TargetOutcome::NotRun(refusal),
+        }
+    }
+
+    /// Tells the owner of the run that makes this call which requests compete with it.
+    fn record_call(&self, waiting_priority: Option<u32>) {
+        if let RequestOrigin::Run(running) = &self.origin {
+            self.node.owner.record_call(running, waiting_priority);
+        }
+    }
+
     /// Sends the request to the owner on another host, and offers it first if its
-    /// body would load a link.
+    /// body would load a link or if it is late.
     async fn send_to_peer(
         &self,
         candidate: &Candidate,
         mut head: HopHead,
         progress: &RequestProgress,
+        waiting: Option<&mut WaitingPlace>,
     ) -> HopOutcome {
         let node = self.node;
         let peer = candidate.peer;
         let body_bytes = self.request.body.len() as u64;
-        if self.needs_offer(candidate, body_bytes) {
+        if waiting.is_some() || self.needs_offer(candidate, body_bytes) {
             let offer = slot_offer::send(node, peer, &head, &self.request.id, body_bytes).await;
             match offer.decision {
                 Ok(reservation) => {
+                    if let Some(place) = waiting {
+                        place.record_served();
+                    }
                     let now = node.now();
                     head.reservation = reservation;
                     head.objective_us = hop::micros(self.objective_left(now));
@@ -456,17 +720,18 @@
         let now = self.node.now();
         let took_ms = now.saturating_sub(self.arrived).as_millis();
         let fields = format_args!(
-            "route={} target={id} status={} attempts={} took_ms={took_ms} version={} revision={}",
+            "route={} tenant={} target={id} status={} attempts={} line={} took_ms={took_ms} version={} revision={}",
             self.route.name,
+            self.tenant_label(),
             answer.status.as_u16(),
             history.tried.len(),
+            history.line.as_str(),
             self.version,
             self.node.position(),
         );
-        let outcome = if answer.status.is_server_error() {
-            "target_failed"
-        } else {
-            "served"
+        let outcome = match answer.status.is_server_error() {
+            true => RequestOutcome::TargetFailed,
+            false => RequestOutcome::Served,
         };
         self.count(outcome, now);
         let request_log = &self.node.request_log;
@@ -499,22 +764,25 @@
             }
             (PlacementError::NoTarget, None) => DEFAULT_RETRY_AFTER,
         };
-        let spread = 1.0 + rand::rng().random_range(0.0..RETRY_JITTER);
-        let retry_after = hint.max(MIN_RETRY_AFTER).mul_f64(spread);
         let now = self.node.now();
-        self.count("refused", now);
+        let retry_after = self.retry_after(hint, now);
+        self.count(RequestOutcome::Refused, now);
         let place = match error {
             PlacementError::Full { .. } => "full",
             PlacementError::NoTarget => "no target",
         };
+        let competes_as = self.competing_urgency(now);
         let owner = history.refusal.map(|refusal| refusal.reason.as_str_name());
         self.node.request_log.log_other(
             &events::REQUEST_REFUSED,
             &self.request.id,
             format_args!(
-                "route={} place={place} owner={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
+                "route={} tenant={} place={place} owner={} urgency={} competes_as={competes_as} line={} retry_after_ms={} tried={:?} took_ms={} left_ms={} version={} revision={}",
                 self.route.name,
+                self.tenant_label(),
                 owner.unwrap_or("-"),
+                self.kind().urgency,
+                history.line.as_str(),
                 retry_after.as_millis(),
                 history.tried,
                 now.saturating_sub(self.arrived).as_millis(),
@@ -527,9 +795,24 @@
         local_reply::refused(Some(&self.request.id), "not run", retry_after)
     }
 
+    /// Returns the time after which a refused request should be sent again. A run waits
+    /// for its call, so it repeats a call as soon as a target may have capacity.
+    fn retry_after(&self, hint: Duration, now: Duration) -> Duration {
+        if self.is_call() {
+            let draw = rand::rng().random_range(0.0..1.0);
+            return return_order::spread(hint, draw);
+        }
+        let request = RefusedRequest {
+            hint,
+            time_left: self.deadline.saturating_sub(now),
+        };
+        waiting_lines::return_time(self.node, &self.service, &request)
+    }
+
     fn timed_out(&self, history: &mut AttemptHistory) -> HttpAnswer {
         let sent = match history.progress.take() {
             Some(progress) => progress.may_have_been_sent(),
+            None if history.is_waiting => false,
             // An attempt at this host's target has no progress, and the target
             // may have run the request.
             None => !history.tried.is_empty(),
@@ -540,9 +823,18 @@
         self.fail(StatusCode::GATEWAY_TIMEOUT, "timeout", history)
     }
 
-    fn count(&self, outcome: &str, now: Duration) {
+    fn count(&self, outcome: RequestOutcome, now: Duration) {
         let took = now.saturating_sub(self.arrived).as_millis() as u64;
-        self.node.metrics.request(&self.route.name, outcome, took);
+        let metrics = &self.node.metrics;
+        metrics.request(&self.route.name, outcome, took);
+        if let Some(tenant) = &self.tenant {
+            metrics.tenants.count(tenant, outcome);
+        }
+        let is_served = outcome != RequestOutcome::Refused;
+        let kind = self.kind();
+        self.node
+            .shares()
+            .record(&self.service, &kind, is_served, now);
     }
 
     fn fail(
@@ -552,13 +844,14 @@
         history: &AttemptHistory,
     ) -> HttpAnswer {
         let now = self.node.now();
-        self.count("failed", now);
+        self.count(RequestOutcome::Failed, now);
         self.node.request_log.log_other(
             &events::REQUEST_FAILED,
             &self.request.id,
             format_args!(
-                "route={} target={:?} reason={reason} fingerprint={:016x} status={} attempts={} took_ms={} version={} revision={}",
+                "route={} tenant={} target={:?} reason={reason} fingerprint={:016x} status={} attempts={} took_ms={} version={} revision={}",
                 self.route.name,
+                self.tenant_label(),
                 history.tried.last(),
                 self.prints.content.0,
                 status.as_u16(),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -9,14 +9,17 @@
 //! `radishgauge-mesh`.
 
 pub mod answer;
+pub mod answer_lease;
 mod attempt;
+mod body_receipt;
 pub mod entry;
 mod fleet_scope;
 pub mod follow;
 pub mod hop;
+mod interrupted_runs;
 pub mod known_hosts;
 pub mod known_state;
-mod local_reply;
+pub mod local_reply;
 pub mod metrics;
 pub mod node;
 mod origin;
@@ -26,7 +29,11 @@
 pub mod peer_server;
 pub mod peers;
 pub mod probe;
+pub mod quota;
+pub mod quota_exchange;
+mod quota_state;
 pub mod request_log;
+pub mod request_outcome;
 pub mod reservation;
 mod run_ledger;
 pub mod sidecar;
@@ -37,6 +44,10 @@
 pub mod suspect_exchange;
 mod suspect_placing;
 pub mod target_call;
+pub mod tenant_access;
+pub mod tenant_metrics;
+mod unread_body;
+pub mod waiting_lines;
 
 pub use sidecar::Sidecar;
 pub use sidecar::StopReport;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -19,11 +19,17 @@
 use cadence::StatsdClient;
 use hdrhistogram::Histogram;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
+use radishgauge_mesh::quota::QuotaCounts;
 use radishgauge_mesh::reader::ReaderRole;
+use radishgauge_mesh::tenant::TenantLabel;
 use smol_str::SmolStr;
 
 use crate::node::SidecarNode;
 use crate::node::lock;
+use crate::quota;
+use crate::request_outcome::RequestOutcome;
+use crate::tenant_metrics::TenantMetrics;
 
 /// The greatest number of series; metrics of further series are counted in
 /// [`OVERFLOW`].
@@ -35,6 +41,12 @@
 /// The significant decimal digits of a histogram; 1 keeps a series below 3 KB.
 const SIGNIFICANT_DIGITS: u8 = 1;
 
+/// The greatest number of tenants with series of their own.
+const MAX_TENANT_LABELS: usize = 64;
+
+/// The label of all other tenants, which no name in a configuration can equal.
+const OTHER_TENANTS: &str = "(other)";
+
 /// The series that counts the metrics of series beyond the limit.
 const OVERFLOW: &str = "radishgauge.series_left_out";
 
@@ -131,26 +143,35 @@
 pub struct SidecarMetrics {
     client: StatsdClient,
     registry: Arc<MetricRegistry>,
+    /// The requests of tenants.
+    pub tenants: TenantMetrics,
+    /// The tenants that have series of their own.
+    limited_tenants: Mutex<IndexSet<SmolStr>>,
 }
 
 impl Default for SidecarMetrics {
     fn default() -> SidecarMetrics {
         let registry = Arc::new(MetricRegistry::default());
         let client = StatsdClient::from_sink("radishgauge", RegistrySink(Arc::clone(&registry)));
-        SidecarMetrics { client, registry }
+        SidecarMetrics {
+            client,
+            registry,
+            tenants: TenantMetrics::default(),
+            limited_tenants: Mutex::default(),
+        }
     }
 }
 
 impl SidecarMetrics {
     /// Records the latency of one request of a caller, with its route and
     /// outcome as labels.
-    pub fn request(&self, route: &str, outcome: &str, took_ms: u64) {
+    pub fn request(&self, route: &str, outcome: RequestOutcome, took_ms: u64) {
         // The registry accepts every metric of these forms.
         let _ = self
             .client
             .histogram_with_tags("request_ms", took_ms)
             .with_tag("route", route)
-            .with_tag("outcome", outcome)
+            .with_tag("outcome", outcome.as_str())
             .try_send();
     }
 
@@ -163,6 +184,33 @@
             .try_send();
     }
 
+    /// Adds the decisions on requests of a tenant with a rate limit. Tenants beyond a
+    /// fixed number are counted together.
+    pub fn quota(&self, tenant: &SmolStr, counts: QuotaCounts) {
+        let label = {
+            let mut labels = lock(&self.limited_tenants);
+            if labels.len() < MAX_TENANT_LABELS || labels.contains(tenant) {
+                labels.insert(tenant.clone());
+                TenantLabel(tenant).to_string()
+            } else {
+                OTHER_TENANTS.to_owned()
+            }
+        };
+        for (name, count) in [
+            ("quota_admitted", counts.admitted),
+            ("quota_admitted_locally", counts.local),
+            ("quota_refused", counts.refused),
+        ] {
+            if count > 0 {
+                let _ = self
+                    .client
+                    .count_with_tags(name, count)
+                    .with_tag("tenant", &label)
+                    .try_send();
+            }
+        }
+    }
+
     /// Adds one to the counter with this name, which has no labels.
     pub fn count(&self, name: &str) {
         let _: Result<cadence::Counter, _> = self.client.incr(name);
@@ -176,6 +224,7 @@
     /// Returns the metrics page: all series, including gauges of the daemon's
     /// current state.
     pub fn page(&self, node: &SidecarNode) -> String {
+        quota::flush_counts(node);
         let load = node.owner.report();
         let declared = node.owner.declared_rate().unwrap_or_default();
         let (config, targets, evacuated) = {
@@ -189,6 +238,9 @@
         };
         let age = node.freshness().age(node.now()).unwrap_or(Duration::MAX);
         let counters = &node.owner.suspect_counters;
+        let placements = node.placer().counts();
+        let long_answer_routes = node.placer().long_answer_routes() as u64;
+        let efficient_limit = load.efficient_limit.unwrap_or_default();
         let gauges = [
             ("state_revision", node.position().revision),
             ("state_era", node.position().era),
@@ -197,7 +249,19 @@
             ("domains_out", evacuated),
             ("target_occupied", u64::from(load.occupied)),
             ("target_limit", u64::from(load.limit)),
+            // 0 while no number of concurrent requests is known to slow the target.
+            ("target_efficient_limit", u64::from(efficient_limit)),
+            ("placements_by_speed", placements.by_speed),
+            ("placement_probes", placements.probes),
+            ("long_answer_routes", long_answer_routes),
             ("target_wait_ms", load.wait.as_millis() as u64),
+            ("line_waiting", node.waiting_lines().len() as u64),
+            // The most urgent priority that waits, plus one; 0 if none waits.
+            (
+                "target_waiting_priority",
+                load.waiting_priority
+                    .map_or(0, |priority| u64::from(priority) + 1),
+            ),
             ("target_cold", u64::from(load.cold)),
             // In requests per 1,000 s; 0 if the target declares no limit.
             ("target_rate_limit_milli", (declared * 1000.0).ceil() as u64),
@@ -221,6 +285,8 @@
         for (name, value) in gauges {
             let _: Result<cadence::Gauge, _> = self.client.gauge(name, value);
         }
-        self.registry.render()
+        let mut text = self.registry.render();
+        self.tenants.render(&mut text);
+        text
     }
 }
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -16,6 +16,7 @@
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MisplacedTargets;
 use radishgauge_mesh::RetryBudget;
+use radishgauge_mesh::ServiceShares;
 use radishgauge_mesh::StateFreshness;
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::StopPlan;
@@ -33,14 +34,18 @@
 use tokio::sync::watch;
 
 use crate::answer::TargetOutcome;
+use crate::answer_lease;
+use crate::answer_lease::OwnedAnswers;
 use crate::hop;
 use crate::known_state::KnownState;
 use crate::metrics::SidecarMetrics;
 use crate::owner::TargetOwner;
 use crate::peers::PeerClients;
+use crate::quota_state::QuotaState;
 use crate::request_log::RequestLog;
 use crate::reservation::SlotReservations;
 use crate::suspect_exchange;
+use crate::waiting_lines::WaitingLines;
 
 /// The state that the tasks of one daemon share.
 pub struct SidecarNode {
@@ -57,9 +62,13 @@
     pub metrics: SidecarMetrics,
     /// Wakes the state exchange when a peer reports a newer state.
     pub newer_state: Notify,
+    /// Wakes the reader of the store when the store's address has changed.
+    pub(crate) store_moved: Notify,
     known: Mutex<KnownState>,
     placer: Mutex<TargetPlacer>,
     budget: Mutex<RetryBudget>,
+    shares: Mutex<ServiceShares>,
+    waiting_lines: Mutex<WaitingLines>,
     /// The greatest position that a peer reported, and the peer.
     newest_report: Mutex<Option<(StatePosition, SocketAddr)>>,
     pub(crate) position: watch::Sender<StatePosition>,
@@ -73,6 +82,7 @@
     body_admission: Mutex<BodyAdmission>,
     reservations: Mutex<SlotReservations>,
     link: Mutex<LinkLoad>,
+    answers: Mutex<OwnedAnswers>,
     freshness: Mutex<StateFreshness>,
     /// The targets whose owners reported that they leave.
     leaving: Mutex<LeavingTargets>,
@@ -83,8 +93,11 @@
     suspects_differ: Notify,
     /// The hosts whose daemons have sent a request to this one.
     pub(crate) contacts: Mutex<IndexSet<IpAddr>>,
+    /// The tokens and buckets of tenants; `None` while no tenant has a limit.
+    pub(crate) quota_state: Mutex<Option<Box<QuotaState>>>,
     /// The times of the stop; `None` until it begins.
     stop_plan: ArcSwapOption<StopPlan>,
+    started: Duration,
 }
 
 impl SidecarNode {
@@ -97,6 +110,8 @@
         seed: u64,
     ) -> SidecarNode {
         let link = LinkLoad::new(settings.link_rate);
+        let started = clock.now();
+        let answers = OwnedAnswers::new(settings.link_rate);
         SidecarNode {
             peers: PeerClients::new(
                 settings.peer_address.port(),
@@ -109,8 +124,11 @@
             request_log: RequestLog::default(),
             metrics: SidecarMetrics::default(),
             newer_state: Notify::new(),
+            store_moved: Notify::new(),
             known: Mutex::default(),
             placer: Mutex::new(TargetPlacer::new(seed)),
+            shares: Mutex::default(),
+            waiting_lines: Mutex::default(),
             newest_report: Mutex::default(),
             position: watch::Sender::new(StatePosition::UNKNOWN),
             changes: watch::Sender::new(0),
@@ -119,13 +137,16 @@
             body_admission: Mutex::default(),
             reservations: Mutex::default(),
             link: Mutex::new(link),
+            answers: Mutex::new(answers),
             freshness: Mutex::default(),
             leaving: Mutex::default(),
             misplaced: Mutex::default(),
             suspect_source: Mutex::default(),
             suspects_differ: Notify::new(),
             contacts: Mutex::default(),
+            quota_state: Mutex::default(),
             stop_plan: ArcSwapOption::empty(),
+            started,
         }
     }
 
@@ -134,17 +155,28 @@
         self.settings.load_full()
     }
 
-    /// Applies changed settings. The addresses on which this daemon listens do
-    /// not change.
-    pub fn reload(&self, settings: HostSettings) {
+    /// Applies changed settings, and logs those that take effect at the next start.
+    pub fn reload(&self, changed: HostSettings) {
         let before = self.settings();
         let now = self.now();
+        let mut settings = HostSettings::clone(&before);
+        for setting in settings.apply(changed) {
+            events::SETTING_UNAPPLIED.emit(format_args!(
+                "field={} in_force={} in_file={}",
+                setting.field, setting.in_force, setting.in_file
+            ));
+        }
         if before.target_address != settings.target_address {
             self.owner.set_target(settings.target_address);
         }
         self.budget().configure(settings.retry_limits);
         self.link().set_capacity(settings.link_rate);
+        let is_store_moved = before.store_address != settings.store_address;
+        self.answers().link.set_capacity(settings.link_rate);
         self.settings.store(Arc::new(settings));
+        if is_store_moved {
+            self.store_moved.notify_one();
+        }
         let known = self.known();
         self.owner.refresh(&self.settings(), &known.table, now);
     }
@@ -154,6 +186,11 @@
         self.clock.now()
     }
 
+    /// Returns the time since the daemon started.
+    pub fn age(&self) -> Duration {
+        self.now().saturating_sub(self.started)
+    }
+
     /// Returns the position of the known state.
     pub fn position(&self) -> StatePosition {
         *self.position.borrow()
@@ -270,6 +307,16 @@
         self.stop_plan.load().is_some()
     }
 
+    /// Waits until the daemon begins to stop.
+    pub async fn wait_for_stop(&self) {
+        let mut changes = self.changes.subscribe();
+        while !self.is_stopping() {
+            // The sender is owned by `self`, so the channel cannot close during the
+            // wait.
+            let _ = changes.changed().await;
+        }
+    }
+
     /// Returns whether a request that lasts for `longest` at most can be served
     /// before the daemon stops.
     pub fn accepts(&self, longest: Duration) -> bool {
@@ -318,6 +365,12 @@
         lock(&self.link)
     }
 
+    /// Locks the long answers of this host's target; callers must not keep the lock
+    /// across I/O.
+    pub(crate) fn answers(&self) -> MutexGuard<'_, OwnedAnswers> {
+        lock(&self.answers)
+    }
+
     /// Records the bytes of a request from another host, whose body is counted as
     /// received already.
     pub fn record_hop(&self, body_bytes: u64, outcome: &TargetOutcome) {
@@ -338,6 +391,11 @@
     /// request with the head `head`.
     pub fn hop_report(&self, head: &HopHead) -> HopReport {
         let mut report = hop::report_from_load(&self.owner.report());
+        report.route_service_us = self
+            .owner
+            .route_service_time(&head.route)
+            .map_or(0, hop::micros);
+        report.send_rate = answer_lease::send_rate(self, head);
         report.unoffered_rate = self.link().unoffered_rate(self.now()) as u64;
         let position = self.position();
         report.revision = position.revision;
@@ -379,6 +437,18 @@
         lock(&self.budget)
     }
 
+    /// Locks the requests that wait for spare capacity; callers must not keep the lock
+    /// across I/O.
+    pub fn waiting_lines(&self) -> MutexGuard<'_, WaitingLines> {
+        lock(&self.waiting_lines)
+    }
+
+    /// Locks the counts of served requests by service and kind; callers must not keep the lock
+    /// across I/O.
+    pub fn shares(&self) -> MutexGuard<'_, ServiceShares> {
+        lock(&self.shares)
+    }
+
     /// Records the position of a peer's state, and wakes the state exchange if
     /// it is newer than the state known here.
     pub fn record_peer_position(&self, peer: SocketAddr, position: StatePosition) {
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -21,6 +21,8 @@
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
 use radishgauge_mesh::admission::RefuseReason;
+use radishgauge_mesh::call_pressure::CalledQueue;
+use radishgauge_net::BodyBudget;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -40,6 +42,7 @@
 use crate::fleet_scope::FleetScope;
 use crate::hop;
 use crate::node::lock;
+use crate::origin::RunningRequest;
 use crate::owner_state::OwnerState;
 use crate::owner_suspects::SUSPECT_POLICY;
 use crate::owner_suspects::SuspectCounters;
@@ -69,21 +72,17 @@
 /// the refusal arrives in time even in another region.
 pub(crate) const REFUSAL_MARGIN: Duration = Duration::from_millis(60);
 
-/// The fraction of the process's memory that answers which are being received may
-/// use.
-const ANSWER_MEMORY_FRACTION: f64 = 0.25;
-
-/// The fraction of the process's memory that requests and messages of other daemons
-/// which are being received may use.
-const MESSAGE_MEMORY_FRACTION: f64 = 0.25;
-
 /// The owner of this host's target.
 pub struct TargetOwner {
     pub(crate) clock: Arc<dyn ProcessClock>,
     client: ArcSwap<TargetClient>,
     /// The memory for the answers of targets and of other daemons.
     answer_budget: Arc<ByteBudget>,
-    /// The memory for requests and messages of other daemons.
+    /// The memory for the bodies of requests, of callers and of other daemons.
+    pub(crate) body_budget: Arc<BodyBudget>,
+    /// The memory for long heads of callers' requests.
+    pub(crate) head_budget: Arc<ByteBudget>,
+    /// The memory for messages of other daemons.
     pub(crate) message_budget: ByteBudget,
     state: Mutex<OwnerState>,
     /// Requests a health check of the target.
@@ -104,16 +103,19 @@
 impl TargetOwner {
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
-        let budget = |fraction| {
-            let bytes = settings.memory_limit as f64 * fraction;
-            ByteBudget::new(bytes as usize)
-        };
-        let answer_budget = Arc::new(budget(ANSWER_MEMORY_FRACTION));
+        let limits = settings.client_limits;
+        let bytes = |fraction| (settings.memory_limit as f64 * fraction) as usize;
+        let pool = Arc::new(ByteBudget::new(bytes(limits.shared_memory)));
+        let budget = |fraction| ByteBudget::within(Arc::clone(&pool), bytes(fraction));
+        let body_budget = BodyBudget::new(bytes(limits.body_memory), Arc::clone(&pool));
+        let answer_budget = Arc::new(budget(limits.answer_memory));
         TargetOwner {
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
             answer_budget,
-            message_budget: budget(MESSAGE_MEMORY_FRACTION),
+            body_budget: Arc::new(body_budget),
+            head_budget: Arc::new(budget(limits.head_memory)),
+            message_budget: budget(limits.message_memory),
             state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
@@ -153,6 +155,11 @@
         self.state().admission.report(self.clock.now())
     }
 
+    /// Returns the mean service time of a route, if one is known.
+    pub fn route_service_time(&self, route: &str) -> Option<Duration> {
+        self.state().admission.route_service_time(route)
+    }
+
     /// Returns the numbers of running and of waiting requests.
     pub fn load(&self) -> (u32, usize) {
         let state = self.state();
@@ -164,10 +171,25 @@
         self.state().down
     }
 
-    /// Returns whether the run of a request at the target is a retry; `None` if
-    /// no request with this ID runs.
-    pub fn is_retried_run(&self, request: &str) -> Option<bool> {
-        self.state().runs.get(request).copied()
+    /// Returns the request with this ID that runs at the target; `None` if there is
+    /// none.
+    pub(crate) fn running_request(&self, request: &str) -> Option<RunningRequest> {
+        self.state().runs.get(request).cloned()
+    }
+
+    /// Records that a call of a run was answered by an owner at which
+    /// `waiting_priority` waits.
+    pub(crate) fn record_call(&self, running: &RunningRequest, waiting_priority: Option<u32>) {
+        let queue = CalledQueue::of(waiting_priority, running.urgency);
+        let now = self.clock.now();
+        let mut state = self.state();
+        state.admission.record_call(&running.route, queue, now);
+    }
+
+    /// Returns whether the run of a request was given up at the time `since` or later,
+    /// so that the target may still be at work on it.
+    pub fn may_still_run(&self, request: &str, since: Duration) -> bool {
+        self.state().interrupted.contains(request, since)
     }
 
     /// Stops admitting requests.
@@ -322,17 +344,19 @@
         }
         slot.started = self.clock.now();
         let run = self.begin_run(&head.route, &prints, software);
-        let _run = RunRegistration::begin(self, &request.id, head.repeated);
+        let mut registration = RunRegistration::begin(self, &request.id, head);
         let left = deadline.saturating_sub(self.clock.now());
         let mesh_headers = MeshHeaders {
             target: &head.target,
             caller_service: &head.caller_service,
             time_left: left,
+            tenant: (!head.tenant.is_empty()).then_some(head.tenant.as_str()),
         };
         let client = self.client();
         let sent = slot.started;
         let observe = |statement| self.record_statement(&head.target, statement, sent);
         let outcome = target_call::call(&client, request, &mesh_headers, left, observe).await;
+        registration.has_ended = !matches!(outcome, TargetOutcome::MayHaveRun(_));
         if target_call::is_cut_off(&outcome) {
             self.explain_cut_off(&run).await;
         }
@@ -407,7 +431,9 @@
             objective: Duration::from_micros(head.objective_us),
             time_left: Duration::from_micros(head.time_left_us),
             priority: head.priority,
+            urgency: hop::urgency(head),
             is_call: head.call,
+            is_late: head.late,
         };
         let connection_losses = self.client().connection_losses();
         let now = self.clock.now();
@@ -501,22 +527,38 @@
 struct RunRegistration<'a> {
     owner: &'a TargetOwner,
     request: &'a SmolStr,
+    /// Whether the target has ended the run, as far as is known.
+    has_ended: bool,
 }
 
 impl RunRegistration<'_> {
     fn begin<'a>(
         owner: &'a TargetOwner,
         request: &'a SmolStr,
-        retried: bool,
+        head: &HopHead,
     ) -> RunRegistration<'a> {
-        owner.state().runs.insert(request.clone(), retried);
-        RunRegistration { owner, request }
+        let running = RunningRequest {
+            route: SmolStr::from(head.route.as_str()),
+            retried: head.repeated,
+            urgency: hop::urgency(head),
+        };
+        owner.state().runs.insert(request.clone(), running);
+        RunRegistration {
+            owner,
+            request,
+            has_ended: false,
+        }
     }
 }
 
 impl Drop for RunRegistration<'_> {
     fn drop(&mut self) {
-        self.owner.state().runs.remove(self.request);
+        let now = self.owner.clock.now();
+        let mut state = self.owner.state();
+        state.runs.remove(self.request);
+        if !self.has_ended {
+            state.interrupted.record(self.request.clone(), now);
+        }
     }
 }
 
--- a/crates/sidecar/src/peer_server.rs
+++ b/crates/sidecar/src/peer_server.rs
@@ -2,14 +2,13 @@
 //! and requests for the platform's state.
 
 use std::sync::Arc;
+use std::time::Duration;
 
-use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
 use radishgauge_events::events;
 use radishgauge_net::BodyFault;
 use radishgauge_net::HttpAnswer;
-use radishgauge_net::HttpBody;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::message;
@@ -21,9 +20,13 @@
 use crate::answer;
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
+use crate::answer_lease;
+use crate::body_receipt;
 use crate::hop;
 use crate::node::SidecarNode;
+use crate::quota_exchange;
 use crate::reservation;
+use crate::slot::AdmittedRequest;
 use crate::slot_offer;
 use crate::state_exchange;
 use crate::suspect_exchange;
@@ -48,6 +51,9 @@
         if head.uri.path() == suspect_exchange::SUSPECT_PATH {
             return suspect_exchange::serve(&node, &head.method, body).await;
         }
+        if head.uri.path() == quota_exchange::QUOTA_PATH {
+            return quota_exchange::serve(&node, peer.ip(), body).await;
+        }
         return state_exchange::serve(&node, peer, &head.method, &head.uri, body).await;
     };
     node.record_peer_position(peer, hop::head_position(&hop_head));
@@ -56,11 +62,16 @@
     // The sending daemon has received the caller's complete body, so this body
     // arrives without waiting for the caller.
     let claimed_slot = reservation::claim(&node, hop_head.reservation);
-    let body = match receive_body(&node, &mut body).await {
+    let time_left = Duration::from_micros(hop_head.time_left_us);
+    let body = match body_receipt::receive(&node, &mut body, remote.ip(), time_left).await {
         Ok(body) => body,
         Err(BodyFault::Cut(_)) => return answer::empty(StatusCode::BAD_REQUEST),
-        Err(BodyFault::TooLarge { .. } | BodyFault::NoMemory) => {
-            let refusal = NotRun::before_target(HopReason::Full);
+        Err(fault) => {
+            let reason = match fault {
+                BodyFault::Late => HopReason::Expired,
+                _ => HopReason::Full,
+            };
+            let refusal = NotRun::before_target(reason);
             let report = node.hop_report(&hop_head);
             return hop_answer(TargetOutcome::NotRun(refusal), report);
         }
@@ -69,6 +80,10 @@
     let body_bytes = body.len() as u64;
     node.link().record_received(body_bytes, node.now());
     message::strip_connection_fields(&mut head.headers);
+    if node.config().is_some_and(|config| config.has_tenants()) {
+        // The sender may have an older configuration, without tenants.
+        message::remove_key(&mut head.headers);
+    }
     let request = BufferedRequest {
         id: message::request_id(&head.headers).unwrap_or_default(),
         method: head.method,
@@ -76,7 +91,7 @@
         headers: head.headers,
         body,
     };
-    let outcome = node.owner.run(&request, &hop_head, admitted).await;
+    let outcome = run(&node, &request, &hop_head, admitted).await;
     node.record_hop(body_bytes, &outcome);
     let mut report = node.hop_report(&hop_head);
     report.spent_us = hop::micros(node.now().saturating_sub(arrived));
@@ -84,14 +99,23 @@
     hop_answer(outcome, report)
 }
 
-/// Receives the body of a request, as far as a caller may send one and the memory for
-/// requests of other daemons allows it.
-async fn receive_body(node: &SidecarNode, body: &mut HttpBody) -> Result<Bytes, BodyFault> {
-    let limit = node
-        .config()
-        .map_or(u64::MAX, |config| config.limits().body_bytes);
-    let budget = &node.owner.message_budget;
-    body.whole_within(limit, budget).await
+/// Runs a request if this host's link can send its answer in time. A reserved request
+/// was checked when it was offered.
+async fn run(
+    node: &Arc<SidecarNode>,
+    request: &BufferedRequest,
+    head: &HopHead,
+    admitted: Option<AdmittedRequest>,
+) -> TargetOutcome {
+    if admitted.is_none()
+        && let Err(refusal) = answer_lease::check(node, head)
+    {
+        return TargetOutcome::NotRun(refusal);
+    }
+    let lease = answer_lease::begin(node, head);
+    let outcome = node.owner.run(request, head, admitted).await;
+    lease.end(&outcome);
+    outcome
 }
 
 fn log_outcome(
@@ -111,8 +135,10 @@
                 &events::OWNER_REFUSED,
                 id,
                 format_args!(
-                    "target={target} reason={} occupied={} limit={} wait_ms={}",
+                    "target={target} reason={} urgency={} waiting_priority={:?} occupied={} limit={} wait_ms={}",
                     refusal.reason.as_str_name(),
+                    hop::urgency(head),
+                    report.waiting_priority.checked_sub(1),
                     report.occupied,
                     report.limit,
                     report.wait_us / 1000
