--- a/crates/config/tests/reference.rs
+++ b/crates/config/tests/reference.rs
@@ -37,12 +37,24 @@
 | `clients.messageMemory` | 0.01 to 0.95 | `0.25` | The memory for messages of other daemons. |
 | `clients.headMemory` | 0.01 to 0.95 | `0.1` | The memory for heads of more than 1 KiB that are being received. |
 | `clients.connections` | 0.01 to 0.95 | `0.75` | The fraction of `limits.maxFds` less 200 that connections of callers may use, two descriptors each. Without `limits.maxFds` they are not limited. |
-| `clients.stallTime` | 100ms to 600s | `1s` | A body without progress for twice this time is given up if another one lacked memory in the second half. |
+| `clients.stallTime` | 100ms to 600s | `1s` | A body without progress for at least twice this time is given up once other bodies have lacked memory since the first such time. |
 | `clients.unreadTime` | 100ms to 600s | `30s` | How long a caller may leave the bytes of an answer unacknowledged. |
 
-Limits that follow from the configuration: a head of a caller is received up to twice `headerBytes` and for \
-`headerTimeout` and a second, a body up to `bodyBytes`, within the time of its request, and without \
+Limits that follow from the configuration: a head of a caller is received up to twice `headerBytes` \
+(128 KiB at most) and for `headerTimeout` and a second (10 s at most), a body up to `bodyBytes`, within the time of its request, and without \
 progress for at most `idleTimeout`.
+
+## Tolerance of tenants' rate limits on the users' platform
+
+The fields may be missing. A change takes effect within a second. Over all daemons, a tenant may send \
+(rate × window + burst) × (1 + overage) + slack requests in any window; see \
+[design/quotas.md](design/quotas.md).
+
+| field | accepted values | default | meaning |
+|---|---|---|---|
+| `bounds.quotaWindow` | 1s to 60s | `5s` | The length of the sliding window. |
+| `bounds.quotaOverage` | a number of at least 0 | `0.25` | The fraction by which the limit may be exceeded. |
+| `bounds.quotaSlack` | a number of at least 0 | `20` | The requests that may be sent beyond that. |
 ";
 
 const CONFIGURATION: &str = "\
