Ignore an entry that a target said before the one that is known

Cause: the order of entries was the store's revision alone. The store may do a write late, and the entry's `sequence`, which says in which order the target spoke, was dropped when it was decoded. So a heartbeat sent before the report took its place.

Fix: a target's record has its sequence, and an entry with a lower one of the same life (`born`) is ignored, also after the target was removed. An entry without `born` is applied as before, since a restart cannot be told from a late write. A new life counts anew.

Ruled out: ordering by `born` of an earlier life, as a clock may step back and the target would then stay out for good. Not covered: a daemon that starts while the late entry stands in the store, until the target's next heartbeat; the owner beside the target still refuses its requests.

--- a/crates/mesh/src/state_table.rs
+++ b/crates/mesh/src/state_table.rs
@@ -29,6 +29,10 @@
 /// registered again; the platform specifies two seconds.
 pub const LAPSE_GRACE: Duration = Duration::from_secs(2);
 
+/// The greatest number of removed targets whose last word is remembered; the oldest is
+/// forgotten first.
+const MAX_REMOVED: usize = 256;
+
 /// A change of the platform's state, from the store or from a peer.
 #[derive(Debug, Clone)]
 pub enum StateChange {
@@ -166,6 +170,8 @@
 pub struct StateTable {
     config: Option<Arc<MeshConfig>>,
     targets: IndexMap<SmolStr, TargetEntry>,
+    /// The last word of each target that was removed lately.
+    removed: IndexMap<SmolStr, TargetRecord>,
     /// The greatest incarnation that is registered at each address.
     latest_incarnations: IndexMap<SocketAddr, u64>,
     evacuated_domains: IndexSet<SmolStr>,
@@ -180,6 +186,7 @@
         StateTable {
             config: None,
             targets: IndexMap::new(),
+            removed: IndexMap::new(),
             latest_incarnations: IndexMap::new(),
             evacuated_domains: IndexSet::new(),
             health: StoreHealth::Reachable,
@@ -401,8 +408,21 @@
         StateEvent::ConfigInForce { version }
     }
 
+    /// Returns the last word of a target, also if it was removed lately.
+    fn last_word(&self, id: &str) -> Option<&TargetRecord> {
+        self.target(id).or_else(|| self.removed.get(id))
+    }
+
+    /// Applies the entry of a target. An entry is ignored if the target has said something
+    /// later: the order in which the store has done the writes is not the order in which
+    /// they were sent.
     fn apply_target(&mut self, record: TargetRecord) -> Option<StateEvent> {
+        let known = self.last_word(&record.id);
+        if known.is_some_and(|known| record.is_older_word_than(known)) {
+            return None;
+        }
         let id = record.id.clone();
+        self.removed.shift_remove(&id);
         let draining = record.draining;
         let address = record.address;
         let known = self.targets.insert(
@@ -457,6 +477,10 @@
     fn remove(&mut self, id: SmolStr) -> Option<StateEvent> {
         let entry = self.targets.shift_remove(&id)?;
         self.update_latest_incarnation(entry.record.address);
+        self.removed.insert(id.clone(), entry.record);
+        if self.removed.len() > MAX_REMOVED {
+            self.removed.shift_remove_index(0);
+        }
         Some(StateEvent::TargetGone { id })
     }
 
--- a/crates/mesh/src/target.rs
+++ b/crates/mesh/src/target.rs
@@ -30,6 +30,8 @@
     /// Distinguishes restarts of a target that keeps its identifier; `None`
     /// when the registration has no incarnation.
     pub incarnation: Option<u64>,
+    /// Counts what the target has said of itself since it started.
+    pub sequence: u64,
 }
 
 /// Identifies what targets run: a service, and the version of its software.
@@ -55,6 +57,13 @@
         self.id == other.id && self.incarnation == other.incarnation
     }
 
+    /// Returns whether the same incarnation of the target has said `other` later than this.
+    /// A write that the platform does late has an earlier word than the entry that it
+    /// replaces. Incarnations that are not stated cannot be told apart.
+    pub fn is_older_word_than(&self, other: &TargetRecord) -> bool {
+        self.incarnation.is_some() && self.same_incarnation(other) && self.sequence < other.sequence
+    }
+
     /// Returns whether another target has started at the same address since. Only
     /// one target runs at an address, so this one has ended, although its
     /// registration may remain until its lease expires.
--- a/crates/mesh/tests/mesh/leaving_targets.rs
+++ b/crates/mesh/tests/mesh/leaving_targets.rs
@@ -6,6 +6,7 @@
 fn record(id: &str, incarnation: Option<u64>) -> TargetRecord {
     TargetRecord {
         incarnation,
+        sequence: 1,
         ..support::record(id)
     }
 }
--- a/crates/mesh/tests/mesh/state_table.rs
+++ b/crates/mesh/tests/mesh/state_table.rs
@@ -206,3 +206,46 @@
     assert!(!misplaced.contains(&restarted, s(1)));
     assert!(!misplaced.contains(&record, s(60)));
 }
+
+/// Guards against requests to a target that has said that it leaves: the platform may do
+/// an earlier write of the target after the one that reports this.
+#[test]
+fn late_write_does_not_undo_later_word() {
+    let mut table = StateTable::default();
+    let word = |sequence, draining, incarnation| TargetRecord {
+        sequence,
+        draining,
+        incarnation: Some(incarnation),
+        ..record("i-1")
+    };
+    let mut apply = |change| table.apply(change, STORE, s(1));
+    assert!(apply(StateChange::Target(word(1, false, 7))).is_some());
+    assert!(apply(StateChange::Target(word(6, true, 7))).is_some());
+    assert_eq!(apply(StateChange::Target(word(3, false, 7))), None);
+    assert!(apply(StateChange::TargetRemoved("i-1".into())).is_some());
+    assert_eq!(apply(StateChange::Target(word(5, false, 7))), None);
+    // A target that starts again counts anew.
+    assert!(apply(StateChange::Target(word(1, false, 8))).is_some());
+    assert!(!table.target("i-1").unwrap().draining);
+}
+
+/// Guards against a target that stays out of use because its incarnation is not stated, or
+/// because it withdraws what it said.
+#[test]
+fn later_word_and_unknown_incarnation_are_applied() {
+    let mut table = StateTable::default();
+    let word = |sequence, draining, incarnation| TargetRecord {
+        sequence,
+        draining,
+        incarnation,
+        ..record("i-1")
+    };
+    let mut is_draining = |record| {
+        table.apply(StateChange::Target(record), STORE, s(1));
+        table.target("i-1").unwrap().draining
+    };
+    assert!(is_draining(word(6, true, Some(7))));
+    assert!(!is_draining(word(7, false, Some(7))));
+    assert!(is_draining(word(8, true, None)));
+    assert!(!is_draining(word(1, false, None)));
+}
--- a/crates/mesh/tests/mesh/support.rs
+++ b/crates/mesh/tests/mesh/support.rs
@@ -16,5 +16,6 @@
         version: "v1".into(),
         cold_left: Duration::ZERO,
         incarnation: None,
+        sequence: 1,
     }
 }
--- a/crates/sidecar/examples/quota_cost.rs
+++ b/crates/sidecar/examples/quota_cost.rs
@@ -121,6 +121,7 @@
             version: "v1".into(),
             cold_left: std::time::Duration::ZERO,
             incarnation: None,
+            sequence: 1,
         })
     }));
     let now = node.now();
--- a/crates/sidecar/tests/owner.rs
+++ b/crates/sidecar/tests/owner.rs
@@ -63,6 +63,7 @@
             version: "v1".into(),
             cold_left: Duration::ZERO,
             incarnation,
+            sequence: 1,
         })
     }
 }
--- a/crates/sidecar/tests/quota.rs
+++ b/crates/sidecar/tests/quota.rs
@@ -96,6 +96,7 @@
         version: "v1".into(),
         cold_left: Duration::ZERO,
         incarnation: None,
+        sequence: 1,
     })
 }
 
