Count what a process before used of an allowance after a start

Cause: a process counts an allowance for a window of time in its memory, and what it forgets in a restart was taken as unused.

Fix: one rule, `InheritedUse`: after a start an allowance that is shared with the process before counts as used until its window has passed, or until whoever grants it has stated it anew. It holds for the rate of a cold target (1 s), the burst of a declared rate (250 ms), the limits that a target has not stated to this process yet (until its first health check, at most 1 s), and the part of the additional retries (`budgetWindow`). The part of the retry budget that follows from a daemon's own requests is not shared, and stays. Tenants' buckets already begin nearly empty.

Ruled out: passing the counts on through other daemons, as both may die at once, and keeping them, as hosts have no disk. While the target has not spoken, its wait counts as short, so that requests wait in the queue in place of a refusal.

--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -117,7 +117,7 @@
                 settings.peer_address.port(),
                 Arc::clone(owner.answer_budget()),
             ),
-            budget: Mutex::new(RetryBudget::new(settings.retry_limits)),
+            budget: Mutex::new(RetryBudget::after_start(settings.retry_limits, started)),
             settings: ArcSwap::from_pointee(settings),
             clock,
             owner,
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -106,6 +106,7 @@
         let budget = |fraction| ByteBudget::within(Arc::clone(&pool), bytes(fraction));
         let body_budget = BodyBudget::new(bytes(limits.body_memory), Arc::clone(&pool));
         let answer_budget = Arc::new(budget(limits.answer_memory));
+        let state = OwnerState::new(clock.now());
         TargetOwner {
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
@@ -113,7 +114,7 @@
             body_budget: Arc::new(body_budget),
             head_budget: Arc::new(budget(limits.head_memory)),
             message_budget: budget(limits.message_memory),
-            state: Mutex::new(OwnerState::new()),
+            state: Mutex::new(state),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
             suspect_counters: SuspectCounters::default(),
@@ -288,6 +289,7 @@
         let is_current = sent >= state.records_changed;
         state.checked_id = target.filter(|_| is_current).map(SmolStr::from);
         state.answered_id = target.map(SmolStr::from);
+        state.admission.settle_rates();
         state.update_limit();
         state.connection_losses = connection_losses;
         if cold_left.is_zero() {
