Count what callers' connections hold to its end, and close the latest

Cause, one for all: what a connection holds was not counted to its end. An answer of up to 256 KiB was copied into the library's buffer in one piece, and its count ended there; the buffer stayed after the answer, as long as the connection (262 KB for each kept connection that had one download). A head was counted until it was complete, and kept until its request ended. A silent connection had a place like one at work for 30 s, whatever `idleTimeout` says, and nobody gave way.

Change: each connection of a caller has a place in a table (`ConnectionTable`, pure) that knows its phase and its progress, and a share of the memory for itself, its request, its long head and its buffer for long answers. An answer of over 4 KiB is written in parts, of 32 KiB while there is memory for the buffer and of 4 KiB otherwise. When a place is needed, connections that never sent a request give way first, then the longest idle one, then the caller that is latest with a transfer. When a budget is more than half used, the latest caller is closed, and the less is free the less late it may be; so the slowest reader is closed and not the next caller refused. Requests that run keep their connection. A connection without a request is kept for the configuration's `idleTimeout`. All budgets are drawn from one pool with a part kept for connections; a test adds them up for machines from 88 MB on. Metric `radishgauge.connections_closed{reason}`, event RG6008.

The handler's state is boxed, so that only requests have one.

Ruled out: counting the copies of bodies again (one copy, as before); least rates without need, which would close slow callers in calm; a lower number of connections, which silent ones would fill as well.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -74,6 +74,7 @@
     SETTINGS_REFUSED = 6005, Error, "settings refused", "fault", "Correct the field; the previous settings stay in force.";
     READY_CHANGED = 6006, Info, "readiness changed", "ready, reason", "None.";
     SETTING_UNAPPLIED = 6007, Warn, "changed setting is not applied", "field, in_force, in_file", "Restart the daemon, which then uses the value of the file.";
+    CALLERS_CLOSED = 6008, Warn, "connections of callers gave way", "silent, idle, slow_sender, slow_reader, refused", "None if callers misbehave. The counts are those since the last such line. If ordinary callers are among them, compare the connections with clients.connections and the memory with limits.memoryMb; see OPERATIONS.md.";
     STORE_LOST = 6101, Warn, "store cannot be read", "error, revision", "Check the platform's store; the daemon keeps its state, or receives it from peers.";
     STORE_REGAINED = 6102, Info, "store can be read again", "revision, away_ms", "None.";
     ITEM_UNREADABLE = 6103, Warn, "store item cannot be decoded", "item", "If the item is op/config, correct the field that the line names and publish a greater version; the version in force stays. Else none: another program wrote the item, and it is ignored.";
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -2,9 +2,15 @@
 //!
 //! A faulty target or daemon may send a body without end. The limit of a single body
 //! does not bound the memory of many such bodies together.
+//!
+//! A budget that runs short asks for relief: whoever holds the memory without need frees
+//! it before the next one is refused.
 
 use std::borrow::Borrow;
+use std::fmt;
 use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::Weak;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
@@ -17,6 +23,19 @@
 /// receivers are slow, do not fail ordinary requests.
 const SMALL_RESERVE: f64 = 1.0 / 16.0;
 
+/// The fraction of a budget in use above which it asks for relief.
+const RELIEF_FRACTION: f64 = 0.5;
+
+/// How often a reservation is tried while others free memory, each time after their tasks
+/// have run.
+pub(crate) const RELIEF_TURNS: usize = 16;
+
+/// Frees memory that is held without need.
+pub trait MemoryRelief: fmt::Debug + Send + Sync {
+    /// Frees memory if someone holds it without need, given the fraction that is free.
+    fn relieve(&self, free: f64);
+}
+
 /// The bytes that several bodies may hold together.
 #[derive(Debug)]
 pub struct ByteBudget {
@@ -24,6 +43,8 @@
     used: AtomicUsize,
     /// The budget from which all bytes of this one are taken as well.
     pool: Option<Arc<ByteBudget>>,
+    /// Who is asked for relief. It may hold shares of this budget.
+    relief: OnceLock<Weak<dyn MemoryRelief>>,
 }
 
 impl ByteBudget {
@@ -33,6 +54,7 @@
             limit,
             used: AtomicUsize::new(0),
             pool: None,
+            relief: OnceLock::new(),
         }
     }
 
@@ -44,6 +66,12 @@
         }
     }
 
+    /// Sets who is asked for relief, once.
+    pub fn set_relief(&self, relief: &Arc<dyn MemoryRelief>) {
+        // A second one is not asked.
+        let _ = self.relief.set(Arc::downgrade(relief));
+    }
+
     /// Returns the number of bytes in use.
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
@@ -65,8 +93,12 @@
         let updated = self
             .used
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
-        if updated.is_err() {
-            return false;
+        match updated {
+            Ok(before) => self.ask_for_relief(before + bytes),
+            Err(_) => {
+                self.ask_for_relief(self.limit);
+                return false;
+            }
         }
         let fits = self
             .pool
@@ -78,6 +110,17 @@
         fits
     }
 
+    /// Asks for relief if the budget runs short when this number of bytes is in use.
+    fn ask_for_relief(&self, used: usize) {
+        let fraction = used as f64 / self.limit.max(1) as f64;
+        if fraction < RELIEF_FRACTION {
+            return;
+        }
+        if let Some(relief) = self.relief.get().and_then(Weak::upgrade) {
+            relief.relieve(1.0 - fraction);
+        }
+    }
+
     pub(crate) fn release(&self, bytes: usize) {
         self.used.fetch_sub(bytes, Ordering::Relaxed);
         if let Some(pool) = &self.pool {
@@ -121,6 +164,18 @@
         fits
     }
 
+    /// Extends the share to at least `bytes` as soon as others have freed enough, and returns
+    /// whether they did.
+    pub(crate) async fn extend_to_or_wait(&mut self, bytes: usize) -> bool {
+        for _ in 0..RELIEF_TURNS {
+            if self.extend_to(bytes) {
+                return true;
+            }
+            tokio::task::yield_now().await;
+        }
+        self.extend_to(bytes)
+    }
+
     /// Extends the share to at least `bytes`, and returns whether they fit.
     pub(crate) fn extend_to(&mut self, bytes: usize) -> bool {
         self.extend(bytes.saturating_sub(self.bytes))
--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -9,10 +9,6 @@
 use std::net::Shutdown;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::OnceLock;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Buf;
@@ -28,7 +24,10 @@
 
 use crate::byte_budget::BudgetShare;
 use crate::byte_budget::ByteBudget;
+use crate::byte_budget::RELIEF_TURNS;
 use crate::connection::ConnectionActivity;
+use crate::connection_table::ConnectionPhase;
+use crate::head_bounds::HeadBounds;
 use crate::request_framing;
 use crate::request_framing::BodyEnd;
 use crate::request_framing::HeadScan;
@@ -44,6 +43,10 @@
 /// The greatest capacity in bytes of a buffer that is kept when it is empty.
 const KEPT_CAPACITY: usize = 8 * 1024;
 
+/// How many times the bytes of a long head are held until its request has been answered: in
+/// the library's buffer, in the parsed fields, and in what is sent to the target.
+const HEAD_COPIES: usize = 3;
+
 /// The greatest length in bytes of the empty lines before a request; RFC 9112 asks to
 /// ignore at least one.
 const MAX_EMPTY_LINES: usize = 1024;
@@ -70,62 +73,6 @@
 /// The greatest number of bytes that are drained.
 const LINGER_BYTES: usize = 1024 * 1024;
 
-/// Bounds of the request heads of all connections to an address. They can be changed while
-/// connections are open.
-#[derive(Debug)]
-pub struct HeadBounds {
-    bytes: AtomicUsize,
-    time_ms: AtomicU64,
-    /// The greatest values that can be set.
-    greatest: HeadLimits,
-    /// The memory for heads that are longer than one read.
-    budget: OnceLock<Arc<ByteBudget>>,
-}
-
-/// Bounds of one request head.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct HeadLimits {
-    /// The greatest length in bytes.
-    pub(crate) bytes: usize,
-    /// How long a head may take to arrive after its first byte.
-    pub(crate) time: Duration,
-}
-
-impl HeadBounds {
-    pub(crate) fn new(greatest: HeadLimits) -> HeadBounds {
-        HeadBounds {
-            bytes: AtomicUsize::new(greatest.bytes),
-            time_ms: AtomicU64::new(greatest.time.as_millis() as u64),
-            greatest,
-            budget: OnceLock::new(),
-        }
-    }
-
-    /// Sets the memory for long heads, once.
-    pub fn set_budget(&self, budget: Arc<ByteBudget>) {
-        // A second call would leave bytes of the first budget uncounted, so it has no effect.
-        let _ = self.budget.set(budget);
-    }
-
-    /// Sets the greatest length in bytes of a head, and how long it may take, as far as the
-    /// listener's own bounds allow.
-    pub fn set(&self, bytes: usize, time: Duration) {
-        let bytes = bytes.min(self.greatest.bytes);
-        let time = time.min(self.greatest.time);
-        self.bytes.store(bytes, Ordering::Relaxed);
-        self.time_ms
-            .store(time.as_millis() as u64, Ordering::Relaxed);
-    }
-
-    fn bytes(&self) -> usize {
-        self.bytes.load(Ordering::Relaxed)
-    }
-
-    fn time(&self) -> Duration {
-        Duration::from_millis(self.time_ms.load(Ordering::Relaxed))
-    }
-}
-
 /// The part of a request to which the next bytes belong.
 enum RequestPart {
     /// The head.
@@ -148,8 +95,10 @@
     head_due: Option<Instant>,
     /// Records whether the caller waits to be asked for the body.
     connection: Rc<ConnectionActivity>,
-    /// The memory of a long head.
+    /// The memory of a long head, until its request has been answered.
     share: BudgetShare<Arc<ByteBudget>>,
+    /// Whether a request was passed on whose answer was not written yet.
+    is_answer_due: bool,
 }
 
 impl InboundState {
@@ -163,6 +112,7 @@
             head_due: None,
             connection: ConnectionActivity::current(),
             share: BudgetShare::new(None),
+            is_answer_due: false,
         }
     }
 
@@ -214,6 +164,16 @@
         if has_ended {
             self.part = RequestPart::Head;
             self.connection.set_continue_due(false);
+            self.connection.enter(ConnectionPhase::Serving);
+        }
+    }
+
+    /// Records that the last request was answered, once the next head is awaited.
+    fn end_answer(&mut self) {
+        if self.is_answer_due {
+            self.is_answer_due = false;
+            self.share = BudgetShare::new(None);
+            self.connection.enter(ConnectionPhase::Idle);
         }
     }
 
@@ -224,10 +184,14 @@
                 return Err(HeadFault::EmptyLines);
             }
         }
-        if request_framing::find_head_end(&self.inbox, self.searched).is_none() {
+        let Some(end) = request_framing::find_head_end(&self.inbox, self.searched) else {
             // The line end before an empty line may be the last one searched.
             self.searched = self.inbox.len().saturating_sub(2);
+            self.connection.begin_receiving();
             return Ok(());
+        };
+        if end > HEAD_READ && !self.extend_share(end * HEAD_COPIES) {
+            return Err(HeadFault::NoMemory);
         }
         match request_framing::scan_head(&mut self.inbox) {
             HeadScan::Partial => {}
@@ -241,12 +205,12 @@
         Ok(())
     }
 
-    /// Counts a buffer of `capacity` bytes for a long head, and returns whether it fits.
-    fn extend_share(&mut self, budget: Option<&Arc<ByteBudget>>, capacity: usize) -> bool {
+    /// Counts the memory of a long head, and returns whether it fits.
+    fn extend_share(&mut self, bytes: usize) -> bool {
         if !self.share.has_budget() {
-            self.share = BudgetShare::new(budget.cloned());
+            self.share = BudgetShare::new(self.connection.head_budget());
         }
-        self.share.extend_to(capacity)
+        self.share.extend_to(bytes)
     }
 
     fn begin_request(&mut self, head: RequestHead) {
@@ -254,10 +218,13 @@
         self.searched = 0;
         self.empty_lines = 0;
         self.head_due = None;
-        self.share = BudgetShare::new(None);
+        self.is_answer_due = true;
         self.connection.set_continue_due(head.expects_continue);
         self.part = RequestPart::Body(head.body);
         self.end_body();
+        if matches!(self.part, RequestPart::Body(_)) {
+            self.connection.enter(ConnectionPhase::Receiving);
+        }
     }
 
     /// Records bytes of the body that did not pass through the inbox.
@@ -321,8 +288,22 @@
         }
     }
 
+    /// Returns what the next read does, once there is memory for it.
+    async fn affordable_step(&self, spare: usize) -> Result<ReadStep, HeadFault> {
+        for _ in 0..RELIEF_TURNS {
+            match self.next_step(spare) {
+                Err(HeadFault::NoMemory) => tokio::task::yield_now().await,
+                step => return step,
+            }
+        }
+        self.next_step(spare)
+    }
+
     fn next_step(&self, spare: usize) -> Result<ReadStep, HeadFault> {
         let mut state = self.state.borrow_mut();
+        if state.ready == 0 && matches!(state.part, RequestPart::Head) {
+            state.end_answer();
+        }
         if state.ready == 0 && !state.inbox.is_empty() {
             state.scan()?;
         }
@@ -340,7 +321,7 @@
                     0 => length,
                     spare => spare,
                 };
-                if !state.extend_share(self.bounds.budget.get(), length + most) {
+                if !state.extend_share(length + most) {
                     return Err(HeadFault::NoMemory);
                 }
                 ReadStep::Receive(most)
@@ -366,9 +347,20 @@
         };
         let (received, free_end) = self.socket.read(free_end).await;
         self.state.borrow_mut().inbox.unsplit(free_end);
+        if let Ok(bytes) = received {
+            self.record_received(bytes);
+        }
         received
     }
 
+    fn record_received(&self, bytes: usize) {
+        let state = self.state.borrow();
+        match state.part {
+            RequestPart::Head => {}
+            RequestPart::Body(_) => state.connection.record_moved(bytes),
+        }
+    }
+
     /// Receives bytes of a head. The time for it begins with its first byte.
     async fn receive_in_time(&self, most: usize) -> Result<io::Result<usize>, HeadFault> {
         let Some(due) = self.head_due() else {
@@ -443,7 +435,7 @@
         B: BoundedBufMut,
     {
         let spare = buffer.bytes_total() - buffer.bytes_init();
-        let step = match self.next_step(spare) {
+        let step = match self.affordable_step(spare).await {
             Ok(step) => step,
             Err(fault) => return (Err(self.refuse(fault).await), buffer),
         };
@@ -460,6 +452,7 @@
             ReadStep::Direct => {
                 let (read, buffer) = self.socket.read(buffer).await;
                 if let Ok(bytes) = read {
+                    self.record_received(bytes);
                     self.state.borrow_mut().record_direct(bytes);
                 }
                 (read.map(Some), buffer)
@@ -495,7 +488,11 @@
     where
         B: BoundedBuf,
     {
-        self.socket.write(buffer).await
+        let (written, buffer) = self.socket.write(buffer).await;
+        if let Ok(bytes) = written {
+            self.state.borrow().connection.record_moved(bytes);
+        }
+        (written, buffer)
     }
 
     async fn shutdown(self, direction: Shutdown) -> io::Result<()> {
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -6,6 +6,7 @@
 //! caller disconnects, and a stop closes the connection once it is idle.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -27,6 +28,13 @@
 use xitca_server::net::Listen;
 use xitca_web::service::Service;
 
+use crate::byte_budget::BudgetShare;
+use crate::byte_budget::ByteBudget;
+use crate::caller_registry::CallerPlace;
+use crate::caller_registry::CallerRegistry;
+use crate::connection_table::CloseReason;
+use crate::connection_table::ConnectionPhase;
+
 tokio::task_local! {
     static CONNECTION: Rc<ConnectionActivity>;
 }
@@ -65,6 +73,10 @@
     continue_due: Cell<bool>,
     /// A second handle of the connection's socket.
     watched: Option<Rc<tokio::net::TcpStream>>,
+    /// The place among the connections of callers; other daemons need none.
+    place: Option<CallerPlace>,
+    /// The memory of the buffer for long answers, once there was one.
+    outbox: RefCell<Option<BudgetShare<Arc<ByteBudget>>>>,
 }
 
 impl ConnectionActivity {
@@ -96,6 +108,58 @@
         self.continue_due.get()
     }
 
+    /// Records that another phase of the connection begins.
+    pub(crate) fn enter(&self, phase: ConnectionPhase) {
+        if let Some(place) = &self.place {
+            place.enter(phase);
+        }
+    }
+
+    /// Records that a request begins to arrive, if the connection waited for it.
+    pub(crate) fn begin_receiving(&self) {
+        if let Some(place) = &self.place {
+            place.begin_receiving();
+        }
+    }
+
+    /// Records bytes of a request or an answer that were transferred.
+    pub(crate) fn record_moved(&self, bytes: usize) {
+        if let Some(place) = &self.place {
+            place.record_moved(bytes);
+        }
+    }
+
+    /// Returns the memory for long heads, if it is limited.
+    pub(crate) fn head_budget(&self) -> Option<Arc<ByteBudget>> {
+        self.place.as_ref()?.registry().head_budget().cloned()
+    }
+
+    /// Returns the registry in which the connection has a place.
+    pub(crate) fn registry(&self) -> Option<&Arc<CallerRegistry>> {
+        self.place.as_ref().map(CallerPlace::registry)
+    }
+
+    /// Returns whether the connection may hold long parts of answers in its buffer. The
+    /// library keeps the buffer, so its memory is counted until the connection ends.
+    pub(crate) fn has_outbox(&self) -> bool {
+        let Some(place) = &self.place else {
+            return true;
+        };
+        let mut outbox = self.outbox.borrow_mut();
+        if outbox.is_none() {
+            *outbox = place.registry().outbox_share();
+        }
+        outbox.is_some()
+    }
+
+    /// Waits until the connection gives way to others.
+    async fn gives_way(&self) -> CloseReason {
+        match &self.place {
+            Some(place) => place.closed().await,
+            None => std::future::pending().await,
+        }
+    }
+
     async fn wait_idle(&self) {
         while self.requests.get() > 0 {
             self.idle.notified().await;
@@ -123,12 +187,13 @@
 }
 
 /// Serves one connection until it ends, until its caller disconnects during a
-/// request or leaves bytes unacknowledged for the time `unread`, or until the listener
-/// stops and the connection is idle.
+/// request or leaves bytes unacknowledged for the time `unread`, until it gives way to
+/// others, or until the listener stops and the connection is idle.
 pub(crate) async fn serve<S>(
     service: &S,
     stream: TcpStream,
     remote: SocketAddr,
+    place: Option<CallerPlace>,
     stop: &StopSignal,
     unread: Duration,
 ) -> Result<(), S::Error>
@@ -146,6 +211,7 @@
     let watched = Rc::new(watched);
     let activity = Rc::new(ConnectionActivity {
         watched: Some(Rc::clone(&watched)),
+        place,
         ..ConnectionActivity::default()
     });
     let mut served =
@@ -154,6 +220,14 @@
         biased;
         ended = &mut served => return ended,
         () = caller_disconnected(&watched, &activity) => return Ok(()),
+        reason = activity.gives_way() => {
+            if reason.needs_reset() {
+                // A reset frees the bytes that the caller has not read. If it fails, they
+                // are freed after the time for unacknowledged bytes.
+                let _ = SockRef::from(watched.as_ref()).set_linger(Some(Duration::ZERO));
+            }
+            return Ok(());
+        }
         () = stop.wait() => {}
     }
     let close_when_idle = async {
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -37,19 +37,28 @@
 use xitca_web::service::ServiceExt;
 use xitca_web::service::fn_service;
 
+use crate::byte_budget::BudgetShare;
+use crate::byte_budget::ByteBudget;
+use crate::caller_registry::CallerRegistry;
+use crate::caller_registry::OUTBOX_BYTES;
 use crate::caller_stream::CallerStreamFactory;
-use crate::caller_stream::HeadBounds;
-use crate::caller_stream::HeadLimits;
+use crate::clock::ProcessClock;
+use crate::clock::SystemClock;
 use crate::connection;
+use crate::connection::ConnectionActivity;
 use crate::connection::ConnectionGuard;
 use crate::connection::StopSignal;
 use crate::connection::StoppableListener;
+use crate::connection_table::ConnectionPhase;
+use crate::connection_table::TableLimits;
 use crate::exchange::AnswerKind;
 use crate::exchange::BoxError;
 use crate::exchange::ChunkStream;
 use crate::exchange::HttpAnswer;
 use crate::exchange::HttpBody;
 use crate::exchange::HttpRequest;
+use crate::head_bounds::HeadBounds;
+use crate::head_bounds::HeadLimits;
 use crate::request_framing::HEADER_FIELDS;
 
 /// How many times the greatest head may be received. A head somewhat over the limit is
@@ -59,11 +68,17 @@
 const READ_BUFFER: usize = 1024 * 1024;
 /// The write buffer of one connection in bytes; an answer that fills it waits
 /// until the caller has read some of it.
-const WRITE_BUFFER: usize = 256 * 1024;
-/// The length in bytes of the parts in which a long answer is written.
-const ANSWER_PART: usize = 64 * 1024;
-/// How long an idle connection of a caller is kept open.
+const WRITE_BUFFER: usize = 4 * 1024;
+/// The greatest length in bytes of an answer that is written in one part. The buffer for it
+/// is a part of each connection's memory.
+const SHORT_ANSWER: usize = 4 * 1024;
+/// The length in bytes of the parts in which a long answer is written. The buffer for them
+/// grows to twice this length.
+const ANSWER_PART: usize = OUTBOX_BYTES / 2;
+/// How long an idle connection of another daemon is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// The index of the address to which callers connect.
+const CALLERS_INDEX: usize = 0;
 /// How long the listener's threads may take to start.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a caller may take to send a request head.
@@ -87,6 +102,13 @@
     /// How long a caller may leave the bytes of an answer unacknowledged before its
     /// connection is closed.
     pub unread: Duration,
+    /// How long a connection of a caller is kept without a request.
+    pub idle: Duration,
+    /// How late a caller may be with a transfer when its place is needed, or its memory
+    /// while all is free. The less is free, the less late it may be.
+    pub stall: Duration,
+    /// The least number of bytes a second that a caller must transfer to be in time.
+    pub least_rate: u32,
     /// How long a stop waits for the requests under way.
     pub stop: Duration,
 }
@@ -100,6 +122,9 @@
             requests: 4096,
             connections: usize::MAX,
             unread: Duration::from_secs(30),
+            idle: KEEP_ALIVE,
+            stall: Duration::from_secs(1),
+            least_rate: 4 * 1024,
             stop: Duration::from_secs(30),
         }
     }
@@ -126,12 +151,13 @@
         H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = HttpAnswer> + 'static,
     {
-        RunningListener::bind(&[address], limits, handler).map(CallerListener)
+        let clock = Arc::new(SystemClock::start());
+        CallerListener::bind_all(&[address], limits, clock, handler)
     }
 
     /// As [`CallerListener::bind`], for several addresses that the same threads
     /// serve; [`HttpRequest::address_index`] is the index of the address at which a
-    /// request arrived.
+    /// request arrived. The connections to the first address are those of callers.
     ///
     /// # Errors
     ///
@@ -139,13 +165,14 @@
     pub fn bind_all<H, F>(
         addresses: &[SocketAddr],
         limits: ListenLimits,
+        clock: Arc<dyn ProcessClock>,
         handler: H,
     ) -> std::io::Result<CallerListener>
     where
         H: Fn(HttpRequest) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = HttpAnswer> + 'static,
     {
-        RunningListener::bind(addresses, limits, handler).map(CallerListener)
+        RunningListener::bind(addresses, limits, clock, handler).map(CallerListener)
     }
 
     /// Returns the bound address, or the first one of several.
@@ -165,6 +192,11 @@
         self.0.heads.clone()
     }
 
+    /// Returns the connections of callers, which are those to the first address.
+    pub fn registry(&self) -> &Arc<CallerRegistry> {
+        &self.0.state.registry
+    }
+
     /// Returns the number of requests under way.
     pub fn running(&self) -> usize {
         self.0.state.running.load(Ordering::Acquire)
@@ -214,7 +246,8 @@
             requests: 64,
             ..ListenLimits::default()
         };
-        RunningListener::bind(&[address], limits, handler).map(OperatorListener)
+        let clock = Arc::new(SystemClock::start());
+        RunningListener::bind(&[address], limits, clock, handler).map(OperatorListener)
     }
 
     /// Returns the bound address.
@@ -238,36 +271,18 @@
     runtime: Handle,
 }
 
-#[derive(Default)]
 struct ListenState {
     stop: StopSignal,
     running: AtomicUsize,
-    /// The number of open connections to the first address.
-    connections: AtomicUsize,
-}
-
-impl ListenState {
-    /// Counts one more connection until the result is dropped; `None` if there are too many.
-    fn open_connection(&self, limit: usize) -> Option<OpenConnection<'_>> {
-        let before = self.connections.fetch_add(1, Ordering::Relaxed);
-        let connection = OpenConnection(self);
-        (before < limit).then_some(connection)
-    }
-}
-
-/// Counts one connection until dropped.
-struct OpenConnection<'a>(&'a ListenState);
-
-impl Drop for OpenConnection<'_> {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
-    }
+    /// The open connections to the first address.
+    registry: Arc<CallerRegistry>,
 }
 
 impl RunningListener {
     fn bind<H, F>(
         addresses: &[SocketAddr],
         limits: ListenLimits,
+        clock: Arc<dyn ProcessClock>,
         handler: H,
     ) -> std::io::Result<RunningListener>
     where
@@ -282,9 +297,17 @@
             .first()
             .ok_or_else(|| std::io::Error::other("no address to listen on"))?
             .local_addr()?;
-        let state = Arc::new(ListenState::default());
+        let table_limits = TableLimits {
+            places: limits.connections,
+            stall: limits.stall,
+            least_rate: limits.least_rate,
+        };
+        let state = Arc::new(ListenState {
+            stop: StopSignal::default(),
+            running: AtomicUsize::new(0),
+            registry: Arc::new(CallerRegistry::new(table_limits, clock)),
+        });
         let config = HttpServiceConfig::new()
-            .keep_alive_timeout(KEEP_ALIVE)
             .request_head_timeout(HEAD_TIMEOUT)
             .max_read_buf_size::<READ_BUFFER>()
             .max_write_buf_size::<WRITE_BUFFER>()
@@ -315,26 +338,32 @@
                 }
             });
             let watched = state.clone();
-            let connections = (address_index == 0).then_some(limits.connections);
+            let keep_alive = match address_index {
+                CALLERS_INDEX => limits.idle,
+                _ => KEEP_ALIVE,
+            };
             let service = service
                 .enclosed(RuntimeReporter(started.clone()))
                 .enclosed(
                     // There is no TLS here: the library's hook for it is the only way to put
                     // a stream of our own between the socket and its parser.
                     HttpServiceBuilder::h1()
-                        .config(config)
+                        .config(config.keep_alive_timeout(keep_alive))
                         .with_tls(CallerStreamFactory(Arc::clone(&heads[address_index]))),
                 )
                 .enclosed_fn(
                     async move |service: &_, (stream, remote): (TcpStream, SocketAddr)| {
-                        let open = connections.map(|limit| watched.open_connection(limit));
-                        if matches!(open, Some(None)) {
+                        let place = match address_index {
+                            CALLERS_INDEX => watched.registry.open().await,
+                            _ => None,
+                        };
+                        if place.is_none() && address_index == CALLERS_INDEX {
                             // The connection is closed without an answer: none of its
                             // requests was read.
                             return Ok(());
                         }
-                        connection::serve(service, stream, remote, &watched.stop, limits.unread)
-                            .await
+                        let (stop, unread) = (&watched.stop, limits.unread);
+                        connection::serve(service, stream, remote, place, stop, unread).await
                     },
                 );
             builder = builder.listen(
@@ -403,16 +432,36 @@
 struct RunningRequest {
     state: Arc<ListenState>,
     _connection: ConnectionGuard,
+    /// The memory of a caller's request.
+    _share: Option<BudgetShare<Arc<ByteBudget>>>,
 }
 
 impl RunningRequest {
-    fn begin(state: &Arc<ListenState>, limit: usize) -> Option<RunningRequest> {
+    /// Counts a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason of the refusal if there are too many requests, or no memory is
+    /// left.
+    async fn begin(
+        state: &Arc<ListenState>,
+        connection: &ConnectionActivity,
+        limit: usize,
+    ) -> Result<RunningRequest, &'static str> {
         let before = state.running.fetch_add(1, Ordering::AcqRel);
-        let request = RunningRequest {
+        let mut request = RunningRequest {
             state: state.clone(),
             _connection: ConnectionGuard::begin(),
+            _share: None,
         };
-        (before < limit).then_some(request)
+        if before >= limit {
+            return Err("too many requests under way");
+        }
+        if let Some(registry) = connection.registry() {
+            let share = registry.request_share().await;
+            request._share = Some(share.ok_or("no memory for the request")?);
+        }
+        Ok(request)
     }
 }
 
@@ -450,11 +499,10 @@
     if declared.is_some_and(|length| length > limits.body) {
         return refusal(StatusCode::PAYLOAD_TOO_LARGE, "request body too large");
     }
-    let Some(running) = RunningRequest::begin(state, limits.requests) else {
-        return refusal(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "too many requests under way",
-        );
+    let connection = ConnectionActivity::current();
+    let running = match RunningRequest::begin(state, &connection, limits.requests).await {
+        Ok(running) => running,
+        Err(reason) => return refusal(StatusCode::SERVICE_UNAVAILABLE, reason),
     };
     let request = HttpRequest {
         head,
@@ -462,15 +510,21 @@
         address_index,
         body: HttpBody::new(inner, declared, limits.body),
     };
-    let (mut head, body) = handler(request).await.into_parts();
+    // The handler's state is large, and most connections have no request under way.
+    let (mut head, body) = Box::pin(handler(request)).await.into_parts();
+    connection.enter(ConnectionPhase::Answering);
     if state.stop.is_sent() {
         head.headers
             .insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     let body = match body.into_kind() {
-        AnswerKind::Whole(bytes) if bytes.len() <= WRITE_BUFFER => ResponseBody::bytes(bytes),
+        AnswerKind::Whole(bytes) if bytes.len() <= SHORT_ANSWER => ResponseBody::bytes(bytes),
         AnswerKind::Whole(bytes) => ResponseBody::boxed(LongBody {
             rest: bytes,
+            part: match connection.has_outbox() {
+                true => ANSWER_PART,
+                false => SHORT_ANSWER,
+            },
             _running: running,
         }),
         AnswerKind::Stream(stream) => ResponseBody::boxed(CountedBody {
@@ -485,6 +539,8 @@
 /// hold a second copy.
 struct LongBody {
     rest: Bytes,
+    /// The length of a part in bytes.
+    part: usize,
     _running: RunningRequest,
 }
 
@@ -499,7 +555,7 @@
         if self.rest.is_empty() {
             return Poll::Ready(None);
         }
-        let length = self.rest.len().min(ANSWER_PART);
+        let length = self.rest.len().min(self.part);
         let part = self.rest.split_to(length);
         Poll::Ready(Some(Ok(Frame::Data(part))))
     }
--- a/crates/net/src/target.rs
+++ b/crates/net/src/target.rs
@@ -562,11 +562,17 @@
             limit.min((budget.limit() as f64 * MAX_ANSWER_FRACTION) as usize)
         });
         while let Some(data) = self.data().await? {
-            if body.len() + data.len() > limit {
+            let length = body.len() + data.len();
+            if length > limit {
                 return Err(self.abort(TargetFault::TooLarge(limit)));
             }
-            if !share.extend(data.len()) {
-                return Err(self.abort(TargetFault::NoMemory));
+            if length > body.capacity() {
+                let declared = self.length.map_or(0, |length| length as usize);
+                let capacity = length.max(body.capacity() * 2).max(declared.min(limit));
+                if !share.extend_to_or_wait(capacity).await {
+                    return Err(self.abort(TargetFault::NoMemory));
+                }
+                body.reserve(capacity - body.len());
             }
             body.extend_from_slice(&data);
         }
--- a/crates/sidecar/src/body_receipt.rs
+++ b/crates/sidecar/src/body_receipt.rs
@@ -34,7 +34,7 @@
         idle: limits.map_or(DEFAULT_IDLE_TIME, |limits| limits.idle_time),
     };
     let received = body
-        .pieces(limits, node.owner.body_budget.share(address))
+        .pieces(limits, node.owner.memory.bodies.share(address))
         .await;
     match &received {
         Err(BodyFault::NoMemory) => node.metrics.count("bodies_without_memory"),
--- a/crates/sidecar/src/lib.rs
+++ b/crates/sidecar/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod answer_lease;
 mod attempt;
 mod body_receipt;
+mod caller_report;
+pub mod daemon_memory;
 pub mod entry;
 mod fleet_scope;
 pub mod follow;
--- a/crates/sidecar/src/metrics.rs
+++ b/crates/sidecar/src/metrics.rs
@@ -211,6 +211,17 @@
         }
     }
 
+    /// Adds connections of callers that were closed, with the reason as label.
+    pub(crate) fn add_closed_connections(&self, reason: &str, count: u64) {
+        if count > 0 {
+            let _ = self
+                .client
+                .count_with_tags("connections_closed", count)
+                .with_tag("reason", reason)
+                .try_send();
+        }
+    }
+
     /// Adds one to the counter with this name, which has no labels.
     pub fn count(&self, name: &str) {
         let _: Result<cadence::Counter, _> = self.client.incr(name);
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -115,7 +115,7 @@
         SidecarNode {
             peers: PeerClients::new(
                 settings.peer_address.port(),
-                Arc::clone(owner.answer_budget()),
+                Arc::clone(&owner.memory.answers),
             ),
             budget: Mutex::new(RetryBudget::after_start(settings.retry_limits, started)),
             settings: ArcSwap::from_pointee(settings),
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -23,7 +23,6 @@
 use radishgauge_mesh::admission::RefuseReason;
 use radishgauge_mesh::call_pressure::CalledQueue;
 use radishgauge_mesh::scheduling::REFUSAL_MARGIN;
-use radishgauge_net::BodyBudget;
 use radishgauge_net::ByteBudget;
 use radishgauge_net::TargetClient;
 use radishgauge_net::TargetLimits;
@@ -40,6 +39,7 @@
 
 use crate::answer::NotRun;
 use crate::answer::TargetOutcome;
+use crate::daemon_memory::DaemonMemory;
 use crate::fleet_scope::FleetScope;
 use crate::hop;
 use crate::node::lock;
@@ -73,14 +73,8 @@
 pub struct TargetOwner {
     pub(crate) clock: Arc<dyn ProcessClock>,
     client: ArcSwap<TargetClient>,
-    /// The memory for the answers of targets and of other daemons.
-    answer_budget: Arc<ByteBudget>,
-    /// The memory for the bodies of requests, of callers and of other daemons.
-    pub(crate) body_budget: Arc<BodyBudget>,
-    /// The memory for long heads of callers' requests.
-    pub(crate) head_budget: Arc<ByteBudget>,
-    /// The memory for messages of other daemons.
-    pub(crate) message_budget: ByteBudget,
+    /// The memory for what others make this daemon hold.
+    pub(crate) memory: DaemonMemory,
     state: Mutex<OwnerState>,
     /// Requests a health check of the target.
     pub check_requested: Notify,
@@ -100,20 +94,12 @@
 impl TargetOwner {
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
-        let limits = settings.client_limits;
-        let bytes = |fraction| (settings.memory_limit as f64 * fraction) as usize;
-        let pool = Arc::new(ByteBudget::new(bytes(limits.shared_memory)));
-        let budget = |fraction| ByteBudget::within(Arc::clone(&pool), bytes(fraction));
-        let body_budget = BodyBudget::new(bytes(limits.body_memory), Arc::clone(&pool));
-        let answer_budget = Arc::new(budget(limits.answer_memory));
+        let memory = DaemonMemory::new(&settings.client_limits, settings.memory_limit);
         let state = OwnerState::new(clock.now());
         TargetOwner {
             clock,
-            client: ArcSwap::from_pointee(client(settings.target_address, &answer_budget)),
-            answer_budget,
-            body_budget: Arc::new(body_budget),
-            head_budget: Arc::new(budget(limits.head_memory)),
-            message_budget: budget(limits.message_memory),
+            client: ArcSwap::from_pointee(client(settings.target_address, &memory.answers)),
+            memory,
             state: Mutex::new(state),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
@@ -130,15 +116,9 @@
         self.client.load_full()
     }
 
-    /// Returns the budget of memory for answers, which all clients of this daemon
-    /// share.
-    pub fn answer_budget(&self) -> &Arc<ByteBudget> {
-        &self.answer_budget
-    }
-
     /// Changes the address of the target.
     pub fn set_target(&self, address: SocketAddr) {
-        let client = client(address, &self.answer_budget);
+        let client = client(address, &self.memory.answers);
         self.client.store(Arc::new(client));
         self.check_requested.notify_one();
     }
--- a/crates/sidecar/src/quota_exchange.rs
+++ b/crates/sidecar/src/quota_exchange.rs
@@ -61,7 +61,7 @@
 
 /// Serves a message of another daemon.
 pub async fn serve(node: &Arc<SidecarNode>, peer: IpAddr, mut body: HttpBody) -> HttpAnswer {
-    let budget = &node.owner.message_budget;
+    let budget = &node.owner.memory.messages;
     let Ok(body) = body.whole_within(MAX_MESSAGE_BYTES, budget).await else {
         return answer::empty(StatusCode::BAD_REQUEST);
     };
--- a/crates/sidecar/src/sidecar.rs
+++ b/crates/sidecar/src/sidecar.rs
@@ -11,10 +11,12 @@
 use radishgauge_events::events;
 use radishgauge_mesh::StopPlan;
 use radishgauge_net::CallerListener;
+use radishgauge_net::CallerRegistry;
 use radishgauge_net::HeadBounds;
 use radishgauge_net::HttpAnswer;
 use radishgauge_net::HttpRequest;
 use radishgauge_net::ListenLimits;
+use radishgauge_net::caller_registry::CONNECTION_BYTES;
 use radishgauge_net::clock::ProcessClock;
 use radishgauge_net::exchange::AnswerBody;
 use radishgauge_platform::HostSettings;
@@ -22,6 +24,7 @@
 use radishgauge_platform::message;
 
 use crate::answer;
+use crate::caller_report::CallerReport;
 use crate::entry;
 use crate::follow;
 use crate::node::SidecarNode;
@@ -56,6 +59,14 @@
 /// in which the network delivers it.
 const HEAD_TIME_MARGIN: Duration = Duration::from_secs(1);
 
+/// How long a connection of a caller is kept without a request before a configuration is
+/// known.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// The bounds of the time that a configuration may set for this.
+const SHORTEST_IDLE_TIME: Duration = Duration::from_secs(1);
+const LONGEST_IDLE_TIME: Duration = Duration::from_secs(600);
+
 /// The interval at which the daemon removes expired targets and closes unused
 /// connections.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
@@ -93,8 +104,11 @@
             head: MAX_HEAD_BYTES,
             threads: 1,
             requests: MAX_REQUESTS,
-            connections: settings.caller_connections(),
+            connections: caller_connections(&settings),
             unread: settings.client_limits.unread_time,
+            idle: LONGEST_IDLE_TIME,
+            stall: settings.client_limits.stall_time,
+            least_rate: settings.client_limits.least_rate,
             ..ListenLimits::default()
         };
         let mut addresses = vec![
@@ -105,8 +119,12 @@
         addresses.extend(metrics);
         let served = Arc::clone(&node);
         let handler = move |request| serve(Arc::clone(&served), request);
-        let listener =
-            CallerListener::bind_all(&addresses, limits, handler).context("bind the addresses")?;
+        let clock = Arc::clone(&node.clock);
+        let listener = CallerListener::bind_all(&addresses, limits, clock, handler)
+            .context("bind the addresses")?;
+        listener
+            .registry()
+            .set_budgets(node.owner.memory.of_callers());
         events::SIDECAR_STARTED.emit(format_args!(
             "host={} failure_domain={} service={} callers={} peers={} target={} store={} transport=plain",
             settings.host,
@@ -125,10 +143,8 @@
         runtime.spawn(suspect_exchange::run_fetches(Arc::clone(&node)));
         runtime.spawn(probe::run(Arc::clone(&node)));
         let heads = listener.head_bounds();
-        if let Some(heads) = &heads {
-            heads.set_budget(Arc::clone(&node.owner.head_budget));
-        }
-        runtime.spawn(run_maintenance(Arc::clone(&node), heads));
+        let callers = Arc::clone(listener.registry());
+        runtime.spawn(run_maintenance(Arc::clone(&node), heads, callers));
         Ok(Sidecar { node, listener })
     }
 
@@ -195,8 +211,25 @@
     answer::empty(status)
 }
 
-async fn run_maintenance(node: Arc<SidecarNode>, heads: Option<Arc<HeadBounds>>) {
+/// Returns the greatest number of open connections of callers: those for which there are
+/// descriptors and memory.
+fn caller_connections(settings: &HostSettings) -> usize {
+    let limits = settings.client_limits;
+    let affordable = limits.affordable_connections(settings.memory_limit, CONNECTION_BYTES);
+    settings.caller_connections().min(affordable)
+}
+
+async fn run_maintenance(
+    node: Arc<SidecarNode>,
+    heads: Option<Arc<HeadBounds>>,
+    callers: Arc<CallerRegistry>,
+) {
+    let mut report = CallerReport::default();
     loop {
+        let config = node.config();
+        let idle_time = config.map_or(DEFAULT_IDLE_TIME, |config| config.limits().idle_time);
+        callers.close_idle(idle_time.clamp(SHORTEST_IDLE_TIME, LONGEST_IDLE_TIME));
+        report.update(&node.metrics, callers.closed_counts(), node.now());
         if let (Some(heads), Some(config)) = (&heads, node.config()) {
             let limits = config.limits();
             heads.set(
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -72,7 +72,7 @@
         return answer::empty(StatusCode::NOT_FOUND);
     }
     if *method == Method::POST {
-        let budget = &node.owner.message_budget;
+        let budget = &node.owner.memory.messages;
         let Ok(body) = body.whole_within(MAX_ASK_BYTES as u64, budget).await else {
             return answer::empty(StatusCode::BAD_REQUEST);
         };
--- a/crates/sidecar/src/suspect_exchange.rs
+++ b/crates/sidecar/src/suspect_exchange.rs
@@ -104,7 +104,7 @@
     if *method == Method::GET {
         return records_answer(&node.owner.suspects.shared_records(now));
     }
-    let budget = &node.owner.message_budget;
+    let budget = &node.owner.memory.messages;
     let Ok(body) = body.whole_within(MAX_MESSAGE_BYTES, budget).await else {
         return answer::empty(StatusCode::BAD_REQUEST);
     };
