Give the thread to others after four requests of a connection

Cause: all connections share one thread, and a connection was served for as long as its socket had bytes, about 0.15 s at a time.

Fix: `TurnBudget` counts the requests (4) and bytes (64 KiB) of a connection since its socket last had nothing to do. When they are spent, the task yields before the next read or write, so that no byte is lost if it is dropped there. A caller that waits for its answers never meets it: its socket is empty between them.

Evidence: callers_take_turns holds the thread until 2,000 requests of one connection and one of another have arrived.

Ruled out: one task a request, which changes the order of answers; a limit on pipelined requests, which would refuse allowed ones.

--- a/crates/net/src/caller_stream.rs
+++ b/crates/net/src/caller_stream.rs
@@ -32,6 +32,7 @@
 use crate::request_framing::BodyEnd;
 use crate::request_framing::HeadScan;
 use crate::request_framing::RequestHead;
+use crate::turn_budget::TurnBudget;
 
 /// How many bytes are read at a time while a head is expected. It holds most heads, and
 /// each idle connection keeps as many.
@@ -267,6 +268,7 @@
     socket: TcpStream,
     bounds: Arc<HeadBounds>,
     state: RefCell<InboundState>,
+    turn: TurnBudget,
 }
 
 /// What the next read does.
@@ -285,6 +287,7 @@
             socket,
             bounds,
             state: RefCell::new(InboundState::new()),
+            turn: TurnBudget::default(),
         }
     }
 
@@ -305,7 +308,11 @@
             state.end_answer();
         }
         if state.ready == 0 && !state.inbox.is_empty() {
+            let was_due = state.is_answer_due;
             state.scan()?;
+            if state.is_answer_due && !was_due {
+                self.turn.spend_request();
+            }
         }
         if state.ready > 0 {
             return Ok(ReadStep::Pass);
@@ -345,7 +352,7 @@
             let length = inbox.len();
             inbox.split_off(length)
         };
-        let (received, free_end) = self.socket.read(free_end).await;
+        let (received, free_end) = self.turn.track(self.socket.read(free_end)).await;
         self.state.borrow_mut().inbox.unsplit(free_end);
         if let Ok(bytes) = received {
             self.record_received(bytes);
@@ -354,6 +361,7 @@
     }
 
     fn record_received(&self, bytes: usize) {
+        self.turn.spend_bytes(bytes);
         let state = self.state.borrow();
         match state.part {
             RequestPart::Head => {}
@@ -450,7 +458,7 @@
                 (Ok(Some(passed)), buffer)
             }
             ReadStep::Direct => {
-                let (read, buffer) = self.socket.read(buffer).await;
+                let (read, buffer) = self.turn.track(self.socket.read(buffer)).await;
                 if let Ok(bytes) = read {
                     self.record_received(bytes);
                     self.state.borrow_mut().record_direct(bytes);
@@ -472,6 +480,7 @@
         B: BoundedBufMut,
     {
         loop {
+            self.turn.wait().await;
             let (read, returned) = self.read_step(buffer).await;
             buffer = returned;
             match read {
@@ -488,8 +497,11 @@
     where
         B: BoundedBuf,
     {
-        let (written, buffer) = self.socket.write(buffer).await;
+        // Nothing is written before the wait, so that no byte is lost if it is given up.
+        self.turn.wait().await;
+        let (written, buffer) = self.turn.track(self.socket.write(buffer)).await;
         if let Ok(bytes) = written {
+            self.turn.spend_bytes(bytes);
             self.state.borrow().connection.record_moved(bytes);
         }
         (written, buffer)
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -31,6 +31,7 @@
 mod target_body;
 mod target_connection;
 mod transport;
+mod turn_budget;
 mod write_tracker;
 
 pub use authority::KeyAuthority;
--- a/crates/net/tests/caller_connections.rs
+++ b/crates/net/tests/caller_connections.rs
@@ -3,6 +3,10 @@
 mod common;
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
 use std::time::Duration;
 
 use http::Request;
@@ -230,6 +234,51 @@
     assert!(ended.unwrap().is_err());
 }
 
+/// Guards against a caller that sends without waiting and keeps the thread.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_take_turns() {
+    const REQUESTS: usize = 2_000;
+    const MOST_BEFORE_ANOTHER: usize = 200;
+    let (release, held) = mpsc::channel::<()>();
+    let held = Arc::new(Mutex::new(held));
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    let handler = move |request: HttpRequest| {
+        let (held, count) = (Arc::clone(&held), Arc::clone(&counted));
+        async move {
+            match request.head.uri.path() {
+                // The thread is held until all other requests have been sent.
+                "/first" => held.lock().unwrap().recv().unwrap(),
+                "/many" => {
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+                _ => {}
+            }
+            let before = count.load(Ordering::Relaxed);
+            HttpAnswer::new(AnswerBody::whole("x".repeat(before)))
+        }
+    };
+    let listener = CallerListener::bind(common::loopback(), limits(10), handler).unwrap();
+    let mut rude = connect(&listener).await;
+    let mut ordinary = connect(&listener).await;
+    assert_eq!(get(&mut ordinary).await, Some((200, 0)));
+    let first = "GET /first HTTP/1.1\r\nhost: a\r\n\r\n";
+    rude.write_all(first.as_bytes()).await.unwrap();
+    let many = "GET /many HTTP/1.1\r\nhost: a\r\n\r\n".repeat(REQUESTS);
+    rude.write_all(many.as_bytes()).await.unwrap();
+    let request = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
+    ordinary.write_all(request).await.unwrap();
+    // The answers are read, so that the rude caller always has more to do.
+    let (mut answers, _sender) = rude.into_split();
+    tokio::spawn(async move {
+        let mut bytes = vec![0; 64 * 1024];
+        while matches!(answers.read(&mut bytes).await, Ok(1..)) {}
+    });
+    release.send(()).unwrap();
+    let (_, before) = answer(&mut ordinary).await.unwrap();
+    assert!(before < MOST_BEFORE_ANOTHER, "{before} requests came first");
+}
+
 /// Guards against answers whose memory callers hold by not reading, so that those of others
 /// fail.
 #[tokio::test]
