--- a/crates/config/tests/reference.rs
+++ b/crates/config/tests/reference.rs
@@ -37,7 +37,7 @@
 | `clients.messageMemory` | 0.01 to 0.95 | `0.25` | The memory for messages of other daemons. |
 | `clients.headMemory` | 0.01 to 0.95 | `0.1` | The memory for heads of more than 1 KiB until their requests have been answered, three times their length each. |
 | `clients.connectionMemory` | 0.01 to 0.95 | `0.2` | The memory for connections of callers (16 KiB each), their requests under way (16 KiB each) and their buffers for long answers (64 KiB each). Connections without a request use at most three quarters of it. |
-| `clients.connections` | 0.01 to 0.95 | `0.75` | The fraction of `limits.maxFds` less 200 that connections of callers may use, two descriptors each. Without `limits.maxFds` they are not limited. |
+| `clients.connections` | 0.01 to 0.95 | `0.75` | The fraction of `limits.maxFds` less 200 that connections of callers may use, two descriptors each. At most as many are open as there is memory for without requests (`clients.connectionMemory`). |
 | `clients.stallTime` | 100ms to 600s | `1s` | How late a caller may be with a request or in taking an answer before its connection gives way to a new one, or to others that lack memory: then the time is multiplied by the fraction of the memory that is free. A body without progress for at least twice this time is given up once other bodies have lacked memory since the first such time. |
 | `clients.leastRate` | 1 to 4294967295 B/s | `4096` | The least rate at which a caller must send a request or take an answer to be in time. Nobody is closed for this while there are places and memory. |
 | `clients.unreadTime` | 100ms to 600s | `30s` | How long a caller may leave the bytes of an answer unacknowledged. |
