Close one late caller at a time, and leave memory to answers beside bodies

- While the memory of a closed connection was not free yet, each further try closed another one, up to sixteen, ordinary callers included.
The next one is closed only when the last one's memory is free, and a caller that transfers all the time (late by less than 0.02 of the stall time) is never closed.
- Small bodies alone could use all that bodies and answers share, and an answer that found the common pool full asked nobody for relief.
`clients.sharedMemory` is 0.79 by default.

--- a/crates/config/tests/reference.rs
+++ b/crates/config/tests/reference.rs
@@ -31,7 +31,7 @@
 
 | field | accepted values | default | meaning |
 |---|---|---|---|
-| `clients.sharedMemory` | 0.01 to 0.95 | `0.75` | The memory for bodies, long heads, answers, messages and connections together, of which 0.06 of `limits.memoryMb` is kept for connections. The rest is for the daemon itself. |
+| `clients.sharedMemory` | 0.01 to 0.95 | `0.79` | The memory for bodies, long heads, answers, messages and connections together, of which 0.04 of `limits.memoryMb` is kept for connections. The rest is for the daemon itself. |
 | `clients.bodyMemory` | 0.01 to 0.95 | `0.72` | The memory for the bodies of requests. An eighth of it is kept for bodies up to 64 KiB, a 32nd from each client address. |
 | `clients.answerMemory` | 0.01 to 0.95 | `0.25` | The memory for answers until they are delivered. |
 | `clients.messageMemory` | 0.01 to 0.95 | `0.25` | The memory for messages of other daemons. |
--- a/crates/net/src/byte_budget.rs
+++ b/crates/net/src/byte_budget.rs
@@ -106,6 +106,7 @@
             .is_none_or(|pool| pool.try_reserve(bytes, held));
         if !fits {
             self.used.fetch_sub(bytes, Ordering::Relaxed);
+            self.ask_for_relief(self.limit);
         }
         fits
     }
--- a/crates/net/src/caller_registry.rs
+++ b/crates/net/src/caller_registry.rs
@@ -89,6 +89,8 @@
     table: ConnectionTable,
     /// Tells each connection when it is to be closed.
     signals: SecondaryMap<ConnectionKey, watch::Sender<Option<CloseReason>>>,
+    /// The number of connections that were told to close and still hold their memory.
+    closing: usize,
     /// The connections that were told to close, by reason.
     closed: [u64; CloseReason::ALL.len()],
 }
@@ -103,6 +105,7 @@
         // The connection is no longer chosen.
         self.signals.remove(closing.key);
         self.table.close(closing.key);
+        self.closing += 1;
         self.closed[closing.reason as usize] += 1;
     }
 }
@@ -123,6 +126,7 @@
             state: Mutex::new(RegistryState {
                 table: ConnectionTable::new(limits),
                 signals: SecondaryMap::new(),
+                closing: 0,
                 closed: [0; CloseReason::ALL.len()],
             }),
             refused: AtomicU64::new(0),
@@ -170,14 +174,13 @@
                 Ok(place) => return Some(place),
                 Err(shortage) => shortage,
             };
-            if !self.make_place() {
+            let gives_way = match shortage {
+                Shortage::Place => self.make_place(),
+                Shortage::Memory => self.free_memory().await,
+            };
+            if !gives_way {
                 break;
             }
-            // The place is free at once, the memory when the task of the connection that
-            // gives way has run.
-            if shortage == Shortage::Memory {
-                tokio::task::yield_now().await;
-            }
         }
         self.refused.fetch_add(1, Ordering::Relaxed);
         None
@@ -201,6 +204,17 @@
         })
     }
 
+    /// Closes the connection that gives way to a new one, if there is one, and waits until
+    /// its task can have freed its memory. Nobody else is closed before that.
+    async fn free_memory(&self) -> bool {
+        let is_closing = self.state().closing > 0;
+        let gives_way = is_closing || self.make_place();
+        if gives_way {
+            tokio::task::yield_now().await;
+        }
+        gives_way
+    }
+
     /// Closes the connection that gives way to a new one, if there is one.
     fn make_place(&self) -> bool {
         let now = self.clock.now();
@@ -219,10 +233,9 @@
             if share.extend(REQUEST_BYTES) {
                 return Some(share);
             }
-            if !self.make_place() {
+            if !self.free_memory().await {
                 break;
             }
-            tokio::task::yield_now().await;
         }
         None
     }
@@ -252,6 +265,10 @@
     fn relieve(&self, free: f64) {
         let now = self.clock.now();
         let mut state = self.state();
+        if state.closing > 0 {
+            // Their memory will be free before another connection has to be closed.
+            return;
+        }
         if let Some(victim) = state.table.memory_victim(free, now) {
             state.signal(victim);
         }
@@ -309,6 +326,9 @@
     fn drop(&mut self) {
         let mut state = self.registry.state();
         state.table.close(self.key);
-        state.signals.remove(self.key);
+        let was_told = state.signals.remove(self.key).is_none();
+        if was_told {
+            state.closing -= 1;
+        }
     }
 }
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -243,6 +243,7 @@
         biased;
         ended = &mut served => ended,
         () = close_when_idle => Ok(()),
+        _ = activity.gives_way() => Ok(()),
     }
 }
 
--- a/crates/net/src/connection_table.rs
+++ b/crates/net/src/connection_table.rs
@@ -10,6 +10,10 @@
 
 use slotmap::SlotMap;
 
+/// The fraction of the greatest lateness that is tolerated when no memory is free: a caller
+/// that transfers all the time is not late.
+const LEAST_TOLERANCE: f64 = 0.02;
+
 slotmap::new_key_type! {
     /// Names an open connection.
     pub struct ConnectionKey;
@@ -186,7 +190,7 @@
     /// Returns the connection that gives way when this fraction of the memory is free. The
     /// less is free, the less late a caller may be.
     pub fn memory_victim(&self, free: f64, now: Duration) -> Option<ClosingConnection> {
-        let tolerance = self.limits.stall.mul_f64(free.clamp(0.0, 1.0));
+        let tolerance = self.limits.stall.mul_f64(free.clamp(LEAST_TOLERANCE, 1.0));
         self.late_victim(tolerance, now)
     }
 
--- a/crates/net/tests/caller_connections.rs
+++ b/crates/net/tests/caller_connections.rs
@@ -283,12 +283,26 @@
 /// fail.
 #[tokio::test]
 async fn slow_readers_give_way_when_memory_is_short() {
+    let answers = ByteBudget::new(10 * LONG_ANSWER);
+    serves_beside_slow_readers(answers).await;
+}
+
+/// Guards against the same when others use the memory that answers may use.
+#[tokio::test]
+async fn slow_readers_give_way_when_the_pool_is_short() {
+    let pool = Arc::new(ByteBudget::new(6 * LONG_ANSWER));
+    let answers = ByteBudget::within(pool, 100 * LONG_ANSWER);
+    serves_beside_slow_readers(answers).await;
+}
+
+/// Checks that callers get their long answers while others do not read theirs.
+async fn serves_beside_slow_readers(answers: ByteBudget) {
+    let answers = Arc::new(answers);
     let target = {
         let handler =
             |_: HttpRequest| async { HttpAnswer::new(AnswerBody::whole(vec![b'a'; LONG_ANSWER])) };
         CallerListener::bind(common::loopback(), limits(100), handler).unwrap()
     };
-    let answers = Arc::new(ByteBudget::new(10 * LONG_ANSWER));
     let client = TargetClient::with_budget(
         target.local_address(),
         TargetLimits::default(),
