--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -193,20 +193,6 @@
         }
     }
 
-    /// Returns the admission control of a process that has started at the time `started`.
-    /// What the process before has sent to the target is unknown.
-    pub fn after_start(limit: u32, started: Duration) -> LocalAdmission {
-        LocalAdmission {
-            rates: RateLimits::after_start(started),
-            ..LocalAdmission::new(limit)
-        }
-    }
-
-    /// Records that the target has said which rate limits it has.
-    pub fn settle_rates(&mut self) {
-        self.rates.settle();
-    }
-
     /// Sets the number of requests that may run concurrently, at least one.
     pub fn set_limit(&mut self, limit: u32) {
         self.limit = limit.max(1);
--- a/crates/mesh/src/cold_rate_limit.rs
+++ b/crates/mesh/src/cold_rate_limit.rs
@@ -7,8 +7,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::inherited_use::InheritedUse;
-
 /// The length of the sliding window.
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -20,19 +18,9 @@
     /// The times of the requests in the window, oldest first; recorded while
     /// warm too, as a target may become cold at any time.
     sent: VecDeque<Duration>,
-    /// The requests that the process before sent in the window.
-    inherited: InheritedUse,
 }
 
 impl ColdRateLimit {
-    /// Returns the limit of a process that has started at the time `started`.
-    pub fn after_start(started: Duration) -> ColdRateLimit {
-        ColdRateLimit {
-            inherited: InheritedUse::since(started, WINDOW),
-            ..ColdRateLimit::default()
-        }
-    }
-
     /// Limits requests to `rate` a second until the time `until`.
     pub fn set_cold(&mut self, until: Duration, rate: f64) {
         self.until = Some(until);
@@ -58,11 +46,10 @@
         let allowed = (self.rate.floor() as usize).max(1);
         let recent = self.sent.iter().filter(|sent| **sent + WINDOW > now);
         let excess = recent.clone().count().saturating_sub(allowed - 1);
-        let next = match excess.checked_sub(1) {
+        match excess.checked_sub(1) {
             None => now,
             Some(index) => recent.clone().nth(index).map_or(now, |sent| *sent + WINDOW),
-        };
-        self.inherited.usable_from(next)
+        }
     }
 
     /// Returns the limit in requests a second, at least 1; `None` while the target
--- a/crates/mesh/src/declared_rate_limit.rs
+++ b/crates/mesh/src/declared_rate_limit.rs
@@ -12,8 +12,6 @@
 
 use std::time::Duration;
 
-use crate::inherited_use::InheritedUse;
-
 /// The requests that may be sent at once after a pause, as a time at the declared
 /// rate.
 const BURST_TIME: Duration = Duration::from_millis(250);
@@ -72,19 +70,9 @@
     next_due: Duration,
     /// Whether the latest statement could not be read.
     is_unreadable: bool,
-    /// The burst that the process before sent.
-    inherited: InheritedUse,
 }
 
 impl DeclaredRateLimit {
-    /// Returns the limit of a process that has started at the time `started`.
-    pub fn after_start(started: Duration) -> DeclaredRateLimit {
-        DeclaredRateLimit {
-            inherited: InheritedUse::since(started, BURST_TIME),
-            ..DeclaredRateLimit::default()
-        }
-    }
-
     /// Returns the limit in requests a second; `None` if there is none.
     pub fn per_second(&self) -> Option<f64> {
         self.per_second
@@ -134,10 +122,7 @@
         match self.per_second {
             None => now,
             Some(0.0) => now + MAX_INTERVAL,
-            Some(_) => {
-                let next = self.next_due.saturating_sub(BURST_TIME).max(now);
-                self.inherited.usable_from(next)
-            }
+            Some(_) => self.next_due.saturating_sub(BURST_TIME).max(now),
         }
     }
 
--- a/crates/mesh/src/rate_limits.rs
+++ b/crates/mesh/src/rate_limits.rs
@@ -5,11 +5,6 @@
 
 use crate::cold_rate_limit::ColdRateLimit;
 use crate::declared_rate_limit::DeclaredRateLimit;
-use crate::inherited_use::InheritedUse;
-
-/// How long after a start requests are held back for a target that does not say what it
-/// takes. A target that cannot be asked is served again after this time.
-const STATEMENT_TIME: Duration = Duration::from_secs(1);
 
 /// The limit that holds requests back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,32 +22,14 @@
     pub cold: ColdRateLimit,
     /// The limit that the target declares.
     pub declared: DeclaredRateLimit,
-    /// What the target has taken of limits that this process does not know yet.
-    inherited: InheritedUse,
 }
 
 impl RateLimits {
-    /// Returns the limits of a process that has started at the time `started` and has not
-    /// heard of its target.
-    pub fn after_start(started: Duration) -> RateLimits {
-        RateLimits {
-            cold: ColdRateLimit::after_start(started),
-            declared: DeclaredRateLimit::after_start(started),
-            inherited: InheritedUse::since(started, STATEMENT_TIME),
-        }
-    }
-
-    /// Records that the target has said which limits it has.
-    pub fn settle(&mut self) {
-        self.inherited.settle();
-    }
-
     /// Returns the earliest time at which the next request may be sent, at least
     /// `now`.
     pub fn next_allowed(&self, now: Duration) -> Duration {
         let cold = self.cold.next_allowed(now);
-        let next = cold.max(self.declared.next_allowed(now));
-        self.inherited.usable_from(next)
+        cold.max(self.declared.next_allowed(now))
     }
 
     /// Returns the lower limit in requests a second, and which one it is; `None`
@@ -70,14 +47,10 @@
     /// Returns the expected wait of a request behind `ahead` others; `None` if the
     /// limit lets nothing pass.
     pub fn expected_wait(&self, ahead: usize, now: Duration) -> Option<Duration> {
-        // A target that is asked for its limits mostly answers at once.
-        let first = match self.inherited.is_open(now) {
-            true => Duration::ZERO,
-            false => self.next_allowed(now).saturating_sub(now),
-        };
         let Some((rate, _)) = self.lowest(now) else {
-            return Some(first);
+            return Some(Duration::ZERO);
         };
+        let first = self.next_allowed(now).saturating_sub(now);
         let behind = Duration::try_from_secs_f64(ahead as f64 / rate).ok()?;
         first.checked_add(behind)
     }
--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -16,8 +16,6 @@
 use indexmap::IndexMap;
 use smol_str::SmolStr;
 
-use crate::inherited_use::InheritedUse;
-
 /// The fraction of the budget that all retries of a service may use. The rest is
 /// reserved for the calls of retried runs, which are counted after the fact.
 const TOTAL_FRACTION: f64 = 0.7;
@@ -77,8 +75,6 @@
 pub struct RetryBudget {
     limits: RetryLimits,
     services: IndexMap<SmolStr, ServiceWindow>,
-    /// The portions of the additional retries that the process before spent.
-    inherited: InheritedUse,
 }
 
 impl RetryBudget {
@@ -87,15 +83,6 @@
         RetryBudget {
             limits,
             services: IndexMap::new(),
-            inherited: InheritedUse::default(),
-        }
-    }
-
-    /// Returns the budget of a process that has started at the time `started`.
-    pub fn after_start(limits: RetryLimits, started: Duration) -> RetryBudget {
-        RetryBudget {
-            inherited: InheritedUse::since(started, limits.window),
-            ..RetryBudget::new(limits)
         }
     }
 
@@ -135,10 +122,7 @@
             expire(times, limits.window, now);
         }
         let from_requests = limits.ratio * counts.requests.len() as f64;
-        let own_extra = match self.inherited.is_open(now) {
-            true => 0.0,
-            false => limits.extra / daemons.max(1) as f64,
-        };
+        let own_extra = limits.extra / daemons.max(1) as f64;
         let allowed = from_requests + own_extra;
         let fits =
             |spent: &VecDeque<Duration>, fraction| spent.len() as f64 + 1.0 <= allowed * fraction;
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -347,25 +347,3 @@
     while admission.decide_next(ms(0)).is_some() {}
     assert_eq!(reported(&admission), None);
 }
-
-/// Guards against requests that a process which has just started sends to a target whose
-/// rate limits it does not know yet, beside those that the process before sent.
-#[test]
-fn requests_wait_after_a_start_until_the_target_has_spoken() {
-    let read = request("read", 1000, 1);
-    let started = ms(5_000);
-    let mut admission = LocalAdmission::after_start(2, started);
-    let AdmissionDecision::Wait(key) = admission.decide(&read, started) else {
-        panic!("not held back");
-    };
-    assert_eq!(admission.decide_next(started), None);
-    admission.settle_rates();
-    let decided = admission.decide_next(started).unwrap();
-    assert_eq!((decided.key, decided.decision), (key, Ok(())));
-    // A target that cannot be asked is not held back for ever.
-    let mut admission = LocalAdmission::after_start(2, started);
-    assert_eq!(
-        admission.decide(&read, started + ms(1_000)),
-        AdmissionDecision::Run
-    );
-}
--- a/crates/mesh/tests/mesh/cold_rate_limit.rs
+++ b/crates/mesh/tests/mesh/cold_rate_limit.rs
@@ -49,18 +49,3 @@
     limit.set_warm();
     assert_eq!(limit.next_allowed(until), until);
 }
-
-/// Guards against a second's requests that are sent twice, before a restart of the process
-/// and after it.
-#[test]
-fn restart_does_not_repeat_requests_of_a_second() {
-    let started = Duration::from_secs(5);
-    let mut limit = ColdRateLimit::after_start(started);
-    limit.set_cold(Duration::from_secs(20), 21.0);
-    let window_end = started + Duration::from_secs(1);
-    assert_eq!(limit.next_allowed(started), window_end);
-    assert_eq!(limit.next_allowed(window_end), window_end);
-    // A warm target is not held back.
-    limit.set_warm();
-    assert_eq!(limit.next_allowed(started), started);
-}
--- a/crates/mesh/tests/mesh/retry_budget.rs
+++ b/crates/mesh/tests/mesh/retry_budget.rs
@@ -92,29 +92,3 @@
     }
     assert!(!budget.try_spend(&service, RetryKind::RefusedCall, 1, Duration::ZERO));
 }
-
-/// Guards against additional retries that every restart of a daemon grants anew.
-#[test]
-fn restarts_do_not_add_retries() {
-    let service = SmolStr::new("desk");
-    let daemons = 10;
-    let mut retries = 0;
-    for restart in 0..5 {
-        let started = Duration::from_secs(restart);
-        for _ in 0..daemons {
-            let mut budget = RetryBudget::after_start(LIMITS, started);
-            while budget.try_spend(&service, RetryKind::RefusedCall, daemons, started) {
-                retries += 1;
-            }
-        }
-    }
-    assert_eq!(retries, 0);
-    let mut budget = RetryBudget::after_start(LIMITS, Duration::ZERO);
-    assert!(budget.try_spend(&service, RetryKind::RefusedCall, daemons, LIMITS.window));
-    // The part that follows from a daemon's own requests is not shared.
-    let mut budget = RetryBudget::after_start(LIMITS, Duration::ZERO);
-    for _ in 0..100 {
-        budget.record_request(&service, Duration::ZERO);
-    }
-    assert!(budget.try_spend(&service, RetryKind::RefusedCall, daemons, Duration::ZERO));
-}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -117,7 +117,7 @@
                 settings.peer_address.port(),
                 Arc::clone(&owner.memory.answers),
             ),
-            budget: Mutex::new(RetryBudget::after_start(settings.retry_limits, started)),
+            budget: Mutex::new(RetryBudget::new(settings.retry_limits)),
             settings: ArcSwap::from_pointee(settings),
             clock,
             owner,
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -95,12 +95,11 @@
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
         let memory = DaemonMemory::new(&settings.client_limits, settings.memory_limit);
-        let state = OwnerState::new(clock.now());
         TargetOwner {
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &memory.answers)),
             memory,
-            state: Mutex::new(state),
+            state: Mutex::new(OwnerState::new()),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
             suspect_counters: SuspectCounters::default(),
@@ -269,7 +268,6 @@
         let is_current = sent >= state.records_changed;
         state.checked_id = target.filter(|_| is_current).map(SmolStr::from);
         state.answered_id = target.map(SmolStr::from);
-        state.admission.settle_rates();
         state.update_limit();
         state.connection_losses = connection_losses;
         if cold_left.is_zero() {
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -71,11 +71,10 @@
 }
 
 impl OwnerState {
-    /// Returns the state of a target whose registration is not known yet, in a process that
-    /// has started at the time `started`.
-    pub(crate) fn new(started: Duration) -> OwnerState {
+    /// Returns the state of a target whose registration is not known yet.
+    pub(crate) fn new() -> OwnerState {
         OwnerState {
-            admission: LocalAdmission::after_start(INITIAL_CAPACITY, started),
+            admission: LocalAdmission::new(INITIAL_CAPACITY),
             waiters: HashMap::new(),
             records: Vec::new(),
             checked_id: None,
