Tell daemons that start after a late write what the target said last

Cause: the order of entries. A daemon that knew the later word ignored the entry for itself, and passed on the store's item all the same, since views are ordered by revision. The memory of removed targets was not passed on either.

Fix: the last word is kept beside the store's item, by the same mechanism that keeps what a restored store has lost, and goes to followers and to daemons that have just started. It ends with the next write of the target, or when the entry of an ended target would have lapsed. RG6113 tells an operator. The check for an earlier word stands once, in `StateTable::later_word`.

Ruled out: ordering the view by sequence, as differences between daemons need the store's revisions.

--- a/crates/events/src/events.rs
+++ b/crates/events/src/events.rs
@@ -87,6 +87,7 @@
     STATE_UNCONFIRMED = 6110, Warn, "state is not confirmed by the store in time", "age_ms, role, revision", "The daemon may lack changes that are in force elsewhere. If RG6101 names no fault of the store, look at the daemon that `role` names and at the one that it follows in turn.";
     STATE_CONFIRMED = 6111, Info, "state is confirmed by the store again", "after_ms, role, revision", "None.";
     STORE_MOVED = 6112, Info, "store is read at another address", "from, to, revision", "None; the settings name the new address. The known state and its position are kept.";
+    LAST_WORD_KEPT = 6113, Info, "store has an earlier entry of a target than its last one", "word, revision", "None; the store has done a write of the target late. What the target said last holds, and other daemons are told, until it writes again.";
     TARGET_DOWN = 6201, Warn, "target is down", "error", "Check the target's own logs.";
     TARGET_UP = 6202, Info, "target is up", "target, cold_ms", "None.";
     TARGET_RESTART_SUSPECTED = 6203, Info, "target is treated as cold until its next health check", "reason", "None; it may have crashed and restarted.";
--- a/crates/mesh/src/state_table.rs
+++ b/crates/mesh/src/state_table.rs
@@ -317,6 +317,9 @@
         source: StateSource,
         now: Duration,
     ) -> Option<StateEvent> {
+        if self.later_word(&change).is_some() {
+            return None;
+        }
         match change {
             StateChange::Config(config) => Some(self.apply_config(config)),
             StateChange::Target(record) => self.apply_target(record),
@@ -408,19 +411,24 @@
         StateEvent::ConfigInForce { version }
     }
 
-    /// Returns the last word of a target, also if it was removed lately.
-    fn last_word(&self, id: &str) -> Option<&TargetRecord> {
-        self.target(id).or_else(|| self.removed.get(id))
+    /// Returns the target's last word, as the change that holds in place of this one, if
+    /// the target has said it later, or was removed lately after it had. The order in which
+    /// the store has done the writes is not the order in which they were sent.
+    pub fn later_word(&self, change: &StateChange) -> Option<StateChange> {
+        let StateChange::Target(record) = change else {
+            return None;
+        };
+        let (known, word) = match self.target(&record.id) {
+            Some(known) => (known, StateChange::Target(known.clone())),
+            None => {
+                let removed = self.removed.get(&record.id)?;
+                (removed, StateChange::TargetRemoved(record.id.clone()))
+            }
+        };
+        record.is_older_word_than(known).then_some(word)
     }
 
-    /// Applies the entry of a target. An entry is ignored if the target has said something
-    /// later: the order in which the store has done the writes is not the order in which
-    /// they were sent.
     fn apply_target(&mut self, record: TargetRecord) -> Option<StateEvent> {
-        let known = self.last_word(&record.id);
-        if known.is_some_and(|known| record.is_older_word_than(known)) {
-            return None;
-        }
         let id = record.id.clone();
         self.removed.shift_remove(&id);
         let draining = record.draining;
--- a/crates/sidecar/src/known_state.rs
+++ b/crates/sidecar/src/known_state.rs
@@ -31,6 +31,27 @@
     pub table: StateTable,
 }
 
+impl KnownState {
+    /// Keeps the last words of the targets whose entries in the view, after these changes,
+    /// are earlier ones.
+    fn keep_last_words(&mut self, changes: &[StateChange], times: &KeepTimes, now: Duration) {
+        let words: Vec<StateChange> = changes
+            .iter()
+            .enumerate()
+            .filter_map(|(index, change)| {
+                let word = self.table.later_word(change)?;
+                let mut following = changes[index + 1..].iter();
+                let is_replaced = following.any(|next| next.has_same_subject(change));
+                (!is_replaced).then_some(word)
+            })
+            .collect();
+        for word in self.view.keep_words(&words, times, now) {
+            let revision = self.view.position();
+            events::LAST_WORD_KEPT.emit(format_args!("word={word:?} revision={revision}"));
+        }
+    }
+}
+
 impl SidecarNode {
     /// Replaces the known state by a full state. A state of a later era leaves in force
     /// what the store has lost and not got back.
@@ -41,9 +62,7 @@
         source: StateSource,
     ) {
         let now = self.now();
-        let times = KeepTimes {
-            entry_timeout: self.settings().entry_timeout,
-        };
+        let times = self.keep_times();
         let mut known = self.known();
         let before = known.view.position();
         let is_restored = position.is_restored_since(before);
@@ -57,7 +76,8 @@
                 "from={before} to={position} kept={kept} source={source:?}"
             ));
         }
-        let state_events = known.table.replace(changes.changes, source, now);
+        let state_events = known.table.replace(changes.changes.clone(), source, now);
+        known.keep_last_words(&changes.changes, &times, now);
         self.finish_update(&mut known, &changes.faults, state_events, source, now);
     }
 
@@ -81,17 +101,24 @@
         let ViewChanges { changes, faults } = known.view.update(items, position);
         let table = &mut known.table;
         let mut state_events: Vec<StateEvent> = changes
-            .into_iter()
-            .filter_map(|change| table.apply(change, source, now))
+            .iter()
+            .filter_map(|change| table.apply(change.clone(), source, now))
             .collect();
         if source == StateSource::Peer {
             table.drop_lapsed(now);
             state_events.extend(table.expire(now));
         }
+        known.keep_last_words(&changes, &self.keep_times(), now);
         self.finish_update(&mut known, &faults, state_events, source, now);
     }
 
-    /// Adds items of earlier eras that a peer keeps, whose state is at `position`.
+    fn keep_times(&self) -> KeepTimes {
+        KeepTimes {
+            entry_timeout: self.settings().entry_timeout,
+        }
+    }
+
+    /// Adds items that a peer keeps in place of the store's, whose state is at `position`.
     pub fn keep_items(&self, items: Vec<(StoreItem, Option<Duration>)>, position: StatePosition) {
         let mut known = self.known();
         if items.is_empty() || position.era != known.view.position().era {
@@ -101,7 +128,7 @@
         self.apply_kept(&mut known, changes);
     }
 
-    /// Drops the items of earlier eras whose time has passed.
+    /// Drops the kept items whose time has passed.
     pub fn expire_kept_items(&self) {
         let mut known = self.known();
         let changes = known.view.expire_kept(self.now());
--- a/crates/sidecar/src/state_exchange.rs
+++ b/crates/sidecar/src/state_exchange.rs
@@ -132,7 +132,7 @@
 }
 
 /// Fetches what other daemons knew before this one started and the store does not tell:
-/// suspected requests, and items of earlier eras.
+/// suspected requests, items of earlier eras, and last words of targets.
 pub async fn fetch_first(node: Arc<SidecarNode>) {
     suspect_exchange::fetch_from_all(&node, &random_peers(&node)).await;
     fetch_kept(&node, random_peers).await;
