Send nothing to a cold target in the second after a start

Cause, three parts: the requests of the last second are counted in the memory of the process; `assume_cold` at the first configuration ran before the policy was set, with a cold time of zero, so it limited nothing; and an owner without a configuration admitted what other daemons sent.

Fix: in the second after a start, a target that is cold or assumed to be gets nothing, unless it has been cold only since the process before ended. It is assumed to be cold until its first answer, which is asked for as soon as there is a configuration (before: up to 0.1 s later). A daemon is ready once that check has ended. Requests that wait for a target whose entry is removed are refused at once; the test that shows it (`admitted_request_is_withdrawn_when_ target_closes_before_it_is_sent`) is unchanged.

What held back and this does not: warm targets, and targets that name no limit.

--- a/crates/mesh/src/admission.rs
+++ b/crates/mesh/src/admission.rs
@@ -193,6 +193,15 @@
         }
     }
 
+    /// Returns the admission control of a target whose daemon has started at the time
+    /// `started`. What the daemon before has sent to the target is unknown.
+    pub fn after_start(limit: u32, started: Duration) -> LocalAdmission {
+        LocalAdmission {
+            rates: RateLimits::after_start(started),
+            ..LocalAdmission::new(limit)
+        }
+    }
+
     /// Sets the number of requests that may run concurrently, at least one.
     pub fn set_limit(&mut self, limit: u32) {
         self.limit = limit.max(1);
@@ -384,6 +393,47 @@
         })
     }
 
+    /// Removes the waiting requests that a rate limit holds back for longer than they may
+    /// wait, and returns the decisions. Must be called when a limit turns out to be in
+    /// force that was not expected when they began to wait.
+    pub fn refuse_overdue(&mut self, now: Duration) -> Vec<QueueDecision> {
+        let mut kept = 0;
+        let mut overdue = Vec::new();
+        for (key, waiting) in &self.queue {
+            let wait = self.rates.expected_wait(kept, now);
+            if wait.is_some_and(|wait| now + wait <= waiting.overdue_at) {
+                kept += 1;
+                continue;
+            }
+            let refusal = AdmissionRefusal {
+                reason: self.full_reason(now),
+                retry_after: wait,
+            };
+            overdue.push(QueueDecision {
+                key: *key,
+                decision: Err(refusal),
+            });
+        }
+        for queue_decision in &overdue {
+            self.take_waiting(queue_decision.key);
+        }
+        overdue
+    }
+
+    /// Removes all waiting requests, which are refused for this reason, and returns the
+    /// decisions. Those that arrive later are not affected.
+    pub fn refuse_waiting(&mut self, reason: CloseReason) -> Vec<QueueDecision> {
+        let keys: Vec<WaitKey> = self.queue.keys().copied().collect();
+        let refuse = |key| {
+            self.take_waiting(key);
+            QueueDecision {
+                key,
+                decision: Err(closed_refusal(reason)),
+            }
+        };
+        keys.into_iter().map(refuse).collect()
+    }
+
     /// Returns the next of the requests that are less urgent than `first` and have
     /// waited as long as they may, if its turn has come.
     fn overdue_key(&self, first: WaitKey, now: Duration) -> Option<WaitKey> {
--- a/crates/mesh/src/rate_limits.rs
+++ b/crates/mesh/src/rate_limits.rs
@@ -25,6 +25,14 @@
 }
 
 impl RateLimits {
+    /// Returns the limits of a target whose daemon has started at the time `started`.
+    pub fn after_start(started: Duration) -> RateLimits {
+        RateLimits {
+            cold: ColdRateLimit::after_start(started),
+            declared: DeclaredRateLimit::default(),
+        }
+    }
+
     /// Returns the earliest time at which the next request may be sent, at least
     /// `now`.
     pub fn next_allowed(&self, now: Duration) -> Duration {
@@ -47,6 +55,10 @@
     /// Returns the expected wait of a request behind `ahead` others; `None` if the
     /// limit lets nothing pass.
     pub fn expected_wait(&self, ahead: usize, now: Duration) -> Option<Duration> {
+        if self.cold.awaits_statement(now) {
+            // Most targets are warm, and are served as soon as they have said so.
+            return Some(Duration::ZERO);
+        }
         let Some((rate, _)) = self.lowest(now) else {
             return Some(Duration::ZERO);
         };
--- a/crates/mesh/tests/mesh/admission.rs
+++ b/crates/mesh/tests/mesh/admission.rs
@@ -184,6 +184,29 @@
     assert_eq!(admission.decide_next(next).unwrap().key, key);
 }
 
+/// Guards against requests that wait for a cold target until their time has passed, and
+/// against a refusal of those that can be served: after a start, they wait in the hope
+/// that the target is warm.
+#[test]
+fn requests_that_a_cold_target_cannot_serve_in_time_are_refused() {
+    let started = ms(0);
+    let mut admission = LocalAdmission::after_start(18, started);
+    admission.cold_mut().assume_cold(ms(10_000), 5.0, started);
+    let patient = wait_key(&mut admission, &request("read", 4_000, 0));
+    let urgent = wait_key(&mut admission, &request("read", 500, 0));
+    assert_eq!(admission.decide_next(ms(50)), None);
+    admission.cold_mut().set_cold(ms(10_000), 5.0);
+    let refused = admission.refuse_overdue(ms(50));
+    assert_eq!(refused.len(), 1);
+    assert_eq!(refused[0].key, urgent);
+    let refusal = refused[0].decision.unwrap_err();
+    assert_eq!(refusal.reason, RefuseReason::Cold);
+    assert_eq!(refusal.retry_after, Some(ms(950)));
+    assert_eq!(admission.next_timer(ms(50)), Some(ms(1_000)));
+    let next = admission.decide_next(ms(1_000)).unwrap();
+    assert_eq!((next.key, next.decision), (patient, Ok(())));
+}
+
 /// Guards against wasted runs: a call that a running request waits for is
 /// admitted although the target is busy, and runs before callers' requests.
 #[test]
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -332,10 +332,11 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
-    /// Whether the daemon reports that it is ready: it has a configuration and
-    /// is not stopping.
+    /// Whether the daemon reports that it is ready: it has a configuration, has asked its
+    /// target once, and is not stopping.
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.known().table.config().is_some()
+        let has_config = self.known().table.config().is_some();
+        !self.is_stopping() && has_config && self.owner.knows_target()
     }
 
     /// Locks the known state; callers must not keep the lock across I/O.
--- a/crates/sidecar/src/owner.rs
+++ b/crates/sidecar/src/owner.rs
@@ -20,6 +20,7 @@
 use radishgauge_mesh::SuspectTable;
 use radishgauge_mesh::admission::AdmissionRefusal;
 use radishgauge_mesh::admission::CloseReason;
+use radishgauge_mesh::admission::QueueDecision;
 use radishgauge_mesh::admission::RefuseReason;
 use radishgauge_mesh::call_pressure::CalledQueue;
 use radishgauge_mesh::scheduling::REFUSAL_MARGIN;
@@ -95,11 +96,12 @@
     /// Returns the owner of a target whose registration is not known yet.
     pub fn new(settings: &HostSettings, clock: Arc<dyn ProcessClock>) -> TargetOwner {
         let memory = DaemonMemory::new(&settings.client_limits, settings.memory_limit);
+        let state = OwnerState::new(clock.now());
         TargetOwner {
             clock,
             client: ArcSwap::from_pointee(client(settings.target_address, &memory.answers)),
             memory,
-            state: Mutex::new(OwnerState::new()),
+            state: Mutex::new(state),
             check_requested: Notify::new(),
             suspects: SuspectTable::new(SUSPECT_POLICY),
             suspect_counters: SuspectCounters::default(),
@@ -148,6 +150,18 @@
         self.state().down
     }
 
+    /// Returns whether the target has been asked how it is since this daemon started, or
+    /// cannot be asked, as the configuration does not have its service.
+    pub fn knows_target(&self) -> bool {
+        let state = self.state();
+        state.is_asked || state.policy.is_none()
+    }
+
+    /// Records that a health check of the target has ended, with an answer or without one.
+    pub fn finish_check(&self) {
+        self.state().is_asked = true;
+    }
+
     /// Returns the request with this ID that runs at the target; `None` if there is
     /// none.
     pub(crate) fn running_request(&self, request: &str) -> Option<RunningRequest> {
@@ -184,21 +198,28 @@
         let policy = table
             .config()
             .and_then(|config| config.service(&settings.service));
-        if state.policy.is_none() && policy.is_some() {
-            // The target may have started together with this daemon.
+        let is_first_policy = state.policy.is_none() && policy.is_some();
+        state.policy = policy.cloned();
+        if is_first_policy {
             state.assume_cold(now);
             self.check_requested.notify_one();
         }
-        state.policy = policy.cloned();
         let fleet = FleetScope::new(settings, table);
         let records = table
             .targets()
             .filter(|record| record.address == settings.target_address && fleet.contains(record))
             .cloned()
             .collect();
+        let had_target = !state.records.is_empty();
         if state.update_records(records, now) {
             self.check_requested.notify_one();
         }
+        if had_target && state.records.is_empty() {
+            // The target that the waiting requests name has left.
+            for refusal in state.admission.refuse_waiting(CloseReason::Draining) {
+                self.deliver(&mut state, refusal);
+            }
+        }
         let evacuated = table.is_evacuated(&settings.failure_domain);
         if state.domain_evacuated && !evacuated {
             // Targets may be cold when the evacuation of their failure domain
@@ -275,7 +296,18 @@
         } else {
             let rate = state.cold_rate();
             let until = now + cold_left;
+            let was_assumed = state.admission.cold_mut().is_assumed();
             state.admission.cold_mut().set_cold(until, rate);
+            let cold_time = state.cold_time().checked_sub(cold_left);
+            if let Some(cold_time) = cold_time {
+                state.admission.cold_mut().record_cold_time(cold_time, sent);
+            }
+            if was_assumed {
+                // Requests have waited for this answer in the hope of a warm target.
+                for refusal in state.admission.refuse_overdue(now) {
+                    self.deliver(&mut state, refusal);
+                }
+            }
         }
         state.update_closed();
         self.deliver_decisions(&mut state);
@@ -461,18 +493,23 @@
     pub(crate) fn deliver_decisions(self: &Arc<Self>, state: &mut OwnerState) {
         let now = self.clock.now();
         while let Some(queue_decision) = state.admission.decide_next(now) {
-            let sent = state
-                .waiters
-                .remove(&queue_decision.key)
-                .is_some_and(|sender| sender.send(queue_decision.decision).is_ok());
-            if !sent && queue_decision.decision.is_ok() {
-                // The waiter was dropped, so its slot is free again.
-                state.admission.finish(&SmolStr::default(), None);
-            }
+            self.deliver(state, queue_decision);
         }
         self.arm_timer(state, now);
     }
 
+    /// Sends the decision on a waiting request to its waiter.
+    fn deliver(&self, state: &mut OwnerState, queue_decision: QueueDecision) {
+        let sent = state
+            .waiters
+            .remove(&queue_decision.key)
+            .is_some_and(|sender| sender.send(queue_decision.decision).is_ok());
+        if !sent && queue_decision.decision.is_ok() {
+            // The waiter was dropped, so its slot is free again.
+            state.admission.finish(&SmolStr::default(), None);
+        }
+    }
+
     /// Schedules the next decisions for when a cold target may receive its next
     /// request.
     fn arm_timer(self: &Arc<Self>, state: &mut OwnerState, now: Duration) {
--- a/crates/sidecar/src/owner_state.rs
+++ b/crates/sidecar/src/owner_state.rs
@@ -55,6 +55,8 @@
     pub(crate) stopping: bool,
     pub(crate) domain_evacuated: bool,
     pub(crate) down: bool,
+    /// Whether the first health check has ended, with an answer or without one.
+    pub(crate) is_asked: bool,
     /// The requests that run at the target, by ID.
     pub(crate) runs: HashMap<SmolStr, RunningRequest>,
     /// The runs that the target may not have ended.
@@ -71,10 +73,11 @@
 }
 
 impl OwnerState {
-    /// Returns the state of a target whose registration is not known yet.
-    pub(crate) fn new() -> OwnerState {
+    /// Returns the state of a target whose registration is not known yet, in a daemon that
+    /// has started at the time `started`.
+    pub(crate) fn new(started: Duration) -> OwnerState {
         OwnerState {
-            admission: LocalAdmission::new(INITIAL_CAPACITY),
+            admission: LocalAdmission::after_start(INITIAL_CAPACITY, started),
             waiters: HashMap::new(),
             records: Vec::new(),
             checked_id: None,
@@ -86,6 +89,7 @@
             stopping: false,
             domain_evacuated: false,
             down: false,
+            is_asked: false,
             runs: HashMap::new(),
             interrupted: InterruptedRuns::default(),
             connection_losses: 0,
@@ -107,15 +111,23 @@
         self.policy.as_ref().map_or(1.0, |policy| policy.cold_rate)
     }
 
+    /// Returns how long a target of the service is cold after its start.
+    pub(crate) fn cold_time(&self) -> Duration {
+        let policy = self.policy.as_ref();
+        policy.map_or(Duration::ZERO, |policy| policy.cold_time)
+    }
+
     /// Treats the target as cold until a health check reports otherwise.
     pub(crate) fn assume_cold(&mut self, now: Duration) {
         self.checked_id = None;
-        let time = self
-            .policy
-            .as_ref()
-            .map_or(Duration::ZERO, |policy| policy.cold_time);
+        self.assume_cold_for(self.cold_time(), now);
+    }
+
+    /// Treats the target as cold for `time`, or until a health check, which must have been
+    /// requested, reports otherwise.
+    fn assume_cold_for(&mut self, time: Duration, now: Duration) {
         let rate = self.cold_rate();
-        self.admission.cold_mut().set_cold(now + time, rate);
+        self.admission.cold_mut().assume_cold(now + time, rate, now);
     }
 
     /// Logs a change of the target's declared rate limit. A target may state another
@@ -165,7 +177,12 @@
             self.former.retain(|id| *id != record.id);
             let known = self.records.iter().find(|old| old.same_incarnation(record));
             let newly_cold = known.is_none_or(|old| old.cold_left != record.cold_left);
-            if newly_cold && !record.cold_left.is_zero() {
+            if !newly_cold || record.cold_left.is_zero() {
+                continue;
+            }
+            if has_new {
+                self.assume_cold_for(record.cold_left, now);
+            } else {
                 let rate = self.cold_rate();
                 let until = now + record.cold_left;
                 self.admission.cold_mut().set_cold(until, rate);
--- a/crates/sidecar/src/probe.rs
+++ b/crates/sidecar/src/probe.rs
@@ -59,7 +59,8 @@
     let mut silent_checks = 0;
     loop {
         let Some(policy) = node.owner.policy() else {
-            tokio::time::sleep(MIN_INTERVAL).await;
+            // The first configuration requests a check.
+            node.owner.check_requested.notified().await;
             continue;
         };
         let client = node.owner.client();
@@ -79,6 +80,7 @@
                 }
             }
         }
+        node.owner.finish_check();
         let wait = if node.owner.is_down() || silent_checks > 0 {
             DOWN_INTERVAL
         } else {
--- a/crates/sidecar/tests/tenant_access.rs
+++ b/crates/sidecar/tests/tenant_access.rs
@@ -1,11 +1,11 @@
 //! Tests of the tenant of a request and of the metrics of tenants, without any other
 //! daemon.
 
+#[path = "common/clock.rs"]
+mod clock;
 mod common;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -14,7 +14,6 @@
 use radishgauge_mesh::quota::QuotaRefusal;
 use radishgauge_mesh::quota::RefusalCause;
 use radishgauge_mesh::state_table::StateSource;
-use radishgauge_net::clock::ProcessClock;
 use radishgauge_platform::StoreItem;
 use radishgauge_sidecar::local_reply;
 use radishgauge_sidecar::node::SidecarNode;
@@ -25,23 +24,7 @@
 use radishgauge_sidecar::tenant_access::TenantAccess;
 use radishgauge_sidecar::tenant_metrics::MAX_COUNTED_TENANTS;
 
-/// A clock that a test sets.
-#[derive(Default)]
-struct ManualClock {
-    millis: AtomicU64,
-}
-
-impl ManualClock {
-    fn set(&self, millis: u64) {
-        self.millis.store(millis, Ordering::Relaxed);
-    }
-}
-
-impl ProcessClock for ManualClock {
-    fn now(&self) -> Duration {
-        Duration::from_millis(self.millis.load(Ordering::Relaxed))
-    }
-}
+use crate::clock::ManualClock;
 
 const POSITION: StatePosition = StatePosition {
     era: 1,
