Bound the retries of a daemon that took the place of another one

Cause: each process has its portion of the additional retries anew, and what the process before it spent of them in the same window is forgotten.

Daemons tell each other how long the fleet has been running, so that a fleet that has just started as a whole keeps all its retries.

What it costs: a small service with one request a second at a daemon has 2 of 4 retries in the first ten seconds after a restart, by small_service_has_some_retries_after_a_restart.

--- a/crates/mesh/src/retry_budget.rs
+++ b/crates/mesh/src/retry_budget.rs
@@ -9,6 +9,10 @@
 //! again, and these calls count as retries at the called services. Refusing
 //! them would waste the run, so they are always allowed, and they reduce the
 //! budget for other retries.
+//!
+//! A process does not know what the one before it spent of the same portion. In its first
+//! window it uses only what that one cannot have spent, and this bit by bit, so that a
+//! process that ends soon leaves some to the next one.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -29,6 +33,10 @@
 /// Each of these makes its calls again, one or two in most services.
 const RAN_FRACTION: f64 = 0.25;
 
+/// The fraction of the portion that a process may have in its first window when there was
+/// one before it, so that both together spend no more than the portion.
+const SUCCESSOR_FRACTION: f64 = (1.0 - TOTAL_FRACTION) / TOTAL_FRACTION;
+
 /// The origin of the request to be retried, and whether it has run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RetryKind {
@@ -75,6 +83,8 @@
 pub struct RetryBudget {
     limits: RetryLimits,
     services: IndexMap<SmolStr, ServiceWindow>,
+    /// When this process started, if there was one before it.
+    succeeded_at: Option<Duration>,
 }
 
 impl RetryBudget {
@@ -83,9 +93,16 @@
         RetryBudget {
             limits,
             services: IndexMap::new(),
+            succeeded_at: None,
         }
     }
 
+    /// Records that this process, which started at the time `started`, took the place of one
+    /// that may have spent the same portion of the additional retries.
+    pub fn record_predecessor(&mut self, started: Duration) {
+        self.succeeded_at = Some(started);
+    }
+
     /// Replaces the limits; the counts remain.
     pub fn configure(&mut self, limits: RetryLimits) {
         self.limits = limits;
@@ -117,12 +134,12 @@
         now: Duration,
     ) -> bool {
         let limits = self.limits;
+        let own_extra = self.own_extra(daemons, now);
         let counts = self.services.entry(service.clone()).or_default();
         for times in [&mut counts.requests, &mut counts.retries, &mut counts.ran] {
             expire(times, limits.window, now);
         }
         let from_requests = limits.ratio * counts.requests.len() as f64;
-        let own_extra = limits.extra / daemons.max(1) as f64;
         let allowed = from_requests + own_extra;
         let fits =
             |spent: &VecDeque<Duration>, fraction| spent.len() as f64 + 1.0 <= allowed * fraction;
@@ -140,6 +157,16 @@
         }
         spent
     }
+
+    /// Returns this daemon's portion of the additional retries.
+    fn own_extra(&self, daemons: usize, now: Duration) -> f64 {
+        let portion = self.limits.extra / daemons.max(1) as f64;
+        let age = self.succeeded_at.map(|started| now.saturating_sub(started));
+        match age.filter(|age| *age < self.limits.window) {
+            None => portion,
+            Some(age) => portion * SUCCESSOR_FRACTION * age.div_duration_f64(self.limits.window),
+        }
+    }
 }
 
 fn expire(times: &mut VecDeque<Duration>, window: Duration, now: Duration) {
--- a/crates/mesh/tests/mesh/main.rs
+++ b/crates/mesh/tests/mesh/main.rs
@@ -8,6 +8,7 @@
 mod cross_region_budget;
 mod declared_rate_limit;
 mod fleet;
+mod fleet_age;
 mod freshness;
 mod leaving_targets;
 mod load;
--- a/crates/mesh/tests/mesh/retry_budget.rs
+++ b/crates/mesh/tests/mesh/retry_budget.rs
@@ -92,3 +92,57 @@
     }
     assert!(!budget.try_spend(&service, RetryKind::RefusedCall, 1, Duration::ZERO));
 }
+
+/// Guards against retries above the limit when processes end and start again within a
+/// window: each would spend the portion of the additional retries anew.
+#[test]
+fn restarts_do_not_add_retries() {
+    const DAEMONS: usize = 13;
+    const KILL_INTERVAL: u64 = 1_600;
+    let service = SmolStr::new("desk");
+    let mut budgets: Vec<_> = (0..DAEMONS).map(|_| RetryBudget::new(LIMITS)).collect();
+    let mut retries = 0;
+    for tick in 0..10_000_u64 {
+        let now = Duration::from_millis(tick);
+        if tick % KILL_INTERVAL == KILL_INTERVAL - 1 {
+            // Every second process ends, another half each time.
+            let offset = (tick / KILL_INTERVAL) as usize % 2;
+            for budget in budgets.iter_mut().skip(offset).step_by(2) {
+                *budget = RetryBudget::new(LIMITS);
+                budget.record_predecessor(now);
+            }
+        }
+        for budget in &mut budgets {
+            while budget.try_spend(&service, RetryKind::RefusedCall, DAEMONS, now) {
+                retries += 1;
+            }
+        }
+    }
+    assert!(f64::from(retries) <= LIMITS.extra, "{retries}");
+}
+
+/// Guards against a small service without any retries after a restart: one request a second
+/// enters at the daemon, and each needs one. It loses half of them in the first window, and
+/// none in the next one.
+#[test]
+fn small_service_has_some_retries_after_a_restart() {
+    const DAEMONS: usize = 13;
+    let service = SmolStr::new("desk");
+    let count = |is_restarted: bool| {
+        let mut budget = RetryBudget::new(LIMITS);
+        if is_restarted {
+            budget.record_predecessor(Duration::ZERO);
+        }
+        let mut counts = [0, 0];
+        for second in 1..20 {
+            let now = Duration::from_secs(second);
+            budget.record_request(&service, now);
+            let is_retried = budget.try_spend(&service, RetryKind::RefusedCall, DAEMONS, now);
+            counts[second as usize / 10] += u32::from(is_retried);
+        }
+        counts
+    };
+    let ([first, then], [first_unbroken, then_unbroken]) = (count(true), count(false));
+    assert!(first * 2 >= first_unbroken, "{first} of {first_unbroken}");
+    assert!(then >= then_unbroken, "{then} of {then_unbroken}");
+}
--- a/crates/sidecar/src/node.rs
+++ b/crates/sidecar/src/node.rs
@@ -12,6 +12,7 @@
 use arc_swap::ArcSwapOption;
 use indexmap::IndexSet;
 use radishgauge_events::events;
+use radishgauge_mesh::FleetAge;
 use radishgauge_mesh::LeavingTargets;
 use radishgauge_mesh::MeshConfig;
 use radishgauge_mesh::MisplacedTargets;
@@ -98,6 +99,7 @@
     /// The times of the stop; `None` until it begins.
     stop_plan: ArcSwapOption<StopPlan>,
     started: Duration,
+    fleet_age: Mutex<FleetAge>,
 }
 
 impl SidecarNode {
@@ -147,6 +149,7 @@
             quota_state: Mutex::default(),
             stop_plan: ArcSwapOption::empty(),
             started,
+            fleet_age: Mutex::new(FleetAge::new(started)),
         }
     }
 
@@ -191,6 +194,20 @@
         self.now().saturating_sub(self.started)
     }
 
+    /// Returns how long the fleet has been running, as far as is known.
+    pub fn fleet_age(&self) -> Duration {
+        lock(&self.fleet_age).get(self.now())
+    }
+
+    /// Records that another daemon knows that the fleet has this age. If it had been running
+    /// when this daemon started, a process before may have spent retries of this host.
+    pub fn record_fleet_age(&self, age: Duration) {
+        let had_been_running = lock(&self.fleet_age).record(age, self.now());
+        if had_been_running {
+            self.budget().record_predecessor(self.started);
+        }
+    }
+
     /// Returns the position of the known state.
     pub fn position(&self) -> StatePosition {
         *self.position.borrow()
--- a/crates/sidecar/src/state_snapshot.rs
+++ b/crates/sidecar/src/state_snapshot.rs
@@ -74,6 +74,7 @@
         kept,
         confirmed_us: confirmed.map_or(0, |age| micros(age).max(1)),
         suspicion_digest: node.owner.suspects.digest(now),
+        fleet_age_us: micros(node.fleet_age()),
     };
     zstd::bulk::compress(&snapshot.encode_to_vec(), COMPRESSION_LEVEL)
 }
@@ -141,6 +142,7 @@
 
 /// Applies the state of any peer if it is newer than the known state.
 pub(crate) fn apply_peer_snapshot(node: &SidecarNode, snapshot: &StateSnapshot, peer: &str) {
+    node.record_fleet_age(Duration::from_micros(snapshot.fleet_age_us));
     let before = node.position();
     let position = position(snapshot);
     let is_authoritative = snapshot.health() == hop::StoreHealth::Reachable;
@@ -175,6 +177,7 @@
 /// Applies the state of the daemon that this one follows, and its report on the
 /// store's health.
 pub(crate) fn apply_followed_snapshot(node: &SidecarNode, snapshot: &StateSnapshot) {
+    node.record_fleet_age(Duration::from_micros(snapshot.fleet_age_us));
     let health = match snapshot.health() {
         hop::StoreHealth::Reachable => StoreHealth::Reachable,
         hop::StoreHealth::Regained => {
--- a/crates/sidecar/tests/late_writes.rs
+++ b/crates/sidecar/tests/late_writes.rs
@@ -2,15 +2,14 @@
 //! store has written late: daemons that start afterwards find only these there.
 
 mod common;
+#[path = "common/peer.rs"]
+mod peer;
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::state_table::StateSource;
-use radishgauge_net::CallerListener;
-use radishgauge_net::ListenLimits;
 use radishgauge_net::clock::SystemClock;
 use radishgauge_platform::StoreItem;
 use radishgauge_sidecar::node::SidecarNode;
@@ -34,23 +33,6 @@
     Arc::new(SidecarNode::new(settings, clock, owner, 1))
 }
 
-/// Serves a daemon's state to other daemons, at the address that is returned.
-fn serve_state(node: &Arc<SidecarNode>) -> (CallerListener, SocketAddr) {
-    let node = Arc::clone(node);
-    let address = "127.0.0.1:0".parse().unwrap();
-    let handler = move |request: radishgauge_net::HttpRequest| {
-        let node = Arc::clone(&node);
-        async move {
-            let head = request.head;
-            let peer = request.remote;
-            state_exchange::serve(&node, peer, &head.method, &head.uri, request.body).await
-        }
-    };
-    let listener = CallerListener::bind(address, ListenLimits::default(), handler).unwrap();
-    let address = listener.local_address();
-    (listener, address)
-}
-
 /// Returns the target's entry with this sequence, as the store wrote it at `revision`.
 fn entry(state: &str, sequence: u64, revision: u64) -> StoreItem {
     let text = format!(
@@ -104,7 +86,8 @@
     ] {
         let peer = daemon_after_late_write(last_word);
         assert_eq!(word(&peer), known);
-        let (_listener, address) = serve_state(&peer);
+        let listener = peer::serve_state(&peer);
+        let address = listener.local_address();
         let reader = start_daemon();
         reader.replace_state(vec![entry("ready", 3, 8)], at(8), StateSource::Store);
         assert_eq!(word(&reader), TargetWord::Ready);
@@ -146,7 +129,8 @@
     node.replace_state(vec![entry("draining", 6, 6)], at(6), StateSource::Store);
     node.replace_state(vec![entry("ready", 3, 8)], at(8), StateSource::Store);
     assert_eq!(word(&node), TargetWord::Draining);
-    let (_listener, address) = serve_state(&node);
+    let listener = peer::serve_state(&node);
+    let address = listener.local_address();
     let follower = start_daemon();
     let followed = state_exchange::follow(&follower, address, Duration::ZERO).await;
     assert!(followed.is_ok());
--- a/crates/sidecar/tests/node.rs
+++ b/crates/sidecar/tests/node.rs
@@ -1,6 +1,8 @@
 //! Tests of a daemon's shared state, without any other daemon.
 
 mod common;
+#[path = "common/peer.rs"]
+mod peer;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,8 +13,6 @@
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::StopPlan;
 use radishgauge_mesh::state_table::StateSource;
-use radishgauge_net::CallerListener;
-use radishgauge_net::ListenLimits;
 use radishgauge_net::clock::SystemClock;
 use radishgauge_platform::HostSettings;
 use radishgauge_platform::StoreItem;
@@ -145,20 +145,6 @@
     node.known().table.target("leaving").is_some()
 }
 
-fn serve_state(node: &Arc<SidecarNode>) -> CallerListener {
-    let node = Arc::clone(node);
-    let address = "127.0.0.1:0".parse().unwrap();
-    let handler = move |request: radishgauge_net::HttpRequest| {
-        let node = Arc::clone(&node);
-        async move {
-            let head = request.head;
-            let peer = request.remote;
-            state_exchange::serve(&node, peer, &head.method, &head.uri, request.body).await
-        }
-    };
-    CallerListener::bind(address, ListenLimits::default(), handler).unwrap()
-}
-
 /// Guards against requests to a target that has left: the followed daemon cannot
 /// read the store, and learned of the removal from a peer that can.
 #[tokio::test]
@@ -168,7 +154,7 @@
     let removal = vec![registration(None, 6)];
     followed.update_state(removal, at(6), StateSource::Peer);
     assert!(!knows_target(&followed));
-    let listener = serve_state(&followed);
+    let listener = peer::serve_state(&followed);
     let follower = node_with_target();
     let peer = listener.local_address();
     let report = state_exchange::follow(&follower, peer, Duration::ZERO).await;
@@ -184,7 +170,7 @@
     let removal = || vec![registration(None, 6)];
     let reader = node_with_target();
     reader.update_state(removal(), at(6), StateSource::Store);
-    let listener = serve_state(&reader);
+    let listener = peer::serve_state(&reader);
     let cut_off = node_with_target();
     cut_off.mark_store_unreachable();
     cut_off.update_state(removal(), at(6), StateSource::Store);
@@ -215,14 +201,14 @@
     let ahead = node_with_target();
     ahead.replace_state(vec![evacuation(3)], restored, StateSource::Store);
     let behind = node_with_target();
-    let listener = serve_state(&ahead);
+    let listener = peer::serve_state(&ahead);
     state_exchange::fetch_from_all(&behind, &[listener.local_address()]).await;
     assert_eq!(behind.position(), restored);
     assert!(behind.known().table.is_evacuated("north-b"));
     // The target's entry may be written again.
     assert!(knows_target(&behind));
     let earlier = node_with_target();
-    let listener = serve_state(&earlier);
+    let listener = peer::serve_state(&earlier);
     let peer = listener.local_address();
     state_exchange::fetch_from_all(&ahead, &[peer]).await;
     let followed = state_exchange::follow(&ahead, peer, Duration::ZERO).await;
@@ -241,7 +227,7 @@
     };
     let peer = node_with_target();
     peer.update_state(vec![evacuation(6)], at(6), StateSource::Store);
-    let listener = serve_state(&peer);
+    let listener = peer::serve_state(&peer);
     let address = listener.local_address();
     let fresh = node();
     fresh.replace_state(Vec::new(), restored, StateSource::Store);
--- a/crates/sidecar/tests/restart.rs
+++ b/crates/sidecar/tests/restart.rs
@@ -3,6 +3,8 @@
 #[path = "common/clock.rs"]
 mod clock;
 mod common;
+#[path = "common/peer.rs"]
+mod peer;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +14,7 @@
 use http::Uri;
 use radishgauge_mesh::StatePosition;
 use radishgauge_mesh::declared_rate_limit::RateStatement;
+use radishgauge_mesh::retry_budget::RetryKind;
 use radishgauge_mesh::state_table::StateSource;
 use radishgauge_platform::StoreItem;
 use radishgauge_platform::message::HealthReport;
@@ -20,6 +23,7 @@
 use radishgauge_sidecar::answer::TargetOutcome;
 use radishgauge_sidecar::node::SidecarNode;
 use radishgauge_sidecar::owner::TargetOwner;
+use radishgauge_sidecar::state_exchange;
 use radishgauge_sidecar::target_call::BufferedRequest;
 
 use crate::clock::ManualClock;
@@ -42,10 +46,10 @@
     "capacity": 8, "state": "ready", "coldLeft": "0ms", "sequence": 1, "born": 1}"#;
 
 /// Starts a daemon that knows nothing yet.
-fn start_daemon(clock: &Arc<ManualClock>) -> SidecarNode {
+fn start_daemon(clock: &Arc<ManualClock>) -> Arc<SidecarNode> {
     let settings = common::settings();
     let owner = Arc::new(TargetOwner::new(&settings, clock.clone()));
-    SidecarNode::new(settings, clock.clone(), owner, 1)
+    Arc::new(SidecarNode::new(settings, clock.clone(), owner, 1))
 }
 
 /// Makes a daemon learn the platform's state.
@@ -153,6 +157,43 @@
     assert_eq!(node.owner.load(), (4, 0));
 }
 
+/// Returns how many retries of calls a daemon may send now, as one of two.
+fn count_retries(node: &SidecarNode) -> usize {
+    let service = "desk".into();
+    let now = node.now();
+    let mut budget = node.budget();
+    let spent = (0..100).filter(|_| budget.try_spend(&service, RetryKind::RefusedCall, 2, now));
+    spent.count()
+}
+
+/// Guards against a restarted daemon that spends the additional retries of its host again,
+/// and against a fleet without retries because all its daemons have just started.
+#[tokio::test]
+async fn retries_of_the_process_before_are_not_spent_again() {
+    let clock = Arc::new(ManualClock::default());
+    let running = start_daemon(&clock);
+    read_state(&running);
+    assert_eq!(count_retries(&running), 21);
+    let listener = peer::serve_state(&running);
+    let address = listener.local_address();
+    let beside = start_daemon(&clock);
+    let followed = state_exchange::follow(&beside, address, Duration::ZERO).await;
+    assert!(followed.is_ok());
+    assert_eq!(count_retries(&beside), 21);
+    clock.set(5_000);
+    for follows in [true, false] {
+        let restarted = start_daemon(&clock);
+        if follows {
+            let followed = state_exchange::follow(&restarted, address, Duration::ZERO).await;
+            assert!(followed.is_ok());
+        } else {
+            read_state(&restarted);
+            state_exchange::fetch_kept(&restarted, |_| vec![address]).await;
+        }
+        assert_eq!(count_retries(&restarted), 0);
+    }
+}
+
 /// Guards against a target that gets nothing for a second although it has been cold only
 /// since its daemon started, as after a loss of power.
 #[tokio::test]
