Move the cost of a candidate out of placement

A module of its own has the expected time until the answer, the penalties and whether a candidate can serve in time; the placer keeps the choice and its estimates.

--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod answer_link;
 pub mod body_admission;
 pub mod call_pressure;
+mod candidate_cost;
 mod candidate_survey;
 pub mod cold_rate_limit;
 pub mod config;
